--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# CGO_ENABLED: programs are linked to the C library.
+export CGO_ENABLED = 1
+BIN ?= bin
+
+.PHONY: build run test lint bench
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+run: build
+	$(BIN)/standin demo
+
+test:
+	go test -count=1 ./...
+
+lint:
+	golangci-lint fmt --diff
+	golangci-lint run ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./core/...
--- /dev/null
+++ b/core/message/message.go
@@ -0,0 +1,150 @@
+// Package message defines what hosts say to each other. Every message is
+// CBOR; package io/peer carries them over WebSocket connections.
+package message
+
+import (
+	"io"
+	"time"
+
+	"pineturn/core/outcome"
+	"pineturn/core/record"
+	"pineturn/core/shard"
+)
+
+// Version is the version of the protocol between hosts.
+const Version = 1
+
+// Hello opens a connection in both directions.
+type Hello struct {
+	Version int           `cbor:"1,keyasint"`
+	Member  record.Member `cbor:"2,keyasint"`
+}
+
+// Call is a control question to another host: exactly one field is set.
+type Call struct {
+	Ping    *Ping    `cbor:"1,keyasint,omitempty"`
+	Release *Release `cbor:"2,keyasint,omitempty"`
+	Catchup *Catchup `cbor:"3,keyasint,omitempty"`
+	Witness *Witness `cbor:"4,keyasint,omitempty"`
+	Recall  *Recall  `cbor:"5,keyasint,omitempty"`
+}
+
+// Reply answers a Call, in the field of the same name.
+type Reply struct {
+	Ping    *Pong         `cbor:"1,keyasint,omitempty"`
+	Release *Released     `cbor:"2,keyasint,omitempty"`
+	Catchup *CatchupReply `cbor:"3,keyasint,omitempty"`
+	Witness *Witnessed    `cbor:"4,keyasint,omitempty"`
+	Recall  *Recalled     `cbor:"5,keyasint,omitempty"`
+}
+
+// Ping is a heartbeat. It tells how far the sender has folded the log and
+// which members it suspects.
+type Ping struct {
+	Next     uint64               `cbor:"1,keyasint"`
+	Suspects []record.Incarnation `cbor:"2,keyasint,omitempty"`
+	Leaving  bool                 `cbor:"3,keyasint,omitempty"`
+}
+
+// Pong answers a Ping. Next is the first offset that the answering host has
+// not folded; a Next no higher than the question's confirms that the sender
+// is as current as the answering host.
+type Pong struct {
+	From    record.Incarnation `cbor:"1,keyasint"`
+	Next    uint64             `cbor:"2,keyasint"`
+	Leaving bool               `cbor:"3,keyasint,omitempty"`
+	Ready   bool               `cbor:"4,keyasint,omitempty"`
+	// ConfigVersion is the newest configuration version in force here.
+	ConfigVersion uint64               `cbor:"5,keyasint,omitempty"`
+	Suspects      []record.Incarnation `cbor:"6,keyasint,omitempty"`
+}
+
+// Release asks the leaseholder of a former owner whether shards have left it.
+type Release struct {
+	Target record.Target `cbor:"1,keyasint"`
+	Next   uint64        `cbor:"2,keyasint"`
+	Shards []shard.ID    `cbor:"3,keyasint"`
+}
+
+// Released lists the shards that the target certainly no longer holds and
+// will not be granted again under the asked log position.
+type Released struct {
+	Shards []shard.ID `cbor:"1,keyasint,omitempty"`
+}
+
+// Catchup asks for log records from an offset on, or a whole state.
+type Catchup struct {
+	From uint64 `cbor:"1,keyasint"`
+}
+
+// CatchupReply holds consecutive records from the asked offset on, or, when
+// the answering host no longer keeps them, a snapshot.
+type CatchupReply struct {
+	Records  []Record `cbor:"1,keyasint,omitempty"`
+	Snapshot []byte   `cbor:"2,keyasint,omitempty"`
+}
+
+// Record is one log record with its offset.
+type Record struct {
+	Offset uint64 `cbor:"1,keyasint"`
+	Data   []byte `cbor:"2,keyasint"`
+}
+
+// Witness asks a host in another failure domain to remember the id of a
+// request that must not be repeated, before it is sent to its target.
+type Witness struct {
+	Target  record.Target `cbor:"1,keyasint"`
+	Request string        `cbor:"2,keyasint"`
+	Window  time.Duration `cbor:"3,keyasint"`
+}
+
+// Witnessed says whether the id is now remembered; Known when it was before.
+type Witnessed struct {
+	Known bool `cbor:"1,keyasint"`
+}
+
+// Recall asks for the ids that a host remembers for a target.
+type Recall struct {
+	Target record.Target `cbor:"1,keyasint"`
+}
+
+// Recalled lists remembered ids with the time left until they are forgotten.
+type Recalled struct {
+	Requests []Remembered `cbor:"1,keyasint,omitempty"`
+}
+
+// Remembered is the id of a request that must not be repeated.
+type Remembered struct {
+	Request string        `cbor:"1,keyasint"`
+	Left    time.Duration `cbor:"2,keyasint"`
+}
+
+// Request is a caller's request on its way to the leaseholder of its target.
+type Request struct {
+	ID      string              `cbor:"1,keyasint"`
+	Shard   shard.ID            `cbor:"2,keyasint"`
+	Epoch   uint64              `cbor:"3,keyasint"`
+	Key     string              `cbor:"4,keyasint"`
+	Method  string              `cbor:"5,keyasint"`
+	Path    string              `cbor:"6,keyasint"`
+	Header  map[string][]string `cbor:"7,keyasint,omitempty"`
+	Body    []byte              `cbor:"8,keyasint,omitempty"`
+	Left    time.Duration       `cbor:"9,keyasint"`
+	Once    bool                `cbor:"10,keyasint,omitempty"`
+	Retries int                 `cbor:"11,keyasint,omitempty"`
+}
+
+// Head opens an answer: either the target's status and header, whose body
+// follows, or an error.
+type Head struct {
+	Status int                 `cbor:"1,keyasint,omitempty"`
+	Header map[string][]string `cbor:"2,keyasint,omitempty"`
+	Error  *outcome.Error      `cbor:"3,keyasint,omitempty"`
+}
+
+// Answer is a whole answer: its head and, when Error is nil, a body that
+// ends in io.EOF only if it is complete. The receiver closes Body.
+type Answer struct {
+	Head Head
+	Body io.ReadCloser
+}
--- /dev/null
+++ b/core/shard/shard.go
@@ -0,0 +1,74 @@
+// Package shard divides the keys of a service into shards, the unit of
+// ownership. A group of keys is hashed into a fixed number of range shards;
+// a hot key may be split off as a shard of its own.
+package shard
+
+import (
+	"fmt"
+	"math/bits"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ID names a shard. A range shard has an empty Key; a hot key's shard has
+// the Index of the range shard that it was split from.
+type ID struct {
+	Service string `cbor:"1,keyasint" json:"service"`
+	Group   string `cbor:"2,keyasint" json:"group"`
+	Index   int    `cbor:"3,keyasint" json:"index"`
+	Key     string `cbor:"4,keyasint,omitempty" json:"key,omitempty"`
+}
+
+// String returns service/group/index, with /key appended for a hot key.
+func (id ID) String() string {
+	base := id.Service + "/" + id.Group + "/" + strconv.Itoa(id.Index)
+	if id.Key == "" {
+		return base
+	}
+	return base + "/" + id.Key
+}
+
+// Parent returns the range shard that holds the keys of id.
+func (id ID) Parent() ID {
+	id.Key = ""
+	return id
+}
+
+// Less orders ids by service, group, index and key.
+func (id ID) Less(other ID) bool {
+	switch {
+	case id.Service != other.Service:
+		return id.Service < other.Service
+	case id.Group != other.Group:
+		return id.Group < other.Group
+	case id.Index != other.Index:
+		return id.Index < other.Index
+	}
+	return id.Key < other.Key
+}
+
+// Parse reads the form that String writes.
+func Parse(text string) (ID, error) {
+	parts := strings.SplitN(text, "/", 4)
+	if len(parts) < 3 || parts[0] == "" || parts[1] == "" {
+		return ID{}, fmt.Errorf("shard %q: want service/group/index[/key]", text)
+	}
+	index, err := strconv.Atoi(parts[2])
+	if err != nil || index < 0 {
+		return ID{}, fmt.Errorf("shard %q: index %q is not a number", text, parts[2])
+	}
+	id := ID{Service: parts[0], Group: parts[1], Index: index}
+	if len(parts) == 4 {
+		id.Key = parts[3]
+	}
+	return id, nil
+}
+
+// IndexOf returns the index of the range shard that holds key, among count
+// shards. Every host computes the same index.
+func IndexOf(key string, count int) int {
+	high, _ := bits.Mul64(xxhash.Sum64String(key), uint64(count))
+	return int(high)
+}
