--- /dev/null
+++ b/io/target/options.go
@@ -0,0 +1,55 @@
+package target
+
+import "time"
+
+// Defaults of Options.
+const (
+	// DefaultDialTimeout bounds the opening of a connection.
+	DefaultDialTimeout = 250 * time.Millisecond
+	// DefaultKeepAlive is the interval of TCP keepalive probes.
+	DefaultKeepAlive = time.Second
+	// DefaultIdleTimeout is how long an unused connection is kept. It is
+	// short because an idle connection may have gone silent.
+	DefaultIdleTimeout = 2 * time.Second
+	// DefaultControlConnections is how many connections a target's orders use.
+	DefaultControlConnections = 2
+	// DefaultConnections bounds the connections for the requests to a target
+	// whose configuration states no limit.
+	DefaultConnections = 16
+	// DefaultAnswerGrace is how long an answer may still come after the grant
+	// under which its request ran has ended.
+	DefaultAnswerGrace = 250 * time.Millisecond
+	// DefaultMaxHeader bounds an answer's header, in bytes.
+	DefaultMaxHeader = 64 << 10
+	// maxStatus bounds a status answer, in bytes.
+	maxStatus = 64 << 10
+)
+
+// Options tunes a Client; a zero field takes its default.
+type Options struct {
+	DialTimeout        time.Duration
+	KeepAlive          time.Duration
+	IdleTimeout        time.Duration
+	ControlConnections int
+	Connections        int
+	AnswerGrace        time.Duration
+	MaxHeader          int64
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.KeepAlive, DefaultKeepAlive)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.ControlConnections, DefaultControlConnections)
+	setDefault(&o.Connections, DefaultConnections)
+	setDefault(&o.AnswerGrace, DefaultAnswerGrace)
+	setDefault(&o.MaxHeader, DefaultMaxHeader)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/io/target/target.go
@@ -0,0 +1,142 @@
+// Package target speaks to the servers that own keys: the control orders that
+// grant them shards, and the callers' requests.
+package target
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"pineturn/core/clock"
+)
+
+// Client sends orders and requests to any number of targets. Requests and
+// orders use separate connections, so that neither waits for the other.
+type Client struct {
+	clock   clock.Clock
+	options Options
+	dialer  *net.Dialer
+
+	// mutex guards the tables; it is never held across I/O.
+	mutex    sync.Mutex
+	controls map[string]*http.Transport
+	requests map[string]*pool
+}
+
+// pool is the connections for the requests to one address.
+type pool struct {
+	transport   *http.Transport
+	connections int
+}
+
+// New returns a client that reads the given clock.
+func New(source clock.Clock, options Options) *Client {
+	options = options.withDefaults()
+	return &Client{
+		clock:    source,
+		options:  options,
+		dialer:   &net.Dialer{Timeout: options.DialTimeout, KeepAlive: options.KeepAlive},
+		controls: make(map[string]*http.Transport),
+		requests: make(map[string]*pool),
+	}
+}
+
+// Close drops all idle connections.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, transport := range c.controls {
+		transport.CloseIdleConnections()
+	}
+	for _, pool := range c.requests {
+		pool.transport.CloseIdleConnections()
+	}
+}
+
+// Reset makes the next order to address use a fresh connection. Orders in
+// flight keep theirs.
+func (c *Client) Reset(address string) {
+	c.mutex.Lock()
+	transport := c.controls[address]
+	delete(c.controls, address)
+	c.mutex.Unlock()
+	if transport != nil {
+		transport.CloseIdleConnections()
+	}
+}
+
+// ResetRequests makes the next request to address use a fresh connection.
+// Requests in flight keep theirs.
+func (c *Client) ResetRequests(address string) {
+	c.mutex.Lock()
+	pool := c.requests[address]
+	c.mutex.Unlock()
+	if pool != nil {
+		pool.transport.CloseIdleConnections()
+	}
+}
+
+// Forget drops the connections to an address that is no longer in use.
+func (c *Client) Forget(address string) {
+	c.Reset(address)
+	c.mutex.Lock()
+	pool := c.requests[address]
+	delete(c.requests, address)
+	c.mutex.Unlock()
+	if pool != nil {
+		pool.transport.CloseIdleConnections()
+	}
+}
+
+func (c *Client) control(address string) *http.Transport {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	transport, ok := c.controls[address]
+	if !ok {
+		transport = c.transport(c.options.ControlConnections)
+		transport.DialContext = c.dialer.DialContext
+		c.controls[address] = transport
+	}
+	return transport
+}
+
+// request returns the connections for requests to address, at most
+// connections of them. A changed limit starts a new pool.
+func (c *Client) request(address string, connections int) *http.Transport {
+	if connections <= 0 {
+		connections = c.options.Connections
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	existing, ok := c.requests[address]
+	if ok && existing.connections == connections {
+		return existing.transport
+	}
+	if ok {
+		existing.transport.CloseIdleConnections()
+	}
+	transport := c.transport(connections)
+	transport.DialContext = c.dialGuarded
+	c.requests[address] = &pool{transport: transport, connections: connections}
+	return transport
+}
+
+func (c *Client) transport(connections int) *http.Transport {
+	return &http.Transport{
+		MaxConnsPerHost:        connections,
+		MaxIdleConns:           connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        c.options.IdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: c.options.MaxHeader,
+	}
+}
+
+func (c *Client) dialGuarded(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := c.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &guardedConn{Conn: conn}, nil
+}
--- /dev/null
+++ b/io/target/target_test.go
@@ -0,0 +1,358 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"pineturn/core/config"
+	"pineturn/core/message"
+	"pineturn/core/outcome"
+	"pineturn/core/route"
+	"pineturn/core/shard"
+)
+
+// testClock is a clock that a test may move forward at any moment.
+type testClock struct {
+	mutex  sync.Mutex
+	offset time.Duration
+}
+
+func (c *testClock) Now() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return time.Now().Add(c.offset)
+}
+
+func (c *testClock) advance(d time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.offset += d
+}
+
+// fakeTarget accepts raw connections and lets a test answer each request. It
+// counts the requests that it read by id.
+type fakeTarget struct {
+	address string
+	answer  func(conn net.Conn, req *http.Request) (keep bool)
+
+	mutex       sync.Mutex
+	seen        map[string]int
+	connections int
+}
+
+func startTarget(t *testing.T, answer func(conn net.Conn, req *http.Request) bool) *fakeTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	fake := &fakeTarget{address: listener.Addr().String(), answer: answer, seen: make(map[string]int)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go fake.serve(conn)
+		}
+	}()
+	return fake
+}
+
+func (f *fakeTarget) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	f.mutex.Lock()
+	f.connections++
+	f.mutex.Unlock()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		f.mutex.Lock()
+		f.seen[req.Header.Get(headerRequestID)]++
+		f.mutex.Unlock()
+		if !f.answer(conn, req) {
+			return
+		}
+	}
+}
+
+func (f *fakeTarget) count(id string) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.seen[id]
+}
+
+func write(conn net.Conn, req *http.Request, status, header, body string) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\n%s\r\n%s", status, headerRequestID, req.Header.Get(headerRequestID), header, body)
+	return err == nil
+}
+
+func answerOK(conn net.Conn, req *http.Request) bool {
+	return write(conn, req, "200 OK", "Content-Length: 2\r\n", "ok")
+}
+
+type fixture struct {
+	clock  *testClock
+	client *Client
+	target *fakeTarget
+}
+
+func newFixture(t *testing.T, answer func(net.Conn, *http.Request) bool) *fixture {
+	t.Helper()
+	source := &testClock{}
+	client := New(source, Options{Connections: 1})
+	t.Cleanup(client.Close)
+	return &fixture{clock: source, client: client, target: startTarget(t, answer)}
+}
+
+func (f *fixture) permit() route.Permit {
+	now := f.clock.Now()
+	return route.Permit{
+		Address: f.target.address, Incarnation: "f3a9", Epoch: 5, Term: 7,
+		Until: now.Add(time.Minute), ClockUs: 1_000_000, ClockAt: now,
+	}
+}
+
+func newRequest(id, method string) *message.Request {
+	return &message.Request{
+		ID: id, Shard: shard.ID{Service: "payoutledger", Group: "all", Index: 3}, Key: "tenant-1",
+		Method: method, Path: "/claims?x=1", Left: 30 * time.Second,
+	}
+}
+
+func (f *fixture) send(req *message.Request) (*message.Answer, *outcome.Error) {
+	return f.client.Send(context.Background(), f.permit(), new(config.Target), req, false)
+}
+
+func checkFailure(t *testing.T, got *outcome.Error, want outcome.Outcome, reason outcome.Reason) {
+	t.Helper()
+	if got == nil {
+		t.Fatalf("got an answer, want %v %v", want, reason)
+	}
+	if got.Outcome != want || got.Reason != reason {
+		t.Errorf("got %v, want %v %v", got, want, reason)
+	}
+}
+
+func checkBody(t *testing.T, answer *message.Answer, failure *outcome.Error, want string, wantErr error) {
+	t.Helper()
+	if failure != nil {
+		t.Fatalf("got %v, want an answer", failure)
+	}
+	body, err := io.ReadAll(answer.Body)
+	_ = answer.Body.Close()
+	if string(body) != want || !errors.Is(err, wantErr) {
+		t.Errorf("got body %q, error %v, want %q, %v", body, err, want, wantErr)
+	}
+}
+
+func TestSendHeaders(t *testing.T) {
+	var got http.Header
+	var uri string
+	f := newFixture(t, func(conn net.Conn, req *http.Request) bool {
+		got, uri = req.Header, req.RequestURI
+		return answerOK(conn, req)
+	})
+	req := newRequest("r1", http.MethodPost)
+	req.Body = []byte("lodge")
+	req.Header = http.Header{
+		"Pineturn-Term": {"99"}, "Pineturn-End-With-Grant": {"1"}, "Connection": {"close, X-Hop"},
+		"X-Hop": {"1"}, "X-Kept": {"1"}, "Expect": {"100-continue"},
+	}
+	answer, failure := f.send(req)
+	checkBody(t, answer, failure, "ok", nil)
+	want := map[string]string{
+		headerRequestID: "r1", headerKey: "tenant-1", headerShard: "payoutledger/all/3", headerEpoch: "5",
+		headerTerm: "7", headerIncarnation: "f3a9", headerEndWithGrant: "", "X-Hop": "", "X-Kept": "1", "Expect": "",
+	}
+	for name, value := range want {
+		if got.Get(name) != value {
+			t.Errorf("header %s: got %q, want %q", name, got.Get(name), value)
+		}
+	}
+	if uri != "/claims?x=1" {
+		t.Errorf("got path %q, want /claims?x=1", uri)
+	}
+}
+
+func TestSendFailures(t *testing.T) {
+	refuse := func(status, reason, more string) func(net.Conn, *http.Request) bool {
+		return func(conn net.Conn, req *http.Request) bool {
+			header := "Content-Length: 0\r\nPineturn-Outcome: not-run\r\nPineturn-Reason: " + reason + "\r\n" + more
+			return write(conn, req, status, header, "")
+		}
+	}
+	cases := map[string]struct {
+		answer func(net.Conn, *http.Request) bool
+		want   outcome.Outcome
+		reason outcome.Reason
+	}{
+		"closed after the request": {func(net.Conn, *http.Request) bool { return false }, outcome.Unknown, outcome.TargetFailed},
+		"cut in the header": {func(conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-")
+			return false
+		}, outcome.Unknown, outcome.TargetFailed},
+		"another request's answer": {func(conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nPineturn-Request-Id: r0\r\nContent-Length: 2\r\n\r\nok")
+			return true
+		}, outcome.Unknown, outcome.TargetFailed},
+		"another request's refusal": {func(conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 No\r\nPineturn-Request-Id: r0\r\nPineturn-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}, outcome.Unknown, outcome.TargetFailed},
+		"shed":              {refuse("503 No", "shed", "Retry-After-Ms: 30\r\n"), outcome.NotRun, outcome.Shed},
+		"draining":          {refuse("503 No", "draining", ""), outcome.NotRun, outcome.Draining},
+		"wrong incarnation": {refuse("409 No", WrongIncarnation, ""), outcome.NotRun, outcome.LeaseLost},
+		"not owner":         {refuse("409 No", "not-owner", ""), outcome.NotRun, outcome.LeaseLost},
+		"late":              {refuse("504 No", "deadline-exceeded", ""), outcome.NotRun, outcome.DeadlineExceeded},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, c.answer)
+			_, failure := f.send(newRequest("r1", http.MethodGet))
+			checkFailure(t, failure, c.want, c.reason)
+		})
+	}
+	t.Run("no listener", func(t *testing.T) {
+		f := newFixture(t, answerOK)
+		permit := f.permit()
+		permit.Address = "127.0.0.1:1"
+		_, failure := f.client.Send(context.Background(), permit, new(config.Target), newRequest("r1", http.MethodGet), false)
+		checkFailure(t, failure, outcome.NotRun, outcome.TargetFailed)
+	})
+	t.Run("silent connection", func(t *testing.T) {
+		f := newFixture(t, func(conn net.Conn, _ *http.Request) bool {
+			_, _ = io.Copy(io.Discard, conn)
+			return false
+		})
+		req := newRequest("r1", http.MethodGet)
+		req.Left = 50 * time.Millisecond
+		_, failure := f.send(req)
+		checkFailure(t, failure, outcome.Unknown, outcome.DeadlineExceeded)
+	})
+}
+
+func TestSendCutBody(t *testing.T) {
+	cases := map[string]struct{ header, body string }{
+		"length":     {"Content-Length: 9\r\n", "short"},
+		"chunked":    {"Transfer-Encoding: chunked\r\n", "5\r\nshort\r\n"},
+		"open ended": {"Connection: close\r\n", "short"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, func(conn net.Conn, req *http.Request) bool {
+				write(conn, req, "200 OK", c.header, c.body)
+				return false
+			})
+			answer, failure := f.send(newRequest("r1", http.MethodGet))
+			checkBody(t, answer, failure, "short", io.ErrUnexpectedEOF)
+		})
+	}
+}
+
+// A kept connection that the target closes on the next request makes
+// net/http send idempotent requests once more by itself.
+func TestSendWritesOnce(t *testing.T) {
+	header := map[string]http.Header{
+		http.MethodGet:  nil,
+		http.MethodPost: {"Idempotency-Key": {"k"}},
+		http.MethodPut:  {"X-Idempotency-Key": {"k"}},
+	}
+	for method, header := range header {
+		t.Run(method, func(t *testing.T) {
+			f := newFixture(t, func(conn net.Conn, req *http.Request) bool {
+				return req.Header.Get(headerRequestID) == "r1" && answerOK(conn, req)
+			})
+			answer, failure := f.send(newRequest("r1", http.MethodGet))
+			checkBody(t, answer, failure, "ok", nil)
+			req := newRequest("r2", method)
+			req.Header = header
+			_, failure = f.send(req)
+			checkFailure(t, failure, outcome.Unknown, outcome.TargetFailed)
+			if got := f.target.count("r2"); got != 1 {
+				t.Errorf("got %d sends, want 1", got)
+			}
+		})
+	}
+}
+
+func TestSendChecksPermitAtWrite(t *testing.T) {
+	held, free := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, func(conn net.Conn, req *http.Request) bool {
+		if req.Header.Get(headerRequestID) == "r1" {
+			close(held)
+			<-free
+		}
+		return answerOK(conn, req)
+	})
+	go func() {
+		answer, failure := f.send(newRequest("r1", http.MethodGet))
+		if failure == nil {
+			_, _ = io.Copy(io.Discard, answer.Body)
+			_ = answer.Body.Close()
+		}
+	}()
+	<-held
+	result := make(chan *outcome.Error)
+	permit := f.permit()
+	go func() {
+		_, failure := f.client.Send(context.Background(), permit, new(config.Target), newRequest("r2", http.MethodGet), true)
+		result <- failure
+	}()
+	f.clock.advance(2 * time.Minute)
+	close(free)
+	checkFailure(t, <-result, outcome.NotRun, outcome.LeaseLost)
+	if got := f.target.count("r2"); got != 0 {
+		t.Errorf("got %d sends, want 0", got)
+	}
+}
+
+func TestControl(t *testing.T) {
+	status := `{"incarnation": "f3a9", "clock_us": 81234567, "slots": 2, "busy": 1, "health": "ok", "set": 41}`
+	refused := `{"error": "stale-term", "incarnation": "f3a9", "clock_us": 81234568}`
+	f := newFixture(t, func(conn net.Conn, req *http.Request) bool {
+		if req.URL.Path == grantPath {
+			return write(conn, req, "409 No", fmt.Sprintf("Content-Length: %d\r\n", len(refused)), refused)
+		}
+		return write(conn, req, "200 OK", fmt.Sprintf("Content-Length: %d\r\n", len(status)), status)
+	})
+	ctx := context.Background()
+	t.Run("clock", func(t *testing.T) {
+		got, err := f.client.Clock(ctx, f.target.address)
+		want := Status{Incarnation: "f3a9", ClockUs: 81234567, Slots: 2, Busy: 1, Health: "ok", Set: 41}
+		if err != nil || got != want {
+			t.Errorf("got %+v, %v, want %+v", got, err, want)
+		}
+	})
+	t.Run("refused grant", func(t *testing.T) {
+		_, err := f.client.Grant(ctx, f.target.address, Grant{Incarnation: "f3a9", Term: 6})
+		var got *Refused
+		if !errors.As(err, &got) || got.Code != StaleTerm || got.Status.ClockUs != 81234568 {
+			t.Errorf("got %v, want a refusal with %s", err, StaleTerm)
+		}
+	})
+	t.Run("reset", func(t *testing.T) {
+		f.client.Reset(f.target.address)
+		if _, err := f.client.Clock(ctx, f.target.address); err != nil {
+			t.Fatal(err)
+		}
+		f.target.mutex.Lock()
+		defer f.target.mutex.Unlock()
+		if got := f.target.connections; got != 2 {
+			t.Errorf("got %d connections, want 2", got)
+		}
+	})
+}
