--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -220,7 +220,8 @@
 
 // drainTime is how long the target takes to serve count requests.
 func (q *Queue) drainTime(now time.Time, count int) time.Duration {
-	return q.service * time.Duration(count) / time.Duration(max(q.limit.allowed(now), 1))
+	each := max(q.service, q.limit.pace())
+	return each * time.Duration(count) / time.Duration(q.limit.allowed(now))
 }
 
 func (q *Queue) start(now time.Time, ticket *Ticket) {
--- a/core/admit/limiter.go
+++ b/core/admit/limiter.go
@@ -67,16 +67,22 @@
 	if stillRunning > 0 && l.row < l.slots {
 		return
 	}
-	pause := l.options.MaxPause
-	if shift := l.row - 1; shift < 16 {
-		pause = min(l.options.Pause<<shift, l.options.MaxPause)
-	}
-	pause = min(max(pause, after), l.options.MaxPause)
+	pause := min(max(l.pace(), after), l.options.MaxPause)
 	if until := now.Add(pause); until.After(l.until) {
 		l.until = until
 	}
 }
 
+// pace is the pause after each request while the target sheds them all, and
+// zero otherwise.
+func (l *limiter) pace() time.Duration {
+	if l.row == 0 {
+		return 0
+	}
+	shift := min(l.row-1, 16)
+	return min(l.options.Pause<<shift, l.options.MaxPause)
+}
+
 func (l *limiter) served(time.Time) {
 	l.row = 0
 	l.until = time.Time{}
--- /dev/null
+++ b/core/dispatch/entry_test.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"pineturn/core/clock"
+	"pineturn/core/message"
+	"pineturn/core/outcome"
+	"pineturn/core/record"
+	"pineturn/core/retry"
+)
+
+func TestHandle(t *testing.T) {
+	t.Run("at the leaseholder", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		body, failure := c.handle(0, read("r1"))
+		checkOK(t, body, failure)
+	})
+	t.Run("through another host", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		body, failure := c.handle(1, read("r1"))
+		checkOK(t, body, failure)
+	})
+	t.Run("waits for an owner", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		c.assign(-1, 2, 2)
+		go func() {
+			c.awaitWaiting(1)
+			c.assign(2, 3, 3)
+		}()
+		c.hosts[1].entry.Wait = 20 * time.Second
+		body, failure := c.handle(1, read("r1"))
+		checkOK(t, body, failure)
+	})
+	t.Run("gives up without an owner", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		c.assign(-1, 2, 2)
+		c.hosts[1].entry.Wait = 30 * time.Millisecond
+		_, failure := c.handle(1, read("r1"))
+		checkFailure(t, failure, outcome.NotRun, outcome.NoOwner)
+		if failure.RetryAfter <= 0 {
+			t.Error("got no time to come back, want one")
+		}
+	})
+	t.Run("bounds how many wait", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		c.assign(-1, 2, 2)
+		entry := c.hosts[1].entry
+		entry.Wait, entry.Waiters = 20*time.Second, 1
+		ended := make(chan *outcome.Error, 1)
+		go func() {
+			_, failure := c.handle(1, read("r1"))
+			ended <- failure
+		}()
+		c.awaitWaiting(1)
+		_, failure := c.handle(1, read("r2"))
+		checkFailure(t, failure, outcome.NotRun, outcome.NoOwner)
+		c.assign(0, 3, 3)
+		if failure := <-ended; failure != nil {
+			t.Errorf("got %v for the one that waits, want an answer", failure)
+		}
+	})
+	t.Run("follows a route that moved", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		entry := c.hosts[1].entry
+		inner := entry.Forward
+		entry.Forward = func(ctx context.Context, to record.Member, req *message.Request) (*message.Answer, *outcome.Error) {
+			if req.Retries == 0 {
+				c.assign(2, 2, 2)
+				return nil, outcome.Refuse(outcome.NotLeaseholder, "moved", 0)
+			}
+			return inner(ctx, to, req)
+		}
+		body, failure := c.handle(1, read("r1"))
+		checkOK(t, body, failure)
+	})
+}
+
+func (c *cluster) awaitWaiting(i int) {
+	for c.hosts[i].entry.Counts().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestRetries(t *testing.T) {
+	cases := map[string]struct {
+		req   *message.Request
+		fail  *outcome.Error
+		sends int
+	}{
+		"unknown, may be repeated":     {read("r1"), outcome.Uncertain(outcome.TargetFailed, ""), 2},
+		"unknown, must not be":         {payout("r1"), outcome.Uncertain(outcome.TargetFailed, ""), 1},
+		"unknown at the deadline":      {read("r1"), outcome.Uncertain(outcome.DeadlineExceeded, ""), 1},
+		"shed":                         {read("r1"), outcome.Refuse(outcome.Shed, "", 0), 1},
+		"shed, must not be repeated":   {payout("r1"), outcome.Refuse(outcome.Shed, "", 0), 1},
+		"overloaded":                   {read("r1"), outcome.Refuse(outcome.Overloaded, "", 0), 1},
+		"target down, no other so far": {read("r1"), outcome.Refuse(outcome.TargetFailed, "", 0), 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 3, 3)
+			c.hosts[1].entry.Wait = 100 * time.Millisecond
+			c.target = func(context.Context, *message.Request) (*message.Answer, *outcome.Error) { return nil, test.fail }
+			_, failure := c.handle(1, test.req)
+			checkFailure(t, failure, test.fail.Outcome, test.fail.Reason)
+			if got := c.sends["r1"]; got != test.sends {
+				t.Errorf("got %d sends, want %d", got, test.sends)
+			}
+		})
+	}
+}
+
+// A target that sheds or fails all requests sees few more than the callers'
+// own, and serves again once it can.
+func TestRetryStorm(t *testing.T) {
+	const hosts = 3
+	cases := map[string]struct {
+		fail      *outcome.Error
+		own, most int
+	}{
+		"sheds": {outcome.Refuse(outcome.Shed, "no slot", 0), 12, 12},
+		"fails": {outcome.Uncertain(outcome.TargetFailed, "closed"), 90, 90 + 90/retry.DefaultShare + hosts*retry.DefaultBurst},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, hosts, hosts)
+			sends := 0
+			c.target = func(context.Context, *message.Request) (*message.Answer, *outcome.Error) {
+				c.mutex.Lock()
+				defer c.mutex.Unlock()
+				sends++
+				return nil, test.fail
+			}
+			var group sync.WaitGroup
+			for i, host := range c.hosts {
+				host.entry.Budget = retry.New(clock.NewFake(time.Now()))
+				group.Go(func() {
+					for request := range test.own / hosts {
+						_, _ = c.handle(i, read(fmt.Sprint(i, "-", request)))
+					}
+				})
+			}
+			group.Wait()
+			if sends > test.most {
+				t.Errorf("got %d sends for %d requests, want at most %d", sends, test.own, test.most)
+			}
+			c.setTarget(nil)
+			body, failure := c.handle(1, read("after"))
+			checkOK(t, body, failure)
+		})
+	}
+}
--- /dev/null
+++ b/core/dispatch/holder.go
@@ -0,0 +1,200 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"pineturn/core/admit"
+	"pineturn/core/clock"
+	"pineturn/core/config"
+	"pineturn/core/message"
+	"pineturn/core/once"
+	"pineturn/core/outcome"
+	"pineturn/core/record"
+	"pineturn/core/route"
+	"pineturn/core/shard"
+)
+
+// Holder sends requests to the targets whose leases this host holds. Its
+// function fields are set before use.
+type Holder struct {
+	Self  record.Member
+	Clock clock.Clock
+	// Find returns the present way of a shard.
+	Find func(id shard.ID) (route.Route, *outcome.Error)
+	// Permit allows one request of a shard to be sent, or says why not. The
+	// function is called when the target certainly no longer runs it.
+	Permit func(id shard.ID, epoch uint64) (route.Permit, func(), *outcome.Error)
+	// Send passes a request on to a target.
+	Send func(ctx context.Context, permit route.Permit, target *config.Target, req *message.Request, longRunning bool) (*message.Answer, *outcome.Error)
+	// Members lists the members of the cluster.
+	Members func() []record.Member
+	// Witness asks another host to remember a request's id.
+	Witness func(ctx context.Context, witness record.Member, ask message.Witness) (message.Witnessed, error)
+	// Recall asks another host which ids it remembers.
+	Recall func(ctx context.Context, member record.Member, ask message.Recall) (message.Recalled, error)
+	Memory *once.Memory
+
+	collecting singleflight.Group
+	// background holds the messages to witnesses on their way.
+	background sync.WaitGroup
+
+	// mutex guards gates; it is taken before a gate's own lock.
+	mutex  sync.Mutex
+	gates  map[record.Target]*gate
+	counts holderCounts
+}
+
+// gate is a target's queue with the figures that it was set up by.
+type gate struct {
+	*admit.Gate
+	slots, queue int
+}
+
+type holderCounts struct {
+	requests, sent, done, shed, notRun, unknown atomic.Uint64
+}
+
+// HolderCounts counts what a Holder did since its start.
+type HolderCounts struct {
+	Requests uint64 `json:"requests"`
+	// Sent counts requests given to the target's connection; of these, Done
+	// were answered, Shed were refused for lack of a slot.
+	Sent    uint64 `json:"sent"`
+	Done    uint64 `json:"done"`
+	Shed    uint64 `json:"shed"`
+	NotRun  uint64 `json:"not_run"`
+	Unknown uint64 `json:"unknown"`
+}
+
+// Counts returns the present counts.
+func (h *Holder) Counts() HolderCounts {
+	return HolderCounts{
+		Requests: h.counts.requests.Load(),
+		Sent:     h.counts.sent.Load(),
+		Done:     h.counts.done.Load(),
+		Shed:     h.counts.shed.Load(),
+		NotRun:   h.counts.notRun.Load(),
+		Unknown:  h.counts.unknown.Load(),
+	}
+}
+
+// Load returns the reading of each target's queue.
+func (h *Holder) Load() map[record.Target]admit.Load {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	loads := make(map[record.Target]admit.Load, len(h.gates))
+	for target, gate := range h.gates {
+		loads[target] = gate.Load()
+	}
+	return loads
+}
+
+// Warm lets a cold target have few requests at first.
+func (h *Holder) Warm(target record.Target) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if gate, ok := h.gates[target]; ok {
+		gate.Warm()
+	}
+}
+
+// Drop refuses what waits for a target, when this host ceases to be its
+// leaseholder. Requests in flight end by themselves.
+func (h *Holder) Drop(target record.Target) {
+	h.mutex.Lock()
+	gate, ok := h.gates[target]
+	delete(h.gates, target)
+	h.mutex.Unlock()
+	if ok {
+		gate.Close()
+	}
+}
+
+// Close waits until all messages to witnesses are sent. No request may be
+// served any more.
+func (h *Holder) Close() { h.background.Wait() }
+
+// Serve sends a request that an entry passed on, and returns the target's
+// answer. It never tries again. The caller closes the answer's body.
+func (h *Holder) Serve(ctx context.Context, entry record.Member, req *message.Request) (*message.Answer, *outcome.Error) {
+	h.counts.requests.Add(1)
+	way, failure := h.Find(req.Shard)
+	if failure != nil {
+		return nil, failure
+	}
+	if way.Holder.Incarnation != h.Self.Incarnation {
+		return nil, outcome.Refuse(outcome.NotLeaseholder, "another host holds the target", 0)
+	}
+	if way.Epoch != req.Epoch {
+		return nil, outcome.Refuse(outcome.NotLeaseholder, "the shard has another epoch here", 0)
+	}
+	if req.Left <= 0 {
+		return nil, outcome.Refuse(outcome.DeadlineExceeded, "the deadline has passed", 0)
+	}
+	start := h.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, req.Left)
+	run := &run{
+		holder: h, entry: entry, way: way, req: *req,
+		deadline: start.Add(req.Left), cancel: cancel,
+	}
+	run.req.Once = req.Once || way.Service.Once(req.Method, pathOnly(req.Path))
+	answer, failure := run.serve(ctx)
+	if failure != nil {
+		h.count(failure)
+	}
+	return answer, failure
+}
+
+func (h *Holder) count(failure *outcome.Error) {
+	switch {
+	case failure.Reason == outcome.Shed:
+		h.counts.shed.Add(1)
+	case failure.Outcome == outcome.NotRun:
+		h.counts.notRun.Add(1)
+	default:
+		h.counts.unknown.Add(1)
+	}
+}
+
+// gate returns the queue of a target, with its present limits.
+func (h *Holder) gate(way route.Route) *admit.Gate {
+	slots, queue := way.Target.Slots(), way.Service.Queue()
+	id := way.Target.ID()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	existing, ok := h.gates[id]
+	if !ok {
+		if h.gates == nil {
+			h.gates = make(map[record.Target]*gate)
+		}
+		existing = &gate{
+			Gate:  admit.NewGate(h.Clock, admit.Options{Slots: slots, Queue: queue}),
+			slots: slots, queue: queue,
+		}
+		h.gates[id] = existing
+		return existing.Gate
+	}
+	if existing.slots != slots {
+		existing.slots = slots
+		existing.SetSlots(slots)
+	}
+	if existing.queue != queue {
+		existing.queue = queue
+		existing.SetQueue(queue)
+	}
+	return existing.Gate
+}
+
+// after calls finish once d has passed.
+func after(d time.Duration, finish func()) {
+	if d <= 0 {
+		finish()
+		return
+	}
+	time.AfterFunc(d, finish)
+}
--- /dev/null
+++ b/core/dispatch/once.go
@@ -0,0 +1,198 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pineturn/core/message"
+	"pineturn/core/once"
+	"pineturn/core/outcome"
+	"pineturn/core/record"
+	"pineturn/core/route"
+	"pineturn/core/shard"
+)
+
+// begin claims the id of a request that must not be repeated, and makes sure
+// that a host in another failure domain knows it too. The permit was got
+// before, so no earlier leaseholder can send the request any more.
+func (r *run) begin(ctx context.Context) (*once.Answer, *outcome.Error) {
+	memory, req := r.holder.Memory, onceRequest(r.way, &r.req)
+	id, epoch, term := r.req.Shard, r.permit.Epoch, r.permit.Term
+	if !memory.Ready(id, epoch, term) || memory.Collected(req.Service, req.ID) {
+		if failure := r.collect(ctx); failure != nil {
+			return nil, failure
+		}
+	}
+	claim, kept, failure := memory.Begin(req, id, epoch, term)
+	if kept != nil || failure != nil {
+		return kept, failure
+	}
+	r.claim = claim
+	return nil, r.witness(ctx)
+}
+
+// collect asks the other hosts for the ids of the shard, once for all
+// requests that need it at the moment, and renews the permit.
+func (r *run) collect(ctx context.Context) *outcome.Error {
+	id, epoch, term := r.req.Shard, r.permit.Epoch, r.permit.Term
+	flight := fmt.Sprintf("%s@%d.%d", id, epoch, term)
+	way := r.way
+	result := r.holder.collecting.DoChan(flight, func() (any, error) {
+		return nil, r.holder.collect(way, epoch, term)
+	})
+	select {
+	case <-ctx.Done():
+		return outcome.Refuse(outcome.NotReady, "what other hosts have sent is not yet known here", retryWitness)
+	case got := <-result:
+		if got.Err != nil {
+			return outcome.Refuse(outcome.NotReady, got.Err.Error(), retryWitness)
+		}
+	}
+	r.done()
+	r.done = nil
+	permit, done, failure := r.holder.Permit(r.req.Shard, r.req.Epoch)
+	if failure != nil {
+		return failure
+	}
+	r.permit, r.done = permit, done
+	return nil
+}
+
+// collect gathers the ids that all members remember for a shard's keys. Every
+// id is known in two failure domains, so the members of one domain may be
+// missing; they are not waited for much longer than the others.
+func (h *Holder) collect(way route.Route, epoch, term uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), recallTimeout)
+	defer cancel()
+	ask := recallOf(way)
+	pending := make(map[record.Incarnation]record.Member)
+	results := make(chan recallResult)
+	for _, member := range h.Members() {
+		if member.Incarnation != h.Self.Incarnation {
+			pending[member.Incarnation] = member
+			go h.recall(ctx, member, ask, results)
+		}
+	}
+	answers := make(map[record.Incarnation][]message.Remembered, len(pending))
+	var late <-chan time.Time
+	for asked := len(pending); asked > 0; asked-- {
+		if late == nil && oneDomain(pending) {
+			late = time.After(recallGrace)
+		}
+		select {
+		case result := <-results:
+			if result.err == nil {
+				delete(pending, result.from)
+				answers[result.from] = result.requests
+			}
+		case <-late:
+			asked = 0
+		case <-ctx.Done():
+			asked = 0
+		}
+	}
+	if !oneDomain(pending) {
+		return fmt.Errorf("%d hosts in several failure domains did not say what they have sent", len(pending))
+	}
+	if !h.Memory.Collect(h.Self.Incarnation, way.Shard, epoch, term, ask, answers) {
+		return fmt.Errorf("too many ids to remember")
+	}
+	return nil
+}
+
+// recallResult is one host's answer to a Recall.
+type recallResult struct {
+	from     record.Incarnation
+	requests []message.Remembered
+	err      error
+}
+
+func (h *Holder) recall(ctx context.Context, member record.Member, ask message.Recall, results chan<- recallResult) {
+	recalled, err := h.Recall(ctx, member, ask)
+	select {
+	case results <- recallResult{from: member.Incarnation, requests: recalled.Requests, err: err}:
+	case <-ctx.Done():
+	}
+}
+
+// recallOf covers all keys of a shard's range.
+func recallOf(way route.Route) message.Recall {
+	count := 1
+	if group, ok := way.Service.GroupNamed(way.Shard.Group); ok {
+		count = group.Shards()
+	}
+	low, high := shard.RangeOf(way.Shard.Index, count)
+	return message.Recall{Service: way.Shard.Service, Low: low, High: high}
+}
+
+// oneDomain reports whether the members all are in one failure domain.
+func oneDomain(members map[record.Incarnation]record.Member) bool {
+	domains := make(map[string]bool, 1)
+	for _, member := range members {
+		domains[member.Domain] = true
+	}
+	return len(domains) <= 1
+}
+
+// witness makes sure that a host in another failure domain knows the
+// request's id. The entry does, unless it is in this host's own domain.
+func (r *run) witness(ctx context.Context) *outcome.Error {
+	h := r.holder
+	if r.entry.Domain != h.Self.Domain {
+		return nil
+	}
+	candidates := witnesses(h.Members(), h.Self, r.req.ID)
+	if len(candidates) == 0 {
+		return nil
+	}
+	req := onceRequest(r.way, &r.req)
+	ask := message.Witness{
+		Target:  record.Target{Service: req.Service, Name: r.way.Target.ID().Name},
+		Request: req.ID,
+		Window:  req.Window,
+		Hash:    shard.Hash(req.Key),
+	}
+	for _, candidate := range candidates[:min(len(candidates), maxWitnesses)] {
+		if h.ask(ctx, candidate, ask) {
+			r.takeBack = func() {
+				ask.Window = 0
+				h.ask(context.Background(), candidate, ask)
+			}
+			return nil
+		}
+	}
+	return outcome.Refuse(outcome.HostUnreachable, "no host in another failure domain could remember the request", retryWitness)
+}
+
+func (h *Holder) ask(ctx context.Context, candidate record.Member, ask message.Witness) bool {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	_, err := h.Witness(ctx, candidate, ask)
+	return err == nil
+}
+
+// witnesses lists the members in other domains than self, starting at a place
+// that depends on the request. Without any it lists the other members.
+func witnesses(members []record.Member, self record.Member, id string) []record.Member {
+	var others, apart []record.Member
+	for _, member := range members {
+		if member.Incarnation == self.Incarnation {
+			continue
+		}
+		others = append(others, member)
+		if member.Domain != self.Domain {
+			apart = append(apart, member)
+		}
+	}
+	if len(apart) == 0 {
+		apart = others
+	}
+	if len(apart) == 0 {
+		return nil
+	}
+	first := int(xxhash.Sum64String(id) % uint64(len(apart)))
+	return append(apart[first:len(apart):len(apart)], apart[:first]...)
+}
--- /dev/null
+++ b/core/dispatch/once_test.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pineturn/core/message"
+	"pineturn/core/outcome"
+)
+
+func TestOnce(t *testing.T) {
+	t.Run("retry at another host while the first is in flight", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		sent, free := make(chan struct{}), make(chan struct{})
+		c.target = func(ctx context.Context, req *message.Request) (*message.Answer, *outcome.Error) {
+			close(sent)
+			<-free
+			return c.answerOK(ctx, req)
+		}
+		first := make(chan *outcome.Error, 1)
+		go func() {
+			_, failure := c.handle(1, payout("r1"))
+			first <- failure
+		}()
+		<-sent
+		_, failure := c.handle(2, payout("r1"))
+		checkFailure(t, failure, outcome.Unknown, outcome.Duplicate)
+		close(free)
+		if failure := <-first; failure != nil {
+			t.Errorf("got %v, want an answer", failure)
+		}
+		body, failure := c.handle(2, payout("r1"))
+		checkOK(t, body, failure)
+		c.checkRuns(t, 1)
+	})
+	for entry, name := range []string{"sent by the leaseholder itself", "sent through another host"} {
+		t.Run("leaseholder lost, "+name, func(t *testing.T) {
+			c := newCluster(t, 4, 4)
+			c.target = c.answerLost
+			_, failure := c.handle(entry, payout("r1"))
+			checkFailure(t, failure, outcome.Unknown, outcome.TargetFailed)
+			c.lose(0)
+			c.assign(2, 1, 2)
+			_, failure = c.handle(3, payout("r1"))
+			checkFailure(t, failure, outcome.Unknown, outcome.Duplicate)
+			c.checkRuns(t, 1)
+		})
+	}
+	t.Run("shard moved to another target", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		c.target = c.answerLost
+		_, _ = c.handle(1, payout("r1"))
+		c.assign(2, 2, 9)
+		_, failure := c.handle(2, payout("r1"))
+		checkFailure(t, failure, outcome.Unknown, outcome.Duplicate)
+		c.checkRuns(t, 1)
+	})
+	t.Run("not run is free again", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		c.target = c.answerShed
+		_, failure := c.handle(1, payout("r1"))
+		checkFailure(t, failure, outcome.NotRun, outcome.Shed)
+		c.target = nil
+		c.assign(2, 1, 2)
+		body, failure := c.handle(0, payout("r1"))
+		checkOK(t, body, failure)
+	})
+	t.Run("in flight when collected, then not run", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		claim := c.hosts[1].entry.Memory.Forward(onceRequest(c.way, payout("r1")), c.hosts[0].member.Incarnation)
+		c.assign(2, 1, 2)
+		_, failure := c.handle(2, payout("r1"))
+		checkFailure(t, failure, outcome.Unknown, outcome.Duplicate)
+		claim.Finish(outcome.NotRun, nil)
+		body, failure := c.handle(2, payout("r1"))
+		checkOK(t, body, failure)
+	})
+	t.Run("hosts of two domains silent", func(t *testing.T) {
+		c := newCluster(t, 4, 4)
+		c.silent[c.hosts[2].member.Incarnation], c.silent[c.hosts[3].member.Incarnation] = true, true
+		c.hosts[1].entry.Wait = 50 * time.Millisecond
+		_, failure := c.handle(1, payout("r1"))
+		checkFailure(t, failure, outcome.NotRun, outcome.NotReady)
+		c.checkRuns(t, 0)
+	})
+	t.Run("no witness", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		_, _ = c.handle(0, payout("r0"))
+		c.silent[c.hosts[1].member.Incarnation], c.silent[c.hosts[2].member.Incarnation] = true, true
+		c.hosts[0].entry.Wait = 50 * time.Millisecond
+		_, failure := c.handle(0, payout("r1"))
+		checkFailure(t, failure, outcome.NotRun, outcome.HostUnreachable)
+		c.checkRuns(t, 0)
+	})
+}
+
+// With one host lost at most, no interleaving of callers' retries, moves and
+// takeovers runs a request twice, or one that was reported as not run.
+func TestOnceProperties(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		c := newCluster(t, 4, rapid.IntRange(2, 4).Draw(r, "domains"))
+		epoch, term, lost := uint64(1), uint64(1), -1
+		uncertain := make(map[string]bool)
+		for range rapid.IntRange(1, 25).Draw(r, "steps") {
+			at := rapid.IntRange(0, 3).Draw(r, "host")
+			if at == lost {
+				continue
+			}
+			switch rapid.IntRange(0, 5).Draw(r, "step") {
+			case 0:
+				term++
+				c.assign(at, epoch, term)
+			case 1:
+				epoch, term = epoch+1, term+1
+				c.assign(at, epoch, term)
+			case 2:
+				if lost < 0 && rapid.Bool().Draw(r, "lose") {
+					lost, term = at, term+1
+					c.lose(at)
+					c.assign((at+1)%4, epoch, term)
+				}
+			default:
+				id := fmt.Sprint("r", rapid.IntRange(0, 3).Draw(r, "id"))
+				c.target = rapid.SampledFrom([]func(context.Context, *message.Request) (*message.Answer, *outcome.Error){
+					c.answerOK, c.answerLost, c.answerShed,
+				}).Draw(r, "answer")
+				_, failure := c.handle(at, payout(id))
+				if failure == nil || failure.Outcome != outcome.NotRun {
+					uncertain[id] = true
+				}
+				if c.runs[id] > 1 || (c.runs[id] > 0 && !uncertain[id]) {
+					r.Fatalf("request %s: got %d runs, reported run %v, want at most 1, as reported", id, c.runs[id], uncertain[id])
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/dispatch/run.go
@@ -0,0 +1,212 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"pineturn/core/admit"
+	"pineturn/core/message"
+	"pineturn/core/once"
+	"pineturn/core/outcome"
+	"pineturn/core/record"
+	"pineturn/core/route"
+)
+
+// run is one request at its holder, and what it has taken hold of.
+type run struct {
+	holder   *Holder
+	entry    record.Member
+	way      route.Route
+	req      message.Request
+	deadline time.Time
+	cancel   context.CancelFunc
+
+	claim  *once.Claim
+	slot   *admit.Slot
+	permit route.Permit
+	done   func()
+	// takeBack tells the witness that the request was not run.
+	takeBack func()
+	finish   sync.Once
+}
+
+// serve takes a slot, a permit and the id in this order, and sends.
+func (r *run) serve(ctx context.Context) (*message.Answer, *outcome.Error) {
+	kept, failure := r.prepare(ctx)
+	if failure != nil {
+		r.end(failure, nil)
+		return nil, failure
+	}
+	if kept != nil {
+		r.end(errRepeated, nil)
+		return repeat(kept), nil
+	}
+	r.holder.counts.sent.Add(1)
+	answer, failure := r.holder.Send(ctx, r.permit, r.way.Target, &r.req, r.way.Service.LongRunning())
+	if failure != nil {
+		r.end(failure, nil)
+		return nil, failure
+	}
+	return r.deliver(answer)
+}
+
+// errRepeated ends a run that sent nothing, as its answer was kept.
+var errRepeated = outcome.Refuse(outcome.Duplicate, "the answer was kept", 0)
+
+// prepare gets a slot and a permit, and for a request that must not be
+// repeated its id. It returns the kept answer of an earlier attempt, if any.
+func (r *run) prepare(ctx context.Context) (*once.Answer, *outcome.Error) {
+	if r.req.Once {
+		if kept, failure := r.holder.Memory.Seen(onceRequest(r.way, &r.req)); kept != nil || failure != nil {
+			return kept, failure
+		}
+	}
+	slot, failure := r.holder.gate(r.way).Acquire(ctx, r.req.Key, r.deadline)
+	if failure != nil {
+		return nil, failure
+	}
+	r.slot = slot
+	if r.permit, r.done, failure = r.holder.Permit(r.req.Shard, r.req.Epoch); failure != nil {
+		return nil, failure
+	}
+	if !r.req.Once {
+		return nil, nil
+	}
+	return r.begin(ctx)
+}
+
+// deliver returns an answer. A short one is read whole first.
+func (r *run) deliver(answer *message.Answer) (*message.Answer, *outcome.Error) {
+	length := contentLength(answer.Head.Header)
+	if length < 0 || length > maxBuffered {
+		answer.Body = &runBody{run: r, inner: answer.Body}
+		return answer, nil
+	}
+	body, err := io.ReadAll(answer.Body)
+	_ = answer.Body.Close()
+	if err != nil {
+		failure := outcome.Uncertain(outcome.AnswerCut, "the target's answer was cut short")
+		r.end(failure, nil)
+		return nil, failure
+	}
+	kept := &once.Answer{Status: answer.Head.Status, Header: answer.Head.Header, Body: body}
+	r.end(nil, kept)
+	answer.Body = io.NopCloser(bytes.NewReader(body))
+	return answer, nil
+}
+
+// end gives back what the run holds: the slot when the target has certainly
+// or very likely ended the request, the permit only when it certainly has.
+func (r *run) end(failure *outcome.Error, kept *once.Answer) {
+	r.finish.Do(func() {
+		r.cancel()
+		if failure == nil {
+			r.holder.counts.done.Add(1)
+		}
+		if r.claim != nil {
+			r.claim.Finish(fateAtHolder(failure), kept)
+		}
+		if r.takeBack != nil && fateAtHolder(failure) == outcome.NotRun {
+			r.holder.background.Go(r.takeBack)
+		}
+		slotWait, permitWait := r.linger(failure)
+		if r.slot != nil {
+			after(slotWait, func() { r.slot.Release(result(failure)) })
+		}
+		if r.done != nil {
+			after(permitWait, r.done)
+		}
+	})
+}
+
+// linger returns how long slot and permit stay held after the request ended
+// here. A target ends a cancelled request when it sees its connection closed,
+// and any request at its deadline.
+func (r *run) linger(failure *outcome.Error) (slot, permit time.Duration) {
+	if failure == nil || failure.Outcome != outcome.Unknown {
+		return 0, 0
+	}
+	stop := r.deadline
+	if !r.way.Service.LongRunning() {
+		stop = earlier(stop, r.permit.Until)
+	}
+	left := max(stop.Sub(r.holder.Clock.Now()), 0)
+	slot = min(left, cancelLinger)
+	if r.way.Service.LongRunning() {
+		return slot, slot
+	}
+	return slot, left
+}
+
+func fateAtHolder(failure *outcome.Error) outcome.Outcome {
+	if failure == nil {
+		return outcome.Done
+	}
+	return failure.Outcome
+}
+
+func result(failure *outcome.Error) admit.Result {
+	switch {
+	case failure == nil:
+		return admit.Result{Served: true}
+	case failure.Outcome == outcome.NotRun && failure.Reason == outcome.Shed:
+		return admit.Result{Shed: true, RetryAfter: failure.RetryAfter}
+	}
+	return admit.Result{}
+}
+
+// runBody is a long answer on its way; its run ends with it.
+type runBody struct {
+	run   *run
+	inner io.ReadCloser
+}
+
+// Read ends the run at the end of the body.
+func (b *runBody) Read(data []byte) (int, error) {
+	n, err := b.inner.Read(data)
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		b.run.end(nil, nil)
+	default:
+		b.run.end(outcome.Uncertain(outcome.AnswerCut, "the target's answer was cut short"), nil)
+	}
+	return n, err
+}
+
+// Close ends the run as cancelled, unless the body was read to its end.
+func (b *runBody) Close() error {
+	err := b.inner.Close()
+	b.run.end(outcome.Uncertain(outcome.Cancelled, "the answer was not read to its end"), nil)
+	return err
+}
+
+// repeat returns a kept answer once more, or nil.
+func repeat(kept *once.Answer) *message.Answer {
+	if kept == nil {
+		return nil
+	}
+	return &message.Answer{
+		Head: message.Head{Status: kept.Status, Header: kept.Header},
+		Body: io.NopCloser(bytes.NewReader(kept.Body)),
+	}
+}
+
+// contentLength returns the length that an answer's header states, or -1.
+func contentLength(header http.Header) int64 {
+	values := header["Content-Length"]
+	if len(values) != 1 {
+		return -1
+	}
+	length, err := strconv.ParseInt(values[0], 10, 64)
+	if err != nil {
+		return -1
+	}
+	return length
+}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -91,11 +91,14 @@
 }
 
 // Witness asks a host in another failure domain to remember the id of a
-// request that must not be repeated, before it is sent to its target.
+// request that must not be repeated, before it is sent to its target. A
+// Window of zero takes that back, as the request was certainly not run.
 type Witness struct {
 	Target  record.Target `cbor:"1,keyasint"`
 	Request string        `cbor:"2,keyasint"`
 	Window  time.Duration `cbor:"3,keyasint"`
+	// Hash is the hash of the request's key.
+	Hash uint64 `cbor:"4,keyasint"`
 }
 
 // Witnessed says whether the id is now remembered; Known when it was before.
@@ -103,9 +106,12 @@
 	Known bool `cbor:"1,keyasint"`
 }
 
-// Recall asks for the ids that a host remembers for a target.
+// Recall asks for the ids that a host remembers for the keys of a service
+// whose hashes lie from Low to High, both included.
 type Recall struct {
-	Target record.Target `cbor:"1,keyasint"`
+	Service string `cbor:"1,keyasint"`
+	Low     uint64 `cbor:"2,keyasint"`
+	High    uint64 `cbor:"3,keyasint"`
 }
 
 // Recalled lists remembered ids with the time left until they are forgotten.
@@ -117,6 +123,7 @@
 type Remembered struct {
 	Request string        `cbor:"1,keyasint"`
 	Left    time.Duration `cbor:"2,keyasint"`
+	Hash    uint64        `cbor:"3,keyasint"`
 }
 
 // Request is a caller's request on its way to the leaseholder of its target.
--- /dev/null
+++ b/core/once/change.go
@@ -0,0 +1,231 @@
+package once
+
+import (
+	"time"
+
+	"pineturn/core/message"
+	"pineturn/core/outcome"
+	"pineturn/core/record"
+	"pineturn/core/shard"
+)
+
+// When to come back after a refusal.
+const (
+	retryNotReady = 100 * time.Millisecond
+	retryFull     = time.Second
+	retryInFlight = 250 * time.Millisecond
+)
+
+// Request names a request that must not be repeated. Window is how long its
+// id is remembered.
+type Request struct {
+	Service string
+	Key     string
+	ID      string
+	Window  time.Duration
+}
+
+func (r Request) name() name { return name{r.Service, r.ID} }
+
+// Claim is this host's hold of an id while one attempt is in flight. Finish
+// is called once.
+type Claim struct {
+	memory *Memory
+	entry  *entry
+	send   bool
+}
+
+// Forward remembers an id at the host that passes the request on to a
+// leaseholder, before it does so. The claim is nil when the memory is full.
+func (m *Memory) Forward(req Request, holder record.Incarnation) *Claim {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.expire()
+	known := m.ids[req.name()]
+	switch {
+	case known == nil:
+		known = m.add(req.name(), shard.Hash(req.Key), req.Window)
+		if known == nil {
+			return nil
+		}
+		known.holder = holder
+	case known.holder != holder:
+		known.mixed = true
+	}
+	m.extend(known, req.Window)
+	known.attempts++
+	return &Claim{memory: m, entry: known}
+}
+
+// Begin claims an id at the leaseholder of a shard's target, before it sends
+// the request. Without a claim, the kept answer or the error says what to
+// tell the caller.
+func (m *Memory) Begin(req Request, id shard.ID, epoch, term uint64) (*Claim, *Answer, *outcome.Error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.expire()
+	if !m.isReady(id, epoch, term) {
+		return nil, nil, outcome.Refuse(outcome.NotReady, "what other hosts have sent is not yet known here", retryNotReady)
+	}
+	known := m.ids[req.name()]
+	if known == nil {
+		known = m.add(req.name(), shard.Hash(req.Key), req.Window)
+		if known == nil {
+			return nil, nil, outcome.Refuse(outcome.Overloaded, "too many ids to remember", retryFull)
+		}
+	} else if answer, failure := known.duplicate(); answer != nil || failure != nil {
+		return nil, answer, failure
+	}
+	m.extend(known, req.Window)
+	known.sending = true
+	return &Claim{memory: m, entry: known, send: true}, nil, nil
+}
+
+// duplicate answers a retry of an id that is in flight or may have run. It
+// returns nothing for an id that this host has only forwarded.
+func (e *entry) duplicate() (*Answer, *outcome.Error) {
+	switch {
+	case e.answer != nil:
+		return e.answer, nil
+	case e.sending:
+		failure := outcome.Uncertain(outcome.Duplicate, "the first attempt is in flight")
+		failure.RetryAfter = retryInFlight
+		return nil, failure
+	case e.kept || len(e.sources) > 0:
+		return nil, outcome.Uncertain(outcome.Duplicate, "an earlier attempt may have run")
+	}
+	return nil, nil
+}
+
+// Finish ends an attempt. NotRun frees the id, unless another attempt may
+// have run; answer, if not nil, is kept for a retry.
+func (c *Claim) Finish(result outcome.Outcome, answer *Answer) {
+	c.memory.mutex.Lock()
+	defer c.memory.mutex.Unlock()
+	known := c.entry
+	if c.send {
+		known.sending = false
+	} else {
+		known.attempts--
+	}
+	if result != outcome.NotRun {
+		known.kept = true
+	}
+	c.memory.keep(known, answer)
+	c.memory.free(known)
+}
+
+func (m *Memory) keep(known *entry, answer *Answer) {
+	if answer == nil || known.answer != nil || len(answer.Body) > MaxAnswer {
+		return
+	}
+	if m.answers+len(answer.Body) > m.options.MostAnswers {
+		return
+	}
+	known.answer = answer
+	m.answers += len(answer.Body)
+}
+
+// Witness remembers an id for a leaseholder, before that sends the request,
+// or takes that back when the window is zero. ok is false when the memory is
+// full.
+func (m *Memory) Witness(ask message.Witness) (answer message.Witnessed, ok bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.expire()
+	key := name{ask.Target.Service, ask.Request}
+	known := m.ids[key]
+	answer.Known = known != nil
+	if ask.Window <= 0 {
+		if known != nil {
+			known.witness = false
+			m.free(known)
+		}
+		return answer, true
+	}
+	if known == nil {
+		known = m.add(key, ask.Hash, ask.Window)
+	}
+	if known == nil {
+		return answer, false
+	}
+	known.witness = true
+	m.extend(known, ask.Window)
+	return answer, true
+}
+
+// Collect takes over what other hosts remember of a shard's keys, and states
+// that it is complete for the shard's epoch under a leaseholder's term. The
+// questions must have been sent after no earlier leaseholder could send any
+// more. An id that an earlier Collect brought is free again when every host
+// that remembered it then answers that it does not now. Collect returns false
+// when there is no room for all ids; the shard then is not ready.
+func (m *Memory) Collect(self record.Incarnation, id shard.ID, epoch, term uint64, ask message.Recall, answers map[record.Incarnation][]message.Remembered) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.expire()
+	delete(m.ready, id)
+	answers[self] = m.forwarded(self, ask)
+	for source, remembered := range answers {
+		m.forget(source, ask, remembered)
+		for _, request := range remembered {
+			if !m.learn(source, ask.Service, request) {
+				return false
+			}
+		}
+	}
+	m.ready[id] = tenure{epoch: epoch, term: term}
+	return true
+}
+
+// forwarded lists the ids that this host itself forwards to other hosts, or
+// remembers for them.
+func (m *Memory) forwarded(self record.Incarnation, ask message.Recall) []message.Remembered {
+	now := m.clock.Now()
+	var listed []message.Remembered
+	for _, known := range m.expiry {
+		elsewhere := known.attempts > 0 && (known.mixed || known.holder != self)
+		if known.within(ask) && (elsewhere || known.witness) {
+			listed = append(listed, message.Remembered{Request: known.name.id, Hash: known.hash, Left: known.until.Sub(now)})
+		}
+	}
+	return listed
+}
+
+// forget takes a source off the ids that it no longer remembers.
+func (m *Memory) forget(source record.Incarnation, ask message.Recall, remembered []message.Remembered) {
+	still := make(map[string]bool, len(remembered))
+	for _, request := range remembered {
+		still[request.Request] = true
+	}
+	var gone []*entry
+	for _, known := range m.expiry {
+		if known.within(ask) && known.sources[source] && !still[known.name.id] {
+			gone = append(gone, known)
+		}
+	}
+	for _, known := range gone {
+		delete(known.sources, source)
+		m.free(known)
+	}
+}
+
+func (m *Memory) learn(source record.Incarnation, service string, request message.Remembered) bool {
+	if request.Left <= 0 {
+		return true
+	}
+	key := name{service, request.Request}
+	known := m.ids[key]
+	if known == nil {
+		known = m.add(key, request.Hash, request.Left)
+	}
+	if known == nil {
+		return false
+	}
+	if known.sources == nil {
+		known.sources = make(map[record.Incarnation]bool, 1)
+	}
+	known.sources[source] = true
+	m.extend(known, request.Left)
+	return true
+}
--- /dev/null
+++ b/core/once/once.go
@@ -0,0 +1,170 @@
+// Package once remembers the ids of requests that must not be repeated, so
+// that each is sent to a target at most once.
+//
+// A host remembers an id for one of three reasons: it forwarded the request
+// to a leaseholder (Forward), it is the leaseholder that sent it (Begin), or
+// a leaseholder asked it to (Witness). A leaseholder that takes a shard over
+// first collects what the other hosts remember (Collect). An id is freed
+// before its window has passed only when it is certain that the request was
+// not run.
+package once
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+
+	"pineturn/core/clock"
+	"pineturn/core/record"
+	"pineturn/core/shard"
+)
+
+// Memory holds ids by service. It is bounded: when it is full of ids whose
+// window has not passed, it takes no new ones.
+type Memory struct {
+	clock   clock.Clock
+	options Options
+
+	// mutex guards all below; it is never held across a call to another host.
+	mutex sync.Mutex
+	ids   map[name]*entry
+	// ready holds, by shard, the tenure for which ids were collected.
+	ready map[shard.ID]tenure
+	// expiry orders all ids by the end of their window.
+	expiry expiryHeap
+	// answers is the size of all kept answers, in bytes.
+	answers int
+}
+
+// name identifies a request of one service.
+type name struct {
+	service, id string
+}
+
+// tenure is a shard's ownership by one target under one leaseholder.
+type tenure struct {
+	epoch, term uint64
+}
+
+// entry is one remembered id.
+type entry struct {
+	name  name
+	hash  uint64
+	until time.Time
+	index int
+
+	// attempts counts the forwards in flight that may yet turn out not run.
+	attempts int
+	// holder is the leaseholder of all forwards, unless mixed is set.
+	holder record.Incarnation
+	mixed  bool
+	// kept is set once the request may have run.
+	kept bool
+	// sending is set while this host, as the leaseholder, handles it.
+	sending bool
+	// witness is set when another leaseholder asked to remember the id.
+	witness bool
+	// sources lists the hosts that remembered the id when it was collected.
+	sources map[record.Incarnation]bool
+	answer  *Answer
+}
+
+// Answer is a small whole answer, kept for a retry of its request.
+type Answer struct {
+	Status int
+	Header map[string][]string
+	Body   []byte
+}
+
+// New returns an empty memory.
+func New(source clock.Clock, options Options) *Memory {
+	return &Memory{
+		clock:   source,
+		options: options.withDefaults(),
+		ids:     make(map[name]*entry),
+		ready:   make(map[shard.ID]tenure),
+	}
+}
+
+// add remembers a new id, or returns nil when the memory is full.
+func (m *Memory) add(key name, hash uint64, window time.Duration) *entry {
+	if len(m.expiry) >= m.options.Most {
+		return nil
+	}
+	added := &entry{name: key, hash: hash, until: m.clock.Now().Add(window)}
+	m.ids[key] = added
+	heap.Push(&m.expiry, added)
+	return added
+}
+
+// extend lets an id be remembered for at least window from now on.
+func (m *Memory) extend(known *entry, window time.Duration) {
+	until := m.clock.Now().Add(window)
+	if until.After(known.until) {
+		known.until = until
+		heap.Fix(&m.expiry, known.index)
+	}
+}
+
+// free forgets an id that nothing here needs any more.
+func (m *Memory) free(known *entry) {
+	needed := known.kept || known.sending || known.witness || known.attempts > 0 || len(known.sources) > 0
+	if !needed {
+		m.remove(known)
+	}
+}
+
+func (m *Memory) remove(known *entry) {
+	delete(m.ids, known.name)
+	heap.Remove(&m.expiry, known.index)
+	if known.answer != nil {
+		m.answers -= len(known.answer.Body)
+	}
+}
+
+// inFlight is how much longer an id in flight is remembered when its window
+// has passed.
+const inFlight = time.Second
+
+// expire forgets the ids whose window has passed and that are not in flight.
+func (m *Memory) expire() {
+	now := m.clock.Now()
+	for len(m.expiry) > 0 {
+		oldest := m.expiry[0]
+		if now.Before(oldest.until) {
+			return
+		}
+		if oldest.sending || oldest.attempts > 0 {
+			m.extend(oldest, inFlight)
+			continue
+		}
+		m.remove(oldest)
+	}
+}
+
+// expiryHeap is a heap of entries, the first to expire on top.
+type expiryHeap []*entry
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].until.Before(h[j].until) }
+
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push appends an entry, for package heap.
+func (h *expiryHeap) Push(item any) {
+	added := item.(*entry)
+	added.index = len(*h)
+	*h = append(*h, added)
+}
+
+// Pop takes the last entry off, for package heap.
+func (h *expiryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/core/once/once_test.go
@@ -0,0 +1,220 @@
+package once
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pineturn/core/clock"
+	"pineturn/core/message"
+	"pineturn/core/outcome"
+	"pineturn/core/record"
+	"pineturn/core/shard"
+)
+
+var (
+	self  = record.Incarnation{Host: "host-1", Run: 1}
+	other = record.Incarnation{Host: "host-2", Run: 1}
+	third = record.Incarnation{Host: "host-3", Run: 1}
+	part  = shard.ID{Service: "payoutledger", Group: "all", Index: 0}
+	whole = message.Recall{Service: "payoutledger", High: 1<<64 - 1}
+)
+
+const window = time.Minute
+
+type answers = map[record.Incarnation][]message.Remembered
+
+func request(id string) Request {
+	return Request{Service: "payoutledger", Key: "seller-1", ID: id, Window: window}
+}
+
+func newMemory(options Options) (*Memory, *clock.Fake) {
+	source := clock.NewFake(time.Unix(1_000_000, 0))
+	memory := New(source, options)
+	memory.Collect(self, part, 1, 1, whole, answers{})
+	return memory, source
+}
+
+func begin(t *testing.T, m *Memory, id string) *Claim {
+	t.Helper()
+	claim, kept, failure := m.Begin(request(id), part, 1, 1)
+	if claim == nil {
+		t.Fatalf("got %v, %v, want a claim", kept, failure)
+	}
+	return claim
+}
+
+func checkRefused(t *testing.T, m *Memory, id string, want outcome.Outcome, reason outcome.Reason) {
+	t.Helper()
+	_, _, got := m.Begin(request(id), part, 1, 1)
+	if got == nil || got.Outcome != want || got.Reason != reason {
+		t.Errorf("got %v, want %v %s", got, want, reason)
+	}
+}
+
+func checkRecalled(t *testing.T, m *Memory, asker record.Incarnation, want int) {
+	t.Helper()
+	if got := len(m.Recall(asker, whole).Requests); got != want {
+		t.Errorf("got %d ids recalled, want %d", got, want)
+	}
+}
+
+func TestBegin(t *testing.T) {
+	t.Run("in flight", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		begin(t, m, "r1")
+		checkRefused(t, m, "r1", outcome.Unknown, outcome.Duplicate)
+	})
+	t.Run("may have run", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		begin(t, m, "r1").Finish(outcome.Unknown, nil)
+		checkRefused(t, m, "r1", outcome.Unknown, outcome.Duplicate)
+	})
+	t.Run("not run", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		begin(t, m, "r1").Finish(outcome.NotRun, nil)
+		begin(t, m, "r1")
+	})
+	t.Run("kept answer", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		begin(t, m, "r1").Finish(outcome.Done, &Answer{Status: 200, Body: []byte("paid")})
+		_, kept, failure := m.Begin(request("r1"), part, 1, 1)
+		if failure != nil || kept == nil || string(kept.Body) != "paid" {
+			t.Errorf("got %v, %v, want the kept answer", kept, failure)
+		}
+	})
+	t.Run("window", func(t *testing.T) {
+		m, source := newMemory(Options{})
+		begin(t, m, "r1").Finish(outcome.Done, nil)
+		source.Advance(window - 1)
+		checkRefused(t, m, "r1", outcome.Unknown, outcome.Duplicate)
+		source.Advance(1)
+		begin(t, m, "r1")
+	})
+	t.Run("in flight after the window", func(t *testing.T) {
+		m, source := newMemory(Options{})
+		begin(t, m, "r1")
+		source.Advance(2 * window)
+		checkRefused(t, m, "r1", outcome.Unknown, outcome.Duplicate)
+	})
+	t.Run("full", func(t *testing.T) {
+		m, _ := newMemory(Options{Most: 2})
+		for i := range 2 {
+			begin(t, m, fmt.Sprint(i)).Finish(outcome.Done, nil)
+		}
+		checkRefused(t, m, "r1", outcome.NotRun, outcome.Overloaded)
+		if m.Forward(request("r2"), other) != nil {
+			t.Error("got a claim, want none")
+		}
+	})
+	t.Run("another tenure", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		for _, tenure := range []tenure{{1, 2}, {2, 1}} {
+			_, _, got := m.Begin(request("r1"), part, tenure.epoch, tenure.term)
+			if got == nil || got.Reason != outcome.NotReady || got.Outcome != outcome.NotRun {
+				t.Errorf("got %v, want not ready", got)
+			}
+		}
+	})
+}
+
+func TestForward(t *testing.T) {
+	t.Run("not run", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		m.Forward(request("r1"), other).Finish(outcome.NotRun, nil)
+		checkRecalled(t, m, third, 0)
+	})
+	t.Run("not run beside another attempt", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		first, second := m.Forward(request("r1"), other), m.Forward(request("r1"), other)
+		first.Finish(outcome.NotRun, nil)
+		checkRecalled(t, m, third, 1)
+		second.Finish(outcome.Unknown, nil)
+		checkRecalled(t, m, third, 1)
+	})
+	t.Run("only to the asker", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		m.Forward(request("r1"), other)
+		checkRecalled(t, m, other, 0)
+		m.Forward(request("r1"), third)
+		checkRecalled(t, m, other, 1)
+	})
+	t.Run("to this host itself", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		m.Forward(request("r1"), self)
+		begin(t, m, "r1")
+	})
+	t.Run("elsewhere, then here", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		m.Forward(request("r1"), other)
+		m.Collect(self, part, 1, 1, whole, answers{})
+		checkRefused(t, m, "r1", outcome.Unknown, outcome.Duplicate)
+	})
+}
+
+func TestWitness(t *testing.T) {
+	m, _ := newMemory(Options{})
+	ask := message.Witness{Target: record.Target{Service: "payoutledger"}, Request: "r1", Window: window}
+	for _, want := range []bool{false, true} {
+		if got, ok := m.Witness(ask); !ok || got.Known != want {
+			t.Errorf("got %v, %v, want known %v", got, ok, want)
+		}
+	}
+	checkRecalled(t, m, other, 1)
+	ask.Window = 0
+	m.Witness(ask)
+	checkRecalled(t, m, other, 0)
+}
+
+func TestCollect(t *testing.T) {
+	listed := []message.Remembered{{Request: "r1", Left: window}}
+	t.Run("learns", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		m.Collect(self, part, 1, 1, whole, answers{other: listed})
+		checkRefused(t, m, "r1", outcome.Unknown, outcome.Duplicate)
+		if !m.Collected("payoutledger", "r1") {
+			t.Error("got not collected, want collected")
+		}
+	})
+	t.Run("frees what its source no longer remembers", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		m.Collect(self, part, 1, 1, whole, answers{other: listed})
+		m.Collect(self, part, 1, 1, whole, answers{other: nil})
+		begin(t, m, "r1")
+	})
+	t.Run("keeps what a lost source remembered", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		m.Collect(self, part, 1, 1, whole, answers{other: listed})
+		m.Collect(self, part, 1, 1, whole, answers{third: nil})
+		checkRefused(t, m, "r1", outcome.Unknown, outcome.Duplicate)
+	})
+	t.Run("full", func(t *testing.T) {
+		m, _ := newMemory(Options{Most: 1})
+		begin(t, m, "r0").Finish(outcome.Done, nil)
+		if m.Collect(self, part, 1, 1, whole, answers{other: listed}) {
+			t.Error("got complete, want not")
+		}
+		checkRefused(t, m, "r0", outcome.NotRun, outcome.NotReady)
+	})
+	t.Run("other keys", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		begin(t, m, "r1").Finish(outcome.Done, nil)
+		hash := shard.Hash("seller-1")
+		ask := message.Recall{Service: "payoutledger", Low: hash + 1, High: 1<<64 - 1}
+		if got := len(m.Recall(other, ask).Requests); got != 0 {
+			t.Errorf("got %d ids, want 0", got)
+		}
+	})
+}
+
+func BenchmarkBegin(b *testing.B) {
+	m, _ := newMemory(Options{Most: 1 << 20})
+	b.ReportAllocs()
+	for b.Loop() {
+		claim, _, failure := m.Begin(request("r1"), part, 1, 1)
+		if failure != nil {
+			b.Fatal(failure)
+		}
+		claim.Finish(outcome.NotRun, nil)
+	}
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -9,45 +9,38 @@
 	"pineturn/core/clock"
 )
 
-// Defaults of a Budget.
+// Figures of a Budget.
 const (
-	// DefaultRatio is how many retries each request allows.
-	DefaultRatio = 0.1
+	// DefaultShare is how many requests allow one retry.
+	DefaultShare = 10
 	// DefaultFloor is how many retries a second are allowed without requests.
-	DefaultFloor = 2.0
+	DefaultFloor = 1
 	// DefaultBurst is the most retries that are saved up.
-	DefaultBurst = 20.0
+	DefaultBurst = 10
+
+	// unit is one retry, in the tokens of the bucket.
+	unit = int64(time.Second)
 )
 
-// Budget is a token bucket that requests fill and retries empty.
+// Budget is a token bucket that requests and time fill and retries empty.
 type Budget struct {
 	clock clock.Clock
-	ratio float64
-	floor float64
-	burst float64
 
 	mutex  sync.Mutex
-	tokens float64
+	tokens int64
 	filled time.Time
 }
 
-// New returns a full budget with the default figures.
+// New returns a full budget.
 func New(source clock.Clock) *Budget {
-	return &Budget{
-		clock:  source,
-		ratio:  DefaultRatio,
-		floor:  DefaultFloor,
-		burst:  DefaultBurst,
-		tokens: DefaultBurst,
-		filled: source.Now(),
-	}
+	return &Budget{clock: source, tokens: DefaultBurst * unit, filled: source.Now()}
 }
 
 // Request counts a caller's own request.
 func (b *Budget) Request() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.tokens = min(b.tokens+b.ratio, b.burst)
+	b.fill(unit / DefaultShare)
 }
 
 // Allow takes a token for one retry, and reports whether there was one.
@@ -55,11 +48,15 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.clock.Now()
-	b.tokens = min(b.tokens+b.floor*now.Sub(b.filled).Seconds(), b.burst)
+	b.fill(DefaultFloor * int64(min(now.Sub(b.filled), time.Hour)))
 	b.filled = now
-	if b.tokens < 1 {
+	if b.tokens < unit {
 		return false
 	}
-	b.tokens--
+	b.tokens -= unit
 	return true
 }
+
+func (b *Budget) fill(tokens int64) {
+	b.tokens = min(b.tokens+tokens, DefaultBurst*unit)
+}
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/bits"
 	"strconv"
 	"strings"
@@ -69,6 +70,31 @@
 // IndexOf returns the index of the range shard that holds key, among count
 // shards. Every host computes the same index.
 func IndexOf(key string, count int) int {
-	high, _ := bits.Mul64(xxhash.Sum64String(key), uint64(count))
+	high, _ := bits.Mul64(Hash(key), uint64(count))
 	return int(high)
 }
+
+// Hash returns the place of a key in the hash space.
+func Hash(key string) uint64 { return xxhash.Sum64String(key) }
+
+// RangeOf returns the first and the last hash of a range shard among count
+// shards.
+func RangeOf(index, count int) (low, high uint64) {
+	if count <= 1 {
+		return 0, math.MaxUint64
+	}
+	low = firstOf(uint64(index), uint64(count))
+	if index == count-1 {
+		return low, math.MaxUint64
+	}
+	return low, firstOf(uint64(index)+1, uint64(count)) - 1
+}
+
+// firstOf returns index * 2^64 / count, rounded up.
+func firstOf(index, count uint64) uint64 {
+	quotient, remainder := bits.Div64(index, 0, count)
+	if remainder > 0 {
+		quotient++
+	}
+	return quotient
+}
