Take callers' requests over HTTP

Cause: the entry needs documented addressing by header or path, limits on all that a caller sends, and answers that are never short successes.

A cut body aborts the connection; with the abort off, the chunked and the empty case got no error at the caller. Names of pineturn's headers and the end-to-end rule moved to core/header, as io/target needs the same. Values that are not UTF-8 are refused, since CBOR text between hosts must be.

--- /dev/null
+++ b/io/caller/caller.go
@@ -0,0 +1,86 @@
+// Package caller takes callers' requests over HTTP, as docs/PROTOCOLS.md
+// describes, and passes answers on.
+package caller
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+
+	"pineturn/core/message"
+	"pineturn/core/outcome"
+)
+
+// Call is a caller's request: the key of a service that it concerns, and what
+// is passed on.
+type Call struct {
+	Service string
+	Key     string
+	Message *message.Request
+}
+
+// Entry decides where a call goes. Its function fields are set before use.
+type Entry struct {
+	// Handle carries a request to its key's owner.
+	Handle func(ctx context.Context, service, key string, req *message.Request) (*message.Answer, *outcome.Error)
+	// MaxBody returns the largest body of a service's requests in bytes, or
+	// false for an unknown service. Zero stands for DefaultMaxBody.
+	MaxBody func(service string) (int64, bool)
+}
+
+// failure is an outcome with the id of the request that it concerns.
+type failure struct {
+	cause *outcome.Error
+	id    string
+}
+
+// Error returns the outcome's text.
+func (f failure) Error() string { return f.cause.Error() }
+
+// Unwrap returns the outcome.
+func (f failure) Unwrap() error { return f.cause }
+
+// NewHandler returns the handler of all callers' requests. The middlewares
+// wrap each call from the outside in.
+func NewHandler(entry Entry, middlewares ...endpoint.Middleware) http.Handler {
+	handle := newEndpoint(entry)
+	for i := len(middlewares) - 1; i >= 0; i-- {
+		handle = middlewares[i](handle)
+	}
+	return kithttp.NewServer(
+		handle,
+		decoder{maxBody: entry.MaxBody}.decode,
+		encodeAnswer,
+		kithttp.ServerErrorEncoder(encodeError),
+	)
+}
+
+// NewServer returns an HTTP server with the limits that callers are held to.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		MaxHeaderBytes:    DefaultMaxHeader,
+		ReadHeaderTimeout: DefaultHeaderTimeout,
+		ReadTimeout:       DefaultReadTimeout,
+		IdleTimeout:       DefaultIdleTimeout,
+	}
+}
+
+// result is the answer to a call.
+type result struct {
+	id     string
+	answer *message.Answer
+}
+
+func newEndpoint(entry Entry) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		call := request.(*Call)
+		answer, err := entry.Handle(ctx, call.Service, call.Key, call.Message)
+		if err != nil {
+			return nil, failure{cause: err, id: call.Message.ID}
+		}
+		return result{id: call.Message.ID, answer: answer}, nil
+	}
+}
--- /dev/null
+++ b/io/caller/caller_test.go
@@ -0,0 +1,298 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"pineturn/core/header"
+	"pineturn/core/message"
+	"pineturn/core/outcome"
+)
+
+type handle func(ctx context.Context, service, key string, req *message.Request) (*message.Answer, *outcome.Error)
+
+func answer(body string, err error, fields map[string][]string) handle {
+	return func(context.Context, string, string, *message.Request) (*message.Answer, *outcome.Error) {
+		reader := io.Reader(strings.NewReader(body))
+		if err != nil {
+			reader = io.MultiReader(reader, errorReader{err})
+		}
+		return &message.Answer{Head: message.Head{Status: http.StatusOK, Header: fields}, Body: io.NopCloser(reader)}, nil
+	}
+}
+
+type errorReader struct{ err error }
+
+func (r errorReader) Read([]byte) (int, error) { return 0, r.err }
+
+func maxBody(service string) (int64, bool) { return 8, service != "nowhere" }
+
+func start(t *testing.T, handle handle) string {
+	t.Helper()
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = NewServer(NewHandler(Entry{Handle: handle, MaxBody: maxBody}))
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func call(t *testing.T, address, method, path, body string, fields map[string]string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range fields {
+		req.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+func TestDecode(t *testing.T) {
+	cases := map[string]struct {
+		path               string
+		fields             map[string]string
+		service, key, rest string
+	}{
+		"path":               {"/s/coverdesk/k/tenant-1/cover/2?x=%2F", nil, "coverdesk", "tenant-1", "/cover/2?x=%2F"},
+		"escaped key":        {"/s/coverdesk/k/a%2Fb%20c/x%2Fy", nil, "coverdesk", "a/b c", "/x%2Fy"},
+		"no rest":            {"/s/coverdesk/k/tenant-1", nil, "coverdesk", "tenant-1", "/"},
+		"no rest, but query": {"/s/coverdesk/k/tenant-1?x=1", nil, "coverdesk", "tenant-1", "/?x=1"},
+		"headers": {
+			"/s/a/k/b?x=1", map[string]string{header.Service: "coverdesk", header.Key: "t 1"}, "coverdesk", "t 1", "/s/a/k/b?x=1",
+		},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var got *message.Request
+			var service string
+			address := start(t, func(ctx context.Context, name, key string, req *message.Request) (*message.Answer, *outcome.Error) {
+				service, got = name, req
+				return answer("ok", nil, nil)(ctx, name, key, req)
+			})
+			fields := map[string]string{
+				header.Timeout: "250ms", header.Term: "9", header.EndWithGrant: "1", "X-Own": "1", "Connection": "X-Hop", "X-Hop": "1",
+			}
+			for name, value := range test.fields {
+				fields[name] = value
+			}
+			response := call(t, address, "POST", test.path, "lodge", fields)
+			if service != test.service || got.Key != test.key || got.Path != test.rest {
+				t.Errorf("got %q, %q, %q, want %q, %q, %q", service, got.Key, got.Path, test.service, test.key, test.rest)
+			}
+			if got.Left != 250*time.Millisecond || string(got.Body) != "lodge" || got.Method != "POST" {
+				t.Errorf("got %v, %q, %s, want 250ms, lodge, POST", got.Left, got.Body, got.Method)
+			}
+			if id := response.Header.Get(header.RequestID); len(got.ID) != 32 || id != got.ID {
+				t.Errorf("got id %q and %q, want the same 32 letters", got.ID, id)
+			}
+			for _, name := range []string{header.Term, header.EndWithGrant, header.Timeout, "X-Hop", "Connection"} {
+				if value, ok := got.Header[name]; ok {
+					t.Errorf("got header %s: %q, want none", name, value)
+				}
+			}
+			if got.Header["X-Own"][0] != "1" {
+				t.Errorf("got header X-Own %q, want 1", got.Header["X-Own"])
+			}
+		})
+	}
+}
+
+func checkProblem(t *testing.T, response *http.Response, status int, reason outcome.Reason) {
+	t.Helper()
+	var got problem
+	if err := json.NewDecoder(response.Body).Decode(&got); err != nil {
+		t.Fatal(err)
+	}
+	if response.StatusCode != status || got.Reason != reason || response.Header.Get(header.Reason) != string(reason) {
+		t.Errorf("got %d, %q, want %d, %q", response.StatusCode, got.Reason, status, reason)
+	}
+	if got.Outcome != response.Header.Get(header.Outcome) || got.RequestID != response.Header.Get(header.RequestID) {
+		t.Errorf("got body %+v, want it to agree with the header %v", got, response.Header)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	const way = "/s/coverdesk/k/tenant-1/"
+	cases := map[string]struct {
+		path, body string
+		fields     map[string]string
+		status     int
+		reason     outcome.Reason
+	}{
+		"no service":        {"/cover", "", nil, 400, outcome.BadRequest},
+		"no key":            {"/s/coverdesk/", "", nil, 400, outcome.MissingKey},
+		"empty key":         {"/s/coverdesk/k//x", "", nil, 400, outcome.MissingKey},
+		"key header alone":  {way, "", map[string]string{header.Key: "k"}, 400, outcome.BadRequest},
+		"control in key":    {"/s/coverdesk/k/a%0Ab/", "", nil, 400, outcome.BadRequest},
+		"key not UTF-8":     {"/s/coverdesk/k/%ff/", "", nil, 400, outcome.BadRequest},
+		"long key":          {"/s/coverdesk/k/" + strings.Repeat("k", maxKey+1) + "/", "", nil, 400, outcome.BadRequest},
+		"long id":           {way, "", map[string]string{header.RequestID: strings.Repeat("i", maxID+1)}, 400, outcome.BadRequest},
+		"bad timeout":       {way, "", map[string]string{header.Timeout: "soon"}, 400, outcome.BadRequest},
+		"negative timeout":  {way, "", map[string]string{header.Timeout: "-1s"}, 400, outcome.BadRequest},
+		"header not UTF-8":  {way, "", map[string]string{"X-Own": "\xff"}, 400, outcome.BadRequest},
+		"unknown service":   {"/s/nowhere/k/tenant-1/", "", nil, 404, outcome.UnknownService},
+		"large body":        {way, "123456789", nil, 413, outcome.TooLarge},
+		"body at the limit": {way, "12345678", nil, 503, outcome.NoOwner},
+	}
+	address := start(t, func(context.Context, string, string, *message.Request) (*message.Answer, *outcome.Error) {
+		return nil, outcome.Refuse(outcome.NoOwner, "no owner", 0)
+	})
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			checkProblem(t, call(t, address, "POST", test.path, test.body, test.fields), test.status, test.reason)
+		})
+	}
+	t.Run("large body of unknown length", func(t *testing.T) {
+		req, _ := http.NewRequest("POST", "http://"+address+way, io.MultiReader(strings.NewReader("12345"), strings.NewReader("6789")))
+		response, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		checkProblem(t, response, 413, outcome.TooLarge)
+	})
+	t.Run("large header", func(t *testing.T) {
+		response := call(t, address, "GET", way, "", map[string]string{"X-Own": strings.Repeat("x", 2*DefaultMaxHeader)})
+		if got, want := response.StatusCode, http.StatusRequestHeaderFieldsTooLarge; got != want {
+			t.Errorf("got status %d, want %d", got, want)
+		}
+	})
+}
+
+func TestOutcomes(t *testing.T) {
+	cases := map[string]struct {
+		failed *outcome.Error
+		status int
+		after  string
+	}{
+		"overloaded": {outcome.Refuse(outcome.Overloaded, "", 30*time.Millisecond), 429, "1"},
+		"shed":       {outcome.Refuse(outcome.Shed, "", 1500*time.Millisecond), 503, "2"},
+		"unknown":    {outcome.Uncertain(outcome.TargetFailed, ""), 502, ""},
+		"deadline":   {outcome.Refuse(outcome.DeadlineExceeded, "", 0), 504, ""},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := start(t, func(context.Context, string, string, *message.Request) (*message.Answer, *outcome.Error) {
+				return nil, test.failed
+			})
+			response := call(t, address, "GET", "/s/coverdesk/k/tenant-1/", "", map[string]string{header.RequestID: "own-1"})
+			checkProblem(t, response, test.status, test.failed.Reason)
+			if got := response.Header.Get("Retry-After"); got != test.after {
+				t.Errorf("got Retry-After %q, want %q", got, test.after)
+			}
+			if got := response.Header.Get(header.RequestID); got != "own-1" {
+				t.Errorf("got id %q, want own-1", got)
+			}
+		})
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	large := strings.Repeat("0123456789", 100_000)
+	cases := map[string]struct {
+		body    string
+		err     error
+		fields  map[string][]string
+		wantErr bool
+	}{
+		"sized":         {"ok", nil, map[string][]string{"Content-Length": {"2"}}, false},
+		"chunked":       {large, nil, nil, false},
+		"cut, chunked":  {large, io.ErrUnexpectedEOF, nil, true},
+		"cut, sized":    {"short", io.ErrUnexpectedEOF, map[string][]string{"Content-Length": {"9"}}, true},
+		"cut, no bytes": {"", io.ErrUnexpectedEOF, nil, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := start(t, answer(test.body, test.err, test.fields))
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = fmt.Fprintf(conn, "GET /s/coverdesk/k/tenant-1/ HTTP/1.1\r\nHost: x\r\n\r\n")
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			var got []byte
+			if err == nil {
+				got, err = io.ReadAll(response.Body)
+			}
+			if (err != nil) != test.wantErr {
+				t.Errorf("got error %v, want one %v", err, test.wantErr)
+			}
+			if !test.wantErr && string(got) != test.body {
+				t.Errorf("got %d bytes, want %d", len(got), len(test.body))
+			}
+		})
+	}
+}
+
+func TestCallerGone(t *testing.T) {
+	began, ended := make(chan struct{}), make(chan error, 1)
+	address := start(t, func(ctx context.Context, _, _ string, _ *message.Request) (*message.Answer, *outcome.Error) {
+		close(began)
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return nil, outcome.Uncertain(outcome.Cancelled, "")
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, "GET", "http://"+address+"/s/coverdesk/k/tenant-1/", nil)
+	go func() {
+		<-began
+		cancel()
+	}()
+	if _, err := http.DefaultClient.Do(req); !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v, want cancelled", err)
+	}
+	if got := <-ended; !errors.Is(got, context.Canceled) {
+		t.Errorf("got %v at the handler, want cancelled", got)
+	}
+}
+
+func FuzzReadHead(f *testing.F) {
+	f.Add("/s/coverdesk/k/tenant-1/cover?x=1", "", "", "", "")
+	f.Add("/s/a/k/%2F%00/x", "", "", "id", "1s")
+	f.Add("/s//k//", "", "key", "", "-1ns")
+	f.Add("*", "coverdesk", "k\x7f", "\xff", "1h")
+	f.Add("/s/a%/k/b", "coverdesk", "key", "", "")
+	f.Fuzz(func(t *testing.T, path, service, key, id, timeout string) {
+		location, err := url.ParseRequestURI(path)
+		if err != nil {
+			return
+		}
+		request := &http.Request{Method: "GET", URL: location, Header: http.Header{
+			header.Service: {service}, header.Key: {key}, header.RequestID: {id}, header.Timeout: {timeout},
+		}}
+		if id, bad := requestID(request.Header); bad == nil && (id == "" || len(id) > maxID) {
+			t.Errorf("got id %q, want 1 to %d bytes", id, maxID)
+		}
+		call, bad := readHead(request)
+		if bad != nil {
+			if bad.Outcome != outcome.NotRun {
+				t.Errorf("got %v, want not run", bad)
+			}
+			return
+		}
+		if call.Service == "" || !printable(call.Key, maxKey) || call.Key == "" {
+			t.Errorf("got service %q, key %q, want both", call.Service, call.Key)
+		}
+		if _, err := url.ParseRequestURI(call.Message.Path); err != nil || call.Message.Path[0] != '/' {
+			t.Errorf("got path %q, want a valid one: %v", call.Message.Path, err)
+		}
+	})
+}
--- a/io/target/control.go
+++ b/io/target/control.go
@@ -23,6 +23,9 @@
 	WrongIncarnation = "wrong-incarnation"
 	Expired          = "expired"
 	UnknownSet       = "unknown-set"
+
+	// notOwner is the code of a refused request.
+	notOwner = "not-owner"
 )
 
 // Status is what a target says of itself. Load and health may lag.
--- a/io/target/send.go
+++ b/io/target/send.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pineturn/core/config"
+	"pineturn/core/header"
 	"pineturn/core/message"
 	"pineturn/core/outcome"
 	"pineturn/core/route"
@@ -98,21 +99,17 @@
 		cancel()
 		return nil, failure
 	}
-	header := EndToEnd(response.Header)
-	if length := response.Header["Content-Length"]; len(length) > 0 {
-		header["Content-Length"] = length
-	}
 	return &message.Answer{
-		Head: message.Head{Status: response.StatusCode, Header: header},
+		Head: message.Head{Status: response.StatusCode, Header: answerHeader(response)},
 		Body: &answerBody{inner: response.Body, open: openEnded(response, req), cancel: cancel},
 	}, nil
 }
 
 func judge(response *http.Response, req *message.Request) *outcome.Error {
-	if got := response.Header.Get(headerRequestID); got != req.ID {
+	if got := response.Header.Get(header.RequestID); got != req.ID {
 		return outcome.Uncertain(outcome.TargetFailed, "the answer is not this request's")
 	}
-	if response.Header.Get(headerOutcome) == outcome.NotRun.String() {
+	if response.Header.Get(header.Outcome) == outcome.NotRun.String() {
 		return refusal(response.Header)
 	}
 	if response.StatusCode < http.StatusOK {
--- a/io/target/target_test.go
+++ b/io/target/target_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pineturn/core/config"
+	"pineturn/core/header"
 	"pineturn/core/message"
 	"pineturn/core/outcome"
 	"pineturn/core/route"
@@ -81,7 +82,7 @@
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		f.mutex.Lock()
-		f.seen[req.Header.Get(headerRequestID)]++
+		f.seen[req.Header.Get(header.RequestID)]++
 		f.mutex.Unlock()
 		if !f.answer(conn, req) {
 			return
@@ -95,8 +96,8 @@
 	return f.seen[id]
 }
 
-func write(conn net.Conn, req *http.Request, status, header, body string) bool {
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\n%s\r\n%s", status, headerRequestID, req.Header.Get(headerRequestID), header, body)
+func write(conn net.Conn, req *http.Request, status, fields, body string) bool {
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: %s\r\n%s\r\n%s", status, header.RequestID, req.Header.Get(header.RequestID), fields, body)
 	return err == nil
 }
 
@@ -175,8 +176,8 @@
 	answer, failure := f.send(req)
 	checkBody(t, answer, failure, "ok", nil)
 	want := map[string]string{
-		headerRequestID: "r1", headerKey: "tenant-1", headerShard: "payoutledger/all/3", headerEpoch: "5",
-		headerTerm: "7", headerIncarnation: "f3a9", headerEndWithGrant: "", "X-Hop": "", "X-Kept": "1", "Expect": "",
+		header.RequestID: "r1", header.Key: "tenant-1", header.Shard: "payoutledger/all/3", header.Epoch: "5",
+		header.Term: "7", header.Incarnation: "f3a9", header.EndWithGrant: "", "X-Hop": "", "X-Kept": "1", "Expect": "",
 	}
 	for name, value := range want {
 		if got.Get(name) != value {
@@ -191,8 +192,8 @@
 func TestSendFailures(t *testing.T) {
 	refuse := func(status, reason, more string) func(net.Conn, *http.Request) bool {
 		return func(conn net.Conn, req *http.Request) bool {
-			header := "Content-Length: 0\r\nPineturn-Outcome: not-run\r\nPineturn-Reason: " + reason + "\r\n" + more
-			return write(conn, req, status, header, "")
+			fields := "Content-Length: 0\r\nPineturn-Outcome: not-run\r\nPineturn-Reason: " + reason + "\r\n" + more
+			return write(conn, req, status, fields, "")
 		}
 	}
 	cases := map[string]struct {
@@ -246,7 +247,7 @@
 }
 
 func TestSendCutBody(t *testing.T) {
-	cases := map[string]struct{ header, body string }{
+	cases := map[string]struct{ fields, body string }{
 		"length":     {"Content-Length: 9\r\n", "short"},
 		"chunked":    {"Transfer-Encoding: chunked\r\n", "5\r\nshort\r\n"},
 		"open ended": {"Connection: close\r\n", "short"},
@@ -254,7 +255,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, func(conn net.Conn, req *http.Request) bool {
-				write(conn, req, "200 OK", c.header, c.body)
+				write(conn, req, "200 OK", c.fields, c.body)
 				return false
 			})
 			answer, failure := f.send(newRequest("r1", http.MethodGet))
@@ -266,20 +267,20 @@
 // A kept connection that the target closes on the next request makes
 // net/http send idempotent requests once more by itself.
 func TestSendWritesOnce(t *testing.T) {
-	header := map[string]http.Header{
+	headers := map[string]http.Header{
 		http.MethodGet:  nil,
 		http.MethodPost: {"Idempotency-Key": {"k"}},
 		http.MethodPut:  {"X-Idempotency-Key": {"k"}},
 	}
-	for method, header := range header {
+	for method, fields := range headers {
 		t.Run(method, func(t *testing.T) {
 			f := newFixture(t, func(conn net.Conn, req *http.Request) bool {
-				return req.Header.Get(headerRequestID) == "r1" && answerOK(conn, req)
+				return req.Header.Get(header.RequestID) == "r1" && answerOK(conn, req)
 			})
 			answer, failure := f.send(newRequest("r1", http.MethodGet))
 			checkBody(t, answer, failure, "ok", nil)
 			req := newRequest("r2", method)
-			req.Header = header
+			req.Header = fields
 			_, failure = f.send(req)
 			checkFailure(t, failure, outcome.Unknown, outcome.TargetFailed)
 			if got := f.target.count("r2"); got != 1 {
@@ -292,7 +293,7 @@
 func TestSendChecksPermitAtWrite(t *testing.T) {
 	held, free := make(chan struct{}), make(chan struct{})
 	f := newFixture(t, func(conn net.Conn, req *http.Request) bool {
-		if req.Header.Get(headerRequestID) == "r1" {
+		if req.Header.Get(header.RequestID) == "r1" {
 			close(held)
 			<-free
 		}
