Fold the log, track members and decide leases (decision code, not yet wired)

Cause: the decisions that ownership rests on. State is a fold over the log in offset order; a record names the epoch it replaces. Grants last a fixed time after the latest proof of freshness, and a successor waits that long after a majority has seen its takeover, except for what stays on the same target.

Ruled out: one membership change that swaps two members (majorities of both sides need not meet); a takeover that waits before it serves (the shards stay on their target, so only releases have to wait).

--- /dev/null
+++ b/core/fold/apply.go
@@ -0,0 +1,270 @@
+package fold
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+
+	"pineturn/core/config"
+	"pineturn/core/record"
+	"pineturn/core/shard"
+)
+
+// The reasons for which an operation is void.
+var (
+	// ErrDuplicate means the batch was folded before.
+	ErrDuplicate = errors.New("batch was folded before")
+	// ErrStale means the operation expects another version, epoch or term.
+	ErrStale = errors.New("another version, epoch or term stands")
+	// ErrInvalid means the operation does not fit the state.
+	ErrInvalid = errors.New("operation does not fit the state")
+	// ErrRefused means the changed files make no valid configuration.
+	ErrRefused = errors.New("configuration refused")
+)
+
+func stale(current uint64) Result { return Result{Void: ErrStale, Current: current} }
+
+func invalid(format string, args ...any) Result {
+	return Result{Void: fmt.Errorf("%w: %s", ErrInvalid, fmt.Sprintf(format, args...))}
+}
+
+func (s *State) apply(offset uint64, op record.Op) Result {
+	switch {
+	case op.Files != nil:
+		return s.applyFiles(offset, op.Files)
+	case op.Join != nil:
+		return s.members.join(offset, op.Join)
+	case op.Leave != nil:
+		return s.members.leave(offset, op.Leave)
+	case op.Reset != nil:
+		return s.members.reset(offset, op.Reset)
+	case op.Assign != nil:
+		return s.applyAssign(offset, op.Assign)
+	case op.Settle != nil:
+		return s.applySettle(op.Settle)
+	case op.Lead != nil:
+		return s.applyLead(offset, op.Lead)
+	case op.Split != nil:
+		return s.applySplit(offset, op.Split)
+	case op.Merge != nil:
+		return s.applyMerge(op.Merge)
+	case op.Drain != nil:
+		return s.applyDrain(op.Drain)
+	case op.Checkpoint != nil:
+		return s.applyCheckpoint(op.Checkpoint)
+	}
+	return invalid("no operation that this release knows")
+}
+
+func (s *State) applyFiles(offset uint64, op *record.Files) Result {
+	files := make(map[string]File, len(s.files)+len(op.Changes))
+	for name, file := range s.files {
+		files[name] = file
+	}
+	version := offset + 1
+	for _, change := range op.Changes {
+		current, ok := files[change.Name]
+		if current.Version != change.Expect {
+			return stale(current.Version)
+		}
+		if change.Remove {
+			if !ok {
+				return invalid("file %s does not exist", change.Name)
+			}
+			delete(files, change.Name)
+			continue
+		}
+		files[change.Name] = File{Name: change.Name, Version: version, Content: change.Content, Author: op.Author}
+	}
+	merged, faults := merge(version, files)
+	if len(faults) == 0 {
+		faults = s.checkLayouts(merged)
+	}
+	if len(faults) > 0 {
+		return Result{Void: ErrRefused, Faults: faults}
+	}
+	s.files, s.config = files, merged
+	s.rememberLayouts(merged)
+	for _, change := range op.Changes {
+		s.history = append(s.history, Change{
+			Version: version, Name: change.Name, Author: op.Author, Removed: change.Remove, Content: change.Content,
+		})
+	}
+	if extra := len(s.history) - maxHistory; extra > 0 {
+		s.history = append([]Change(nil), s.history[extra:]...)
+	}
+	return Result{}
+}
+
+func merge(version uint64, files map[string]File) (*config.Config, []config.Fault) {
+	list := make([]config.File, 0, len(files))
+	for _, file := range files {
+		list = append(list, config.File{Name: file.Name, Content: file.Content})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return config.Merge(version, list)
+}
+
+// layout is how a service's keys map to shards. It may never change under
+// the same service name, since former owners may still hold such shards.
+func layout(service *config.Service) string {
+	var text strings.Builder
+	for _, group := range service.Groups() {
+		fmt.Fprintf(&text, "%s %q %d\n", group.Name(), group.Keys(), group.Shards())
+	}
+	return text.String()
+}
+
+func (s *State) checkLayouts(merged *config.Config) []config.Fault {
+	var faults []config.Fault
+	for _, service := range merged.Services() {
+		known, ok := s.layouts[service.Name()]
+		if ok && known != layout(service) {
+			faults = append(faults, config.Fault{
+				Field: "services." + service.Name() + ".groups",
+				Text:  "names, keys, order and shards of a service's groups can't change, also after its removal; create a service of another name",
+			})
+		}
+	}
+	return faults
+}
+
+func (s *State) rememberLayouts(merged *config.Config) {
+	for _, service := range merged.Services() {
+		s.layouts[service.Name()] = layout(service)
+	}
+}
+
+func (s *State) group(id shard.ID) (*config.Group, bool) {
+	service, ok := s.config.Service(id.Service)
+	if !ok {
+		return nil, false
+	}
+	group, ok := service.GroupNamed(id.Group)
+	if !ok || id.Index < 0 || id.Index >= group.Shards() {
+		return nil, false
+	}
+	return group, true
+}
+
+func (s *State) applyAssign(offset uint64, op *record.Assign) Result {
+	group, ok := s.group(op.Shard)
+	if !ok {
+		return invalid("no shard %s", op.Shard)
+	}
+	if !group.Eligible(op.Target) {
+		return invalid("target %s may not own %s", op.Target, op.Shard)
+	}
+	current, known := s.shards[op.Shard]
+	if op.Shard.Key != "" && !known {
+		return invalid("key %q is not split off", op.Shard.Key)
+	}
+	if current.Epoch != op.Expect {
+		return stale(current.Epoch)
+	}
+	former := current.Former
+	if current.Target != "" && current.Target != op.Target {
+		former = with(former, current.Target)
+	}
+	s.shards[op.Shard] = Shard{
+		Target: op.Target, Epoch: current.Epoch + 1, Former: without(former, op.Target), Since: offset, Why: op.Why,
+	}
+	return Result{}
+}
+
+// with returns a sorted copy of names that holds name.
+func with(names []string, name string) []string {
+	out := append(without(names, name), name)
+	sort.Strings(out)
+	return out
+}
+
+// without returns a copy of names that lacks name.
+func without(names []string, name string) []string {
+	var out []string
+	for _, other := range names {
+		if other != name {
+			out = append(out, other)
+		}
+	}
+	return out
+}
+
+func (s *State) applySettle(op *record.Settle) Result {
+	current, ok := s.shards[op.Shard]
+	if !ok || current.Epoch != op.Epoch {
+		return stale(current.Epoch)
+	}
+	current.Former = nil
+	s.shards[op.Shard] = current
+	return Result{}
+}
+
+func (s *State) applyLead(offset uint64, op *record.Lead) Result {
+	current := s.targets[op.Target]
+	if current.Term != op.Expect {
+		return stale(current.Term)
+	}
+	if !s.members.Has(op.Holder) {
+		return invalid("holder %s is not a member", op.Holder)
+	}
+	current.Term++
+	current.Holder = op.Holder
+	current.Since = offset
+	s.targets[op.Target] = current
+	return Result{}
+}
+
+func (s *State) applySplit(offset uint64, op *record.Split) Result {
+	group, ok := s.group(op.Shard)
+	if !ok || op.Shard.Key == "" || shard.IndexOf(op.Shard.Key, group.Shards()) != op.Shard.Index {
+		return invalid("key %q is not in shard %s", op.Shard.Key, op.Shard.Parent())
+	}
+	parent := s.shards[op.Shard.Parent()]
+	if parent.Epoch != op.Expect {
+		return stale(parent.Epoch)
+	}
+	if _, split := s.hot[op.Shard.Parent()][op.Shard.Key]; split {
+		return invalid("key %q is split off already", op.Shard.Key)
+	}
+	if s.hot[op.Shard.Parent()] == nil {
+		s.hot[op.Shard.Parent()] = map[string]struct{}{}
+	}
+	s.hot[op.Shard.Parent()][op.Shard.Key] = struct{}{}
+	s.shards[op.Shard] = Shard{
+		Target: parent.Target, Epoch: parent.Epoch, Former: parent.Former, Since: offset, Why: "split",
+	}
+	return Result{}
+}
+
+func (s *State) applyMerge(op *record.Merge) Result {
+	hot, ok := s.shards[op.Shard]
+	if !ok || op.Shard.Key == "" || hot.Epoch != op.Expect {
+		return stale(hot.Epoch)
+	}
+	parent := s.shards[op.Shard.Parent()]
+	if hot.Target != parent.Target || len(hot.Former) > 0 || len(parent.Former) > 0 {
+		return invalid("shard %s is not settled on the target of its range shard", op.Shard)
+	}
+	// The epoch of a later split starts from the range shard's, so that one
+	// must be the higher of both.
+	parent.Epoch = max(parent.Epoch, hot.Epoch) + 1
+	s.shards[op.Shard.Parent()] = parent
+	delete(s.shards, op.Shard)
+	delete(s.hot[op.Shard.Parent()], op.Shard.Key)
+	if len(s.hot[op.Shard.Parent()]) == 0 {
+		delete(s.hot, op.Shard.Parent())
+	}
+	return Result{}
+}
+
+func (s *State) applyDrain(op *record.Drain) Result {
+	if _, ok := s.config.Target(op.Target); !ok && op.On {
+		return invalid("no target %s", op.Target)
+	}
+	current := s.targets[op.Target]
+	current.Drain = op.On
+	s.targets[op.Target] = current
+	return Result{}
+}
--- /dev/null
+++ b/core/host/act.go
@@ -0,0 +1,121 @@
+package host
+
+import (
+	"time"
+
+	"pineturn/core/lease"
+	"pineturn/core/message"
+	"pineturn/core/outcome"
+	"pineturn/core/plan"
+	"pineturn/core/record"
+	"pineturn/core/route"
+)
+
+// Delays of what a host proposes by itself.
+const (
+	// joinInterval is the time between two proposals to join.
+	joinInterval = 250 * time.Millisecond
+	// retryAfter is when callers are told to come back while nothing is known.
+	retryAfter = 250 * time.Millisecond
+)
+
+// Act returns the orders and questions that are due at now.
+func (h *Host) Act(now time.Time) ([]lease.Order, []lease.Question) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.confirm(now)
+	h.leases.Guard(h.tracker, h.state.Members(), now)
+	questions := h.leases.Questions(now)
+	return h.leases.Orders(now), questions
+}
+
+// Propose returns the operations that this host appends at now for itself:
+// its own join, completed handovers, and, when it is the one to plan, the
+// planner's.
+func (h *Host) Propose(now time.Time) []record.Op {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.known() {
+		return nil
+	}
+	ops := h.leases.Settles(now)
+	if op, ok := h.join(now); ok {
+		return append(ops, op)
+	}
+	in := h.input(now)
+	chosen, ok := plan.Elect(in, h.self.Incarnation)
+	if !ok || chosen.Incarnation != h.self.Incarnation || !h.tracker.Reachable(in.State.Members(), now) {
+		return ops
+	}
+	return append(ops, h.planner.Round(in)...)
+}
+
+func (h *Host) input(now time.Time) plan.Input {
+	return plan.Input{State: h.state, Tracker: h.tracker, Now: now, Leaving: h.leaving}
+}
+
+// join proposes this host's membership, once the last change is settled.
+func (h *Host) join(now time.Time) (record.Op, bool) {
+	members := h.state.Members()
+	if members.Has(h.self.Incarnation) || h.leaving || now.Sub(h.joinAt) < joinInterval {
+		return record.Op{}, false
+	}
+	if !h.tracker.Settled(members, h.state.Next()) {
+		return record.Op{}, false
+	}
+	h.joinAt = now
+	return record.Op{Join: &record.Join{Member: h.self, Expect: members.Epoch()}}, true
+}
+
+// Planner returns the host that reports are to be sent to, if any.
+func (h *Host) Planner(now time.Time) (record.Member, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return plan.Elect(h.input(now), h.self.Incarnation)
+}
+
+// OnReport takes in what a leaseholder observes of its targets.
+func (h *Host) OnReport(report message.Report, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.planner.Report(report, now)
+}
+
+// OnRelease answers whether shards have left a target.
+func (h *Host) OnRelease(question message.Release, now time.Time) message.Released {
+	shards, _ := h.leases.Released(question, now)
+	return message.Released{Shards: shards}
+}
+
+// Route finds where the requests of a key go.
+func (h *Host) Route(service, key string) (route.Route, *outcome.Error) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if !h.known() {
+		return route.Route{}, outcome.Refuse(outcome.NotReady, "no state yet", retryAfter)
+	}
+	id, found, ok := h.state.Locate(service, key)
+	if !ok {
+		return route.Route{}, outcome.Refuse(outcome.UnknownService, service, 0)
+	}
+	owned := h.state.Shard(id)
+	target, ok := found.Target(owned.Target)
+	if !ok {
+		return route.Route{Service: found, Shard: id}, outcome.Refuse(outcome.NoOwner, id.String(), retryAfter)
+	}
+	logged := h.state.Target(target.ID())
+	holder, ok := h.state.Members().Find(logged.Holder)
+	if !ok {
+		return route.Route{Service: found, Shard: id}, outcome.Refuse(outcome.NoOwner, "no leaseholder of "+target.ID().String(), retryAfter)
+	}
+	return route.Route{
+		Service: found, Target: target, Shard: id, Epoch: owned.Epoch, Holder: holder, Term: logged.Term,
+	}, nil
+}
+
+// HolderOf returns the leaseholder of a target, if it is a member.
+func (h *Host) HolderOf(target record.Target) (record.Member, bool) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.state.Members().Find(h.state.Target(target).Holder)
+}
--- /dev/null
+++ b/core/host/beat.go
@@ -0,0 +1,104 @@
+package host
+
+import (
+	"time"
+
+	"pineturn/core/message"
+	"pineturn/core/record"
+)
+
+// Ping is the heartbeat to send at now, and the members to send it to.
+func (h *Host) Ping(now time.Time) (message.Ping, []record.Member) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	members := h.state.Members()
+	ping := message.Ping{
+		Next: h.state.Next(), Suspects: h.tracker.Suspects(members, now), Leaving: h.leaving,
+	}
+	var others []record.Member
+	seen := map[record.Incarnation]bool{h.self.Incarnation: true}
+	for _, list := range [][]record.Member{members.Current(), members.Before()} {
+		for _, one := range list {
+			_, gone := h.tracker.Gone(one.Incarnation)
+			if !seen[one.Incarnation] && !gone {
+				others = append(others, one)
+			}
+			seen[one.Incarnation] = true
+		}
+	}
+	return ping, others
+}
+
+// OnPing answers a heartbeat. A host that does not know its own membership
+// yet, or serves by no state, is not ready and confirms nothing.
+func (h *Host) OnPing(now time.Time) message.Pong {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	members := h.state.Members()
+	return message.Pong{
+		From: h.self.Incarnation, Next: h.state.Next(), Leaving: h.leaving,
+		Ready:         h.known() && members.Has(h.self.Incarnation),
+		ConfigVersion: h.state.Config().Version(),
+		Suspects:      h.tracker.Suspects(members, now),
+	}
+}
+
+// OnPong takes in the answer to a heartbeat that was sent at asked. It
+// reports whether the answering host knows records that this one does not.
+func (h *Host) OnPong(pong message.Pong, asked, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tracker.Answered(pong, asked, now)
+	h.confirm(now)
+	return pong.Next > h.state.Next()
+}
+
+// confirm takes the word of a majority as a proof of freshness.
+func (h *Host) confirm(now time.Time) {
+	if !h.known() {
+		return
+	}
+	if at, ok := h.tracker.Confirmed(h.state.Members(), h.state.Next(), now); ok {
+		h.leases.Fresh(at)
+	}
+}
+
+// OnReplaced takes in that a later run of the host answers at its address.
+func (h *Host) OnReplaced(id record.Incarnation, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tracker.Replaced(id, now)
+}
+
+// OnListed takes in which hosts the platform lists as live.
+func (h *Host) OnListed(hosts map[string]bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tracker.Listed(hosts)
+}
+
+// Adopt marks a state that was taken from a ready peer as fit to serve by.
+func (h *Host) Adopt() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ready = true
+}
+
+// OnCatchup answers with the records from an offset on, or with a snapshot
+// when they are no longer kept.
+func (h *Host) OnCatchup(from uint64) (message.CatchupReply, error) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if !h.known() || from >= h.state.Next() {
+		return message.CatchupReply{}, nil
+	}
+	if len(h.recent) > 0 && h.recent[0].Offset <= from {
+		list := h.recent[from-h.recent[0].Offset:]
+		return message.CatchupReply{Records: list[:min(len(list), maxCatchup)]}, nil
+	}
+	data, digest, err := h.state.Encode()
+	return message.CatchupReply{Snapshot: data, Digest: digest}, err
+}
+
+// maxCatchup bounds the records of one answer.
+const maxCatchup = 256
--- /dev/null
+++ b/core/lease/lease.go
@@ -0,0 +1,270 @@
+// Package lease decides what the leaseholder of a target may do: which shards
+// it grants and until when, when a shard has certainly left a target, and
+// whether a request may be sent.
+//
+// A grant lasts no longer than Life after the latest proof that this host is
+// fresh: a read of the log's end, or the word of a majority of the members,
+// counted from when the question was sent. A successor waits that long after
+// a majority has seen its takeover; from then on no grant of an earlier
+// leaseholder is in force and none can follow.
+package lease
+
+import (
+	"sync"
+	"time"
+
+	"pineturn/core/config"
+	"pineturn/core/fold"
+	"pineturn/core/member"
+	"pineturn/core/record"
+	"pineturn/core/shard"
+)
+
+// Table holds the targets that this host is the leaseholder of. It is safe
+// for concurrent use; its lock is taken after those of the folded state and
+// of the member tracker.
+type Table struct {
+	mu      sync.Mutex
+	self    record.Incarnation
+	options Options
+	fresh   time.Time
+	next    uint64
+	targets map[record.Target]*held
+}
+
+// held is one target that this host is the leaseholder of.
+type held struct {
+	id          record.Target
+	term        uint64
+	since       uint64
+	address     string
+	checked     bool
+	longRunning bool
+
+	// guard: earlier leaseholders' grants have lapsed.
+	guarded bool
+	seen    time.Time
+
+	// what the target said last.
+	incarnation string
+	clockUs     int64
+	clockSent   time.Time
+	clockAt     time.Time
+	health      string
+	answered    time.Time
+	created     time.Time
+	trusted     bool
+
+	// sets of shards: wanted by the log, accepted by the target, and sent
+	// without an answer.
+	wanted  map[shard.ID]entry
+	pending map[shard.ID]*handover
+	acked   *set
+	flights []*set
+	version uint64
+	busy    bool
+	ordered time.Time
+	dirty   bool
+
+	// requests in flight, and the time they took since the last report.
+	flying     map[shard.ID]int
+	flyingKeys map[keyOf]int
+	spent      map[shard.ID]time.Duration
+}
+
+type keyOf struct {
+	shard shard.ID
+	key   string
+}
+
+// entry is one shard of a set.
+type entry struct {
+	epoch  uint64
+	except []string
+}
+
+// set is what an order grants to a target.
+type set struct {
+	version uint64
+	shards  map[shard.ID]entry
+	// until is when the target may lapse at the earliest, late when it has
+	// lapsed at the latest, by this host's clock.
+	until time.Time
+	late  time.Time
+}
+
+// handover is a shard whose former owners are not all known to have let go.
+type handover struct {
+	epoch   uint64
+	except  []string
+	former  map[string]bool
+	asked   time.Time
+	settled time.Time
+}
+
+// New returns an empty table for the host self.
+func New(self record.Incarnation, options Options) *Table {
+	return &Table{self: self, options: options.withDefaults(), targets: map[record.Target]*held{}}
+}
+
+// Life is how long a grant lasts after the latest proof of freshness.
+func (t *Table) Life() time.Duration { return t.options.Life }
+
+// Fresh records that a question sent at instant at proved that this host knew
+// the newest record.
+func (t *Table) Fresh(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.fresh) {
+		t.fresh = at
+	}
+}
+
+// FreshUntil is when the latest proof of freshness ends.
+func (t *Table) FreshUntil() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fresh.Add(t.options.Life)
+}
+
+// Sync brings the table in line with the folded state at now.
+func (t *Table) Sync(state *fold.State, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next = state.Next()
+	for id, target := range state.Targets() {
+		if target.Holder != t.self {
+			delete(t.targets, id)
+			continue
+		}
+		h := t.targets[id]
+		if h == nil || h.term != target.Term {
+			h = newHeld(id, target, now)
+			t.targets[id] = h
+		}
+		settings, ok := state.Config().Target(id)
+		h.configure(state.Config(), settings, ok)
+	}
+	t.want(state)
+}
+
+func newHeld(id record.Target, target fold.Target, now time.Time) *held {
+	return &held{
+		id: id, term: target.Term, since: target.Since, guarded: target.Term == 1, created: now,
+		version: target.Term << 32, dirty: true,
+		wanted: map[shard.ID]entry{}, pending: map[shard.ID]*handover{},
+		flying: map[shard.ID]int{}, flyingKeys: map[keyOf]int{}, spent: map[shard.ID]time.Duration{},
+	}
+}
+
+// configure takes the target's settings; one that the configuration lacks
+// gets no more orders, and its grants lapse.
+func (h *held) configure(conf *config.Config, settings *config.Target, ok bool) {
+	if !ok {
+		h.address = ""
+		return
+	}
+	if h.address != settings.Address() {
+		h.address = settings.Address()
+		h.trusted = false
+	}
+	h.checked = settings.Checked()
+	if service, found := conf.Service(h.id.Service); found {
+		h.longRunning = service.LongRunning()
+	}
+}
+
+// want computes from the log which shards each held target is to own.
+func (t *Table) want(state *fold.State) {
+	wanted := map[record.Target]map[shard.ID]entry{}
+	for id, owned := range state.Shards() {
+		target := record.Target{Service: id.Service, Name: owned.Target}
+		h := t.targets[target]
+		if h == nil || h.address == "" {
+			continue
+		}
+		if wanted[target] == nil {
+			wanted[target] = map[shard.ID]entry{}
+		}
+		item := entry{epoch: owned.Epoch}
+		if id.Key == "" {
+			item.except = state.HotKeys(id)
+		}
+		if h.handOver(id, owned, item.except) {
+			wanted[target][id] = item
+		}
+	}
+	for id, h := range t.targets {
+		h.replaceWanted(wanted[id], state)
+	}
+}
+
+// handOver reports whether every former owner of a shard has let go, and
+// keeps track of those that have not.
+func (h *held) handOver(id shard.ID, owned fold.Shard, except []string) bool {
+	move := h.pending[id]
+	if len(owned.Former) == 0 {
+		delete(h.pending, id)
+		return true
+	}
+	if move == nil || move.epoch != owned.Epoch {
+		move = &handover{epoch: owned.Epoch, former: map[string]bool{}}
+		for _, name := range owned.Former {
+			move.former[name] = true
+		}
+		h.pending[id] = move
+	}
+	move.except = except
+	return len(move.former) == 0
+}
+
+func (h *held) replaceWanted(wanted map[shard.ID]entry, state *fold.State) {
+	if !equal(h.wanted, wanted) {
+		h.dirty = true
+	}
+	h.wanted = wanted
+	for id := range h.pending {
+		owned := state.Shard(id)
+		if owned.Target != h.id.Name || owned.Epoch != h.pending[id].epoch {
+			delete(h.pending, id)
+		}
+	}
+}
+
+func equal(left, right map[shard.ID]entry) bool {
+	if len(left) != len(right) {
+		return false
+	}
+	for id, item := range left {
+		other, ok := right[id]
+		if !ok || item.epoch != other.epoch || len(item.except) != len(other.except) {
+			return false
+		}
+		for i, key := range item.except {
+			if other.except[i] != key {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Guard notes, for each takeover, when a majority has seen it, and passes
+// those for which every earlier grant has lapsed since.
+func (t *Table) Guard(tracker *member.Tracker, members *fold.Membership, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wait := time.Duration(float64(t.options.Life) * guardFactor)
+	for _, h := range t.targets {
+		if h.guarded {
+			continue
+		}
+		if h.seen.IsZero() {
+			if tracker.Seen(members, h.since, t.next) {
+				h.seen = now
+			}
+			continue
+		}
+		h.guarded = now.Sub(h.seen) >= wait
+	}
+}
--- /dev/null
+++ b/core/lease/options.go
@@ -0,0 +1,49 @@
+package lease
+
+import (
+	"time"
+
+	"pineturn/core/route"
+)
+
+// Defaults of a leaseholder.
+const (
+	// DefaultLife is how long a grant lasts after the latest proof of freshness.
+	DefaultLife = 900 * time.Millisecond
+	// DefaultRenewal is the time between two orders to one target.
+	DefaultRenewal = 150 * time.Millisecond
+	// DefaultSuspicion is how long a target may leave orders unanswered
+	// before it is reported as not alive.
+	DefaultSuspicion = 450 * time.Millisecond
+	// askInterval is the time between two questions for one former owner.
+	askInterval = 20 * time.Millisecond
+	// settleInterval is the time after which a Settle is proposed again.
+	settleInterval = time.Second
+	// minLeft is the shortest grant worth sending.
+	minLeft = 50 * time.Millisecond
+)
+
+// guardFactor lengthens a wait for another host's grants to lapse, by the
+// drift between that host, its target and this host.
+const guardFactor = 1 + 3*route.Drift
+
+// Options set the times of a Table.
+type Options struct {
+	Life      time.Duration
+	Renewal   time.Duration
+	Suspicion time.Duration
+}
+
+// withDefaults replaces zero values.
+func (o Options) withDefaults() Options {
+	if o.Life == 0 {
+		o.Life = DefaultLife
+	}
+	if o.Renewal == 0 {
+		o.Renewal = DefaultRenewal
+	}
+	if o.Suspicion == 0 {
+		o.Suspicion = DefaultSuspicion
+	}
+	return o
+}
--- /dev/null
+++ b/core/lease/permit.go
@@ -0,0 +1,115 @@
+package lease
+
+import (
+	"time"
+
+	"pineturn/core/outcome"
+	"pineturn/core/record"
+	"pineturn/core/route"
+	"pineturn/core/shard"
+)
+
+// retryAfter is when a caller is told to come back while a shard is on its
+// way from one owner to another.
+const retryAfter = 100 * time.Millisecond
+
+// Permit allows one request for a key of a shard to be sent to its target.
+// done must be called when the request has ended at the target.
+func (t *Table) Permit(id shard.ID, epoch uint64, key string, now time.Time) (route.Permit, record.Target, *outcome.Error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.owner(id, epoch)
+	if h == nil {
+		return route.Permit{}, record.Target{}, outcome.Refuse(outcome.NotLeaseholder, id.String(), retryAfter)
+	}
+	if h.excepts(id, key) {
+		return route.Permit{}, h.id, outcome.Refuse(outcome.NotLeaseholder, "key is split off "+id.String(), retryAfter)
+	}
+	if h.acked == nil || !now.Before(h.acked.until) || h.acked.shards[id].epoch != epoch {
+		return route.Permit{}, h.id, outcome.Refuse(outcome.LeaseLost, id.String(), retryAfter)
+	}
+	h.flying[id]++
+	h.flyingKeys[keyOf{shard: id, key: key}]++
+	return route.Permit{
+		Address: h.address, Incarnation: h.incarnation, Epoch: epoch, Term: h.term,
+		Until: h.acked.until, ClockUs: h.clockUs, ClockAt: h.clockAt,
+	}, h.id, nil
+}
+
+// owner finds the held target that is to own a shard at an epoch.
+func (t *Table) owner(id shard.ID, epoch uint64) *held {
+	for target, h := range t.targets {
+		if target.Service != id.Service {
+			continue
+		}
+		if item, ok := h.wanted[id]; ok && item.epoch == epoch {
+			return h
+		}
+	}
+	return nil
+}
+
+// excepts reports whether a key has become a shard of its own, which a host
+// that is behind may still take for a part of its range shard.
+func (h *held) excepts(id shard.ID, key string) bool {
+	if id.Key != "" {
+		return false
+	}
+	for _, other := range h.wanted[id].except {
+		if other == key {
+			return true
+		}
+	}
+	return false
+}
+
+// Done records that a request, permitted under term, has ended after spent.
+func (t *Table) Done(target record.Target, term uint64, id shard.ID, key string, spent time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.targets[target]
+	if h == nil || h.term != term {
+		return
+	}
+	drop(h.flying, id)
+	drop(h.flyingKeys, keyOf{shard: id, key: key})
+	h.spent[id] += spent
+	if _, wanted := h.wanted[id]; !wanted && h.flying[id] == 0 {
+		h.dirty = true
+	}
+}
+
+func drop[K comparable](counts map[K]int, key K) {
+	if counts[key] <= 1 {
+		delete(counts, key)
+		return
+	}
+	counts[key]--
+}
+
+// InFlight counts the requests at the held targets.
+func (t *Table) InFlight() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	total := 0
+	for _, h := range t.targets {
+		for _, count := range h.flying {
+			total += count
+		}
+	}
+	return total
+}
+
+// Spent returns, and clears, the time that requests of each shard took at a
+// held target.
+func (t *Table) Spent(target record.Target) map[shard.ID]time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.targets[target]
+	if h == nil {
+		return nil
+	}
+	spent := h.spent
+	h.spent = map[shard.ID]time.Duration{}
+	return spent
+}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -27,6 +27,7 @@
 	Catchup *Catchup `cbor:"3,keyasint,omitempty"`
 	Witness *Witness `cbor:"4,keyasint,omitempty"`
 	Recall  *Recall  `cbor:"5,keyasint,omitempty"`
+	Report  *Report  `cbor:"6,keyasint,omitempty"`
 }
 
 // Reply answers a Call, in the field of the same name.
@@ -36,6 +37,7 @@
 	Catchup *CatchupReply `cbor:"3,keyasint,omitempty"`
 	Witness *Witnessed    `cbor:"4,keyasint,omitempty"`
 	Recall  *Recalled     `cbor:"5,keyasint,omitempty"`
+	Report  *Reported     `cbor:"6,keyasint,omitempty"`
 }
 
 // Ping is a heartbeat. It tells how far the sender has folded the log and
@@ -82,6 +84,8 @@
 type CatchupReply struct {
 	Records  []Record `cbor:"1,keyasint,omitempty"`
 	Snapshot []byte   `cbor:"2,keyasint,omitempty"`
+	// Digest is the snapshot's.
+	Digest uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Record is one log record with its offset.
@@ -119,6 +123,44 @@
 	Left    time.Duration `cbor:"2,keyasint"`
 }
 
+// Report tells the planner what a leaseholder observes of its targets.
+type Report struct {
+	Targets []TargetReport `cbor:"1,keyasint"`
+}
+
+// Reported acknowledges a Report.
+type Reported struct{}
+
+// TargetReport is what a leaseholder observes of one target.
+type TargetReport struct {
+	Target record.Target `cbor:"1,keyasint"`
+	Term   uint64        `cbor:"2,keyasint"`
+	// Alive reports that the target answered its latest orders in time.
+	Alive bool `cbor:"3,keyasint"`
+	// Lost reports that the target has been silent for the suspicion time.
+	Lost bool `cbor:"8,keyasint,omitempty"`
+	// Draining reports that the target said it is leaving.
+	Draining bool `cbor:"4,keyasint,omitempty"`
+	// Cold reports that the target said it is still warming up.
+	Cold   bool        `cbor:"5,keyasint,omitempty"`
+	Shards []ShardLoad `cbor:"6,keyasint,omitempty"`
+	Hot    []HotKey    `cbor:"7,keyasint,omitempty"`
+}
+
+// ShardLoad is the load that a shard puts on its target.
+type ShardLoad struct {
+	Shard shard.ID `cbor:"1,keyasint"`
+	// Busy is the share of one slot that the shard's requests take up.
+	Busy float64 `cbor:"2,keyasint"`
+}
+
+// HotKey is a key that takes up a large part of its target.
+type HotKey struct {
+	Shard shard.ID `cbor:"1,keyasint"`
+	Key   string   `cbor:"2,keyasint"`
+	Busy  float64  `cbor:"3,keyasint"`
+}
+
 // Request is a caller's request on its way to the leaseholder of its target.
 type Request struct {
 	ID      string              `cbor:"1,keyasint"`
--- /dev/null
+++ b/core/plan/plan.go
@@ -0,0 +1,265 @@
+// Package plan proposes who leads targets and which targets own shards. Any
+// host may plan; proposals of two planners that race are sorted out by the
+// fold, and cost churn but never safety.
+package plan
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pineturn/core/config"
+	"pineturn/core/fold"
+	"pineturn/core/member"
+	"pineturn/core/message"
+	"pineturn/core/record"
+)
+
+// Defaults of the planner.
+const (
+	// DefaultExpelAfter is how long a member must have been lost before it is
+	// taken off the membership.
+	DefaultExpelAfter = 5 * time.Second
+	// DefaultEvenAfter is the time between two moves that only even out how
+	// many targets each host leads.
+	DefaultEvenAfter = time.Second
+	// reportAge is how old a leaseholder's report may be to be believed.
+	reportAge = 2 * time.Second
+)
+
+// Planner keeps what a planner remembers between rounds. It is not safe for
+// concurrent use.
+type Planner struct {
+	self    record.Incarnation
+	reports map[record.Target]report
+	lost    map[record.Incarnation]time.Time
+	evened  time.Time
+	rounds  map[string]time.Time
+	started time.Time
+}
+
+// report is the latest word of a target's leaseholder.
+type report struct {
+	message.TargetReport
+	at time.Time
+}
+
+// Input is what one round is planned from.
+type Input struct {
+	State   *fold.State
+	Tracker *member.Tracker
+	Now     time.Time
+	// Leaving reports that this host itself is about to stop.
+	Leaving bool
+}
+
+// New returns a planner for the host self.
+func New(self record.Incarnation, now time.Time) *Planner {
+	return &Planner{
+		self: self, started: now, reports: map[record.Target]report{},
+		lost: map[record.Incarnation]time.Time{}, rounds: map[string]time.Time{},
+	}
+}
+
+// Report records what a leaseholder observes of its targets.
+func (p *Planner) Report(msg message.Report, now time.Time) {
+	for _, target := range msg.Targets {
+		if known, ok := p.reports[target.Target]; ok && known.Term > target.Term {
+			continue
+		}
+		p.reports[target.Target] = report{TargetReport: target, at: now}
+	}
+}
+
+// Elect returns the member that is to plan: the first by name of those that
+// this host takes for live.
+func Elect(in Input, self record.Incarnation) (record.Member, bool) {
+	for _, one := range in.Tracker.Live(in.State.Members(), in.Now) {
+		if one.Incarnation == self && in.Leaving {
+			continue
+		}
+		return one, true
+	}
+	return record.Member{}, false
+}
+
+// Round returns the operations to append now.
+func (p *Planner) Round(in Input) []record.Op {
+	ops := p.expel(in)
+	ops = append(ops, p.lead(in)...)
+	return append(ops, p.assign(in)...)
+}
+
+// expel proposes to take at most one lost member off the membership, once
+// the last change is settled and a majority answers.
+func (p *Planner) expel(in Input) []record.Op {
+	members := in.State.Members()
+	if !in.Tracker.Settled(members, in.State.Next()) {
+		return nil
+	}
+	for id := range p.lost {
+		if !members.Has(id) {
+			delete(p.lost, id)
+		}
+	}
+	for _, one := range members.Current() {
+		id := one.Incarnation
+		if !in.Tracker.Lost(members, id, in.Now) {
+			delete(p.lost, id)
+			continue
+		}
+		if _, ok := p.lost[id]; !ok {
+			p.lost[id] = in.Now
+		}
+		_, gone := in.Tracker.Gone(id)
+		if gone || in.Now.Sub(p.lost[id]) >= DefaultExpelAfter {
+			return []record.Op{{Leave: &record.Leave{Incarnation: id, Expect: members.Epoch()}}}
+		}
+	}
+	return nil
+}
+
+// lead proposes leaseholders for targets that have none that is live, and
+// evens out how many each host leads.
+func (p *Planner) lead(in Input) []record.Op {
+	hosts := p.candidates(in)
+	if len(hosts) == 0 {
+		return nil
+	}
+	counts := map[record.Incarnation]int{}
+	var orphans []record.Target
+	targets := leadable(in.State)
+	for _, id := range targets {
+		holder := in.State.Target(id).Holder
+		if p.fit(in, holder) {
+			counts[holder]++
+			continue
+		}
+		orphans = append(orphans, id)
+	}
+	var ops []record.Op
+	for _, id := range orphans {
+		chosen := choose(hosts, counts, in.State.Config(), id)
+		counts[chosen.Incarnation]++
+		ops = append(ops, leadOp(in.State, id, chosen.Incarnation))
+	}
+	if len(ops) > 0 || in.Now.Sub(p.evened) < DefaultEvenAfter {
+		return ops
+	}
+	p.evened = in.Now
+	return even(in.State, hosts, counts, targets)
+}
+
+func leadOp(state *fold.State, id record.Target, holder record.Incarnation) record.Op {
+	return record.Op{Lead: &record.Lead{Target: id, Holder: holder, Expect: state.Target(id).Term}}
+}
+
+// fit reports whether a leaseholder may stay: it is a member, not known by a
+// majority to be lost, and not leaving.
+func (p *Planner) fit(in Input, holder record.Incarnation) bool {
+	if !in.State.Members().Has(holder) || in.Tracker.Lost(in.State.Members(), holder, in.Now) {
+		return false
+	}
+	if holder == p.self {
+		return !in.Leaving
+	}
+	return !in.Tracker.Leaving(holder)
+}
+
+func (p *Planner) candidates(in Input) []record.Member {
+	var list []record.Member
+	for _, one := range in.Tracker.Live(in.State.Members(), in.Now) {
+		if one.Incarnation == p.self && in.Leaving {
+			continue
+		}
+		list = append(list, one)
+	}
+	return list
+}
+
+// leadable lists the targets that need a leaseholder: those configured, and
+// those that shards may still have to be released from.
+func leadable(state *fold.State) []record.Target {
+	set := map[record.Target]bool{}
+	for _, service := range state.Config().Services() {
+		for _, target := range service.Targets() {
+			set[target.ID()] = true
+		}
+	}
+	for id, owned := range state.Shards() {
+		set[record.Target{Service: id.Service, Name: owned.Target}] = true
+		for _, name := range owned.Former {
+			set[record.Target{Service: id.Service, Name: name}] = true
+		}
+	}
+	list := make([]record.Target, 0, len(set))
+	for id := range set {
+		list = append(list, id)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Less(list[j]) })
+	return list
+}
+
+// choose picks the host that leads fewest targets, outside the target's
+// failure domain if there is one; ties go by rendezvous hash.
+func choose(hosts []record.Member, counts map[record.Incarnation]int, conf *config.Config, id record.Target) record.Member {
+	domain := ""
+	if target, ok := conf.Target(id); ok {
+		domain = target.Domain()
+	}
+	best := hosts[0]
+	for _, host := range hosts[1:] {
+		if better(host, best, domain, counts, id) {
+			best = host
+		}
+	}
+	return best
+}
+
+func better(host, best record.Member, domain string, counts map[record.Incarnation]int, id record.Target) bool {
+	if (host.Domain == domain) != (best.Domain == domain) {
+		return best.Domain == domain
+	}
+	left, right := counts[host.Incarnation], counts[best.Incarnation]
+	if left != right {
+		return left < right
+	}
+	return weight(host, id) > weight(best, id)
+}
+
+func weight(host record.Member, id record.Target) uint64 {
+	return weightOf(host.Incarnation.Host, id.String())
+}
+
+// weightOf is the rendezvous hash of two names.
+func weightOf(left, right string) uint64 {
+	return xxhash.Sum64String(left + "\x00" + right)
+}
+
+// even moves one target from the host that leads most to the one that leads
+// fewest, when they differ by more than one.
+func even(state *fold.State, hosts []record.Member, counts map[record.Incarnation]int, targets []record.Target) []record.Op {
+	most, fewest := hosts[0], hosts[0]
+	for _, host := range hosts {
+		if counts[host.Incarnation] > counts[most.Incarnation] {
+			most = host
+		}
+		if counts[host.Incarnation] < counts[fewest.Incarnation] {
+			fewest = host
+		}
+	}
+	if counts[most.Incarnation]-counts[fewest.Incarnation] < 2 {
+		return nil
+	}
+	for _, id := range targets {
+		settings, ok := state.Config().Target(id)
+		if !ok || settings.Domain() == fewest.Domain {
+			continue
+		}
+		if state.Target(id).Holder == most.Incarnation {
+			return []record.Op{leadOp(state, id, fewest.Incarnation)}
+		}
+	}
+	return nil
+}
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -67,6 +67,24 @@
 	Split  *Split  `cbor:"7,keyasint,omitempty"`
 	Drain  *Drain  `cbor:"8,keyasint,omitempty"`
 	Reset  *Reset  `cbor:"9,keyasint,omitempty"`
+	Merge  *Merge  `cbor:"10,keyasint,omitempty"`
+	// Checkpoint marks an offset at which every host digests its state.
+	Checkpoint *Checkpoint `cbor:"11,keyasint,omitempty"`
+}
+
+// Merge returns a hot key's shard to its range shard; both must be settled
+// on the same target. Expect is the epoch of the hot key's shard.
+type Merge struct {
+	Shard  shard.ID `cbor:"1,keyasint"`
+	Expect uint64   `cbor:"2,keyasint"`
+}
+
+// Checkpoint announces a snapshot of the state after its own offset. It
+// repeats the digest that its writer had at the checkpoint before, so that
+// every host can tell whether its own fold differs.
+type Checkpoint struct {
+	BeforeNext   uint64 `cbor:"1,keyasint,omitempty"`
+	BeforeDigest uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Files changes configuration files, all or none of them.
--- /dev/null
+++ b/io/daemon/writer.go
@@ -0,0 +1,194 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pineturn/core/fold"
+	"pineturn/core/host"
+	"pineturn/core/record"
+	"pineturn/io/logservice"
+)
+
+// errUnresolved means that it is not known whether a batch takes effect.
+var errUnresolved = errors.New("the log has not confirmed the change; it may still take effect")
+
+// Written is where a submission stands in the log, and its verdicts.
+type Written struct {
+	Offset  uint64
+	Results []fold.Result
+}
+
+// submission waits for its operations to be read back from the log.
+type submission struct {
+	ops    []record.Op
+	ctx    context.Context
+	answer chan Written
+}
+
+// writer appends batches, one at a time, and resolves each by reading it
+// back: an append whose answer was lost is sent again under the same id, and
+// the fold takes it once.
+type writer struct {
+	log    *logservice.Client
+	self   record.Incarnation
+	counts *metrics
+	queue  chan submission
+
+	mu       sync.Mutex
+	seq      uint64
+	resolved map[uint64]chan host.Folded
+}
+
+func newWriter(log *logservice.Client, self record.Incarnation, counts *metrics) *writer {
+	return &writer{
+		log: log, self: self, counts: counts,
+		queue: make(chan submission, maxPending), resolved: map[uint64]chan host.Folded{},
+	}
+}
+
+// Submit appends operations and returns their verdicts once they are read
+// back. With errUnresolved they may take effect later.
+func (w *writer) Submit(ctx context.Context, ops []record.Op) (Written, error) {
+	item := submission{ops: ops, ctx: ctx, answer: make(chan Written, 1)}
+	select {
+	case w.queue <- item:
+	case <-ctx.Done():
+		return Written{}, errors.Wrap(ctx.Err(), "queue the change; nothing was written")
+	}
+	select {
+	case written := <-item.answer:
+		return written, nil
+	case <-ctx.Done():
+		return Written{}, errUnresolved
+	}
+}
+
+// Folded resolves batches of this host that the reader has folded.
+func (w *writer) Folded(list []host.Folded) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, item := range list {
+		if item.Err != nil || item.Batch.ID.Writer != w.self {
+			continue
+		}
+		if found, ok := w.resolved[item.Batch.ID.Seq]; ok {
+			delete(w.resolved, item.Batch.ID.Seq)
+			found <- item
+		}
+	}
+}
+
+// run appends what is submitted until ctx ends.
+func (w *writer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-w.queue:
+			w.write(ctx, w.collect(first))
+		}
+	}
+}
+
+// collect joins waiting submissions into one batch.
+func (w *writer) collect(first submission) []submission {
+	list := []submission{first}
+	count := len(first.ops)
+	for count < maxOps {
+		select {
+		case item := <-w.queue:
+			list = append(list, item)
+			count += len(item.ops)
+		default:
+			return live(list)
+		}
+	}
+	return live(list)
+}
+
+// live leaves out the submissions that nobody waits for any more.
+func live(list []submission) []submission {
+	var rest []submission
+	for _, item := range list {
+		if item.ctx.Err() == nil {
+			rest = append(rest, item)
+		}
+	}
+	return rest
+}
+
+// write pursues one batch until it is read back or nobody waits for it.
+func (w *writer) write(ctx context.Context, list []submission) {
+	seq, found := w.expect()
+	defer w.forget(seq)
+	batch := record.Batch{Version: record.Version, ID: record.ID{Writer: w.self, Seq: seq}}
+	for _, item := range list {
+		batch.Ops = append(batch.Ops, item.ops...)
+	}
+	data, err := record.Encode(batch)
+	if err != nil || len(batch.Ops) == 0 {
+		w.counts.appendFailures.Add(1)
+		return
+	}
+	for ctx.Err() == nil && len(live(list)) > 0 {
+		w.append(ctx, data)
+		if item, ok := await(ctx, found); ok {
+			deliver(list, item)
+			return
+		}
+	}
+}
+
+func (w *writer) expect() (uint64, chan host.Folded) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seq++
+	found := make(chan host.Folded, 1)
+	w.resolved[w.seq] = found
+	return w.seq, found
+}
+
+func (w *writer) forget(seq uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.resolved, seq)
+}
+
+func (w *writer) append(ctx context.Context, data []byte) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	w.counts.appends.Add(1)
+	w.counts.appendBytes.Add(float64(len(data)))
+	if _, err := w.log.Append(ctx, Stream, data); err != nil {
+		w.counts.appendFailures.Add(1)
+	}
+}
+
+func await(ctx context.Context, found <-chan host.Folded) (host.Folded, bool) {
+	timer := time.NewTimer(appendSettle)
+	defer timer.Stop()
+	select {
+	case item := <-found:
+		return item, true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return host.Folded{}, false
+}
+
+// deliver hands each submission the verdicts on its own operations.
+func deliver(list []submission, item host.Folded) {
+	at := 0
+	for _, sub := range list {
+		end := at + len(sub.ops)
+		if end > len(item.Results) {
+			return
+		}
+		sub.answer <- Written{Offset: item.Offset, Results: item.Results[at:end]}
+		at = end
+	}
+}
