--- /dev/null
+++ b/io/standin/hostlist/hostlist_test.go
@@ -0,0 +1,55 @@
+package hostlist_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"pineturn/core/clock"
+	"pineturn/io/standin/hostlist"
+)
+
+func assertNames(t *testing.T, service http.Handler, want ...string) {
+	t.Helper()
+	recorder := httptest.NewRecorder()
+	service.ServeHTTP(recorder, httptest.NewRequest("GET", "/v1/hosts", nil))
+	var list hostlist.List
+	if err := json.Unmarshal(recorder.Body.Bytes(), &list); err != nil {
+		t.Fatal(err)
+	}
+	got := []string{}
+	for _, host := range list.Hosts {
+		got = append(got, host.Name)
+	}
+	if strings.Join(got, " ") != strings.Join(want, " ") {
+		t.Fatalf("got %v, want %v", got, want)
+	}
+}
+
+func put(t *testing.T, service http.Handler, body string, want int) {
+	t.Helper()
+	recorder := httptest.NewRecorder()
+	service.ServeHTTP(recorder, httptest.NewRequest("PUT", "/admin/hosts", strings.NewReader(body)))
+	if recorder.Code != want {
+		t.Fatalf("got %d, want %d", recorder.Code, want)
+	}
+}
+
+func TestListLags(t *testing.T) {
+	now := clock.NewFake(time.Unix(0, 0))
+	service := hostlist.New(hostlist.WithClock(now), hostlist.WithLag(2*time.Second),
+		hostlist.WithHosts([]hostlist.Host{{Name: "host-1", State: "live"}}))
+	assertNames(t, service, "host-1")
+	put(t, service, `{"hosts":[{"name":"host-2"}]}`, http.StatusNoContent)
+	now.Advance(time.Second)
+	put(t, service, `{"hosts":[{"name":"host-3"}]}`, http.StatusNoContent)
+	assertNames(t, service, "host-1")
+	now.Advance(time.Second)
+	assertNames(t, service, "host-2")
+	now.Advance(time.Second)
+	assertNames(t, service, "host-3")
+	put(t, service, `{`, http.StatusBadRequest)
+}
--- /dev/null
+++ b/io/standin/target/target_test.go
@@ -0,0 +1,358 @@
+package target_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pineturn/core/audit"
+	"pineturn/io/standin/target"
+)
+
+// fixture is a target behind a server, with what it wrote to its audit.
+type fixture struct {
+	*testing.T
+	target *target.Target
+	url    string
+	audit  *buffer
+}
+
+// buffer is a bytes.Buffer for use by several goroutines.
+type buffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func start(t *testing.T, options ...target.Option) *fixture {
+	t.Helper()
+	f := &fixture{T: t, audit: &buffer{}}
+	options = append([]target.Option{target.WithName("payoutledger", "t1"), target.WithAudit(f.audit)}, options...)
+	f.target = target.New(options...)
+	server := httptest.NewUnstartedServer(f.target)
+	server.Listener = f.target.Listener(server.Listener)
+	server.Start()
+	f.url = server.URL
+	t.Cleanup(func() {
+		f.target.Close()
+		server.Close()
+	})
+	return f
+}
+
+// do sends a request and returns its answer with the body read.
+func (f *fixture) do(method, path, body string, header map[string]string) (*http.Response, string, error) {
+	f.Helper()
+	request, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	if err != nil {
+		f.Fatal(err)
+	}
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response, strings.TrimSpace(string(data)), err
+}
+
+// order gives the stand-in an order and asserts that it is taken.
+func (f *fixture) order(path, body string) {
+	f.Helper()
+	response, text, err := f.do("POST", path, body, nil)
+	if err != nil || response.StatusCode != http.StatusNoContent {
+		f.Fatalf("got %v %s, want %d", err, text, http.StatusNoContent)
+	}
+}
+
+func (f *fixture) status() target.Status {
+	f.Helper()
+	_, body, err := f.do("GET", "/pineturn/v1/clock", "", nil)
+	var status target.Status
+	if err == nil {
+		err = json.Unmarshal([]byte(body), &status)
+	}
+	if err != nil {
+		f.Fatal(err)
+	}
+	return status
+}
+
+// after returns the target's clock d from now.
+func (f *fixture) after(d time.Duration) int64 {
+	return f.status().ClockUs + d.Microseconds()
+}
+
+const shards = `"shards":[{"shard":{"service":"payoutledger","group":"all","index":1},"epoch":5,"except":["hot"]}]`
+
+// grant orders a set and asserts the refusal that it meets, empty for none.
+func (f *fixture) grant(term, set int, expires int64, rest, want string) {
+	f.Helper()
+	body := fmt.Sprintf(`{"incarnation":%q,"term":%d,"holder":"h#1","set":%d,"expires_us":%d,%s}`,
+		f.target.Incarnation(), term, set, expires, rest)
+	_, got, err := f.do("PUT", "/pineturn/v1/grant", body, nil)
+	var answer struct{ Error string }
+	if err == nil {
+		err = json.Unmarshal([]byte(got), &answer)
+	}
+	if err != nil || answer.Error != want {
+		f.Fatalf("got %q, %v, want %q", answer.Error, err, want)
+	}
+}
+
+func (f *fixture) headers(extra ...string) map[string]string {
+	header := map[string]string{
+		"Pineturn-Request-Id": "r1", "Pineturn-Key": "k", "Pineturn-Shard": "payoutledger/all/1",
+		"Pineturn-Epoch": "5", "Pineturn-Term": "7", "Pineturn-Incarnation": f.target.Incarnation(),
+	}
+	for i := 0; i < len(extra); i += 2 {
+		header[extra[i]] = extra[i+1]
+	}
+	return header
+}
+
+// assertRefused asserts that a request is said not to have run.
+func (f *fixture) assertRefused(header map[string]string, status int, reason string) {
+	f.Helper()
+	response, _, err := f.do("POST", "/pay", "", header)
+	if err != nil {
+		f.Fatal(err)
+	}
+	outcome, got := response.Header.Get("Pineturn-Outcome"), response.Header.Get("Pineturn-Reason")
+	if response.StatusCode != status || outcome != "not-run" || got != reason {
+		f.Fatalf("got %d %s %s, want %d not-run %s", response.StatusCode, outcome, got, status, reason)
+	}
+}
+
+func (f *fixture) assertDone(path string) target.Answer {
+	f.Helper()
+	_, body, err := f.do("POST", path, "body", f.headers())
+	var answer target.Answer
+	if err == nil {
+		err = json.Unmarshal([]byte(strings.SplitN(body, "\n", 2)[0]), &answer)
+	}
+	if err != nil {
+		f.Fatalf("got %v %q, want an answer", err, body)
+	}
+	return answer
+}
+
+// until waits for an audit entry of a kind.
+func (f *fixture) until(kind audit.Kind) audit.Entry {
+	f.Helper()
+	for limit := time.Now().Add(30 * time.Second); time.Now().Before(limit); time.Sleep(time.Millisecond) {
+		f.audit.mu.Lock()
+		lines := bufio.NewScanner(bytes.NewReader(bytes.Clone(f.audit.buf.Bytes())))
+		f.audit.mu.Unlock()
+		for lines.Scan() {
+			var entry audit.Entry
+			if err := json.Unmarshal(lines.Bytes(), &entry); err != nil {
+				f.Fatal(err)
+			}
+			if entry.Kind == kind {
+				return entry
+			}
+		}
+	}
+	f.Fatalf("got no %s entry in the audit, want one", kind)
+	return audit.Entry{}
+}
+
+func TestGrants(t *testing.T) {
+	for _, checked := range []bool{true, false} {
+		t.Run(fmt.Sprintf("checked %t", checked), func(t *testing.T) {
+			f := start(t, target.WithChecked(checked))
+			stale := map[bool]string{true: "stale-term"}[checked]
+			f.grant(7, 1, 1, shards, "expired")
+			f.grant(7, 1, f.after(time.Minute), `"renew":true`, "unknown-set")
+			f.grant(7, 1, f.after(time.Minute), shards, "")
+			f.grant(7, 1, f.after(time.Minute), `"renew":true`, "")
+			f.grant(7, 2, f.after(time.Minute), `"renew":true`, "unknown-set")
+			f.grant(6, 2, f.after(time.Minute), shards, stale)
+			_, body, _ := f.do("PUT", "/pineturn/v1/grant", `{"incarnation":"x"}`, nil)
+			if !strings.Contains(body, "wrong-incarnation") {
+				t.Fatalf("got %s, want wrong-incarnation", body)
+			}
+			f.grant(8, 3, f.after(time.Minute), `"shards":[]`, "")
+			if got := f.until(audit.Released).Grant.Shards; len(got) != 1 || got[0].Epoch != 5 {
+				t.Fatalf("got released %v, want the shard at epoch 5", got)
+			}
+		})
+	}
+}
+
+func TestLapseIsAtTheExpiry(t *testing.T) {
+	f := start(t)
+	expires := f.after(20 * time.Millisecond)
+	f.grant(7, 1, expires, shards, "")
+	time.Sleep(30 * time.Millisecond)
+	if got := f.status().Set; got != 0 {
+		t.Fatalf("got set %d, want none", got)
+	}
+	if got := f.until(audit.Lapsed).ClockUs; got != expires {
+		t.Fatalf("got lapsed at %d, want %d", got, expires)
+	}
+}
+
+func TestRequests(t *testing.T) {
+	f := start(t, target.WithChecked(true))
+	f.assertRefused(f.headers(), 409, "not-owner")
+	f.grant(7, 1, f.after(time.Hour), shards, "")
+	if first, second := f.assertDone("/pay").Run, f.assertDone("/pay").Run; first != 1 || second != 2 {
+		t.Fatalf("got runs %d, %d, want 1, 2", first, second)
+	}
+	f.assertRefused(f.headers("Pineturn-Key", "hot"), 409, "not-owner")
+	f.assertRefused(f.headers("Pineturn-Epoch", "4"), 409, "not-owner")
+	f.assertRefused(f.headers("Pineturn-Term", "6"), 409, "stale-term")
+	f.assertRefused(f.headers("Pineturn-Incarnation", "x"), 409, "wrong-incarnation")
+	f.assertRefused(f.headers("Pineturn-Deadline", "1"), 504, "deadline-exceeded")
+	f.assertRefused(f.headers("Pineturn-Deadline", "x"), 400, "bad-request")
+	f.order("/admin/shed", `{"ms":60000}`)
+	f.assertRefused(f.headers(), 503, "shed")
+}
+
+func TestLargeAnswerIsWhole(t *testing.T) {
+	f := start(t)
+	f.grant(7, 1, f.after(time.Hour), shards, "")
+	_, body, err := f.do("GET", "/report?size=100000&ms=0", "", f.headers())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var answer target.Answer
+	if err := json.NewDecoder(strings.NewReader(body)).Decode(&answer); err != nil {
+		t.Fatal(err)
+	}
+	if want := strings.TrimSpace(string(answer.Body())); body != want || answer.Size != 100000 {
+		t.Fatalf("got %d bytes, want %d equal ones", len(body), len(want))
+	}
+}
+
+// assertCut asserts that a running request is cut for a reason, with no whole
+// answer, and returns when it ended by the target's clock.
+func (f *fixture) assertCut(path string, header map[string]string, reason string, act func()) int64 {
+	f.Helper()
+	failed := make(chan error, 1)
+	go func() {
+		_, _, err := f.do("POST", path, "", header) // a GET would be sent again by the transport
+		failed <- err
+	}()
+	f.until(audit.Began)
+	act()
+	if err := <-failed; err == nil {
+		f.Fatal("got a whole answer, want a cut one")
+	}
+	ended := f.until(audit.Ended).Request
+	if ended.Completed || ended.Reason != reason {
+		f.Fatalf("got completed %t %q, want cut for %q", ended.Completed, ended.Reason, reason)
+	}
+	return ended.EndUs
+}
+
+func TestRunningRequestIsCut(t *testing.T) {
+	t.Run("deadline", func(t *testing.T) {
+		f := start(t)
+		f.grant(7, 1, f.after(time.Hour), shards, "")
+		deadline := f.after(5 * time.Second)
+		header := f.headers("Pineturn-Deadline", strconv.FormatInt(deadline, 10))
+		if got := f.assertCut("/pay?ms=3600000", header, "deadline-exceeded", func() {}); got != deadline {
+			t.Fatalf("got end %d, want %d", got, deadline)
+		}
+	})
+	t.Run("grant released", func(t *testing.T) {
+		f := start(t)
+		f.grant(7, 1, f.after(time.Hour), shards, "")
+		f.assertCut("/pay?size=99999999&chunk_ms=1", f.headers("Pineturn-End-With-Grant", "1"), "lease-lost", func() {
+			f.grant(7, 2, f.after(time.Hour), `"shards":[]`, "")
+		})
+	})
+	t.Run("stop", func(t *testing.T) {
+		f := start(t)
+		f.grant(7, 1, f.after(time.Hour), shards, "")
+		f.assertCut("/pay?ms=3600000", f.headers(), "stopped", f.target.Close)
+	})
+}
+
+func TestSlotsAndQueue(t *testing.T) {
+	f := start(t, target.WithSlots(1), target.WithQueue(1))
+	f.grant(7, 1, f.after(time.Hour), shards, "")
+	var all sync.WaitGroup
+	for range 2 {
+		all.Go(func() { _, _, _ = f.do("GET", "/pay?ms=3600000", "", f.headers()) })
+	}
+	f.until(audit.Began)
+	for f.state().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.assertRefused(f.headers(), 503, "shed")
+	if got := f.status(); got.Busy != 1 || got.Slots != 1 {
+		t.Fatalf("got busy %d of %d, want 1 of 1", got.Busy, got.Slots)
+	}
+	f.target.Close()
+	all.Wait()
+}
+
+func (f *fixture) state() target.State {
+	f.Helper()
+	_, body, err := f.do("GET", "/admin/state", "", nil)
+	var state target.State
+	if err == nil {
+		err = json.Unmarshal([]byte(body), &state)
+	}
+	if err != nil {
+		f.Fatal(err)
+	}
+	return state
+}
+
+func TestReportsLagAndMislead(t *testing.T) {
+	f := start(t, target.WithLoadLag(time.Hour))
+	f.order("/admin/drain", "")
+	f.until(audit.DrainBegan)
+	if got := f.status().Health; got != "ok" {
+		t.Fatalf("got %s, want ok for the lag", got)
+	}
+	f = start(t, target.WithDrainRefuse(0))
+	f.grant(7, 1, f.after(time.Hour), shards, "")
+	f.order("/admin/drain", "")
+	if got := f.status().Health; got != "draining" {
+		t.Fatalf("got %s, want draining", got)
+	}
+	f.assertRefused(f.headers(), 503, "draining")
+	f.order("/admin/report", `{"healthy":true}`)
+	if got := f.status().Health; got != "ok" {
+		t.Fatalf("got %s, want ok as misreported", got)
+	}
+}
+
+func TestConnectionsAreLimited(t *testing.T) {
+	f := start(t, target.WithConnections(1))
+	first := &http.Client{Transport: &http.Transport{}}
+	defer first.CloseIdleConnections()
+	response, err := first.Get(f.url + "/pineturn/v1/clock")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	second := &http.Client{Transport: &http.Transport{}}
+	if other, err := second.Get(f.url + "/pineturn/v1/clock"); err == nil {
+		_ = other.Body.Close()
+		t.Fatalf("got %d, want a closed connection", other.StatusCode)
+	}
+}
