Merge and check the operators' files

Every host has to accept and reject a change alike, so reading, merging and checking are one pure function of the files: a schema table checks each file alone, with file, line and field; the merged content is then checked as a whole. Anchors, aliases, tags, block text, second documents and empty values are refused: they make files hard to read, and an empty value is too easily taken for a removal, which is an explicit null.

CheckChange refuses what would map keys of an existing service to other shards.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -42,6 +42,7 @@
 // its requests.
 type Service struct {
 	name        string
+	place       place
 	groups      []*Group
 	targets     []*Target
 	timeout     time.Duration
@@ -168,10 +169,15 @@
 
 // Group is a part of a service's keys that the same targets may own.
 type Group struct {
-	name    string
-	keys    string
-	shards  int
-	targets []*Target
+	name  string
+	place place
+	// keysAt and shardsAt are where keys and shards are written.
+	keysAt   place
+	shardsAt place
+	keys     string
+	shards   int
+	order    int
+	targets  []*Target
 }
 
 // Name returns the group's name, unique within its service.
@@ -186,6 +192,9 @@
 	return err == nil && ok
 }
 
+// Keys returns the path.Match pattern of the group's keys.
+func (g *Group) Keys() string { return g.keys }
+
 // Shards is the number of range shards that the group's keys are hashed into.
 func (g *Group) Shards() int { return g.shards }
 
