--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -24,8 +24,9 @@
 	Servers []string
 	// HTTP carries the requests.
 	HTTP *http.Client
-	// Key is the shared operators' key, sent as a bearer token; "" sends none.
-	Key string
+	// Token is the shared key of the operators, sent as a bearer token; "" sends
+	// none.
+	Token string
 	// Timeout bounds an order, and a question to all servers together.
 	Timeout time.Duration
 }
@@ -49,7 +50,9 @@
 func (c *Client) State(ctx context.Context) (State, error) { return ask[State](ctx, c, pathState, nil) }
 
 // Hosts lists the hosts.
-func (c *Client) Hosts(ctx context.Context) ([]Host, error) { return ask[[]Host](ctx, c, pathHosts, nil) }
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	return ask[[]Host](ctx, c, pathHosts, nil)
+}
 
 // Targets lists the targets.
 func (c *Client) Targets(ctx context.Context) ([]Target, error) {
@@ -67,7 +70,9 @@
 }
 
 // Moves lists the shards that are on their way to a new owner.
-func (c *Client) Moves(ctx context.Context) ([]Move, error) { return ask[[]Move](ctx, c, pathMoves, nil) }
+func (c *Client) Moves(ctx context.Context) ([]Move, error) {
+	return ask[[]Move](ctx, c, pathMoves, nil)
+}
 
 // Files lists the files in force, with their content if asked.
 func (c *Client) Files(ctx context.Context, content bool) ([]File, error) {
@@ -149,8 +154,8 @@
 	var none T
 	client := kithttp.NewExplicitClient(create, decodeAnswer[T], kithttp.SetClient(c.HTTP),
 		kithttp.ClientBefore(func(ctx context.Context, r *http.Request) context.Context {
-			if c.Key != "" {
-				r.Header.Set("Authorization", "Bearer "+c.Key)
+			if c.Token != "" {
+				r.Header.Set("Authorization", "Bearer "+c.Token)
 			}
 			return ctx
 		}))
