io/peer: carry calls and requests between hosts over WebSocket

Cause: hosts need one transport for control questions and callers' requests that says for certain whether a request was handed to the network.

Control questions have a connection of their own; answers' bodies flow by credit per stream, so that a slow reader holds up its own stream only.

--- /dev/null
+++ b/io/peer/options.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"crypto/tls"
+	"time"
+
+	"pineturn/core/clock"
+)
+
+// Defaults of Options.
+const (
+	DefaultKeepalive    = 250 * time.Millisecond
+	DefaultSilence      = 700 * time.Millisecond
+	DefaultDialTimeout  = 300 * time.Millisecond
+	DefaultCancelGrace  = 20 * time.Millisecond
+	DefaultIdle         = time.Minute
+	DefaultRequestConns = 2
+	// DefaultMaxFrame is in bytes.
+	DefaultMaxFrame = 4 << 20
+	// DefaultWindow is in bytes a stream.
+	DefaultWindow = 256 << 10
+	// DefaultQueue is in frames a connection.
+	DefaultQueue = 256
+	// DefaultRequestWorkers and DefaultCallWorkers bound what a Server runs at once.
+	DefaultRequestWorkers = 4096
+	DefaultCallWorkers    = 512
+)
+
+// maxChunk is the most bytes of an answer's body in one frame.
+const maxChunk = 32 << 10
+
+// Options are the limits of both ends. Zero fields take the defaults.
+type Options struct {
+	// Keepalive is the interval of pings on a connection with traffic outstanding.
+	Keepalive time.Duration
+	// Silence is how long such a connection may say nothing before it is closed.
+	Silence time.Duration
+	// DialTimeout bounds the opening of a connection, handshake included.
+	DialTimeout time.Duration
+	// CancelGrace is how long a cancelled request waits to hear from the other
+	// host what became of it.
+	CancelGrace time.Duration
+	// Idle is how long a Client keeps an unused connection.
+	Idle time.Duration
+	// RequestConns is the number of connections for requests to each host.
+	RequestConns int
+	// MaxFrame is the largest frame, in bytes.
+	MaxFrame int
+	// Window is how much of an answer may be under way unread, in bytes.
+	Window int
+	// Queue is how many frames may wait to be written on a connection.
+	Queue int
+	// RequestWorkers and CallWorkers bound what a Server runs at once.
+	RequestWorkers int
+	CallWorkers    int
+	// TLS is the client's configuration; nil for plain TCP.
+	TLS *tls.Config
+	// Auth proves and checks the key that hosts share.
+	Auth    Auth
+	Metrics Metrics
+	Clock   clock.Clock
+}
+
+// withDefaults returns the options with every zero field filled in.
+func (o Options) withDefaults() Options {
+	o.Keepalive = orDefault(o.Keepalive, DefaultKeepalive)
+	o.Silence = orDefault(o.Silence, DefaultSilence)
+	o.DialTimeout = orDefault(o.DialTimeout, DefaultDialTimeout)
+	o.CancelGrace = orDefault(o.CancelGrace, DefaultCancelGrace)
+	o.Idle = orDefault(o.Idle, DefaultIdle)
+	o.RequestConns = orDefault(o.RequestConns, DefaultRequestConns)
+	o.MaxFrame = orDefault(o.MaxFrame, DefaultMaxFrame)
+	o.Window = orDefault(o.Window, DefaultWindow)
+	o.Queue = orDefault(o.Queue, DefaultQueue)
+	o.RequestWorkers = orDefault(o.RequestWorkers, DefaultRequestWorkers)
+	o.CallWorkers = orDefault(o.CallWorkers, DefaultCallWorkers)
+	if o.Clock == nil {
+		o.Clock = clock.System{}
+	}
+	o.Metrics = o.Metrics.withDefaults()
+	return o
+}
+
+// orDefault returns value, or fallback when it is zero.
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
