--- /dev/null
+++ b/core/workload/workload_test.go
@@ -0,0 +1,106 @@
+package workload
+
+import (
+	"testing"
+	"time"
+)
+
+const testSeed = 11
+
+func schedule(t *testing.T, name string, seed uint64) []*Request {
+	t.Helper()
+	load, err := Named(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan, err := NewSchedule(load, Options{Seed: seed, Rate: 1000, Duration: 20 * time.Second, Shift: 5 * time.Second, Run: "r"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var requests []*Request
+	for {
+		request, ok := plan.Next()
+		if !ok {
+			return requests
+		}
+		requests = append(requests, request)
+	}
+}
+
+func TestScheduleIsRepeatable(t *testing.T) {
+	for _, name := range Names() {
+		t.Run(name, func(t *testing.T) {
+			first, second := schedule(t, name, testSeed), schedule(t, name, testSeed)
+			if len(first) != len(second) {
+				t.Fatalf("got %d requests, want %d", len(second), len(first))
+			}
+			for i := range first {
+				if got, want := *second[i], *first[i]; got.key != want.key || got.due != want.due || got.id != want.id {
+					t.Fatalf("request %d: got %v, want %v", i, got, want)
+				}
+			}
+		})
+	}
+}
+
+func TestSchedulesOfTwoSeedsDiffer(t *testing.T) {
+	first, second := schedule(t, "caroni", testSeed), schedule(t, "caroni", testSeed+1)
+	if first[0].due == second[0].due && first[0].key == second[0].key {
+		t.Errorf("got the same first request %v for two seeds", *first[0])
+	}
+}
+
+func TestScheduleKeepsTheMix(t *testing.T) {
+	for _, name := range Names() {
+		t.Run(name, func(t *testing.T) {
+			requests := schedule(t, name, testSeed)
+			counts := map[string]int{}
+			for _, request := range requests {
+				counts[request.Service()]++
+			}
+			load, _ := Named(name)
+			for _, service := range load.Services() {
+				got := float64(counts[service.Name()]) / float64(len(requests))
+				if got < service.Share()-0.02 || got > service.Share()+0.02 {
+					t.Errorf("share of %s: got %.3f, want about %.2f", service.Name(), got, service.Share())
+				}
+			}
+		})
+	}
+}
+
+func TestHotKeysMove(t *testing.T) {
+	requests := schedule(t, "tomor", testSeed)
+	hottest := map[int]string{}
+	counts := map[int]map[string]int{}
+	for _, request := range requests {
+		if request.Service() != "scale-read" {
+			continue
+		}
+		phase := int(request.Due() / (5 * time.Second))
+		if counts[phase] == nil {
+			counts[phase] = map[string]int{}
+		}
+		counts[phase][request.Key()]++
+		if counts[phase][request.Key()] > counts[phase][hottest[phase]] {
+			hottest[phase] = request.Key()
+		}
+	}
+	seen := map[string]bool{}
+	for _, key := range hottest {
+		seen[key] = true
+	}
+	if got, want := len(seen), 4; got != want {
+		t.Errorf("hottest keys over four phases: got %d different, want %d (%v)", got, want, hottest)
+	}
+}
+
+func TestPayoutsAreNotRepeatable(t *testing.T) {
+	for _, name := range Names() {
+		for _, request := range schedule(t, name, testSeed) {
+			if got, want := request.Operation().Once(), request.Method() == "POST"; got != want {
+				t.Fatalf("%s %s: got once %v, want %v", name, request.Operation().Name(), got, want)
+			}
+		}
+	}
+}
