--- a/core/fold/apply.go
+++ b/core/fold/apply.go
@@ -66,7 +66,7 @@
 	for _, change := range op.Changes {
 		current, ok := files[change.Name]
 		if current.Version != change.Expect {
-			return stale(current.Version)
+			return Result{Void: ErrStale, Current: current.Version, File: change.Name}
 		}
 		if change.Remove {
 			if !ok {
@@ -78,6 +78,9 @@
 		files[change.Name] = File{Name: change.Name, Version: version, Content: change.Content, Author: op.Author}
 	}
 	merged, faults := merge(version, files)
+	if len(faults) == 0 {
+		faults = config.CheckChange(s.config, merged)
+	}
 	if len(faults) == 0 {
 		faults = s.checkLayouts(merged)
 	}
--- a/core/fold/fold.go
+++ b/core/fold/fold.go
@@ -90,8 +90,10 @@
 	Void error
 	// Faults are the configuration faults that made a change of files void.
 	Faults []config.Fault
-	// Current is the version or epoch that stands, when another was expected.
+	// Current is the version or epoch that stands, when another was expected;
+	// File names the file in question.
 	Current uint64
+	File    string
 }
 
 // New returns the state before the first record.
--- a/core/host/act.go
+++ b/core/host/act.go
@@ -119,3 +119,47 @@
 	defer h.mu.RUnlock()
 	return h.state.Members().Find(h.state.Target(target).Holder)
 }
+
+// loadHalfLife is how fast the measured load of a shard follows a change.
+const loadHalfLife = 2 * time.Second
+
+// Report is what this host observes of the targets that it leads.
+func (h *Host) Report(now time.Time) message.Report {
+	var report message.Report
+	for _, status := range h.leases.Statuses(now) {
+		report.Targets = append(report.Targets, message.TargetReport{
+			Target: status.Target, Term: status.Term, Alive: status.Alive, Lost: status.Lost,
+			Draining: status.Health == healthDraining, Cold: status.Health == healthCold,
+			Shards: h.leases.Load(status.Target, now, loadHalfLife),
+		})
+	}
+	return report
+}
+
+// The words by which targets state their health.
+const (
+	healthDraining = "draining"
+	healthCold     = "cold"
+)
+
+// Leads counts the targets that this host is the leaseholder of.
+func (h *Host) Leads() int { return h.leases.Len() }
+
+// Successors reports whether another host could take over what this one leads.
+func (h *Host) Successors(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.planner.Candidates(h.input(now))) > 0
+}
+
+// Resign returns the operation that takes this host off the membership; false
+// when it is no member or the last change is not settled.
+func (h *Host) Resign() (record.Op, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	members := h.state.Members()
+	if !members.Has(h.self.Incarnation) || !h.tracker.Settled(members, h.state.Next()) {
+		return record.Op{}, false
+	}
+	return record.Op{Leave: &record.Leave{Incarnation: h.self.Incarnation, Expect: members.Epoch()}}, true
+}
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -109,6 +109,13 @@
 	h.leaving = true
 }
 
+// Leaving reports that the host hands over what it leads.
+func (h *Host) Leaving() bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.leaving
+}
+
 // Folded is one batch that Fold took in.
 type Folded struct {
 	Offset  uint64
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -10,6 +10,7 @@
 package lease
 
 import (
+	"sort"
 	"sync"
 	"time"
 
@@ -70,6 +71,8 @@
 	flying     map[shard.ID]int
 	flyingKeys map[keyOf]int
 	spent      map[shard.ID]time.Duration
+	load       map[shard.ID]float64
+	measured   time.Time
 }
 
 type keyOf struct {
@@ -110,6 +113,13 @@
 // Life is how long a grant lasts after the latest proof of freshness.
 func (t *Table) Life() time.Duration { return t.options.Life }
 
+// Len counts the targets that this host is the leaseholder of.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.targets)
+}
+
 // Fresh records that a question sent at instant at proved that this host knew
 // the newest record.
 func (t *Table) Fresh(at time.Time) {
@@ -154,6 +164,7 @@
 		version: target.Term << 32, dirty: true,
 		wanted: map[shard.ID]entry{}, pending: map[shard.ID]*handover{},
 		flying: map[shard.ID]int{}, flyingKeys: map[keyOf]int{}, spent: map[shard.ID]time.Duration{},
+		load: map[shard.ID]float64{},
 	}
 }
 
@@ -249,6 +260,16 @@
 	return true
 }
 
+// sorted lists the held targets in order, so that equal tables act alike.
+func (t *Table) sorted() []*held {
+	list := make([]*held, 0, len(t.targets))
+	for _, h := range t.targets {
+		list = append(list, h)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].id.Less(list[j].id) })
+	return list
+}
+
 // Guard notes, for each takeover, when a majority has seen it, and passes
 // those for which every earlier grant has lapsed since.
 func (t *Table) Guard(tracker *member.Tracker, members *fold.Membership, now time.Time) {
--- a/core/lease/options.go
+++ b/core/lease/options.go
@@ -21,6 +21,8 @@
 	settleInterval = time.Second
 	// minLeft is the shortest grant worth sending.
 	minLeft = 50 * time.Millisecond
+	// negligible is the load, in slots, below which a shard is not reported.
+	negligible = 0.0005
 )
 
 // guardFactor lengthens a wait for another host's grants to lapse, by the
--- a/core/lease/order.go
+++ b/core/lease/order.go
@@ -48,7 +48,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var orders []Order
-	for _, h := range t.targets {
+	for _, h := range t.sorted() {
 		if h.busy || h.address == "" {
 			continue
 		}
@@ -246,7 +246,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Status
-	for _, h := range t.targets {
+	for _, h := range t.sorted() {
 		status := Status{
 			Target: h.id, Term: h.term, Guarded: h.guarded, Health: h.health, Pending: len(h.pending),
 			Alive: t.alive(h, now), Lost: t.lost(h, now),
@@ -257,7 +257,6 @@
 		}
 		list = append(list, status)
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Target.Less(list[j].Target) })
 	return list
 }
 
--- a/core/lease/permit.go
+++ b/core/lease/permit.go
@@ -1,8 +1,11 @@
 package lease
 
 import (
+	"math"
+	"sort"
 	"time"
 
+	"pineturn/core/message"
 	"pineturn/core/outcome"
 	"pineturn/core/record"
 	"pineturn/core/route"
@@ -100,16 +103,42 @@
 	return total
 }
 
-// Spent returns, and clears, the time that requests of each shard took at a
-// held target.
-func (t *Table) Spent(target record.Target) map[shard.ID]time.Duration {
+// Load returns the load of each shard of a held target: how many slots its
+// requests took up on average, with the given half-life. It is to be called
+// at regular times.
+func (t *Table) Load(target record.Target, now time.Time, halfLife time.Duration) []message.ShardLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.targets[target]
 	if h == nil {
 		return nil
 	}
-	spent := h.spent
-	h.spent = map[shard.ID]time.Duration{}
-	return spent
+	h.measure(now, halfLife)
+	list := make([]message.ShardLoad, 0, len(h.load))
+	for id, busy := range h.load {
+		list = append(list, message.ShardLoad{Shard: id, Busy: busy})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Shard.Less(list[j].Shard) })
+	return list
+}
+
+// measure folds the time spent since the last measurement into the load.
+func (h *held) measure(now time.Time, halfLife time.Duration) {
+	passed := now.Sub(h.measured)
+	if h.measured.IsZero() || passed <= 0 {
+		h.measured = now
+		return
+	}
+	h.measured = now
+	keep := math.Exp2(-passed.Seconds() / halfLife.Seconds())
+	for id, busy := range h.load {
+		h.load[id] = busy * keep
+		if h.load[id] < negligible {
+			delete(h.load, id)
+		}
+	}
+	for id, spent := range h.spent {
+		h.load[id] += (1 - keep) * spent.Seconds() / passed.Seconds()
+	}
+	clear(h.spent)
 }
--- a/core/lease/release.go
+++ b/core/lease/release.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -23,7 +25,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Question
-	for _, h := range t.targets {
+	for _, h := range t.sorted() {
 		if h.address == "" {
 			continue
 		}
@@ -44,7 +46,8 @@
 		}
 	}
 	var list []Question
-	for name, ids := range byTarget {
+	for _, name := range slices.Sorted(maps.Keys(byTarget)) {
+		ids := byTarget[name]
 		sort.Slice(ids, func(i, j int) bool { return ids[i].Less(ids[j]) })
 		target := record.Target{Service: h.id.Service, Name: name}
 		if former := t.targets[target]; former != nil {
@@ -167,11 +170,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var ops []record.Op
-	for _, h := range t.targets {
+	for _, h := range t.sorted() {
 		if h.acked == nil {
 			continue
 		}
-		for id, move := range h.pending {
+		for _, id := range h.sortedPending() {
+			move := h.pending[id]
 			item, ok := h.acked.shards[id]
 			if len(move.former) > 0 || !ok || item.epoch != move.epoch || now.Sub(move.settled) < settleInterval {
 				continue
@@ -182,3 +186,12 @@
 	}
 	return ops
 }
+
+func (h *held) sortedPending() []shard.ID {
+	ids := make([]shard.ID, 0, len(h.pending))
+	for id := range h.pending {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i].Less(ids[j]) })
+	return ids
+}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -28,6 +28,7 @@
 	Witness *Witness `cbor:"4,keyasint,omitempty"`
 	Recall  *Recall  `cbor:"5,keyasint,omitempty"`
 	Report  *Report  `cbor:"6,keyasint,omitempty"`
+	Leads   *Leads   `cbor:"7,keyasint,omitempty"`
 }
 
 // Reply answers a Call, in the field of the same name.
@@ -38,6 +39,7 @@
 	Witness *Witnessed    `cbor:"4,keyasint,omitempty"`
 	Recall  *Recalled     `cbor:"5,keyasint,omitempty"`
 	Report  *Reported     `cbor:"6,keyasint,omitempty"`
+	Leads   *Led          `cbor:"7,keyasint,omitempty"`
 }
 
 // Ping is a heartbeat. It tells how far the sender has folded the log and
@@ -128,6 +130,24 @@
 	Targets []TargetReport `cbor:"1,keyasint"`
 }
 
+// Leads asks which targets a host is the leaseholder of.
+type Leads struct{}
+
+// Led lists the targets that a host is the leaseholder of.
+type Led struct {
+	Targets []LedTarget `cbor:"1,keyasint,omitempty"`
+}
+
+// LedTarget is what a leaseholder knows of one target.
+type LedTarget struct {
+	Target record.Target `cbor:"1,keyasint"`
+	Term   uint64        `cbor:"2,keyasint"`
+	Alive  bool          `cbor:"3,keyasint,omitempty"`
+	Health string        `cbor:"4,keyasint,omitempty"`
+	// Left is how long the target's grant runs at least.
+	Left time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
 // Reported acknowledges a Report.
 type Reported struct{}
 
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -123,7 +123,7 @@
 // lead proposes leaseholders for targets that have none that is live, and
 // evens out how many each host leads.
 func (p *Planner) lead(in Input) []record.Op {
-	hosts := p.candidates(in)
+	hosts := p.Candidates(in)
 	if len(hosts) == 0 {
 		return nil
 	}
@@ -167,7 +167,9 @@
 	return !in.Tracker.Leaving(holder)
 }
 
-func (p *Planner) candidates(in Input) []record.Member {
+// Candidates lists the hosts that may be leaseholders: live members that
+// aren't leaving.
+func (p *Planner) Candidates(in Input) []record.Member {
 	var list []record.Member
 	for _, one := range in.Tracker.Live(in.State.Members(), in.Now) {
 		if one.Incarnation == p.self && in.Leaving {
--- /dev/null
+++ b/io/daemon/admin.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"pineturn/io/operator"
+)
+
+// adminHandler serves operators, metrics, health and dumps.
+func (d *Daemon) adminHandler() http.Handler {
+	server := operator.Server{Authorize: d.authorize, Commands: d.commands(), Queries: d.queries()}
+	mux := http.NewServeMux()
+	mux.Handle("/operator/", server.Handler())
+	mux.Handle("GET /metrics", promhttp.HandlerFor(d.counts.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", d.healthz)
+	mux.HandleFunc("GET /readyz", d.readyz)
+	mux.HandleFunc("GET /debug/state", d.debugState)
+	return mux
+}
+
+// healthz answers as long as the process runs.
+func (d *Daemon) healthz(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// readyz tells the platform's balancer whether to send callers here.
+func (d *Daemon) readyz(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case d.host.Leaving():
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case !d.host.Ready():
+		http.Error(w, "no state yet", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ready\n"))
+	}
+}
+
+// debugState dumps the state of the process, bounded in size, without
+// requests' contents or keys.
+func (d *Daemon) debugState(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(d.dump())
+}
--- /dev/null
+++ b/io/daemon/answers.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"pineturn/core/message"
+	"pineturn/core/record"
+)
+
+// onCall answers another host's control question.
+func (d *Daemon) onCall(_ context.Context, from record.Member, call *message.Call) (*message.Reply, error) {
+	now := d.now()
+	switch {
+	case call.Ping != nil:
+		pong := d.host.OnPing(now)
+		return &message.Reply{Ping: &pong}, nil
+	case call.Release != nil:
+		released := d.host.OnRelease(*call.Release, now)
+		return &message.Reply{Release: &released}, nil
+	case call.Catchup != nil:
+		reply, err := d.host.OnCatchup(call.Catchup.From)
+		return &message.Reply{Catchup: &reply}, errors.Wrap(err, "catch up")
+	case call.Report != nil:
+		d.host.OnReport(*call.Report, now)
+		signal(d.proposer.wake)
+		return &message.Reply{Report: &message.Reported{}}, nil
+	case call.Leads != nil:
+		return &message.Reply{Leads: d.leads()}, nil
+	case call.Witness != nil:
+		return d.requests.onWitness(call.Witness)
+	case call.Recall != nil:
+		return d.requests.onRecall(from, call.Recall)
+	}
+	return nil, errors.New("no question that this release knows")
+}
--- /dev/null
+++ b/io/daemon/commands.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"pineturn/core/fold"
+	"pineturn/core/record"
+	"pineturn/io/operator"
+)
+
+// authorize decides whether an operator's request is taken.
+func (d *Daemon) authorize(*http.Request) error { return nil }
+
+// commands are the changes that operators may order here.
+func (d *Daemon) commands() operator.Commands {
+	return operator.Commands{Submit: d.submit, Reset: d.reset}
+}
+
+// submit appends operators' operations and reads them back.
+func (d *Daemon) submit(ctx context.Context, ops []record.Op) ([]operator.Verdict, uint64, error) {
+	if !d.host.Ready() {
+		return nil, 0, errors.Wrap(operator.ErrUnavailable, "this host knows no state yet")
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	written, err := d.writer.Submit(ctx, ops)
+	if errors.Is(err, errUnresolved) {
+		return nil, 0, errors.Wrap(operator.ErrUnknownFate, err.Error())
+	}
+	if err != nil {
+		return nil, 0, errors.Wrap(operator.ErrUnavailable, err.Error())
+	}
+	verdicts := make([]operator.Verdict, len(ops))
+	for i, result := range written.Results {
+		verdicts[i] = verdictOf(result)
+	}
+	return verdicts, written.Offset + 1, nil
+}
+
+func verdictOf(result fold.Result) operator.Verdict {
+	if result.Void == nil {
+		return operator.Verdict{Accepted: true}
+	}
+	return operator.Verdict{
+		Reason: result.Void.Error(), Conflict: errors.Is(result.Void, fold.ErrStale),
+		File: result.File, Current: result.Current, Faults: result.Faults,
+	}
+}
+
+// reset makes this host the only member; its operator vouches that the former
+// members run no more.
+func (d *Daemon) reset(ctx context.Context) (operator.Verdict, uint64, error) {
+	var op record.Reset
+	d.host.Read(func(state *fold.State) {
+		op = record.Reset{Member: d.host.Self(), Expect: state.Members().Epoch()}
+	})
+	verdicts, version, err := d.submit(ctx, []record.Op{{Reset: &op}})
+	if err != nil {
+		return operator.Verdict{}, 0, err
+	}
+	return verdicts[0], version, nil
+}
--- /dev/null
+++ b/io/daemon/dump.go
@@ -0,0 +1,121 @@
+package daemon
+
+import (
+	"sort"
+	"time"
+
+	"pineturn/core/fold"
+	"pineturn/core/lease"
+	"pineturn/core/member"
+	"pineturn/core/record"
+)
+
+// dump is the state of the process, as /debug/state shows it.
+type dump struct {
+	Host            record.Member     `json:"host"`
+	Ready           bool              `json:"ready"`
+	Leaving         bool              `json:"leaving"`
+	Diverged        bool              `json:"diverged"`
+	Next            uint64            `json:"next"`
+	ConfigVersion   uint64            `json:"config_version"`
+	FreshForMs      int64             `json:"fresh_for_ms"`
+	MembershipEpoch uint64            `json:"membership_epoch"`
+	Members         []memberDump      `json:"members"`
+	Leads           []leadDump        `json:"leads"`
+	Targets         []targetDump      `json:"targets"`
+	Shards          map[string]int    `json:"shards_by_target"`
+	Unsettled       []string          `json:"unsettled"`
+	Files           []fileDump        `json:"files"`
+	Requests        requestsDump      `json:"requests"`
+	Truncated       bool              `json:"truncated"`
+	Settings        Settings          `json:"settings"`
+	Checkpoints     []fold.Checkpoint `json:"checkpoints"`
+}
+
+type memberDump struct {
+	record.Member
+	Suspected  bool   `json:"suspected"`
+	Gone       bool   `json:"gone"`
+	Leaving    bool   `json:"leaving"`
+	Next       uint64 `json:"next"`
+	AnsweredMs int64  `json:"answered_ms_ago"`
+}
+
+type leadDump struct {
+	lease.Status
+	LeftMs int64 `json:"left_ms"`
+}
+
+type targetDump struct {
+	Target record.Target `json:"target"`
+	Logged fold.Target   `json:"logged"`
+}
+
+type fileDump struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Bytes   int    `json:"bytes"`
+}
+
+// dump collects the state; lists are cut at maxDump entries.
+func (d *Daemon) dump() dump {
+	now := d.now()
+	out := dump{
+		Host: d.host.Self(), Ready: d.host.Ready(), Leaving: d.host.Leaving(), Settings: d.settings,
+		FreshForMs: d.host.Leases().FreshUntil().Sub(now).Milliseconds(), Shards: map[string]int{},
+		Requests: d.requests.dump(),
+	}
+	for _, status := range d.host.Leases().Statuses(now) {
+		out.Leads = append(out.Leads, leadDump{Status: status, LeftMs: status.Left.Milliseconds()})
+	}
+	d.host.Watch(func(state *fold.State, tracker *member.Tracker) {
+		out.addState(state)
+		out.addMembers(state, tracker, now)
+	})
+	out.cut()
+	return out
+}
+
+func (o *dump) addState(state *fold.State) {
+	o.Next, o.ConfigVersion, o.Diverged = state.Next(), state.Config().Version(), state.Diverged()
+	o.MembershipEpoch, o.Checkpoints = state.Members().Epoch(), state.Checkpoints()
+	for id, target := range state.Targets() {
+		o.Targets = append(o.Targets, targetDump{Target: id, Logged: target})
+	}
+	sort.Slice(o.Targets, func(i, j int) bool { return o.Targets[i].Target.Less(o.Targets[j].Target) })
+	for id, owned := range state.Shards() {
+		o.Shards[id.Service+"/"+owned.Target]++
+		if len(owned.Former) > 0 {
+			o.Unsettled = append(o.Unsettled, id.Parent().String())
+		}
+	}
+	sort.Strings(o.Unsettled)
+	for _, file := range state.Files() {
+		o.Files = append(o.Files, fileDump{Name: file.Name, Version: file.Version, Bytes: len(file.Content)})
+	}
+}
+
+func (o *dump) addMembers(state *fold.State, tracker *member.Tracker, now time.Time) {
+	for _, one := range state.Members().Current() {
+		pong, answered := tracker.Pong(one.Incarnation)
+		_, gone := tracker.Gone(one.Incarnation)
+		entry := memberDump{
+			Member: one, Suspected: tracker.Suspected(one.Incarnation, now), Gone: gone,
+			Leaving: tracker.Leaving(one.Incarnation), Next: pong.Next,
+		}
+		if !answered.IsZero() {
+			entry.AnsweredMs = now.Sub(answered).Milliseconds()
+		}
+		o.Members = append(o.Members, entry)
+	}
+}
+
+// cut bounds the lists.
+func (o *dump) cut() {
+	o.Truncated = max(len(o.Members), len(o.Leads), len(o.Targets), len(o.Unsettled), len(o.Files)) > maxDump
+	o.Members = o.Members[:min(len(o.Members), maxDump)]
+	o.Leads = o.Leads[:min(len(o.Leads), maxDump)]
+	o.Targets = o.Targets[:min(len(o.Targets), maxDump)]
+	o.Unsettled = o.Unsettled[:min(len(o.Unsettled), maxDump)]
+	o.Files = o.Files[:min(len(o.Files), maxDump)]
+}
--- a/io/daemon/options.go
+++ b/io/daemon/options.go
@@ -45,6 +45,12 @@
 	listInterval = time.Second
 	// listTimeout bounds one read of the host list.
 	listTimeout = time.Second
+	// commandTimeout is how long an operator's change is pursued.
+	commandTimeout = 8 * time.Second
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 2 * time.Minute
 	// leavePoll is the time between two looks whether a leaving host is done.
 	leavePoll = 20 * time.Millisecond
 )
--- a/io/daemon/reader.go
+++ b/io/daemon/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
@@ -20,9 +21,12 @@
 	counts  *metrics
 	folded  func(list []host.Folded)
 	restore func(ctx context.Context) error
-	up      bool
+	up      atomic.Bool
 }
 
+// Up reports whether the latest read of the log got an answer.
+func (r *reader) Up() bool { return r.up.Load() }
+
 // run reads until ctx ends.
 func (r *reader) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -82,10 +86,9 @@
 }
 
 func (r *reader) setUp(up bool) {
-	if r.up == up {
+	if r.up.Swap(up) == up {
 		return
 	}
-	r.up = up
 	r.counts.logUp.Set(boolValue(up))
 	klog.InfoS("Log service changed state", "up", up)
 }
--- /dev/null
+++ b/io/daemon/statuses.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+
+	"pineturn/core/fold"
+	"pineturn/core/lease"
+	"pineturn/core/message"
+	"pineturn/core/record"
+)
+
+// gatherStatuses asks every member for the targets that it leads. Hosts that
+// do not answer are named with the reason.
+func (d *Daemon) gatherStatuses(ctx context.Context) (map[record.Target]*lease.Status, map[string]string) {
+	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	statuses := map[record.Target]*lease.Status{}
+	missing := map[string]string{}
+	for _, status := range d.host.Leases().Statuses(d.now()) {
+		statuses[status.Target] = &status
+	}
+	var (
+		mu    sync.Mutex
+		calls sync.WaitGroup
+	)
+	for _, one := range d.otherMembers() {
+		calls.Go(func() {
+			reply, err := d.peers.Call(ctx, one, &message.Call{Leads: &message.Leads{}})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || reply.Leads == nil {
+				missing[one.Incarnation.Host] = "leaseholder " + one.Incarnation.String() + " does not answer"
+				return
+			}
+			for _, led := range reply.Leads.Targets {
+				status := lease.Status{
+					Target: led.Target, Term: led.Term, Alive: led.Alive, Health: led.Health, Left: led.Left,
+				}
+				statuses[led.Target] = &status
+			}
+		})
+	}
+	calls.Wait()
+	return statuses, missing
+}
+
+// otherMembers lists the members except this host.
+func (d *Daemon) otherMembers() []record.Member {
+	var list []record.Member
+	d.host.Read(func(state *fold.State) {
+		for _, one := range state.Members().Current() {
+			if one.Incarnation != d.host.Self().Incarnation {
+				list = append(list, one)
+			}
+		}
+	})
+	return list
+}
+
+// leads answers which targets this host is the leaseholder of.
+func (d *Daemon) leads() *message.Led {
+	led := &message.Led{}
+	for _, status := range d.host.Leases().Statuses(d.now()) {
+		led.Targets = append(led.Targets, message.LedTarget{
+			Target: status.Target, Term: status.Term, Alive: status.Alive, Health: status.Health, Left: status.Left,
+		})
+	}
+	return led
+}
