--- a/core/audit/entry.go
+++ b/core/audit/entry.go
@@ -12,7 +12,7 @@
 	// Started opens an incarnation, Stopped closes it in good order.
 	Started Kind = "started"
 	Stopped Kind = "stopped"
-	// Granted is a set or renewal accepted, Refused one that was not.
+	// Granted is a set or renewal accepted, GrantRefused one that was not.
 	Granted       Kind = "granted"
 	GrantRefused  Kind = "grant-refused"
 	Released      Kind = "released"
