Add standin call, a small caller that records what came of each request

Scenarios need a caller that asks one host or several in turn and writes the record that the check reads.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,7 +28,7 @@
 		Name:  "standin",
 		Usage: "stand-ins for the platform and for targets, and the check of their audits",
 		Commands: []*cli.Command{
-			logCommand(), hostlistCommand(), targetCommand(), linkCommand(), checkCommand(),
+			logCommand(), hostlistCommand(), targetCommand(), linkCommand(), checkCommand(), callCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
@@ -58,5 +58,9 @@
 	if errors.As(err, &bad) {
 		return exitBadInput
 	}
+	var ended fate
+	if errors.As(err, &ended) {
+		return ended.status
+	}
 	return exitFailed
 }
