--- /dev/null
+++ b/io/pinectl/configuration.go
@@ -0,0 +1,77 @@
+package pinectl
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"pineturn/core/config"
+)
+
+// configurationCommands are those for files of configuration.
+func (t *tool) configurationCommands() []*cli.Command {
+	return []*cli.Command{
+		subcommand("check", "check a folder without any server", []string{"DIR"}, t.check),
+		subcommand("publish", "publish what changed in a folder", []string{"DIR"}, t.publish, append(waitFlags(),
+			&cli.BoolFlag{Name: "prune", Usage: "remove the published files that are gone from the folder"},
+			&cli.StringFlag{Name: "base", Usage: "`VERSION` that the folder was made from, or latest to replace whatever is in force; by default what the last pull or publish wrote to " + baseName},
+		)...),
+		subcommand("pull", "write the files in force to a folder", []string{"DIR"}, t.pull),
+		subcommand("edit", "put one file", []string{"FILE"}, t.edit, append(waitFlags(), expectFlag(),
+			&cli.StringFlag{Name: "from", Usage: "`PATH` to read the content from, - for standard input; FILE itself if not given"},
+		)...),
+		subcommand("remove", "remove one file", []string{"FILE"}, t.remove, append(waitFlags(), expectFlag())...),
+		subcommand("show", "print a file in force", []string{"FILE"}, t.showFile),
+		subcommand("list", "list the files in force", nil, t.listFiles),
+		subcommand("history", "list the latest changes", nil, t.history,
+			&cli.IntFlag{Name: "limit", Usage: "at most `N` changes", Value: 20}),
+		subcommand("diff", "show what a change did, or how a folder differs from what is in force", []string{"VERSION|DIR"}, t.diff),
+		subcommand("rollback", "make a new change that restores the files as they were at a version", []string{"VERSION"}, t.rollback, waitFlags()...),
+	}
+}
+
+func waitFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.BoolFlag{Name: "wait", Usage: "return only when the change is in force on every live host"},
+		&cli.DurationFlag{Name: "wait-timeout", Usage: "limit of that wait, such as 30s", Value: DefaultWaitTimeout},
+	}
+}
+
+func expectFlag() cli.Flag {
+	return &cli.Uint64Flag{
+		Name: "expect", Usage: "`VERSION` of the file that the change replaces, as pinectl list shows it; 0 for a new file", Required: true,
+	}
+}
+
+// checked is the result of a check.
+type checked struct {
+	Files    int `json:"files"`
+	Services int `json:"services"`
+	Targets  int `json:"targets"`
+}
+
+func (t *tool) check(_ context.Context, command *cli.Command) error {
+	dir := command.Args().First()
+	files, err := readFolder(dir)
+	if err != nil {
+		return err
+	}
+	merged, faults := config.Merge(0, files)
+	if len(faults) > 0 {
+		return wrongFiles(dir, faults)
+	}
+	result := checked{Files: len(files), Services: len(merged.Services())}
+	for _, service := range merged.Services() {
+		result.Targets += len(service.Targets())
+	}
+	return t.say(result, fmt.Sprintf("%s: correct: %d files, %d services, %d targets",
+		dir, result.Files, result.Services, result.Targets))
+}
+
+func wrongFiles(what string, faults []config.Fault) *failure {
+	return &failure{
+		Status: StatusFailed, Code: "refused", Message: fmt.Sprintf("%s: %d faults", what, len(faults)), Faults: faults,
+		Next: "correct what is named; docs/CONFIGURATION.md has the schema",
+	}
+}
