--- a/io/peer/clientconn.go
+++ b/io/peer/clientconn.go
@@ -110,7 +110,7 @@
 	p := &pendingCall{reply: make(chan *frame, 1)}
 	id := c.addCall(p)
 	defer c.forget(id)
-	buffer, err := encode(&frame{Kind: kindCall, ID: id, Call: question})
+	buffer, err := c.pack(&frame{Kind: kindCall, ID: id, Call: question})
 	if err != nil {
 		return nil, &failure{err: err}
 	}
@@ -156,11 +156,7 @@
 	s := newStream(ctx, c)
 	c.addStream(s)
 	f := frame{Kind: kindRequest, ID: s.id, Request: request, Credit: int64(c.options.Window)}
-	buffer, err := encode(&f)
-	if err == nil && buffer.Len() > c.options.MaxFrame {
-		recycle(buffer)
-		err = outcome.Refuse(outcome.TooLarge, "request exceeds the frame limit between hosts", 0)
-	}
+	buffer, err := c.pack(&f)
 	if err != nil {
 		c.forget(s.id)
 		return nil, &failure{err: err}
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -167,7 +167,7 @@
 // wrap encodes a frame for the queue. A frame of the connection's own that
 // can't be encoded ends the connection.
 func (c *conn) wrap(f *frame) (item, bool) {
-	buffer, err := encode(f)
+	buffer, err := c.pack(f)
 	if err != nil {
 		c.fail(err)
 		return item{}, false
@@ -175,6 +175,19 @@
 	return item{buffer: buffer}, true
 }
 
+// pack encodes a frame that the other host will accept by its size.
+func (c *conn) pack(f *frame) (*bytes.Buffer, error) {
+	buffer, err := encode(f)
+	if err != nil {
+		return nil, err
+	}
+	if buffer.Len() > c.options.MaxFrame {
+		defer recycle(buffer)
+		return nil, fmt.Errorf("%w: %d bytes, at most %d", errTooLarge, buffer.Len(), c.options.MaxFrame)
+	}
+	return buffer, nil
+}
+
 // write writes queued frames until the connection ends.
 func (c *conn) write() {
 	for {
@@ -324,7 +337,7 @@
 
 // post encodes a frame and queues it behind the others.
 func (c *conn) post(ctx context.Context, f *frame) error {
-	buffer, err := encode(f)
+	buffer, err := c.pack(f)
 	if err != nil {
 		return err
 	}
--- a/io/peer/errors.go
+++ b/io/peer/errors.go
@@ -28,6 +28,8 @@
 	ErrKey = errors.New("shared key not proved")
 	// ErrOverloaded means that the other host leaves too much unread.
 	ErrOverloaded = errors.New("too much unread")
+	// errTooLarge means that a frame exceeds the limit.
+	errTooLarge = errors.New("frame too large")
 	// errIdle means that a connection was not used for long.
 	errIdle = errors.New("connection unused")
 )
@@ -114,6 +116,9 @@
 	if errors.As(err, &version) {
 		return outcome.Refuse(outcome.VersionMismatch, err.Error(), 0)
 	}
+	if errors.Is(err, errTooLarge) {
+		return outcome.Refuse(outcome.TooLarge, err.Error(), 0)
+	}
 	return outcome.Refuse(outcome.HostUnreachable, err.Error(), 0)
 }
 
--- a/io/peer/serverconn.go
+++ b/io/peer/serverconn.go
@@ -144,7 +144,15 @@
 	default:
 		out.Reply = reply
 	}
-	_ = c.post(c.ctx, &out)
+	c.finish(&out, &frame{Kind: kindReply, ID: in.id})
+}
+
+// finish posts a frame, or in its place one that says why it can't be posted.
+func (c *serverConn) finish(out, instead *frame) {
+	if err := c.post(c.ctx, out); errors.Is(err, errTooLarge) {
+		instead.Fault = err.Error()
+		_ = c.post(c.ctx, instead)
+	}
 }
 
 // answerRequest runs a request and sends its answer.
