Wait for the model's shards on a condition, and fit three orders into the suspicion

Cause: the fault-free model moved three shards at 11.86 s because two orders in a row were slow (2% of its messages take up to 300 ms); with 200 ms an order, two slow ones made 450 ms of silence. Ruled out: a stuck handover (the log shows the move 0.45 s before the check). Orders now get 120 ms and suspicion 500 ms, so three must fail in a row; the test waits for service on a condition.

--- a/core/dispatch/holder.go
+++ b/core/dispatch/holder.go
@@ -28,7 +28,7 @@
 	Find func(id shard.ID) (route.Route, *outcome.Error)
 	// Permit allows one request of a shard to be sent, or says why not. The
 	// function is called when the target certainly no longer runs it.
-	Permit func(id shard.ID, epoch uint64) (route.Permit, func(), *outcome.Error)
+	Permit func(id shard.ID, epoch uint64, key string) (route.Permit, func(), *outcome.Error)
 	// Send passes a request on to a target.
 	Send func(ctx context.Context, permit route.Permit, target *config.Target, req *message.Request, longRunning bool) (*message.Answer, *outcome.Error)
 	// Members lists the members of the cluster.
--- a/core/dispatch/once.go
+++ b/core/dispatch/once.go
@@ -53,7 +53,7 @@
 	}
 	r.done()
 	r.done = nil
-	permit, done, failure := r.holder.Permit(r.req.Shard, r.req.Epoch)
+	permit, done, failure := r.holder.Permit(r.req.Shard, r.req.Epoch, r.req.Key)
 	if failure != nil {
 		return failure
 	}
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -72,7 +72,7 @@
 		return nil, failure
 	}
 	r.slot = slot
-	if r.permit, r.done, failure = r.holder.Permit(r.req.Shard, r.req.Epoch); failure != nil {
+	if r.permit, r.done, failure = r.holder.Permit(r.req.Shard, r.req.Epoch, r.req.Key); failure != nil {
 		return nil, failure
 	}
 	if !r.req.Once {
--- a/core/host/model_test.go
+++ b/core/host/model_test.go
@@ -20,8 +20,11 @@
 const (
 	modelHosts   = 5
 	modelTargets = 4
+	modelShards  = 12
 	modelStep    = 10 * time.Millisecond
 	modelDrift   = 0.004
+	// modelTimeout is the time an order to a target may take.
+	modelTimeout = 120 * time.Millisecond
 )
 
 const modelConfig = `services:
@@ -521,7 +524,7 @@
 			})
 		})
 	})
-	h.w.after(200*time.Millisecond, func() {
+	h.w.after(modelTimeout, func() {
 		h.handle(func() {
 			if !done && h.run == run {
 				done = true
--- a/core/host/property_test.go
+++ b/core/host/property_test.go
@@ -87,20 +87,28 @@
 		start := 4 * time.Second
 		w.run(start)
 		mustServe(t, w, "before the faults")
+		start = w.now
 		for _, f := range faults {
 			w.inject(f, start)
 		}
 		w.run(start + 22*time.Second)
-		w.run(start + 40*time.Second)
 		mustServe(t, w, "after the faults")
 	})
 }
 
+// servedWithin is how long the model may take to serve every shard again
+// after the last fault has ended, the expulsion of lost members included.
+const servedWithin = 15 * time.Second
+
+// mustServe runs until every shard has an owner.
 func mustServe(t *rapid.T, w *world, when string) {
+	for end := w.now + servedWithin; w.now < end && w.broken == "" && len(w.owners()) < modelShards; {
+		w.run(w.now + 100*time.Millisecond)
+	}
 	if w.broken != "" {
 		t.Fatalf("%s: %s", when, w.broken)
 	}
-	if got, want := len(w.owners()), 12; got != want {
+	if got, want := len(w.owners()), modelShards; got != want {
 		t.Fatalf("%s: got %d shards with an owner, want %d\n%s", when, got, want, w.summary())
 	}
 }
--- a/core/lease/options.go
+++ b/core/lease/options.go
@@ -14,7 +14,7 @@
 	DefaultRenewal = 150 * time.Millisecond
 	// DefaultSuspicion is how long a target may leave orders unanswered
 	// before it is reported as not alive.
-	DefaultSuspicion = 450 * time.Millisecond
+	DefaultSuspicion = 500 * time.Millisecond
 	// askInterval is the time between two questions for one former owner.
 	askInterval = 20 * time.Millisecond
 	// settleInterval is the time after which a Settle is proposed again.
--- a/io/daemon/options.go
+++ b/io/daemon/options.go
@@ -31,8 +31,9 @@
 	proposeTimeout = 2 * time.Second
 	// actInterval is the time between two looks for orders that are due.
 	actInterval = 10 * time.Millisecond
-	// orderTimeout bounds one order to a target.
-	orderTimeout = 200 * time.Millisecond
+	// orderTimeout bounds one order to a target; three fit into the time after
+	// which a target is suspected.
+	orderTimeout = 120 * time.Millisecond
 	// questionTimeout bounds one question about a former owner.
 	questionTimeout = 200 * time.Millisecond
 	// beatTimeout bounds one heartbeat.
