--- a/io/standin/target/grant.go
+++ b/io/standin/target/grant.go
@@ -28,15 +28,15 @@
 	since  time.Duration
 }
 
-// order is the body of PUT /pineturn/v1/grant.
-type order struct {
+// Order is the body of PUT /pineturn/v1/grant.
+type Order struct {
 	Incarnation string        `json:"incarnation"`
 	Term        uint64        `json:"term"`
 	Holder      string        `json:"holder"`
 	Set         uint64        `json:"set"`
 	ExpiresUs   int64         `json:"expires_us"`
-	Renew       bool          `json:"renew"`
-	Shards      []audit.Shard `json:"shards"`
+	Renew       bool          `json:"renew,omitempty"`
+	Shards      []audit.Shard `json:"shards,omitempty"`
 }
 
 // The reasons for which an order is refused.
@@ -55,7 +55,7 @@
 }
 
 func (t *Target) serveGrant(w http.ResponseWriter, r *http.Request) {
-	var asked order
+	var asked Order
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxGrantBytes)).Decode(&asked); err != nil {
 		writeJSON(w, http.StatusBadRequest, refusal{Error: badGrant})
 		return
@@ -69,7 +69,7 @@
 }
 
 // apply takes or refuses an order; a refusal has a reason.
-func (t *Target) apply(asked order) (string, Status) {
+func (t *Target) apply(asked Order) (string, Status) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -93,7 +93,7 @@
 }
 
 // judge returns the reason to refuse an order, empty for a good one.
-func (t *Target) judge(asked order, now time.Duration) string {
+func (t *Target) judge(asked Order, now time.Duration) string {
 	switch {
 	case asked.Incarnation != t.incarnation:
 		return wrongIncarnation
@@ -108,7 +108,7 @@
 }
 
 // renew extends the grant. One that arrives out of order doesn't shorten it.
-func (t *Target) renew(asked order, now time.Duration) {
+func (t *Target) renew(asked Order, now time.Duration) {
 	t.grant.term, t.grant.holder = asked.Term, asked.Holder
 	t.grant.expires = max(t.grant.expires, microseconds(asked.ExpiresUs))
 	entry := asked.entry()
@@ -117,7 +117,7 @@
 }
 
 // replace makes the ordered set the one that the target owns.
-func (t *Target) replace(asked order, now time.Duration) {
+func (t *Target) replace(asked Order, now time.Duration) {
 	before := t.grant
 	t.grant = grant{
 		term:    asked.Term,
@@ -225,7 +225,7 @@
 	}
 }
 
-func (o order) entry() audit.Grant {
+func (o Order) entry() audit.Grant {
 	return audit.Grant{
 		Term:      o.Term,
 		Holder:    o.Holder,
