--- /dev/null
+++ b/io/standin/demo/options.go
@@ -0,0 +1,88 @@
+package demo
+
+import (
+	"time"
+
+	"pineturn/core/config"
+	"pineturn/io/standin/hostlist"
+)
+
+// Default settings. The addresses of the targets are those of the sample
+// configuration.
+const (
+	defaultLogAddress      = "127.0.0.2:7001"
+	defaultHostlistAddress = "127.0.0.2:7002"
+	defaultServiceTime     = 5 * time.Millisecond
+	defaultSlots           = 2
+	defaultConnections     = 100
+)
+
+// Target is one target of the demo.
+type Target struct {
+	Service     string
+	Name        string
+	Address     string
+	Checked     bool
+	Slots       int
+	Connections int
+}
+
+// settings are what Start is told.
+type settings struct {
+	logAddress      string
+	hostlistAddress string
+	hosts           []hostlist.Host
+	targets         []Target
+	audits          string
+}
+
+// Option changes a setting of Start.
+type Option func(*settings)
+
+// WithAddresses sets where the log service and the host list listen.
+func WithAddresses(log, hostlist string) Option {
+	return func(s *settings) { s.logAddress, s.hostlistAddress = log, hostlist }
+}
+
+// WithHosts sets the list of hosts.
+func WithHosts(hosts ...hostlist.Host) Option { return func(s *settings) { s.hosts = hosts } }
+
+// WithTargets sets the targets.
+func WithTargets(targets ...Target) Option { return func(s *settings) { s.targets = targets } }
+
+// WithConfig runs every target of a configuration, as it describes them.
+func WithConfig(configured *config.Config) Option {
+	return func(s *settings) {
+		s.targets = nil
+		for _, service := range configured.Services() {
+			for _, target := range service.Targets() {
+				s.targets = append(s.targets, Target{
+					Service: service.Name(), Name: target.ID().Name, Address: target.Address(), Checked: target.Checked(),
+					Slots: target.Slots(), Connections: target.Connections(),
+				})
+			}
+		}
+	}
+}
+
+// WithAudits makes each target write its audit file to a folder, for standin
+// check.
+func WithAudits(folder string) Option { return func(s *settings) { s.audits = folder } }
+
+func defaults() settings {
+	sample := func(service, address string, checked bool) Target {
+		return Target{
+			Service: service, Name: service + "-1", Address: address, Checked: checked,
+			Slots: defaultSlots, Connections: defaultConnections,
+		}
+	}
+	return settings{
+		logAddress:      defaultLogAddress,
+		hostlistAddress: defaultHostlistAddress,
+		targets: []Target{
+			sample("coverdesk", "127.0.0.21:9001", true),
+			sample("payoutledger", "127.0.0.31:9001", false),
+			sample("recordsvault", "127.0.0.41:9001", true),
+		},
+	}
+}
--- a/io/standin/link/control.go
+++ b/io/standin/link/control.go
@@ -7,10 +7,12 @@
 )
 
 // order is the body of POST /admin/link; an absent delay stays as it is, an
-// absent mode is up.
+// absent mode is up. With From it is about the connections from that IP
+// number alone.
 type order struct {
 	Mode    Mode     `json:"mode"`
 	DelayMs *float64 `json:"delay_ms"`
+	From    string   `json:"from"`
 }
 
 // State is the answer to GET /admin/link.
@@ -34,6 +36,11 @@
 		http.Error(w, "want mode up, cut, silent or stalled", http.StatusBadRequest)
 		return
 	}
+	if asked.From != "" {
+		l.SetSource(asked.From, asked.Mode)
+		l.serveState(w, r)
+		return
+	}
 	delay := time.Duration(-1)
 	if asked.DelayMs != nil {
 		delay = milliseconds(*asked.DelayMs)
--- a/io/standin/link/link.go
+++ b/io/standin/link/link.go
@@ -41,6 +41,7 @@
 	address  string
 	listener net.Listener
 	mode     Mode
+	sources  map[string]Mode
 	delay    time.Duration
 	pairs    map[*pair]struct{}
 	changed  chan struct{}
@@ -64,6 +65,7 @@
 		done:    make(chan struct{}),
 		address: listen,
 		mode:    Up,
+		sources: map[string]Mode{},
 		pairs:   map[*pair]struct{}{},
 		changed: make(chan struct{}),
 	}
@@ -103,7 +105,8 @@
 	l.running.Wait()
 }
 
-// Set changes the mode and, unless it is negative, the delay.
+// Set changes the mode for all connections, and forgets the modes of single
+// sources. The delay changes unless it is negative.
 func (l *Link) Set(mode Mode, delay time.Duration) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -111,20 +114,51 @@
 		return net.ErrClosed
 	}
 	l.mode = mode
+	clear(l.sources)
 	if delay >= 0 {
 		l.delay = delay
 	}
 	defer l.wake()
-	switch mode {
-	case Cut:
+	if mode == Cut {
 		l.shut()
 		return nil
-	case Silent:
-		for open := range l.pairs {
+	}
+	l.apply(mode, "")
+	return l.open()
+}
+
+// SetSource changes the mode for the connections from one IP number. While
+// they are cut, new ones are accepted and reset at once.
+func (l *Link) SetSource(source string, mode Mode) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sources[source] = mode
+	l.apply(mode, source)
+	l.wake()
+}
+
+// apply does what a mode does to the connections open at its start. An empty
+// source stands for all.
+func (l *Link) apply(mode Mode, source string) {
+	for open := range l.pairs {
+		if source != "" && open.source() != source {
+			continue
+		}
+		switch mode {
+		case Cut:
+			open.reset()
+		case Silent:
 			open.silent = true
 		}
 	}
-	return l.open()
+}
+
+// modeOf returns the mode for connections from a source.
+func (l *Link) modeOf(source string) Mode {
+	if mode, ok := l.sources[source]; ok {
+		return mode
+	}
+	return l.mode
 }
 
 // wake tells waiting carriers to look at the mode again.
@@ -173,7 +207,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	opened := newPair(l, near)
-	if l.listener != listener {
+	if l.listener != listener || l.modeOf(opened.source()) == Cut {
 		opened.reset()
 		return
 	}
--- a/io/standin/link/link_test.go
+++ b/io/standin/link/link_test.go
@@ -132,6 +132,29 @@
 	}
 }
 
+func TestModeOfOneSource(t *testing.T) {
+	carrier := start(t)
+	from := func(ip string) net.Conn {
+		t.Helper()
+		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+		conn, err := dialer.Dial("tcp", carrier.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	near, other := from("127.0.0.1"), from("127.0.0.2")
+	assertEcho(t, near, "one")
+	assertEcho(t, other, "one")
+	order(t, carrier, `{"mode":"cut","from":"127.0.0.2"}`, 200)
+	assertEcho(t, near, "two")
+	assertNothing(t, other)
+	assertNothing(t, from("127.0.0.2"))
+	order(t, carrier, `{"mode":"up"}`, 200)
+	assertEcho(t, from("127.0.0.2"), "three")
+}
+
 func TestDelayKeepsOrderAndBandwidth(t *testing.T) {
 	const delay = 20 * time.Millisecond
 	carrier := start(t, link.WithDelay(delay))
--- a/io/standin/link/pair.go
+++ b/io/standin/link/pair.go
@@ -29,6 +29,12 @@
 	return &pair{link: link, near: near, done: make(chan struct{})}
 }
 
+// source returns the IP number that the near connection comes from.
+func (p *pair) source() string {
+	host, _, _ := net.SplitHostPort(p.near.RemoteAddr().String())
+	return host
+}
+
 // chunk is data under way. The last one of a direction has none.
 type chunk struct {
 	data []byte
@@ -190,7 +196,7 @@
 func (l *Link) carries(p *pair) (bool, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !p.silent && l.mode != Stalled, l.changed
+	return !p.silent && l.modeOf(p.source()) != Stalled, l.changed
 }
 
 func (l *Link) currentDelay() time.Duration {
