--- /dev/null
+++ b/scenario/cluster_test.go
@@ -0,0 +1,95 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"pineturn/io/standin/hostlist"
+)
+
+// domains are the failure domains of hosts, in turn.
+var domains = []string{"pos-a", "pos-b", "chag-a", "arima-a"}
+
+// cluster starts the platform and count hosts, each with a link of its own to
+// the log service.
+func cluster(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: cluster COUNT [FLAG...]")
+	}
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	addr(ts, false, []string{"LOG", "HOSTS"})
+	begin(ts, "log", "", "standin", "log", "--listen", ts.Getenv("LOG"))
+	var list hostlist.List
+	for i := range count {
+		number := strconv.Itoa(i + 1)
+		addr(ts, false, []string{"H" + number, "P" + number, "A" + number, "L" + number, "LINK" + number})
+		list.Hosts = append(list.Hosts, hostlist.Host{
+			Name: "host-" + number, Address: ts.Getenv("P" + number), Domain: domains[i%len(domains)], State: "live",
+		})
+	}
+	data, err := json.Marshal(list)
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs("hosts.json"), data, 0o644))
+	begin(ts, "hosts", "", "standin", "hostlist", "--listen", ts.Getenv("HOSTS"), "--file", "hosts.json")
+	for i := range list.Hosts {
+		number := strconv.Itoa(i + 1)
+		begin(ts, "link"+number, "", "standin", "link",
+			"--listen", ts.Getenv("L"+number), "--to", ts.Getenv("LOG"), "--control", ts.Getenv("LINK"+number))
+		startHost(ts, number, domains[i%len(domains)], args[1:])
+	}
+}
+
+// host starts a host of the cluster again, as a new incarnation.
+func host(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: host NUMBER [FLAG...]")
+	}
+	number, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	startHost(ts, args[0], domains[(number-1)%len(domains)], args[1:])
+}
+
+// startHost starts a daemon and waits until it says that it is ready.
+func startHost(ts *testscript.TestScript, number, domain string, flags []string) {
+	ready := fmt.Sprintf("http://%s/readyz", ts.Getenv("A"+number))
+	begin(ts, "h"+number, ready, append([]string{
+		"pineturnd", "--name", "host-" + number, "--domain", domain,
+		"--caller-address", ts.Getenv("H" + number), "--peer-address", ts.Getenv("P" + number),
+		"--admin-address", ts.Getenv("A" + number), "--log-address", ts.Getenv("L" + number),
+		"--hostlist-address", ts.Getenv("HOSTS"),
+	}, flags...)...)
+}
+
+// target starts a target at the address in the variable of its name, with an
+// audit named after it.
+func target(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: target SERVICE NAME [FLAG...]")
+	}
+	service, name := args[0], args[1]
+	variable := strings.ToUpper(name)
+	if ts.Getenv(variable) == "" {
+		addr(ts, false, []string{variable})
+	}
+	begin(ts, name, "", append([]string{
+		"standin", "target", "--listen", ts.Getenv(variable), "--service", service, "--name", name,
+		"--audit", name + ".audit.jsonl",
+	}, args[2:]...)...)
+}
+
+// fill replaces $NAME by the script's variables in files.
+func fill(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: fill FILE...")
+	}
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o644))
+	}
+}
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -40,11 +40,16 @@
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: start [-ready URL] NAME PROGRAM ARG...")
 	}
-	s, name := stateOf(ts), args[0]
+	begin(ts, args[0], ready, args[1:]...)
+}
+
+// begin starts a program under a name and waits until it is ready.
+func begin(ts *testscript.TestScript, name, ready string, args ...string) {
+	s := stateOf(ts)
 	if old, ok := s.processes[name]; ok && old.alive() {
 		ts.Fatalf("%s runs already", name)
 	}
-	started, err := launch(ts, s.work, name, args[1:])
+	started, err := launch(ts, s.work, name, args)
 	ts.Check(err)
 	s.processes[name] = started
 	ts.Check(started.await(ready))
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -57,6 +57,10 @@
 			"post":     post,
 			"put":      put,
 			"until":    until,
+			"cluster":  cluster,
+			"host":     host,
+			"target":   target,
+			"fill":     fill,
 		},
 		RequireExplicitExec: true,
 	})
