--- a/scenario/cluster_test.go
+++ b/scenario/cluster_test.go
@@ -28,9 +28,9 @@
 	var list hostlist.List
 	for i := range count {
 		number := strconv.Itoa(i + 1)
-		addr(ts, false, []string{"H" + number, "P" + number, "A" + number, "L" + number, "LINK" + number})
+		addr(ts, false, []string{"H" + number, "PEER" + number, "ADMIN" + number, "VIA" + number, "LINK" + number})
 		list.Hosts = append(list.Hosts, hostlist.Host{
-			Name: "host-" + number, Address: ts.Getenv("P" + number), Domain: domains[i%len(domains)], State: "live",
+			Name: "host-" + number, Address: ts.Getenv("PEER" + number), Domain: domains[i%len(domains)], State: "live",
 		})
 	}
 	data, err := json.Marshal(list)
@@ -40,7 +40,7 @@
 	for i := range list.Hosts {
 		number := strconv.Itoa(i + 1)
 		begin(ts, "link"+number, "", "standin", "link",
-			"--listen", ts.Getenv("L"+number), "--to", ts.Getenv("LOG"), "--control", ts.Getenv("LINK"+number))
+			"--listen", ts.Getenv("VIA"+number), "--to", ts.Getenv("LOG"), "--control", ts.Getenv("LINK"+number))
 		startHost(ts, number, domains[i%len(domains)], args[1:])
 	}
 }
@@ -57,11 +57,11 @@
 
 // startHost starts a daemon and waits until it says that it is ready.
 func startHost(ts *testscript.TestScript, number, domain string, flags []string) {
-	ready := fmt.Sprintf("http://%s/readyz", ts.Getenv("A"+number))
+	ready := fmt.Sprintf("http://%s/readyz", ts.Getenv("ADMIN"+number))
 	begin(ts, "h"+number, ready, append([]string{
 		"pineturnd", "--name", "host-" + number, "--domain", domain,
-		"--caller-address", ts.Getenv("H" + number), "--peer-address", ts.Getenv("P" + number),
-		"--admin-address", ts.Getenv("A" + number), "--log-address", ts.Getenv("L" + number),
+		"--caller-address", ts.Getenv("H" + number), "--peer-address", ts.Getenv("PEER" + number),
+		"--admin-address", ts.Getenv("ADMIN" + number), "--log-address", ts.Getenv("VIA" + number),
 		"--hostlist-address", ts.Getenv("HOSTS"),
 	}, flags...)...)
 }
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -9,9 +9,9 @@
 //	                            until URL answers 200
 //	cluster COUNT [FLAG...]     starts the log service (address $LOG), the host
 //	                            list ($HOSTS) and hosts h1, h2, ... with FLAGs.
-//	                            Host 1 has $H1 for callers, $P1 for hosts, $A1
-//	                            for operators, and a link of its own to the
-//	                            log, link1, with its control at $LINK1
+//	                            Host 1 has $H1 for callers, $PEER1 for hosts,
+//	                            $ADMIN1 for operators, and a link of its own
+//	                            to the log, link1, with its control at $LINK1
 //	host NUMBER [FLAG...]       starts a host of the cluster again
 //	target SERVICE NAME [FLAG...]
 //	                            starts a target at the address $NAME (in upper
