Remember the files that a merge has read

A change of one file read and parsed all others again. A Merger keeps what it has parsed, by name and content; results stay those of Merge, which now is a Merger used once. Parsing was the cost; what is left is the merge of the trees.

TestMergeIsDeterministic now compares both on folders that follow each other; seen to fail with content left out of the comparison and with trees shared.

--- a/core/config/fault.go
+++ b/core/config/fault.go
@@ -24,8 +24,7 @@
 
 // faults collects what is wrong with a folder.
 type faults struct {
-	list  []Fault
-	files map[string]bool
+	list []Fault
 }
 
 func (f *faults) add(file string, line int, field, text string) {
@@ -44,16 +43,6 @@
 
 func (f *faults) any() bool { return len(f.list) > 0 }
 
-// seen reports whether a file of this name was met before.
-func (f *faults) seen(file string) bool {
-	if f.files == nil {
-		f.files = map[string]bool{}
-	}
-	before := f.files[file]
-	f.files[file] = true
-	return before
-}
-
 // sorted returns the first faults by file, line, field and text.
 func (f *faults) sorted() []Fault {
 	slices.SortFunc(f.list, func(a, b Fault) int {
--- a/core/config/merge.go
+++ b/core/config/merge.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"slices"
 	"strings"
 )
@@ -31,14 +32,44 @@
 // list is replaced whole by that of the later file. An explicit null removes
 // what earlier files say of its key; a later file may set it anew.
 func Merge(version uint64, files []File) (*Config, []Fault) {
+	return new(Merger).Merge(version, files)
+}
+
+// Merger merges one folder again and again as it changes. It remembers the
+// files that it has read, which changes its speed but no result. The zero
+// value is ready for use, by one goroutine at a time.
+type Merger struct {
+	read map[string]contents
+}
+
+// contents is what one file holds.
+type contents struct {
+	text   []byte
+	root   *node
+	faults []Fault
+}
+
+// Merge does what the function of this name does.
+func (m *Merger) Merge(version uint64, files []File) (*Config, []Fault) {
 	found := &faults{}
 	root := &node{kind: mapping, fields: map[string]*node{}}
+	read := make(map[string]contents, len(files))
 	for _, file := range inOrder(files) {
-		content := read(file, found)
-		if content != nil {
-			overlay(root, content)
+		if _, ok := read[file.Name]; ok {
+			found.add(file.Name, 0, "", "two files have this name; rename or remove one")
+			continue
+		}
+		known, ok := m.read[file.Name]
+		if !ok || !bytes.Equal(known.text, file.Content) {
+			known = readFile(file)
+		}
+		read[file.Name] = known
+		found.list = append(found.list, known.faults...)
+		if known.root != nil {
+			overlay(root, known.root)
 		}
 	}
+	m.read = read
 	if found.any() {
 		return nil, found.sorted()
 	}
@@ -70,24 +101,21 @@
 	return ""
 }
 
-// read parses one file and checks its shape.
-func read(file File, found *faults) *node {
+// readFile parses one file and checks its shape.
+func readFile(file File) contents {
+	result := contents{text: bytes.Clone(file.Content)}
+	found := &faults{}
 	if text := CheckFileName(file.Name); text != "" {
 		found.add(file.Name, 0, "", text)
-		return nil
-	}
-	if found.seen(file.Name) {
-		found.add(file.Name, 0, "", "two files have this name; rename or remove one")
-		return nil
-	}
-	content := parse(file, found)
-	if content != nil {
-		folder.check(content, "", found)
+	} else if root := parse(file, found); root != nil {
+		folder.check(root, "", found)
+		result.root = root
 	}
-	return content
+	result.faults = found.list
+	return result
 }
 
-// overlay merges a later file's mapping into base.
+// overlay merges a later file's mapping into base. It leaves later as it is.
 func overlay(base, later *node) {
 	for _, key := range later.names {
 		value := later.fields[key]
--- a/core/config/merge_test.go
+++ b/core/config/merge_test.go
@@ -211,14 +211,15 @@
 	}
 }
 
-// TestMergeIsDeterministic draws folders of right and wrong files and merges
-// them in shuffled order.
+// TestMergeIsDeterministic draws folders of right and wrong files, and merges
+// them anew and, in shuffled order, by a Merger that has read others before.
 func TestMergeIsDeterministic(t *testing.T) {
 	pieces := []string{
 		base, "services: {payoutledger: {timeout: 2s}}", "services: {payoutledger: {timeout: null}}",
 		"services: {payoutledger: {once: [{method: POST}]}}", "services: {payoutledger: null}", "bad: 1\nworse: 2",
 		`services: {payoutledger: {groups: {n: {keys: "n*"}, m: {keys: "n*"}}}}`, "services: {idle: {queue: x}}", "[",
 	}
+	merger := &Merger{}
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(0, 6).Draw(t, "count")
 		files := make([]File, count)
@@ -229,7 +230,7 @@
 			}
 		}
 		config, found := Merge(3, files)
-		again, foundAgain := Merge(3, rapid.Permutation(files).Draw(t, "order"))
+		again, foundAgain := merger.Merge(3, rapid.Permutation(files).Draw(t, "order"))
 		if !reflect.DeepEqual(found, foundAgain) || !reflect.DeepEqual(config, again) {
 			t.Fatalf("got %v %v, want as before %v %v", again, foundAgain, config, found)
 		}
