Refuse a change that fits no batch, and recognise one accepted with others

A change above the size of a batch could never be written, and its operator would have been told that its fate is unknown. Changes of several operators may be accepted in one batch, with one version: a change whose answer was lost is now recognised among them.

--- a/io/operator/commands.go
+++ b/io/operator/commands.go
@@ -19,6 +19,10 @@
 // record.MaxSize fits, in base64.
 const maxCommand = 1 << 20
 
+// maxChange is the most content of files in one change, in bytes; it leaves
+// room in record.MaxSize for what else a batch holds.
+const maxChange = 384 << 10
+
 // Verdict is what became of one operation that was read back from the log.
 type Verdict struct {
 	Accepted bool
@@ -36,7 +40,7 @@
 // by the daemon.
 type Commands struct {
 	// Submit appends operations as one batch and reads it back. It returns a
-	// verdict for each and the offset of the batch. The error wraps
+	// verdict for each and the version that the batch made. The error wraps
 	// ErrUnknownFate when the batch may still come into effect, and
 	// ErrUnavailable when it certainly does not.
 	Submit func(ctx context.Context, ops []record.Op) ([]Verdict, uint64, error)
@@ -64,7 +68,8 @@
 
 // Accepted answers a command that took effect.
 type Accepted struct {
-	// Version is the offset of the change in the log.
+	// Version is that of the files that were changed, as other changes
+	// expect it.
 	Version uint64 `json:"version"`
 }
 
@@ -108,12 +113,18 @@
 	if len(order.Changes) == 0 {
 		return Accepted{}, badRequest("no changes")
 	}
+	size := 0
 	for _, change := range order.Changes {
+		size += len(change.Content)
 		if text := config.CheckFileName(change.Name); text != "" && !change.Remove {
 			fault := config.Fault{File: change.Name, Text: text}
 			return Accepted{}, &Error{Code: CodeRefused, Detail: "nothing was changed", Faults: []config.Fault{fault}}
 		}
 	}
+	if size > maxChange {
+		detail := fmt.Sprintf("%d bytes of files, at most %d in one change; change fewer files at once", size, maxChange)
+		return Accepted{}, &Error{Code: CodeRefused, Detail: detail}
+	}
 	return c.submit(ctx, record.Op{Files: &record.Files{Author: order.Author, Changes: order.Changes}})
 }
 
@@ -128,11 +139,11 @@
 	if c.Reset == nil {
 		return Accepted{}, ErrUnavailable
 	}
-	verdict, offset, err := c.Reset(ctx)
+	verdict, version, err := c.Reset(ctx)
 	if err != nil {
 		return Accepted{}, err
 	}
-	return answer(verdict, offset)
+	return answer(verdict, version)
 }
 
 // submit orders one operation.
@@ -140,19 +151,19 @@
 	if c.Submit == nil {
 		return Accepted{}, ErrUnavailable
 	}
-	verdicts, offset, err := c.Submit(ctx, []record.Op{op})
+	verdicts, version, err := c.Submit(ctx, []record.Op{op})
 	if err != nil {
 		return Accepted{}, err
 	}
 	if len(verdicts) != 1 {
 		return Accepted{}, errors.Wrapf(ErrUnknownFate, "%d verdicts for one operation", len(verdicts))
 	}
-	return answer(verdicts[0], offset)
+	return answer(verdicts[0], version)
 }
 
-func answer(verdict Verdict, offset uint64) (Accepted, error) {
+func answer(verdict Verdict, version uint64) (Accepted, error) {
 	if verdict.Accepted {
-		return Accepted{Version: offset}, nil
+		return Accepted{Version: version}, nil
 	}
 	code := CodeRefused
 	if verdict.Conflict {
--- a/io/operator/view.go
+++ b/io/operator/view.go
@@ -123,7 +123,8 @@
 // ChangedFile is one file of a change.
 type ChangedFile struct {
 	Name string `json:"name"`
-	// Replaced is the version before, 0 when the file did not exist.
+	// Replaced is the version before, 0 when the file did not exist. A
+	// rollback removes such a file, so that 0 must not stand for "not known".
 	Replaced uint64 `json:"replaced,omitempty"`
 	// Before is the content before, when Replaced is not 0.
 	Before []byte `json:"before,omitempty"`
--- a/io/pinectl/change.go
+++ b/io/pinectl/change.go
@@ -121,11 +121,9 @@
 	return operator.Change{}, operator.ChangedFile{}, false
 }
 
-// sameChange reports whether an accepted change is what an order asked for.
+// sameChange reports whether an accepted change holds all that an order
+// asked for. Changes of others may have been accepted with it.
 func sameChange(change operator.Change, order operator.ChangeFiles) bool {
-	if change.Author != order.Author || len(change.Files) != len(order.Changes) {
-		return false
-	}
 	for _, wanted := range order.Changes {
 		found := slices.ContainsFunc(change.Files, func(file operator.ChangedFile) bool {
 			return file.Name == wanted.Name && file.Replaced == wanted.Expect &&
