io/security: TLS and shared keys by settings, rotated without a restart

Cause: hosts, operators and targets need to know who gives them orders, and certificates and keys change while the system runs.

peer.Options.TLS is now a function, called for each new connection.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -205,7 +205,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("open connection: %w", err)
 	}
-	return newConn(ws, socket, &c.options), nil
+	conn := newConn(ws, socket, &c.options)
+	conn.tls = tlsState(socket.Conn)
+	return conn, nil
 }
 
 // start runs a connection until it ends.
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"sync"
@@ -33,6 +34,7 @@
 	plane   Plane
 	remote  record.Member
 	tally   *tally
+	tls     *tls.ConnectionState // nil without TLS
 
 	urgent chan item
 	bulk   chan item
@@ -160,6 +162,8 @@
 		return fmt.Errorf("read: %w", err)
 	case closed.Code == statusKey:
 		return fmt.Errorf("closed by other host: %w", ErrKey)
+	case closed.Code == statusHost:
+		return fmt.Errorf("closed by other host: %w", ErrHost)
 	case closed.Code == statusOverloaded:
 		return fmt.Errorf("closed by other host: %w", ErrOverloaded)
 	case closed.Code == websocket.StatusMessageTooBig:
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -17,7 +17,7 @@
 	if c.options.TLS == nil {
 		return plain, nil
 	}
-	config := c.options.TLS.Clone()
+	config := c.options.TLS().Clone()
 	if config.ServerName == "" {
 		config.ServerName, _, err = net.SplitHostPort(address)
 	}
@@ -30,3 +30,13 @@
 	_ = plain.Close()
 	return nil, fmt.Errorf("tls handshake: %w", err)
 }
+
+// tlsState returns the state of a TLS connection, nil for another one.
+func tlsState(socket net.Conn) *tls.ConnectionState {
+	secured, ok := socket.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	state := secured.ConnectionState()
+	return &state
+}
--- a/io/peer/errors.go
+++ b/io/peer/errors.go
@@ -17,6 +17,7 @@
 	statusIncarnation websocket.StatusCode = 4002
 	statusKey         websocket.StatusCode = 4003
 	statusOverloaded  websocket.StatusCode = 4004
+	statusHost        websocket.StatusCode = 4005
 )
 
 var (
@@ -26,6 +27,8 @@
 	ErrSilent = errors.New("connection silent")
 	// ErrKey means that the other host did not prove that it holds the shared key.
 	ErrKey = errors.New("shared key not proved")
+	// ErrHost means that the other side's certificate is another host's.
+	ErrHost = errors.New("certificate is another host's")
 	// ErrOverloaded means that the other host leaves too much unread.
 	ErrOverloaded = errors.New("too much unread")
 	// errTooLarge means that a frame exceeds the limit.
@@ -99,6 +102,8 @@
 		code = statusIncarnation
 	case errors.Is(err, ErrKey):
 		code = statusKey
+	case errors.Is(err, ErrHost):
+		code = statusHost
 	case errors.Is(err, ErrOverloaded):
 		code = statusOverloaded
 	}
--- a/io/peer/handshake.go
+++ b/io/peer/handshake.go
@@ -72,6 +72,9 @@
 	if err := checkClient(self, theirs); err != nil {
 		return err
 	}
+	if err := c.checkHost(theirs); err != nil {
+		return err
+	}
 	welcome := &frame{Kind: kindWelcome}
 	if welcome.Proof, err = c.exchange(sideClient, sideServer, mine, theirs, theirs.Proof); err != nil {
 		return err
@@ -94,6 +97,19 @@
 	return nil
 }
 
+// checkHost checks the other side's certificate against the host that it says
+// it is.
+func (c *conn) checkHost(theirs *frame) error {
+	check := c.options.Auth.CheckHost
+	if check == nil {
+		return nil
+	}
+	if err := check(c.tls, theirs.Hello.Member.Incarnation.Host); err != nil {
+		return fmt.Errorf("%w: %w", ErrHost, err)
+	}
+	return nil
+}
+
 // exchange checks the other side's proof and returns this side's. It does
 // nothing when no key is shared.
 func (c *conn) exchange(theirSide, mySide string, server, client *frame, proof []byte) ([]byte, error) {
@@ -137,6 +153,9 @@
 	if err := checkServer(to, theirs); err != nil {
 		return err
 	}
+	if err := c.checkHost(theirs); err != nil {
+		return err
+	}
 	welcome, err := c.expect(ctx, kindWelcome)
 	if err != nil {
 		return err
--- a/io/peer/options.go
+++ b/io/peer/options.go
@@ -53,8 +53,9 @@
 	// RequestWorkers and CallWorkers bound what a Server runs at once.
 	RequestWorkers int
 	CallWorkers    int
-	// TLS is the client's configuration; nil for plain TCP.
-	TLS *tls.Config
+	// TLS gives a Client's configuration for each new connection, so that
+	// certificates may change; nil for plain TCP.
+	TLS func() *tls.Config
 	// Auth proves and checks the key that hosts share.
 	Auth    Auth
 	Metrics Metrics
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -6,6 +6,7 @@
 package peer
 
 import (
+	"crypto/tls"
 	"time"
 
 	"pineturn/core/record"
@@ -35,13 +36,17 @@
 	return "invalid"
 }
 
-// Auth proves to the other host that this one holds the shared key. Both
-// functions are nil when hosts use no shared key.
+// Auth proves to the other host that this one holds the shared key, and
+// checks who the other one is. Prove and Verify are both nil when hosts use no
+// shared key.
 type Auth struct {
 	// Prove returns a proof over a fresh transcript.
 	Prove func(transcript []byte) []byte
 	// Verify reports whether proof is one over transcript.
 	Verify func(transcript, proof []byte) bool
+	// CheckHost, if set, returns an error when the other side's certificate
+	// is not that of the host that it says it is. State is nil without TLS.
+	CheckHost func(state *tls.ConnectionState, host string) error
 }
 
 // enabled reports whether a shared key is in use.
--- a/io/peer/protocol_test.go
+++ b/io/peer/protocol_test.go
@@ -16,8 +16,9 @@
 	"pineturn/core/record"
 )
 
-// rawClient opens a connection by hand and returns it after the handshake.
-func rawClient(t *testing.T, r *rig, change func(*frame)) *conn {
+// rawClient opens a connection by hand. Change may alter its first frame,
+// knowing the server's.
+func rawClient(t *testing.T, r *rig, change func(mine, server *frame)) *conn {
 	t.Helper()
 	ws, _, err := websocket.Dial(within(t), "ws://"+r.to.Address+Path, nil)
 	if err != nil {
@@ -26,15 +27,16 @@
 	t.Cleanup(func() { _ = ws.CloseNow() })
 	options := Options{}.withDefaults()
 	c := newConn(ws, &batchConn{tally: new(tally)}, &options)
-	if _, err := c.expect(within(t), kindHello); err != nil {
+	server, err := c.expect(within(t), kindHello)
+	if err != nil {
 		t.Fatal(err)
 	}
-	hello := opening(member("host-1", 3)())
-	hello.Plane = Requests
+	mine := opening(member("host-1", 3)())
+	mine.Plane = Requests
 	if change != nil {
-		change(hello)
+		change(mine, server)
 	}
-	if err := c.put(within(t), hello); err != nil {
+	if err := c.put(within(t), mine); err != nil {
 		t.Fatal(err)
 	}
 	return c
@@ -80,17 +82,17 @@
 	r := newRig(t, Options{})
 	told := refusals(r)
 	t.Run("version", func(t *testing.T) {
-		c := rawClient(t, r, func(f *frame) { f.Hello.Version++ })
+		c := rawClient(t, r, func(f, _ *frame) { f.Hello.Version++ })
 		assertClosed(t, c, statusVersion)
 		assertTold[*VersionMismatch](t, told)
 	})
 	t.Run("incarnation", func(t *testing.T) {
-		c := rawClient(t, r, func(f *frame) { f.Want = record.Incarnation{Host: "host-2", Run: 8} })
+		c := rawClient(t, r, func(f, _ *frame) { f.Want = record.Incarnation{Host: "host-2", Run: 8} })
 		assertClosed(t, c, statusIncarnation)
 		assertTold[*OtherIncarnation](t, told)
 	})
 	t.Run("plane", func(t *testing.T) {
-		c := rawClient(t, r, func(f *frame) { f.Plane = 9 })
+		c := rawClient(t, r, func(f, _ *frame) { f.Plane = 9 })
 		assertClosed(t, c, websocket.StatusProtocolError)
 		assertTold[*BadFrame](t, told)
 	})
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -71,6 +71,7 @@
 	}
 	_ = socket.SetDeadline(time.Time{})
 	raw := newConn(ws, socket, &s.options)
+	raw.tls = r.TLS
 	if err := s.greet(raw); err != nil {
 		raw.fail(err)
 		raw.wg.Wait()
