io/security: test that a server's chain is verified when its name is checked

The server now accepts the client, and the test asks for x509.UnknownAuthorityError.

Seen to fail with verifyChain off (TestCheckHost/foreign_authority), passes with it: go test -race ./io/security.

--- a/io/security/security_test.go
+++ b/io/security/security_test.go
@@ -150,6 +150,14 @@
 	}
 }
 
+func assertUnknownAuthority(t *testing.T, got error) {
+	t.Helper()
+	var unknown x509.UnknownAuthorityError
+	if !errors.As(got, &unknown) {
+		t.Errorf("got error %v, want %T", got, unknown)
+	}
+}
+
 func TestBetweenHosts(t *testing.T) {
 	ours, foreign := newAuthority(t), newAuthority(t)
 	server := newHost(t, ours, "host-2", false, 1).serve()
@@ -169,10 +177,7 @@
 		client := newHost(t, ours, "host-1", false, 1)
 		put(t, client.files.CA, foreign.pem())
 		client.clock.step()
-		var unknown x509.UnknownAuthorityError
-		if err := client.call(server); !errors.As(err, &unknown) {
-			t.Errorf("got error %v, want %T", err, unknown)
-		}
+		assertUnknownAuthority(t, client.call(server))
 	})
 	t.Run("no TLS", func(t *testing.T) {
 		client := peer.NewClient(server.self, peer.Options{DialTimeout: limit})
@@ -199,7 +204,9 @@
 	})
 	t.Run("foreign authority", func(t *testing.T) {
 		foreign := newHost(t, newAuthority(t), "host-2", true, 1).serve()
-		assertRefused(t, client.call(foreign))
+		put(t, foreign.files.CA, ours.pem()) // it accepts the client
+		foreign.clock.step()
+		assertUnknownAuthority(t, client.call(foreign))
 	})
 }
 
