--- a/core/balance/options.go
+++ b/core/balance/options.go
@@ -6,7 +6,7 @@
 	Bound = 1.25
 	// Settled is the load over the mean at which levelling stops. The distance
 	// to Bound keeps noise in the measured loads from moving shards back.
-	Settled = 1.12
+	Settled = 1.08
 	// splitShare is the load of a key, as a part of a target's mean load, from
 	// which on it is split off.
 	splitShare = 0.08
@@ -24,7 +24,7 @@
 	unknownKeys = 16
 	// churnCost scales the part of the keys that a move takes to the part of the load
 	// that it must take off the overloaded target, at equal weights.
-	churnCost = 0.25
+	churnCost = 0.1
 	// handoverCost is the same for the load that waits while a shard is
 	// handed over: the length of a handover over that of the gain.
 	handoverCost = 0.25 / 60
