--- a/io/peer/clientconn.go
+++ b/io/peer/clientconn.go
@@ -23,7 +23,13 @@
 // pendingCall is a control question without its answer.
 type pendingCall struct {
 	claim
-	reply chan *frame
+	reply chan answered
+}
+
+// answered is what the other host said to a call: a reply, or a fault.
+type answered struct {
+	reply *message.Reply
+	fault string
 }
 
 // failure is a call or request without an answer.
@@ -89,7 +95,7 @@
 	case kindReply:
 		if p != nil {
 			c.forget(f.ID)
-			p.reply <- f
+			p.reply <- answered{reply: f.Reply, fault: f.Fault}
 		}
 		return nil
 	case kindHead, kindData:
@@ -107,10 +113,10 @@
 
 // call asks a control question and waits for its answer.
 func (c *clientConn) call(ctx context.Context, question *message.Call) (*message.Reply, *failure) {
-	p := &pendingCall{reply: make(chan *frame, 1)}
+	p := &pendingCall{reply: make(chan answered, 1)}
 	id := c.addCall(p)
 	defer c.forget(id)
-	buffer, err := encode(&frame{Kind: kindCall, ID: id, Call: question})
+	buffer, err := c.pack(&frame{Kind: kindCall, ID: id, Call: question})
 	if err != nil {
 		return nil, &failure{err: err}
 	}
@@ -124,8 +130,8 @@
 // awaitReply waits for the answer to a call that was queued.
 func (c *clientConn) awaitReply(ctx context.Context, id uint64, p *pendingCall) (*message.Reply, *failure) {
 	select {
-	case f := <-p.reply:
-		return replyOf(f)
+	case said := <-p.reply:
+		return said.result()
 	case <-ctx.Done():
 		if p.withdraw() {
 			return nil, &failure{err: ctx.Err()}
@@ -136,19 +142,19 @@
 	case <-c.done:
 	}
 	select {
-	case f := <-p.reply:
-		return replyOf(f)
+	case said := <-p.reply:
+		return said.result()
 	default:
 		return nil, &failure{err: c.cause, sent: !p.withdraw()}
 	}
 }
 
-// replyOf returns what a reply frame says.
-func replyOf(f *frame) (*message.Reply, *failure) {
-	if f.Reply == nil {
-		return nil, &failure{err: &RemoteError{Detail: f.Fault}, sent: true}
+// result returns the reply, or the fault as an error.
+func (a answered) result() (*message.Reply, *failure) {
+	if a.reply == nil {
+		return nil, &failure{err: &RemoteError{Detail: a.fault}, sent: true}
 	}
-	return f.Reply, nil
+	return a.reply, nil
 }
 
 // request passes a request on and waits for the head of its answer.
@@ -156,11 +162,7 @@
 	s := newStream(ctx, c)
 	c.addStream(s)
 	f := frame{Kind: kindRequest, ID: s.id, Request: request, Credit: int64(c.options.Window)}
-	buffer, err := encode(&f)
-	if err == nil && buffer.Len() > c.options.MaxFrame {
-		recycle(buffer)
-		err = outcome.Refuse(outcome.TooLarge, "request exceeds the frame limit between hosts", 0)
-	}
+	buffer, err := c.pack(&f)
 	if err != nil {
 		c.forget(s.id)
 		return nil, &failure{err: err}
