--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 export CGO_ENABLED = 1
 BIN ?= bin
 
-.PHONY: build run test lint bench
+.PHONY: build run test lint bench experiment
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -19,3 +19,7 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./core/...
+
+# Measures clusters of real processes; the reports stay in $(BIN)/experiment.
+experiment:
+	PINETURN_EXPERIMENT_OUT=$(abspath $(BIN))/experiment go test -tags experiment -count=1 -v -timeout 30m ./experiment
