Take pinectl's TLS and key from io/security

pinectl had its own flags for the key and the authority; they are now those of security.Operator, as the daemons will check them: keys over https only. A conflict with a change of just the wanted content says so, since a change repeated after an answer was lost meets its own first attempt.

The scripts now run over TLS with a key; seen to fail with another key (status 1).

--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -22,11 +22,8 @@
 type Client struct {
 	// Servers are the base URLs of daemons.
 	Servers []string
-	// HTTP carries the requests.
+	// HTTP carries the requests, and shows the operator's key if there is one.
 	HTTP *http.Client
-	// Token is the shared key of the operators, sent as a bearer token; "" sends
-	// none.
-	Token string
 	// Timeout bounds an order, and a question to all servers together.
 	Timeout time.Duration
 }
@@ -152,13 +149,7 @@
 // call makes one request.
 func call[T any](ctx context.Context, c *Client, create kithttp.CreateRequestFunc) (T, error) {
 	var none T
-	client := kithttp.NewExplicitClient(create, decodeAnswer[T], kithttp.SetClient(c.HTTP),
-		kithttp.ClientBefore(func(ctx context.Context, r *http.Request) context.Context {
-			if c.Token != "" {
-				r.Header.Set("Authorization", "Bearer "+c.Token)
-			}
-			return ctx
-		}))
+	client := kithttp.NewExplicitClient(create, decodeAnswer[T], kithttp.SetClient(c.HTTP))
 	answer, err := client.Endpoint()(ctx, nil)
 	if err != nil {
 		return none, err
--- a/io/pinectl/change.go
+++ b/io/pinectl/change.go
@@ -65,9 +65,15 @@
 func (t *tool) submit(ctx context.Context, order operator.ChangeFiles) (uint64, error) {
 	accepted, err := t.client.ChangeFiles(ctx, order)
 	var told *operator.Error
-	if err == nil || !errors.As(err, &told) || told.Code != operator.CodeUnknown {
+	if err == nil || !errors.As(err, &told) {
 		return accepted.Version, err
 	}
+	if told.Code == operator.CodeConflict {
+		t.compareConflict(ctx, order, told)
+	}
+	if told.Code != operator.CodeUnknown {
+		return 0, err
+	}
 	until := time.Now().Add(t.options.timeout)
 	for time.Now().Before(until) {
 		version, fateErr, known := t.fate(ctx, order)
@@ -81,6 +87,20 @@
 	return 0, err
 }
 
+// compareConflict adds to a conflict that the change which came first has
+// just the wanted content, as an earlier attempt would have.
+func (t *tool) compareConflict(ctx context.Context, order operator.ChangeFiles, told *operator.Error) {
+	file, err := t.client.File(ctx, told.File)
+	if err != nil {
+		return
+	}
+	for _, change := range order.Changes {
+		if change.Name == file.Name && !change.Remove && bytes.Equal(change.Content, file.Content) {
+			told.Detail = "it holds just what was asked for"
+		}
+	}
+}
+
 // fate looks for a change in the history. Each version of a file is replaced
 // once, so the change that replaced it is either this one or came first. A
 // file that did not exist may have been created more than once: only the
--- a/io/pinectl/failure.go
+++ b/io/pinectl/failure.go
@@ -91,7 +91,7 @@
 	switch told.Code {
 	case operator.CodeUnauthorized:
 		result.Message = "not authorized: " + told.Detail
-		result.Next = "check --key-file, and the certificate if the daemons want one"
+		result.Next = "check --operator-keys"
 	case operator.CodeRefused:
 		result.Message = "refused, nothing was changed: " + told.Detail
 		result.Next = "correct what is named and run the command again"
@@ -120,7 +120,11 @@
 	if told.Current == 0 {
 		return told.File + " does not exist any more"
 	}
-	return fmt.Sprintf("%s is now at version %d", told.File, told.Current)
+	text := fmt.Sprintf("%s is now at version %d", told.File, told.Current)
+	if told.Detail != "" {
+		text += "; " + told.Detail
+	}
+	return text
 }
 
 // tell prints a failure in the format that was asked for.
--- a/io/pinectl/fake_test.go
+++ b/io/pinectl/fake_test.go
@@ -13,11 +13,13 @@
 	"pineturn/core/record"
 	"pineturn/core/shard"
 	"pineturn/io/operator"
+	"pineturn/io/security"
 )
 
 // fake is a daemon that keeps the files in memory. Its mode says how it
 // fails.
 type fake struct {
+	keys    *security.Keys
 	mu      sync.Mutex
 	mode    string
 	next    uint64
@@ -26,8 +28,8 @@
 	drained map[record.Target]bool
 }
 
-func newFake() *fake {
-	return &fake{next: 10, files: map[string]operator.File{}, drained: map[record.Target]bool{}}
+func newFake(keys *security.Keys) *fake {
+	return &fake{keys: keys, next: 10, files: map[string]operator.File{}, drained: map[record.Target]bool{}}
 }
 
 func (f *fake) handler() http.Handler {
@@ -43,7 +45,7 @@
 }
 
 func (f *fake) authorize(r *http.Request) error {
-	if r.Header.Get("Authorization") != "Bearer secret" {
+	if !f.keys.Authorized(r) {
 		return errors.New("wrong key")
 	}
 	return nil
--- a/io/pinectl/pinectl_test.go
+++ b/io/pinectl/pinectl_test.go
@@ -1,7 +1,10 @@
 package pinectl
 
 import (
+	"bytes"
 	"context"
+	"encoding/base64"
+	"encoding/pem"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -11,6 +14,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"pineturn/core/clock"
+	"pineturn/io/security"
 )
 
 func TestMain(m *testing.M) {
@@ -40,15 +46,32 @@
 }
 
 func startFake(env *testscript.Env) error {
-	daemon := newFake()
-	server := httptest.NewServer(daemon.handler())
+	keys := filepath.Join(env.WorkDir, ".keys")
+	wrong := filepath.Join(env.WorkDir, ".wrong")
+	authority := filepath.Join(env.WorkDir, ".authority")
+	if err := errors.Join(writeKey(keys, 1), writeKey(wrong, 2)); err != nil {
+		return err
+	}
+	accepted, err := security.OpenKeys(keys, clock.System{})
+	if err != nil {
+		return err
+	}
+	daemon := newFake(accepted)
+	server := httptest.NewTLSServer(daemon.handler())
 	env.Defer(server.Close)
 	env.Values[fakeKey{}] = daemon
-	key := filepath.Join(env.WorkDir, ".key")
 	env.Setenv("PINETURN_SERVER", server.URL)
-	env.Setenv("PINETURN_KEY_FILE", key)
+	env.Setenv("PINETURN_OPERATOR_KEYS", keys)
+	env.Setenv("PINETURN_TLS_CA", authority)
 	env.Setenv("PINETURN_AUTHOR", "tester")
-	return os.WriteFile(key, []byte("secret\n"), 0o600)
+	block := pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}
+	return os.WriteFile(authority, pem.EncodeToMemory(&block), 0o600)
+}
+
+// writeKey writes a file with one key, all of whose bytes are the same.
+func writeKey(file string, part byte) error {
+	key := base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{part}, 32))
+	return os.WriteFile(file, []byte(key), 0o600)
 }
 
 func checkStatus(ts *testscript.TestScript, _ bool, args []string) {
