Serve requests through the daemon: the thin path as separate processes

Cause: entry, leaseholder and target client existed apart.

Seen and left: the first assignment went to the targets whose leaseholder had reported by then (two of three), and nothing evens it out yet; answers lack Pineturn-Target and Pineturn-Epoch.

--- a/cmd/pineturnd/main.go
+++ b/cmd/pineturnd/main.go
@@ -1,4 +1,10 @@
 // Command pineturnd is the daemon that runs on every host.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"pineturn/io/daemon"
+)
+
+func main() { os.Exit(daemon.Main(os.Args)) }
--- a/core/host/act.go
+++ b/core/host/act.go
@@ -3,12 +3,14 @@
 import (
 	"time"
 
+	"pineturn/core/config"
 	"pineturn/core/lease"
 	"pineturn/core/message"
 	"pineturn/core/outcome"
 	"pineturn/core/plan"
 	"pineturn/core/record"
 	"pineturn/core/route"
+	"pineturn/core/shard"
 )
 
 // Delays of what a host proposes by itself.
@@ -98,18 +100,37 @@
 	if !ok {
 		return route.Route{}, outcome.Refuse(outcome.UnknownService, service, 0)
 	}
+	return h.way(id, found)
+}
+
+// RouteShard finds where the requests of a shard go.
+func (h *Host) RouteShard(id shard.ID) (route.Route, *outcome.Error) {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if !h.known() {
+		return route.Route{}, outcome.Refuse(outcome.NotReady, "no state yet", retryAfter)
+	}
+	found, ok := h.state.Config().Service(id.Service)
+	if !ok {
+		return route.Route{}, outcome.Refuse(outcome.UnknownService, id.Service, 0)
+	}
+	return h.way(id, found)
+}
+
+// way returns the owner of a shard and its leaseholder.
+func (h *Host) way(id shard.ID, service *config.Service) (route.Route, *outcome.Error) {
 	owned := h.state.Shard(id)
-	target, ok := found.Target(owned.Target)
+	target, ok := service.Target(owned.Target)
 	if !ok {
-		return route.Route{Service: found, Shard: id}, outcome.Refuse(outcome.NoOwner, id.String(), retryAfter)
+		return route.Route{Service: service, Shard: id}, outcome.Refuse(outcome.NoOwner, id.String(), retryAfter)
 	}
 	logged := h.state.Target(target.ID())
 	holder, ok := h.state.Members().Find(logged.Holder)
 	if !ok {
-		return route.Route{Service: found, Shard: id}, outcome.Refuse(outcome.NoOwner, "no leaseholder of "+target.ID().String(), retryAfter)
+		return route.Route{Service: service, Shard: id}, outcome.Refuse(outcome.NoOwner, "no leaseholder of "+target.ID().String(), retryAfter)
 	}
 	return route.Route{
-		Service: found, Target: target, Shard: id, Epoch: owned.Epoch, Holder: holder, Term: logged.Term,
+		Service: service, Target: target, Shard: id, Epoch: owned.Epoch, Holder: holder, Term: logged.Term,
 	}, nil
 }
 
--- a/core/host/beat.go
+++ b/core/host/beat.go
@@ -7,14 +7,11 @@
 	"pineturn/core/record"
 )
 
-// Ping is the heartbeat to send at now, and the members to send it to.
-func (h *Host) Ping(now time.Time) (message.Ping, []record.Member) {
+// Beats lists the members that heartbeats are to be sent to.
+func (h *Host) Beats() []record.Member {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	members := h.state.Members()
-	ping := message.Ping{
-		Next: h.state.Next(), Suspects: h.tracker.Suspects(members, now), Leaving: h.leaving,
-	}
 	var others []record.Member
 	seen := map[record.Incarnation]bool{h.self.Incarnation: true}
 	for _, list := range [][]record.Member{members.Current(), members.Before()} {
@@ -26,7 +23,7 @@
 			seen[one.Incarnation] = true
 		}
 	}
-	return ping, others
+	return others
 }
 
 // OnPing answers a heartbeat. A host that does not know its own membership
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -204,7 +204,7 @@
 	var running []record.Member
 	for _, one := range members.Current() {
 		_, gone := t.gone[one.Incarnation]
-		if !gone && !(t.unlisted(one.Incarnation) && t.Suspected(one.Incarnation, now)) {
+		if !gone && (!t.unlisted(one.Incarnation) || !t.Suspected(one.Incarnation, now)) {
 			running = append(running, one)
 		}
 	}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -42,17 +42,12 @@
 	Leads   *Led          `cbor:"7,keyasint,omitempty"`
 }
 
-// Ping is a heartbeat. It tells how far the sender has folded the log and
-// which members it suspects.
-type Ping struct {
-	Next     uint64               `cbor:"1,keyasint"`
-	Suspects []record.Incarnation `cbor:"2,keyasint,omitempty"`
-	Leaving  bool                 `cbor:"3,keyasint,omitempty"`
-}
+// Ping is a heartbeat; its answer tells what the asking host wants to know.
+type Ping struct{}
 
 // Pong answers a Ping. Next is the first offset that the answering host has
-// not folded; a Next no higher than the question's confirms that the sender
-// is as current as the answering host.
+// not folded: an asking host that has folded up to it knows nothing older.
+// Suspects are the members that the answering host suspects to be lost.
 type Pong struct {
 	From    record.Incarnation `cbor:"1,keyasint"`
 	Next    uint64             `cbor:"2,keyasint"`
--- a/io/daemon/beater.go
+++ b/io/daemon/beater.go
@@ -37,10 +37,9 @@
 func (b *beater) run(ctx context.Context) {
 	defer b.flying.Wait()
 	every(ctx, member.DefaultInterval, b.wake, func(ctx context.Context) {
-		ping, others := b.host.Ping(b.now())
-		for _, to := range others {
+		for _, to := range b.host.Beats() {
 			if b.claim(to.Incarnation) {
-				b.flying.Go(func() { b.beat(ctx, to, ping) })
+				b.flying.Go(func() { b.beat(ctx, to) })
 			}
 		}
 	})
@@ -63,12 +62,12 @@
 	delete(b.beating, id)
 }
 
-func (b *beater) beat(ctx context.Context, to record.Member, ping message.Ping) {
+func (b *beater) beat(ctx context.Context, to record.Member) {
 	defer b.unclaim(to.Incarnation)
 	timed, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	asked := b.now()
-	reply, err := b.call(timed, to, &message.Call{Ping: &ping})
+	reply, err := b.call(timed, to, &message.Call{Ping: &message.Ping{}})
 	if err != nil || reply.Ping == nil {
 		b.counts.beats.WithLabelValues("failed").Add(1)
 		b.replaced(to.Incarnation, err)
--- a/io/daemon/metrics.go
+++ b/io/daemon/metrics.go
@@ -63,7 +63,7 @@
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "pineturn", Name: "request_seconds", Help: "Time from a caller's request to the head of its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
-		}, []string{"service"}),
+		}, []string{"service", "outcome"}),
 	}
 	m.registry.MustRegister(
 		m.logReads, m.logFailures, m.logUp, m.appends, m.appendFailures, m.appendBytes, m.foldedOps, m.snapshots,
--- /dev/null
+++ b/io/daemon/requests.go
@@ -0,0 +1,191 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	kitprometheus "github.com/go-kit/kit/metrics/prometheus"
+
+	"pineturn/core/admit"
+	"pineturn/core/dispatch"
+	"pineturn/core/fold"
+	"pineturn/core/host"
+	"pineturn/core/message"
+	"pineturn/core/once"
+	"pineturn/core/outcome"
+	"pineturn/core/record"
+	"pineturn/core/retry"
+	"pineturn/core/route"
+	"pineturn/core/shard"
+	"pineturn/io/caller"
+)
+
+// requests joins the two ends of a request's way: entry and holder.
+type requests struct {
+	host   *host.Host
+	peers  callFunc
+	now    nowFunc
+	memory *once.Memory
+	entry  *dispatch.Entry
+	holder *dispatch.Holder
+	counts *metrics
+	daemon *Daemon
+}
+
+func newRequests(d *Daemon) *requests {
+	r := &requests{
+		host: d.host, peers: d.peers.Call, now: d.now, counts: d.counts, daemon: d,
+		memory: once.New(d.clock, once.Options{}),
+	}
+	r.holder = &dispatch.Holder{
+		Self: d.host.Self(), Clock: d.clock, Memory: r.memory,
+		Find: r.find, Permit: r.permit, Send: d.targets.Send, Members: r.members, Witness: r.witness, Recall: r.recall,
+	}
+	r.entry = &dispatch.Entry{
+		Self: d.host.Self(), Clock: d.clock, Memory: r.memory, Budget: retry.New(d.clock),
+		Route: d.host.Route, Changed: d.host.Changed, Local: r.holder.Serve, Forward: d.peers.Request,
+	}
+	return r
+}
+
+// handler serves callers.
+func (r *requests) handler() http.Handler {
+	entry := caller.Entry{Handle: r.entry.Handle, MaxBody: r.maxBody}
+	instrument := caller.Instrument(
+		r.daemon.clock, kitprometheus.NewCounter(r.counts.requests), kitprometheus.NewHistogram(r.counts.latency),
+	)
+	return r.closing(caller.NewHandler(entry, instrument))
+}
+
+// closing asks callers of a leaving host to open their next connection
+// elsewhere.
+func (r *requests) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if r.host.Leaving() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
+// run drops the queues of targets that this host no longer leads, whenever
+// the state changes.
+func (r *requests) run(ctx context.Context) {
+	for {
+		changed := r.host.Changed()
+		for target := range r.holder.Load() {
+			holder, ok := r.host.HolderOf(target)
+			if !ok || holder.Incarnation != r.host.Self().Incarnation {
+				r.holder.Drop(target)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (r *requests) maxBody(service string) (int64, bool) {
+	var (
+		size int64
+		ok   bool
+	)
+	r.host.Read(func(state *fold.State) {
+		found, known := state.Config().Service(service)
+		if ok = known; known {
+			size = found.MaxBody()
+		}
+	})
+	return size, ok
+}
+
+// onRequest serves a request that another host passed on.
+func (r *requests) onRequest(ctx context.Context, from record.Member, req *message.Request) (*message.Answer, *outcome.Error) {
+	return r.holder.Serve(ctx, from, req)
+}
+
+// onWitness remembers the id of a request that must not be repeated.
+func (r *requests) onWitness(ask *message.Witness) (*message.Reply, error) {
+	answer, ok := r.memory.Witness(*ask)
+	if !ok {
+		return nil, errors.New("too many ids are remembered here")
+	}
+	return &message.Reply{Witness: &answer}, nil
+}
+
+// onRecall lists the ids that this host remembers.
+func (r *requests) onRecall(from record.Member, ask *message.Recall) (*message.Reply, error) {
+	answer := r.memory.Recall(from.Incarnation, *ask)
+	return &message.Reply{Recall: &answer}, nil
+}
+
+// witness asks another host to remember an id.
+func (r *requests) witness(ctx context.Context, to record.Member, ask message.Witness) (message.Witnessed, error) {
+	reply, err := r.peers(ctx, to, &message.Call{Witness: &ask})
+	if err != nil {
+		return message.Witnessed{}, errors.Wrap(err, "ask a witness")
+	}
+	if reply.Witness == nil {
+		return message.Witnessed{}, errors.New("ask a witness: no answer of that kind")
+	}
+	return *reply.Witness, nil
+}
+
+// recall asks another host which ids it remembers.
+func (r *requests) recall(ctx context.Context, to record.Member, ask message.Recall) (message.Recalled, error) {
+	reply, err := r.peers(ctx, to, &message.Call{Recall: &ask})
+	if err != nil {
+		return message.Recalled{}, errors.Wrap(err, "recall ids")
+	}
+	if reply.Recall == nil {
+		return message.Recalled{}, errors.New("recall ids: no answer of that kind")
+	}
+	return *reply.Recall, nil
+}
+
+// find returns the present way of a shard.
+func (r *requests) find(id shard.ID) (route.Route, *outcome.Error) { return r.host.RouteShard(id) }
+
+// permit allows one request to be sent, and counts it until it has ended.
+func (r *requests) permit(id shard.ID, epoch uint64, key string) (route.Permit, func(), *outcome.Error) {
+	start := r.now()
+	permit, target, refused := r.host.Leases().Permit(id, epoch, key, start)
+	if refused != nil {
+		return permit, nil, refused
+	}
+	done := func() {
+		r.host.Leases().Done(target, permit.Term, id, key, r.now().Sub(start))
+		signal(r.daemon.keeper.wake)
+	}
+	return permit, done, nil
+}
+
+// members lists the members of the cluster.
+func (r *requests) members() []record.Member {
+	var list []record.Member
+	r.host.Read(func(state *fold.State) { list = append(list, state.Members().Current()...) })
+	return list
+}
+
+// requestsDump is what a dump shows of requests.
+type requestsDump struct {
+	Entry    dispatch.EntryCounts  `json:"entry"`
+	Holder   dispatch.HolderCounts `json:"holder"`
+	Queues   map[string]admit.Load `json:"queues"`
+	IDs      int                   `json:"ids_remembered"`
+	InFlight int                   `json:"in_flight"`
+}
+
+func (r *requests) dump() requestsDump {
+	out := requestsDump{
+		Entry: r.entry.Counts(), Holder: r.holder.Counts(), Queues: map[string]admit.Load{},
+		IDs: r.memory.Len(), InFlight: r.host.Leases().InFlight(),
+	}
+	for target, load := range r.holder.Load() {
+		out.Queues[target.String()] = load
+	}
+	return out
+}
