Tell a reused request id from a retry, and name who answered

Cause: the kept answer of a request that must not be repeated went to any request with the same id; another caller that used the id would have got an answer that is not its own.

Ruled out: a digest in the memory of entries and witnesses, as they keep no answers; there such a request is told 'unknown, duplicate', as before. Seen to fail with the comparison off: got an answer, want not run.

--- a/core/dispatch/cluster_test.go
+++ b/core/dispatch/cluster_test.go
@@ -165,7 +165,7 @@
 	return c.changed
 }
 
-func (c *cluster) permit(shard.ID, uint64) (route.Permit, func(), *outcome.Error) {
+func (c *cluster) permit(shard.ID, uint64, string) (route.Permit, func(), *outcome.Error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return route.Permit{Epoch: c.way.Epoch, Term: c.way.Term, Until: time.Now().Add(time.Minute)}, func() {}, nil
--- a/core/dispatch/once.go
+++ b/core/dispatch/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"time"
 
@@ -19,7 +20,7 @@
 // that a host in another failure domain knows it too. The permit was got
 // before, so no earlier leaseholder can send the request any more.
 func (r *run) begin(ctx context.Context) (*once.Answer, *outcome.Error) {
-	memory, req := r.holder.Memory, onceRequest(r.way, &r.req)
+	memory, req := r.holder.Memory, digested(r.way, &r.req)
 	id, epoch, term := r.req.Shard, r.permit.Epoch, r.permit.Term
 	if !memory.Ready(id, epoch, term) || memory.Collected(req.Service, req.ID) {
 		if failure := r.collect(ctx); failure != nil {
@@ -34,6 +35,18 @@
 	return nil, r.witness(ctx)
 }
 
+// digested names a request with the digest of its content.
+func digested(way route.Route, req *message.Request) once.Request {
+	named := onceRequest(way, req)
+	hash := sha256.New()
+	for _, part := range []string{req.Method, req.Path, req.Key} {
+		_, _ = fmt.Fprintf(hash, "%d:%s", len(part), part)
+	}
+	_, _ = hash.Write(req.Body)
+	hash.Sum(named.Digest[:0])
+	return named
+}
+
 // collect asks the other hosts for the ids of the shard, once for all
 // requests that need it at the moment, and renews the permit.
 func (r *run) collect(ctx context.Context) *outcome.Error {
--- a/core/dispatch/once_test.go
+++ b/core/dispatch/once_test.go
@@ -59,6 +59,16 @@
 		checkFailure(t, failure, outcome.Unknown, outcome.Duplicate)
 		c.checkRuns(t, 1)
 	})
+	t.Run("id used for another request", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		body, failure := c.handle(1, payout("r1"))
+		checkOK(t, body, failure)
+		other := payout("r1")
+		other.Body = []byte("another caller's")
+		_, failure = c.handle(2, other)
+		checkFailure(t, failure, outcome.NotRun, outcome.BadRequest)
+		c.checkRuns(t, 1)
+	})
 	t.Run("not run is free again", func(t *testing.T) {
 		c := newCluster(t, 3, 3)
 		c.target = c.answerShed
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pineturn/core/admit"
+	"pineturn/core/header"
 	"pineturn/core/message"
 	"pineturn/core/once"
 	"pineturn/core/outcome"
@@ -63,7 +64,7 @@
 // repeated its id. It returns the kept answer of an earlier attempt, if any.
 func (r *run) prepare(ctx context.Context) (*once.Answer, *outcome.Error) {
 	if r.req.Once {
-		if kept, failure := r.holder.Memory.Seen(onceRequest(r.way, &r.req)); kept != nil || failure != nil {
+		if kept, failure := r.holder.Memory.Seen(digested(r.way, &r.req)); kept != nil || failure != nil {
 			return kept, failure
 		}
 	}
@@ -83,6 +84,11 @@
 
 // deliver returns an answer. A short one is read whole first.
 func (r *run) deliver(answer *message.Answer) (*message.Answer, *outcome.Error) {
+	if answer.Head.Header == nil {
+		answer.Head.Header = make(map[string][]string, 2)
+	}
+	answer.Head.Header[header.Target] = []string{r.way.Target.ID().String()}
+	answer.Head.Header[header.Epoch] = []string{strconv.FormatUint(r.permit.Epoch, 10)}
 	length := contentLength(answer.Head.Header)
 	if length < 0 || length > maxBuffered {
 		answer.Body = &runBody{run: r, inner: answer.Body}
@@ -199,8 +205,8 @@
 }
 
 // contentLength returns the length that an answer's header states, or -1.
-func contentLength(header http.Header) int64 {
-	values := header["Content-Length"]
+func contentLength(fields http.Header) int64 {
+	values := fields["Content-Length"]
 	if len(values) != 1 {
 		return -1
 	}
--- a/core/once/change.go
+++ b/core/once/change.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"crypto/sha256"
 	"time"
 
 	"pineturn/core/message"
@@ -17,14 +18,19 @@
 )
 
 // Request names a request that must not be repeated. Window is how long its
-// id is remembered.
+// id is remembered. Digest tells its content from that of another request
+// that a caller gave the same id; it is needed to begin.
 type Request struct {
 	Service string
 	Key     string
 	ID      string
 	Window  time.Duration
+	Digest  Digest
 }
 
+// Digest is the SHA-256 of a request's content.
+type Digest [sha256.Size]byte
+
 func (r Request) name() name { return name{r.Service, r.ID} }
 
 // Claim is this host's hold of an id while one attempt is in flight. Finish
@@ -73,18 +79,20 @@
 		if known == nil {
 			return nil, nil, outcome.Refuse(outcome.Overloaded, "too many ids to remember", retryFull)
 		}
-	} else if answer, failure := known.duplicate(); answer != nil || failure != nil {
+	} else if answer, failure := known.duplicate(req.Digest); answer != nil || failure != nil {
 		return nil, answer, failure
 	}
 	m.extend(known, req.Window)
-	known.sending = true
+	known.sending, known.digest = true, req.Digest
 	return &Claim{memory: m, entry: known, send: true}, nil, nil
 }
 
 // duplicate answers a retry of an id that is in flight or may have run. It
 // returns nothing for an id that this host has only forwarded.
-func (e *entry) duplicate() (*Answer, *outcome.Error) {
+func (e *entry) duplicate(digest Digest) (*Answer, *outcome.Error) {
 	switch {
+	case e.digest != Digest{} && e.digest != digest:
+		return nil, outcome.Refuse(outcome.BadRequest, "the request id was used for another request", 0)
 	case e.answer != nil:
 		return e.answer, nil
 	case e.sending:
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -62,6 +62,8 @@
 	kept bool
 	// sending is set while this host, as the leaseholder, handles it.
 	sending bool
+	// digest is the content of the request that was begun here.
+	digest Digest
 	// witness is set when another leaseholder asked to remember the id.
 	witness bool
 	// sources lists the hosts that remembered the id when it was collected.
--- a/core/once/query.go
+++ b/core/once/query.go
@@ -58,7 +58,7 @@
 	if known == nil || (known.answer == nil && !known.sending && !known.kept) {
 		return nil, nil
 	}
-	return known.duplicate()
+	return known.duplicate(req.Digest)
 }
 
 // Collected reports that an id is known only because another host remembered
