--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -186,7 +188,8 @@
 // go test shows when the script failed.
 func (s *state) end(t testscript.T) {
 	var all error
-	for name, started := range s.processes {
+	for _, name := range slices.Sorted(maps.Keys(s.processes)) {
+		started := s.processes[name]
 		if started.alive() {
 			started.kill()
 		}
