--- a/core/host/act.go
+++ b/core/host/act.go
@@ -141,17 +141,15 @@
 	return h.state.Members().Find(h.state.Target(target).Holder)
 }
 
-// loadHalfLife is how fast the measured load of a shard follows a change.
-const loadHalfLife = 2 * time.Second
-
 // Report is what this host observes of the targets that it leads.
 func (h *Host) Report(now time.Time) message.Report {
 	var report message.Report
 	for _, status := range h.leases.Statuses(now) {
+		shards, keys := h.leases.Load(status.Target, now)
 		report.Targets = append(report.Targets, message.TargetReport{
 			Target: status.Target, Term: status.Term, Alive: status.Alive, Lost: status.Lost,
 			Draining: status.Health == healthDraining, Cold: status.Health == healthCold,
-			Shards: h.leases.Load(status.Target, now, loadHalfLife),
+			Shards: shards, Hot: keys,
 		})
 	}
 	return report
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -55,7 +55,7 @@
 	return &Host{
 		self: self, state: fold.New(),
 		tracker: member.New(self.Incarnation, options.Suspicion, now),
-		planner: plan.New(self.Incarnation, now),
+		planner: plan.New(self.Incarnation),
 		leases:  lease.New(self.Incarnation, options.Lease),
 		changed: make(chan struct{}),
 	}
--- a/core/host/model_test.go
+++ b/core/host/model_test.go
@@ -344,7 +344,9 @@
 		}
 		page := append([][]byte(nil), h.w.log[min(int(from), len(h.w.log)):]...)
 		h.w.after(h.w.delay(), func() {
-			h.handle(func() { h.take(from, page, sent) })
+			if h.run == run {
+				h.handle(func() { h.take(from, page, sent) })
+			}
 			h.readDone(run)
 		})
 	})
@@ -428,18 +430,15 @@
 		}
 	}
 	asked := h.clock()
-	h.call(other, func() {
+	h.ask(other, func(reply func(run func())) {
 		if other.run != to.Incarnation.Run {
-			got := other.run
-			h.reply(other, func() {
-				if got > to.Incarnation.Run {
-					h.host.OnReplaced(to.Incarnation, h.clock())
-				}
-			})
+			if got := other.run; got > to.Incarnation.Run {
+				reply(func() { h.host.OnReplaced(to.Incarnation, h.clock()) })
+			}
 			return
 		}
 		pong := other.host.OnPing(other.clock())
-		h.reply(other, func() {
+		reply(func() {
 			if h.host.OnPong(pong, asked, h.clock()) && pong.Ready {
 				h.catchUp(other)
 			}
@@ -447,7 +446,7 @@
 	})
 }
 
-// call runs at another host what this one asks it.
+// call runs at another host what this one sends it.
 func (h *simHost) call(other *simHost, run func()) {
 	h.w.after(h.w.delay(), func() {
 		if !h.w.cut("peer", min(h.index, other.index), max(h.index, other.index)) {
@@ -456,21 +455,34 @@
 	})
 }
 
-func (h *simHost) reply(other *simHost, run func()) { other.call(h, run) }
+// ask runs a question at another host. A reply that finds the asking host
+// restarted is lost, as its connection was.
+func (h *simHost) ask(other *simHost, question func(reply func(run func()))) {
+	asker := h.run
+	h.call(other, func() {
+		question(func(run func()) {
+			other.call(h, func() {
+				if h.run == asker {
+					run()
+				}
+			})
+		})
+	})
+}
 
 func (h *simHost) catchUp(other *simHost) {
 	from := h.host.Next()
-	h.call(other, func() {
-		reply, err := other.host.OnCatchup(from)
+	h.ask(other, func(reply func(run func())) {
+		answer, err := other.host.OnCatchup(from)
 		if err != nil {
 			return
 		}
-		h.reply(other, func() {
-			if len(reply.Snapshot) > 0 {
-				_ = h.host.Restore(reply.Snapshot, reply.Digest, h.clock())
+		reply(func() {
+			if len(answer.Snapshot) > 0 {
+				_ = h.host.Restore(answer.Snapshot, answer.Digest, h.clock())
 				return
 			}
-			h.fold(reply.Records)
+			h.fold(answer.Records)
 		})
 	})
 }
@@ -494,9 +506,9 @@
 }
 
 func (h *simHost) question(other *simHost, question lease.Question) {
-	h.call(other, func() {
+	h.ask(other, func(reply func(run func())) {
 		shards := other.host.OnRelease(question.Release, other.clock()).Shards
-		h.reply(other, func() { h.host.Leases().LetGo(question, shards) })
+		reply(func() { h.host.Leases().LetGo(question, shards) })
 	})
 }
 
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -16,6 +16,7 @@
 
 	"pineturn/core/config"
 	"pineturn/core/fold"
+	"pineturn/core/hot"
 	"pineturn/core/member"
 	"pineturn/core/record"
 	"pineturn/core/shard"
@@ -73,6 +74,7 @@
 	spent      map[shard.ID]time.Duration
 	load       map[shard.ID]float64
 	measured   time.Time
+	hot        *hot.Sketch
 }
 
 type keyOf struct {
@@ -164,7 +166,7 @@
 		version: target.Term << 32, dirty: true,
 		wanted: map[shard.ID]entry{}, pending: map[shard.ID]*handover{},
 		flying: map[shard.ID]int{}, flyingKeys: map[keyOf]int{}, spent: map[shard.ID]time.Duration{},
-		load: map[shard.ID]float64{},
+		load: map[shard.ID]float64{}, hot: hot.New(sketchKeys, loadHalfLife),
 	}
 }
 
--- a/core/lease/options.go
+++ b/core/lease/options.go
@@ -21,6 +21,12 @@
 	settleInterval = time.Second
 	// minLeft is the shortest grant worth sending.
 	minLeft = 50 * time.Millisecond
+	// loadHalfLife is how fast the measured loads follow a change.
+	loadHalfLife = 2 * time.Second
+	// sketchKeys is how many keys of a target are counted at once, and
+	// reportedKeys how many of them are reported.
+	sketchKeys   = 256
+	reportedKeys = 16
 	// negligible is the load, in slots, below which a shard is not reported.
 	negligible = 0.0005
 )
--- a/core/lease/permit.go
+++ b/core/lease/permit.go
@@ -66,8 +66,9 @@
 	return false
 }
 
-// Done records that a request, permitted under term, has ended after spent.
-func (t *Table) Done(target record.Target, term uint64, id shard.ID, key string, spent time.Duration) {
+// Done records that a request, permitted under term, has ended at now after
+// spent.
+func (t *Table) Done(target record.Target, term uint64, id shard.ID, key string, spent time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.targets[target]
@@ -77,6 +78,7 @@
 	drop(h.flying, id)
 	drop(h.flyingKeys, keyOf{shard: id, key: key})
 	h.spent[id] += spent
+	h.hot.Add(now, key, spent.Seconds())
 	if _, wanted := h.wanted[id]; !wanted && h.flying[id] == 0 {
 		h.dirty = true
 	}
@@ -103,23 +105,30 @@
 	return total
 }
 
-// Load returns the load of each shard of a held target: how many slots its
-// requests took up on average, with the given half-life. It is to be called
-// at regular times.
-func (t *Table) Load(target record.Target, now time.Time, halfLife time.Duration) []message.ShardLoad {
+// Load returns how many slots the requests of each shard and of the hottest
+// keys of a held target took up on average. It is to be called at regular
+// times.
+func (t *Table) Load(target record.Target, now time.Time) ([]message.ShardLoad, []message.HotKey) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.targets[target]
 	if h == nil {
-		return nil
+		return nil, nil
 	}
-	h.measure(now, halfLife)
-	list := make([]message.ShardLoad, 0, len(h.load))
+	h.measure(now, loadHalfLife)
+	shards := make([]message.ShardLoad, 0, len(h.load))
 	for id, busy := range h.load {
-		list = append(list, message.ShardLoad{Shard: id, Busy: busy})
+		shards = append(shards, message.ShardLoad{Shard: id, Busy: busy})
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Shard.Less(list[j].Shard) })
-	return list
+	sort.Slice(shards, func(i, j int) bool { return shards[i].Shard.Less(shards[j].Shard) })
+	top, _ := h.hot.Top(now, reportedKeys)
+	var keys []message.HotKey
+	for _, key := range top {
+		if busy := key.Load() - key.Error(); busy > negligible {
+			keys = append(keys, message.HotKey{Key: key.Name(), Busy: busy})
+		}
+	}
+	return shards, keys
 }
 
 // measure folds the time spent since the last measurement into the load.
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -42,8 +42,11 @@
 	Leads   *Led          `cbor:"7,keyasint,omitempty"`
 }
 
-// Ping is a heartbeat; its answer tells what the asking host wants to know.
-type Ping struct{}
+// Ping is a heartbeat. Next is the first offset that the sender has not
+// folded, so that a host which can't read the log learns that it is behind.
+type Ping struct {
+	Next uint64 `cbor:"1,keyasint"`
+}
 
 // Pong answers a Ping. Next is the first offset that the answering host has
 // not folded: an asking host that has folded up to it knows nothing older.
@@ -178,9 +181,9 @@
 
 // HotKey is a key that takes up a large part of its target.
 type HotKey struct {
-	Shard shard.ID `cbor:"1,keyasint"`
-	Key   string   `cbor:"2,keyasint"`
-	Busy  float64  `cbor:"3,keyasint"`
+	Key string `cbor:"1,keyasint"`
+	// Busy is the share of one slot that the key's requests take up.
+	Busy float64 `cbor:"2,keyasint"`
 }
 
 // Request is a caller's request on its way to the leaseholder of its target.
--- a/core/plan/assign.go
+++ b/core/plan/assign.go
@@ -1,45 +1,13 @@
 package plan
 
 import (
-	"sort"
-
+	"pineturn/core/balance"
 	"pineturn/core/config"
 	"pineturn/core/fold"
 	"pineturn/core/record"
 	"pineturn/core/shard"
 )
 
-// condition is what the planner takes a target to be able to do.
-type condition uint8
-
-const (
-	// unknown targets keep their shards and get none.
-	unknown condition = iota
-	// serving targets keep and get shards.
-	serving
-	// leaving targets lose their shards step by step.
-	leaving
-	// dead targets lose their shards at once.
-	dead
-)
-
-// condition judges a target by the configuration, the log and the latest
-// report of its leaseholder.
-func (p *Planner) condition(in Input, target *config.Target) condition {
-	logged := in.State.Target(target.ID())
-	known, ok := p.reports[target.ID()]
-	fresh := ok && known.Term == logged.Term && in.Now.Sub(known.at) < reportAge
-	switch {
-	case fresh && known.Lost:
-		return dead
-	case target.Drain() || logged.Drain || fresh && known.Draining:
-		return leaving
-	case fresh && known.Alive:
-		return serving
-	}
-	return unknown
-}
-
 // assign proposes owners for shards, service by service.
 func (p *Planner) assign(in Input) []record.Op {
 	var ops []record.Op
@@ -49,127 +17,180 @@
 	return ops
 }
 
-// assignService moves shards that have no owner, or one that is dead, leaving
-// or no longer eligible. Shards whose handover is still under way stay put
-// unless their new owner died.
+// assignService has the shards of one service placed, and turns the decision
+// into operations.
 func (p *Planner) assignService(in Input, service *config.Service) []record.Op {
-	view := newView(in.State, service)
-	for _, target := range service.Targets() {
-		view.conditions[target.ID().Name] = p.condition(in, target)
+	view := p.view(in, service)
+	if view.unowned && view.unknown && !p.waited(in, service) {
+		return nil
 	}
+	decision := balance.Plan(view.input(service))
+	level := in.Now.Sub(p.levels[service.Name()]) >= levelAfter
 	var ops []record.Op
-	budget := service.MaxMoves() - view.moving
-	for _, id := range view.ids {
-		owned := in.State.Shard(id)
-		group, ok := service.GroupNamed(id.Group)
-		if !ok {
+	leveled := false
+	for _, move := range decision.Moves {
+		owned := in.State.Shard(move.Shard)
+		byChoice := move.Why == balance.WhyImbalance
+		if byChoice && (!level || len(owned.Former) > 0) {
 			continue
 		}
-		why := view.reason(group, owned)
-		if why == "" {
-			continue
-		}
-		if byChoice(why) && (len(owned.Former) > 0 || budget <= 0) {
-			continue
-		}
-		chosen, found := view.choose(group, id)
-		if !found {
-			continue
-		}
-		if byChoice(why) {
-			budget--
+		leveled = leveled || byChoice
+		ops = append(ops, record.Op{Assign: &record.Assign{
+			Shard: move.Shard, Target: move.To, Expect: owned.Epoch, Why: move.Why,
+		}})
+	}
+	if level && view.hot < maxHot {
+		for _, split := range decision.Splits {
+			leveled = true
+			ops = append(ops, record.Op{Split: &record.Split{
+				Shard: split.Shard, Expect: in.State.Shard(split.Shard.Parent()).Epoch,
+			}})
 		}
-		view.load[chosen]++
-		ops = append(ops, record.Op{Assign: &record.Assign{Shard: id, Target: chosen, Expect: owned.Epoch, Why: why}})
 	}
-	return ops
+	if leveled {
+		p.levels[service.Name()] = in.Now
+	}
+	return append(ops, p.merge(in, view)...)
 }
 
-// The reasons for which a shard is given to another target.
-const (
-	whyUnowned    = "no owner yet"
-	whyDead       = "owner does not answer"
-	whyLeaving    = "owner is leaving"
-	whyIneligible = "rules exclude the owner"
-)
-
-// byChoice reports whether a move can wait for others to end.
-func byChoice(why string) bool { return why == whyLeaving || why == whyIneligible }
+// waited reports whether a new service has waited long enough for reports of
+// its targets.
+func (p *Planner) waited(in Input, service *config.Service) bool {
+	since, ok := p.seen[service.Name()]
+	if !ok {
+		since = in.Now
+		p.seen[service.Name()] = since
+	}
+	return in.Now.Sub(since) >= settleAfter
+}
 
 // view is one service as a round sees it.
 type view struct {
-	ids        []shard.ID
-	conditions map[string]condition
-	load       map[string]int
-	slots      map[string]int
-	moving     int
+	targets []balance.Target
+	shards  []balance.Shard
+	group   map[string]*config.Group
+	moving  int
+	hot     int
+	unowned bool
+	unknown bool
 }
 
-func newView(state *fold.State, service *config.Service) *view {
-	v := &view{conditions: map[string]condition{}, load: map[string]int{}, slots: map[string]int{}}
+// view collects what is known of a service. Targets of which no report is at
+// hand, and the shards that they own, are left out: they stay as they are.
+func (p *Planner) view(in Input, service *config.Service) *view {
+	v := &view{group: map[string]*config.Group{}}
+	silent := map[string]bool{}
+	loads := map[shard.ID]float64{}
+	keys := map[shard.ID][]balance.Key{}
 	for _, target := range service.Targets() {
-		v.slots[target.ID().Name] = target.Slots()
+		state, ok := p.condition(in, target)
+		if !ok {
+			silent[target.ID().Name] = true
+			v.unknown = true
+			continue
+		}
+		v.targets = append(v.targets, balance.Target{
+			Name: target.ID().Name, Capacity: float64(target.Slots()), State: state,
+		})
+		p.addLoads(in.State, target.ID(), loads, keys)
+	}
+	for _, group := range service.Groups() {
+		v.group[group.Name()] = group
 	}
 	for _, id := range fold.RangeShards(service) {
-		v.add(state, id)
-		for _, key := range state.HotKeys(id) {
+		v.add(in.State, id, silent, loads, keys)
+		for _, key := range in.State.HotKeys(id) {
 			hot := id
 			hot.Key = key
-			v.add(state, hot)
+			v.hot++
+			v.add(in.State, hot, silent, loads, keys)
 		}
 	}
 	return v
 }
 
-func (v *view) add(state *fold.State, id shard.ID) {
-	owned := state.Shard(id)
-	v.ids = append(v.ids, id)
-	v.load[owned.Target]++
-	if len(owned.Former) > 0 {
-		v.moving++
+// condition judges a target by the configuration, the log and the latest
+// report of its leaseholder; false when there is none.
+func (p *Planner) condition(in Input, target *config.Target) (balance.State, bool) {
+	logged := in.State.Target(target.ID())
+	known, ok := p.reports[target.ID()]
+	fresh := ok && known.Term == logged.Term && in.Now.Sub(known.at) < reportAge
+	switch {
+	case fresh && known.Lost:
+		return balance.Lost, true
+	case target.Drain() || logged.Drain || fresh && known.Draining:
+		return balance.Draining, true
+	case fresh && known.Alive && known.Cold:
+		return balance.Cold, true
+	case fresh && known.Alive:
+		return balance.Ready, true
 	}
+	return 0, false
 }
 
-// reason says why a shard needs another owner; empty when it does not.
-func (v *view) reason(group *config.Group, owned fold.Shard) string {
-	state, listed := v.conditions[owned.Target]
-	switch {
-	case owned.Target == "":
-		return whyUnowned
-	case !listed || !group.Eligible(owned.Target):
-		return whyIneligible
-	case state == dead:
-		return whyDead
-	case state == leaving:
-		return whyLeaving
-	}
-	return ""
+// addLoads adds what a target's leaseholder measured.
+func (p *Planner) addLoads(state *fold.State, id record.Target, loads map[shard.ID]float64, keys map[shard.ID][]balance.Key) {
+	known := p.reports[id]
+	for _, load := range known.Shards {
+		loads[load.Shard] += load.Busy
+	}
+	for _, key := range known.Hot {
+		holder, _, ok := state.Locate(id.Service, key.Key)
+		if ok && holder.Key == "" {
+			keys[holder] = append(keys[holder], balance.Key{Name: key.Key, Load: key.Busy})
+		}
+	}
 }
 
-// choose picks the eligible serving target with the fewest shards for its
-// slots; ties go by rendezvous hash.
-func (v *view) choose(group *config.Group, id shard.ID) (string, bool) {
-	var names []string
-	for _, target := range group.Targets() {
-		if v.conditions[target.ID().Name] == serving {
-			names = append(names, target.ID().Name)
-		}
+func (v *view) add(state *fold.State, id shard.ID, silent map[string]bool, loads map[shard.ID]float64, keys map[shard.ID][]balance.Key) {
+	owned := state.Shard(id)
+	if len(owned.Former) > 0 {
+		v.moving++
 	}
-	if len(names) == 0 {
-		return "", false
+	v.unowned = v.unowned || owned.Target == ""
+	if silent[owned.Target] {
+		return
 	}
-	sort.Slice(names, func(i, j int) bool {
-		left, right := v.fill(names[i]), v.fill(names[j])
-		if left != right {
-			return left < right
-		}
-		return rank(names[i], id) > rank(names[j], id)
-	})
-	return names[0], true
+	v.shards = append(v.shards, balance.Shard{ID: id, Target: owned.Target, Load: loads[id], Hot: keys[id]})
 }
 
-func (v *view) fill(name string) float64 { return float64(v.load[name]) / float64(v.slots[name]) }
+func (v *view) input(service *config.Service) balance.Input {
+	weights := service.Weights()
+	return balance.Input{
+		Shards: v.shards, Targets: v.targets, MaxMoves: service.MaxMoves(), Moving: v.moving,
+		Weights: balance.Weights{
+			Unavailable: weights.Unavailable(), Churn: weights.Churn(), Imbalance: weights.Imbalance(),
+		},
+		Eligible: func(id shard.ID, target string) bool {
+			group, ok := v.group[id.Group]
+			return ok && group.Eligible(target)
+		},
+	}
+}
 
-func rank(name string, id shard.ID) uint64 {
-	return weightOf(id.String(), name)
+// merge proposes to return at most one hot key to its range shard: one that
+// has been idle for long and is settled on the same target.
+func (p *Planner) merge(in Input, v *view) []record.Op {
+	for _, item := range v.shards {
+		if item.ID.Key == "" {
+			continue
+		}
+		if item.Load > 0 {
+			delete(p.idle, item.ID)
+			continue
+		}
+		since, ok := p.idle[item.ID]
+		if !ok {
+			p.idle[item.ID] = in.Now
+			continue
+		}
+		parent := in.State.Shard(item.ID.Parent())
+		owned := in.State.Shard(item.ID)
+		together := parent.Target == owned.Target && len(parent.Former) == 0 && len(owned.Former) == 0
+		if together && in.Now.Sub(since) >= mergeAfter {
+			delete(p.idle, item.ID)
+			return []record.Op{{Merge: &record.Merge{Shard: item.ID, Expect: owned.Epoch}}}
+		}
+	}
+	return nil
 }
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -14,6 +14,7 @@
 	"pineturn/core/member"
 	"pineturn/core/message"
 	"pineturn/core/record"
+	"pineturn/core/shard"
 )
 
 // Defaults of the planner.
@@ -24,6 +25,17 @@
 	// DefaultEvenAfter is the time between two moves that only even out how
 	// many targets each host leads.
 	DefaultEvenAfter = time.Second
+	// settleAfter is how long a new service waits for reports of all its
+	// targets before its shards are given to those that are known.
+	settleAfter = time.Second
+	// levelAfter is the time between two plans that move shards only to even
+	// out load, so that the effect of one is measured before the next.
+	levelAfter = 4 * time.Second
+	// mergeAfter is how long a hot key must have been idle before its shard
+	// is merged into its range shard again.
+	mergeAfter = time.Minute
+	// maxHot bounds the hot keys of a service that are shards of their own.
+	maxHot = 512
 	// reportAge is how old a leaseholder's report may be to be believed.
 	reportAge = 2 * time.Second
 )
@@ -35,8 +47,9 @@
 	reports map[record.Target]report
 	lost    map[record.Incarnation]time.Time
 	evened  time.Time
-	rounds  map[string]time.Time
-	started time.Time
+	seen    map[string]time.Time
+	levels  map[string]time.Time
+	idle    map[shard.ID]time.Time
 }
 
 // report is the latest word of a target's leaseholder.
@@ -55,10 +68,11 @@
 }
 
 // New returns a planner for the host self.
-func New(self record.Incarnation, now time.Time) *Planner {
+func New(self record.Incarnation) *Planner {
 	return &Planner{
-		self: self, started: now, reports: map[record.Target]report{},
-		lost: map[record.Incarnation]time.Time{}, rounds: map[string]time.Time{},
+		self: self, reports: map[record.Target]report{},
+		lost: map[record.Incarnation]time.Time{}, seen: map[string]time.Time{},
+		levels: map[string]time.Time{}, idle: map[shard.ID]time.Time{},
 	}
 }
 
--- a/io/daemon/admin.go
+++ b/io/daemon/admin.go
@@ -17,7 +17,7 @@
 	mux.Handle("GET /metrics", promhttp.HandlerFor(d.counts.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", d.healthz)
 	mux.HandleFunc("GET /readyz", d.readyz)
-	mux.HandleFunc("GET /debug/state", d.debugState)
+	mux.Handle("GET /debug/state", d.keys.OperatorKeys().Require(http.HandlerFunc(d.debugState)))
 	return mux
 }
 
--- a/io/daemon/answers.go
+++ b/io/daemon/answers.go
@@ -14,6 +14,9 @@
 	now := d.now()
 	switch {
 	case call.Ping != nil:
+		if !d.reader.Up() {
+			d.beater.behind(from, call.Ping.Next)
+		}
 		pong := d.host.OnPing(now)
 		return &message.Reply{Ping: &pong}, nil
 	case call.Release != nil:
--- a/io/daemon/beater.go
+++ b/io/daemon/beater.go
@@ -67,7 +67,7 @@
 	timed, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	asked := b.now()
-	reply, err := b.call(timed, to, &message.Call{Ping: &message.Ping{}})
+	reply, err := b.call(timed, to, &message.Call{Ping: &message.Ping{Next: b.host.Next()}})
 	if err != nil || reply.Ping == nil {
 		b.counts.beats.WithLabelValues("failed").Add(1)
 		b.replaced(to.Incarnation, err)
@@ -79,6 +79,14 @@
 	}
 }
 
+// behind fetches from a host that knows more than this one, which has heard
+// so from it.
+func (b *beater) behind(from record.Member, next uint64) {
+	if next > b.host.Next() && b.host.Ready() {
+		b.flying.Go(func() { b.catchUp(context.Background(), from) })
+	}
+}
+
 // replaced takes in that a later run of a host answered at its address.
 func (b *beater) replaced(id record.Incarnation, err error) {
 	var other *peer.OtherIncarnation
--- a/io/daemon/commands.go
+++ b/io/daemon/commands.go
@@ -12,7 +12,12 @@
 )
 
 // authorize decides whether an operator's request is taken.
-func (d *Daemon) authorize(*http.Request) error { return nil }
+func (d *Daemon) authorize(r *http.Request) error {
+	if keys := d.keys.OperatorKeys(); keys != nil && !keys.Authorized(r) {
+		return errors.New("operator key missing or unknown")
+	}
+	return nil
+}
 
 // commands are the changes that operators may order here.
 func (d *Daemon) commands() operator.Commands {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -20,6 +21,7 @@
 	"pineturn/io/hostlist"
 	"pineturn/io/logservice"
 	"pineturn/io/peer"
+	"pineturn/io/security"
 	"pineturn/io/target"
 )
 
@@ -34,6 +36,7 @@
 	targets  *target.Client
 	peers    *peer.Client
 	server   *peer.Server
+	keys     *security.Security
 
 	reader    *reader
 	writer    *writer
@@ -53,8 +56,13 @@
 }
 
 // New prepares a daemon by settings that Check has found no fault with. It
-// does not listen or connect before Start.
-func New(settings Settings, source clock.Clock) *Daemon {
+// does not listen or connect before Start. Errors tell which file of keys or
+// certificates can't be read.
+func New(settings Settings, source clock.Clock) (*Daemon, error) {
+	keys, err := settings.Security.Open(source)
+	if err != nil {
+		return nil, errors.Wrap(err, "open keys and certificates")
+	}
 	now := source.Now()
 	self := record.Member{
 		Incarnation: record.Incarnation{Host: settings.Name, Run: uint64(now.UnixMicro())},
@@ -64,11 +72,11 @@
 	d := &Daemon{
 		settings: settings, clock: source, counts: newMetrics(), log: logservice.New(settings.LogAddress),
 		host: host.New(self, options, now), targets: target.New(source, target.Options{}),
-		leaving: make(chan struct{}, 1),
+		leaving: make(chan struct{}, 1), keys: keys,
 	}
 	d.connect(self)
 	d.assemble(self)
-	return d
+	return d, nil
 }
 
 // now tells the time by the daemon's clock.
@@ -76,10 +84,16 @@
 
 // connect prepares the two ends of the protocol between hosts.
 func (d *Daemon) connect(self record.Member) {
-	options := peer.Options{Clock: d.clock, Metrics: peer.Metrics{
+	options := peer.Options{Clock: d.clock, TLS: d.keys.PeerClient(), Metrics: peer.Metrics{
 		Opened: kitprometheus.NewCounter(d.counts.peerOpened), Silent: kitprometheus.NewCounter(d.counts.peerSilent),
 		Frames: kitprometheus.NewCounter(d.counts.peerFrames), Bytes: kitprometheus.NewCounter(d.counts.peerBytes),
 	}}
+	if keys := d.keys.PeerKeys(); keys != nil {
+		options.Auth.Prove, options.Auth.Verify = keys.Prove, keys.Verify
+	}
+	if d.keys.CheckHost() {
+		options.Auth.CheckHost = security.CheckName
+	}
 	who := func() record.Member { return self }
 	d.peers = peer.NewClient(who, options)
 	d.server = peer.New(who, options)
@@ -117,13 +131,14 @@
 // Start listens and starts the parts.
 func (d *Daemon) Start() error {
 	var err error
-	if d.others, err = listen(d.settings.PeerAddress, d.peerHandler(), d.settings.MaxHeaderBytes); err != nil {
+	limit := d.settings.MaxHeaderBytes
+	if d.others, err = listen(d.settings.PeerAddress, d.peerHandler(), limit, d.keys.PeerServer()); err != nil {
 		return errors.Wrap(err, "listen for other hosts")
 	}
-	if d.admin, err = listen(d.settings.AdminAddress, d.adminHandler(), d.settings.MaxHeaderBytes); err != nil {
+	if d.admin, err = listen(d.settings.AdminAddress, d.adminHandler(), limit, d.keys.OperatorServer()); err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
-	if d.callers, err = listen(d.settings.CallerAddress, d.requests.handler(), d.settings.MaxHeaderBytes); err != nil {
+	if d.callers, err = listen(d.settings.CallerAddress, d.requests.handler(), limit, nil); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
 	d.parts = []*part{
@@ -236,12 +251,15 @@
 	done   chan struct{}
 }
 
-// listen serves handler at an IP:port.
-func listen(address string, handler http.Handler, maxHeader int) (*listener, error) {
+// listen serves handler at an IP:port, over TLS unless secure is nil.
+func listen(address string, handler http.Handler, maxHeader int, secure *tls.Config) (*listener, error) {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
+	if secure != nil {
+		socket = tls.NewListener(socket, secure)
+	}
 	l := &listener{
 		server: &http.Server{Handler: handler, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 		done:   make(chan struct{}),
--- a/io/daemon/main.go
+++ b/io/daemon/main.go
@@ -66,7 +66,11 @@
 	}
 	ctx, cancel := ossignal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	daemon := New(settings, clock.System{})
+	daemon, err := New(settings, clock.System{})
+	if err != nil {
+		klog.ErrorS(err, "Could not start")
+		return exitFailed
+	}
 	if err := daemon.Start(); err != nil {
 		klog.ErrorS(err, "Could not start")
 		return exitFailed
--- a/io/daemon/requests.go
+++ b/io/daemon/requests.go
@@ -157,7 +157,8 @@
 		return permit, nil, refused
 	}
 	done := func() {
-		r.host.Leases().Done(target, permit.Term, id, key, r.now().Sub(start))
+		now := r.now()
+		r.host.Leases().Done(target, permit.Term, id, key, now.Sub(start), now)
 		signal(r.daemon.keeper.wake)
 	}
 	return permit, done, nil
--- a/io/daemon/settings.go
+++ b/io/daemon/settings.go
@@ -10,6 +10,7 @@
 
 	"pineturn/core/lease"
 	"pineturn/core/member"
+	"pineturn/io/security"
 )
 
 // Settings are what a daemon is told at its start.
@@ -26,12 +27,13 @@
 	SnapshotInterval time.Duration
 	StopTimeout      time.Duration
 	MaxHeaderBytes   int
+	Security         security.Settings
 }
 
 // Flags returns the command line flags that fill the settings; each can also
 // be set by the environment variable that its help names.
 func (s *Settings) Flags() []cli.Flag {
-	return []cli.Flag{
+	return append([]cli.Flag{
 		text(&s.Name, "name", "", "name of this host, unique among all hosts"),
 		text(&s.Domain, "domain", "", "failure domain that this host runs in"),
 		text(&s.CallerAddress, "caller-address", "127.0.0.1:7080", "IP:port that callers connect to"),
@@ -47,7 +49,7 @@
 			Name: "max-header-bytes", Value: DefaultMaxHeaderBytes, Destination: &s.MaxHeaderBytes,
 			Usage: "size of the largest request header, in bytes", Sources: cli.EnvVars("PINETURN_MAX_HEADER_BYTES"),
 		},
-	}
+	}, s.Security.Flags()...)
 }
 
 func text(into *string, name, value, usage string) cli.Flag {
@@ -125,7 +127,7 @@
 	if s.StopTimeout <= 0 {
 		fault("--stop-timeout: %v, want more than 0", s.StopTimeout)
 	}
-	return faults
+	return append(faults, s.Security.Check()...)
 }
 
 // checkAddress wants an IP address and a port, since names are not resolved.
--- a/scenario/cluster_test.go
+++ b/scenario/cluster_test.go
@@ -62,7 +62,7 @@
 		"pineturnd", "--name", "host-" + number, "--domain", domain,
 		"--caller-address", ts.Getenv("H" + number), "--peer-address", ts.Getenv("PEER" + number),
 		"--admin-address", ts.Getenv("ADMIN" + number), "--log-address", ts.Getenv("VIA" + number),
-		"--hostlist-address", ts.Getenv("HOSTS"),
+		"--hostlist-address", ts.Getenv("HOSTS"), "--insecure",
 	}, flags...)...)
 }
 
