Find silent connections to targets, and refuse early at a stalled one

Cause: a request on a connection that had gone silent waited for its whole deadline, and the next one could pick another silent connection.

A request that may not outlive its grant is now given up 250 ms after the grant's end, so within about 1.2 s with grants of 0.9 s, as unknown with time left, and the other kept connections to the target are dropped: with that off, the next request also went silent. Ruled out: cutting slow requests by observed service time, as it would run slow but good ones twice.

core/admit adds the time for which no request has ended to the estimated wait; with that off a request with 500 ms left was queued behind one that had run for 1 s.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -20,6 +20,8 @@
 
 	running int
 	waiting int
+	// progress is when a request ended last, or started with no other running.
+	progress time.Time
 	// turn is the lanes with waiting requests, the next one to serve first.
 	turn  []*lane
 	lanes map[string]*lane
@@ -103,6 +105,7 @@
 	}
 	ticket.state = finished
 	q.running--
+	q.progress = now
 	switch {
 	case result.Shed:
 		q.limit.shed(now, q.running, result.RetryAfter)
@@ -199,7 +202,7 @@
 // that run and wait now will have been served, moved a little at random.
 func (q *Queue) RetryAfter(now time.Time) time.Duration {
 	ahead := q.running + q.waiting
-	after := q.drainTime(now, ahead) + q.limit.pauseLeft(now)
+	after := q.drainTime(now, ahead) + q.limit.pauseLeft(now) + q.stall(now)
 	spread := 1 + retrySpread*(2*q.options.Random()-1)
 	after = time.Duration(float64(after) * spread)
 	return min(max(after, q.options.MinRetry), q.options.MaxRetry)
@@ -215,7 +218,17 @@
 	}
 	ahead := min(q.waiting, own+lanes*(own+1))
 	free := max(q.limit.allowed(now)-q.running, 0)
-	return q.drainTime(now, max(ahead+1-free, 0)) + q.limit.pauseLeft(now)
+	return q.drainTime(now, max(ahead+1-free, 0)) + q.limit.pauseLeft(now) + q.stall(now)
+}
+
+// stall is how long a target has ended no request, when that is much longer
+// than usual; it is likely to last as long again.
+func (q *Queue) stall(now time.Time) time.Duration {
+	since := now.Sub(q.progress)
+	if q.running < q.limit.allowed(now) || since < stallFactor*q.service {
+		return 0
+	}
+	return since
 }
 
 // drainTime is how long the target takes to serve count requests.
@@ -226,6 +239,9 @@
 
 func (q *Queue) start(now time.Time, ticket *Ticket) {
 	ticket.state, ticket.started = running, now
+	if q.running == 0 {
+		q.progress = now
+	}
 	q.running++
 }
 
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -96,6 +96,16 @@
 		late, _ := q.Arrive(now, "a", now.Add(time.Second))
 		checkRefusal(t, late, outcome.Overloaded)
 	})
+	t.Run("stalled target", func(t *testing.T) {
+		q := newQueue(1, 100)
+		arrive(t, q, epoch, "a")
+		now := epoch.Add(time.Second)
+		late, _ := q.Arrive(now, "a", now.Add(500*time.Millisecond))
+		checkRefusal(t, late, outcome.Overloaded)
+		if got := late.Refusal().RetryAfter; got < time.Second {
+			t.Errorf("got retry after %v, want at least 1s", got)
+		}
+	})
 	t.Run("passed in the queue", func(t *testing.T) {
 		q := newQueue(1, 10)
 		first := arrive(t, q, epoch, "a")
--- a/core/admit/options.go
+++ b/core/admit/options.go
@@ -27,6 +27,9 @@
 	// DefaultMaxRetry is the longest such time.
 	DefaultMaxRetry = 5 * time.Second
 
+	// stallFactor is how many service times may pass without the end of any
+	// request before the target counts as stalled.
+	stallFactor = 8
 	// smoothing is the weight of a new observation in the service time.
 	smoothing = 0.1
 	// retrySpread is the fraction by which a told time is moved at random, so
--- /dev/null
+++ b/core/dispatch/bench_test.go
@@ -0,0 +1,31 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+
+	"pineturn/core/message"
+)
+
+// benchmarkHandle passes requests through entry and holder, with a target
+// that answers at once.
+func benchmarkHandle(b *testing.B, host int, newRequest func(string) *message.Request) {
+	c := newCluster(b, 3, 3)
+	c.target = c.answerOnly
+	req := newRequest("r1")
+	ctx := context.Background()
+	b.ReportAllocs()
+	for b.Loop() {
+		answer, failure := c.hosts[host].entry.Handle(ctx, "payoutledger", "seller-1", req)
+		if failure != nil {
+			b.Fatal(failure)
+		}
+		_ = answer.Body.Close()
+	}
+}
+
+func BenchmarkHandle(b *testing.B) {
+	b.Run("local", func(b *testing.B) { benchmarkHandle(b, 0, read) })
+	b.Run("forwarded", func(b *testing.B) { benchmarkHandle(b, 1, read) })
+	b.Run("repeated answer", func(b *testing.B) { benchmarkHandle(b, 1, payout) })
+}
--- a/core/dispatch/cluster_test.go
+++ b/core/dispatch/cluster_test.go
@@ -205,6 +205,11 @@
 	return newAnswer("ok"), nil
 }
 
+// answerOnly answers without a count.
+func (c *cluster) answerOnly(context.Context, *message.Request) (*message.Answer, *outcome.Error) {
+	return newAnswer("ok"), nil
+}
+
 // answerLost runs a request and loses its answer.
 func (c *cluster) answerLost(_ context.Context, req *message.Request) (*message.Answer, *outcome.Error) {
 	c.run(req)
--- /dev/null
+++ b/io/caller/path_test.go
@@ -0,0 +1,168 @@
+package caller_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"testing"
+	"time"
+
+	"pineturn/core/clock"
+	"pineturn/core/config"
+	"pineturn/core/dispatch"
+	"pineturn/core/header"
+	"pineturn/core/once"
+	"pineturn/core/outcome"
+	"pineturn/core/record"
+	"pineturn/core/retry"
+	"pineturn/core/route"
+	"pineturn/core/shard"
+	"pineturn/io/caller"
+	"pineturn/io/target"
+)
+
+// startPath joins caller, entry, holder and target on one host, and returns
+// the address for callers and that of the target.
+func startPath(tb testing.TB, answer http.HandlerFunc) (callers, direct string) {
+	tb.Helper()
+	server := httptest.NewServer(answer)
+	tb.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
+	self := record.Member{Incarnation: record.Incarnation{Host: "host-1", Run: 1}, Domain: "pos-a"}
+	way := route.Route{
+		Service: new(config.Service), Target: new(config.Target), Epoch: 1, Term: 1, Holder: self,
+		Shard: shard.ID{Service: "coverdesk", Group: "all"},
+	}
+	source := clock.System{}
+	client := target.New(source, target.Options{})
+	tb.Cleanup(client.Close)
+	memory := once.New(source, once.Options{})
+	holder := &dispatch.Holder{
+		Self: self, Clock: source, Memory: memory, Send: client.Send,
+		Find:    func(shard.ID) (route.Route, *outcome.Error) { return way, nil },
+		Members: func() []record.Member { return []record.Member{self} },
+		Permit: func(shard.ID, uint64, string) (route.Permit, func(), *outcome.Error) {
+			now := source.Now()
+			permit := route.Permit{Address: address, Epoch: 1, Term: 1, Until: now.Add(time.Minute), ClockAt: now}
+			return permit, func() {}, nil
+		},
+	}
+	tb.Cleanup(holder.Close)
+	entry := &dispatch.Entry{
+		Self: self, Clock: source, Memory: memory, Budget: retry.New(source), Local: holder.Serve,
+		Route:   func(string, string) (route.Route, *outcome.Error) { return way, nil },
+		Changed: func() <-chan struct{} { return nil },
+	}
+	front := httptest.NewUnstartedServer(nil)
+	front.Config = caller.NewServer(caller.NewHandler(caller.Entry{
+		Handle:  entry.Handle,
+		MaxBody: func(string) (int64, bool) { return 0, true },
+	}))
+	front.Start()
+	tb.Cleanup(front.Close)
+	return front.Listener.Addr().String(), address
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
+	_, _ = io.Copy(w, r.Body)
+	_, _ = io.WriteString(w, "ok")
+}
+
+func get(ctx context.Context, client *http.Client, address string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/s/coverdesk/k/tenant-1/cover", nil)
+	if err != nil {
+		return "", err
+	}
+	response, err := client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.Header.Get(header.Outcome) + " " + string(body), err
+}
+
+func TestPath(t *testing.T) {
+	t.Run("answer", func(t *testing.T) {
+		address, _ := startPath(t, echo)
+		got, err := get(context.Background(), http.DefaultClient, address)
+		if want := "done ok"; got != want || err != nil {
+			t.Errorf("got %q, %v, want %q", got, err, want)
+		}
+	})
+	t.Run("long answer, cut", func(t *testing.T) {
+		address, _ := startPath(t, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
+			_, _ = w.Write(make([]byte, 1<<20))
+			panic(http.ErrAbortHandler)
+		})
+		if _, err := get(context.Background(), http.DefaultClient, address); err == nil {
+			t.Error("got a whole answer, want an error")
+		}
+	})
+	t.Run("long answer is not held in memory", func(t *testing.T) {
+		const size = 64 << 20
+		address, _ := startPath(t, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
+			part := make([]byte, 64<<10)
+			for range size / len(part) {
+				_, _ = w.Write(part)
+			}
+		})
+		response, err := http.Get("http://" + address + "/s/recordsvault/k/tenant-1/statement")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		n, err := io.Copy(io.Discard, response.Body)
+		runtime.ReadMemStats(&after)
+		if n != size || err != nil {
+			t.Errorf("got %d bytes, %v, want %d", n, err, size)
+		}
+		if got := after.TotalAlloc - before.TotalAlloc; got > size/4 {
+			t.Errorf("got %d bytes allocated, want far less than the answer's %d", got, size)
+		}
+	})
+	t.Run("caller gone cancels the request at the target", func(t *testing.T) {
+		began, ended := make(chan struct{}), make(chan struct{})
+		address, _ := startPath(t, func(_ http.ResponseWriter, r *http.Request) {
+			close(began)
+			<-r.Context().Done()
+			close(ended)
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			<-began
+			cancel()
+		}()
+		_, _ = get(ctx, http.DefaultClient, address)
+		select {
+		case <-ended:
+		case <-time.After(20 * time.Second):
+			t.Error("got no cancellation at the target in 20 s, want one")
+		}
+	})
+}
+
+// BenchmarkPath calls a target through one host and directly, one call after
+// the other.
+func BenchmarkPath(b *testing.B) {
+	callers, direct := startPath(b, echo)
+	for name, address := range map[string]string{"through a host": callers, "direct": direct} {
+		b.Run(name, func(b *testing.B) {
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+			defer client.CloseIdleConnections()
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := get(context.Background(), client, address); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/io/target/options.go
+++ b/io/target/options.go
@@ -6,7 +6,8 @@
 const (
 	// DefaultDialTimeout bounds the opening of a connection.
 	DefaultDialTimeout = 250 * time.Millisecond
-	// DefaultKeepAlive is the interval of TCP keepalive probes.
+	// DefaultKeepAlive is the interval of TCP keepalive probes, at least one
+	// second.
 	DefaultKeepAlive = time.Second
 	// DefaultIdleTimeout is how long an unused connection is kept. It is
 	// short because an idle connection may have gone silent.
@@ -21,6 +22,8 @@
 	DefaultAnswerGrace = 250 * time.Millisecond
 	// DefaultMaxHeader bounds an answer's header, in bytes.
 	DefaultMaxHeader = 64 << 10
+	// keepAliveProbes is how many probes in a row may stay unanswered.
+	keepAliveProbes = 3
 	// maxStatus bounds a status answer, in bytes.
 	maxStatus = 64 << 10
 )
--- a/io/target/send.go
+++ b/io/target/send.go
@@ -28,7 +28,8 @@
 	}
 	location.Scheme, location.Host = "http", permit.Address
 
-	deadline, wait := c.deadlines(ctx, permit, req, longRunning)
+	limit := c.limit(ctx, req)
+	deadline, wait := c.deadlines(limit, permit, longRunning)
 	ctx, cancel := context.WithDeadline(ctx, wait)
 	state := &guard{clock: c.clock, permit: permit}
 	request := (&http.Request{
@@ -42,33 +43,53 @@
 	if len(req.Body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(req.Body))
 	}
-	response, err := c.request(permit.Address, target.Connections()).RoundTrip(request)
+	transport := c.request(permit.Address, target.Connections())
+	response, err := transport.RoundTrip(request)
 	if err != nil {
 		failure := sendFailure(ctx, state, err)
+		if state.written() && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// What made one connection silent may have done so to others.
+			transport.CloseIdleConnections()
+			failure = silence(wait.Before(limit), failure)
+		}
 		cancel()
 		return nil, failure
 	}
 	return accept(response, req, cancel)
 }
 
+// limit returns the request's own deadline.
+func (c *Client) limit(ctx context.Context, req *message.Request) time.Time {
+	limit := c.clock.Now().Add(req.Left)
+	if earlier, ok := ctx.Deadline(); ok && earlier.Before(limit) {
+		return earlier
+	}
+	return limit
+}
+
 // deadlines returns when the target must stop, and until when an answer is
 // waited for. A request that may not outlive its grant is not waited for
 // much longer than that.
-func (c *Client) deadlines(ctx context.Context, permit route.Permit, req *message.Request, longRunning bool) (stop, wait time.Time) {
-	stop = c.clock.Now().Add(req.Left)
-	if limit, ok := ctx.Deadline(); ok && limit.Before(stop) {
-		stop = limit
-	}
-	wait = stop
-	if longRunning || !permit.Until.Before(stop) {
-		return stop, wait
+func (c *Client) deadlines(limit time.Time, permit route.Permit, longRunning bool) (stop, wait time.Time) {
+	if longRunning || !permit.Until.Before(limit) {
+		return limit, limit
 	}
+	wait = limit
 	if late := permit.Until.Add(c.options.AnswerGrace); late.Before(wait) {
 		wait = late
 	}
 	return permit.Until, wait
 }
 
+// silence judges a request that was written and not answered. When its own
+// deadline has not passed, there is time to try another connection.
+func silence(timeLeft bool, failure *outcome.Error) *outcome.Error {
+	if !timeLeft {
+		return failure
+	}
+	return outcome.Uncertain(outcome.TargetFailed, "no answer from the target while its grant lasted")
+}
+
 // sendFailure judges a request that got no answer.
 func sendFailure(ctx context.Context, state *guard, err error) *outcome.Error {
 	if state.written() {
--- /dev/null
+++ b/io/target/socket_other.go
@@ -0,0 +1,11 @@
+//go:build !linux
+
+package target
+
+import (
+	"syscall"
+	"time"
+)
+
+// limitUnacknowledged does nothing where the kernel has no such limit.
+func limitUnacknowledged(syscall.RawConn, time.Duration) error { return nil }
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 
 	"pineturn/core/clock"
 )
@@ -36,12 +37,29 @@
 	return &Client{
 		clock:    source,
 		options:  options,
-		dialer:   &net.Dialer{Timeout: options.DialTimeout, KeepAlive: options.KeepAlive},
+		dialer:   newDialer(options),
 		controls: make(map[string]*http.Transport),
 		requests: make(map[string]*pool),
 	}
 }
 
+// newDialer opens connections that the kernel gives up when the other end
+// does not acknowledge what is sent, or keepalive probes while nothing is.
+func newDialer(options Options) *net.Dialer {
+	return &net.Dialer{
+		Timeout: options.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     options.KeepAlive,
+			Interval: options.KeepAlive,
+			Count:    keepAliveProbes,
+		},
+		Control: func(_, _ string, conn syscall.RawConn) error {
+			return limitUnacknowledged(conn, (keepAliveProbes+1)*options.KeepAlive)
+		},
+	}
+}
+
 // Close drops all idle connections.
 func (c *Client) Close() {
 	c.mutex.Lock()
--- a/io/target/target_test.go
+++ b/io/target/target_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -321,6 +322,46 @@
 	}
 }
 
+// Two kept connections go silent while new ones work. The first request on
+// one of them is unknown before its own deadline; the next one is answered.
+func TestSendAfterSilence(t *testing.T) {
+	var mutex sync.Mutex
+	silent := make(map[net.Conn]bool)
+	both := make(chan struct{}, 2)
+	f := newFixture(t, func(conn net.Conn, req *http.Request) bool {
+		mutex.Lock()
+		stalled := silent[conn]
+		silent[conn] = true
+		mutex.Unlock()
+		if stalled {
+			_, _ = io.Copy(io.Discard, conn)
+			return false
+		}
+		if strings.HasPrefix(req.Header.Get(header.RequestID), "open") {
+			both <- struct{}{}
+			for len(both) < 2 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		return answerOK(conn, req)
+	})
+	f.client.options.Connections, f.client.options.AnswerGrace = 3, 10*time.Millisecond
+	var group sync.WaitGroup
+	for _, id := range []string{"open-1", "open-2"} {
+		group.Go(func() {
+			answer, failure := f.send(newRequest(id, http.MethodGet))
+			checkBody(t, answer, failure, "ok", nil)
+		})
+	}
+	group.Wait()
+	permit := f.permit()
+	permit.Until = f.clock.Now().Add(100 * time.Millisecond)
+	_, failure := f.client.Send(context.Background(), permit, new(config.Target), newRequest("r1", http.MethodGet), false)
+	checkFailure(t, failure, outcome.Unknown, outcome.TargetFailed)
+	answer, failure := f.send(newRequest("r2", http.MethodGet))
+	checkBody(t, answer, failure, "ok", nil)
+}
+
 func TestControl(t *testing.T) {
 	status := `{"incarnation": "f3a9", "clock_us": 81234567, "slots": 2, "busy": 1, "health": "ok", "set": 41}`
 	refused := `{"error": "stale-term", "incarnation": "f3a9", "clock_us": 81234568}`
