--- a/io/peer/errors.go
+++ b/io/peer/errors.go
@@ -31,6 +31,8 @@
 	ErrHost = errors.New("certificate is another host's")
 	// ErrOverloaded means that the other host leaves too much unread.
 	ErrOverloaded = errors.New("too much unread")
+	// errStuck means that a handler did not return after its context ended.
+	errStuck = errors.New("a handler goes on after its context's end")
 	// errTooLarge means that a frame exceeds the limit.
 	errTooLarge = errors.New("frame too large")
 	// errIdle means that a connection was not used for long.
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -66,8 +66,19 @@
 	p.workers--
 }
 
-// close ends the workers once their tasks have ended.
-func (p *pool) close() {
+// close ends the workers once their tasks have ended. It waits no longer than
+// a timeout for tasks that don't end.
+func (p *pool) close(timeout time.Duration) error {
 	close(p.done)
-	p.wg.Wait()
+	ended := make(chan struct{})
+	go func() {
+		p.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-time.After(timeout):
+		return errStuck
+	}
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"slices"
@@ -15,6 +16,10 @@
 	"pineturn/core/record"
 )
 
+// handlerTimeout is how long Close waits for handlers after their contexts'
+// end.
+const handlerTimeout = 2 * time.Second
+
 // Server answers other hosts. It is the http.Handler for Path. Its function
 // fields are set before the first connection.
 type Server struct {
@@ -150,10 +155,8 @@
 	}
 	close(s.done)
 	s.wg.Wait()
-	s.requests.close()
-	s.calls.close()
 	s.keeper.close()
-	return err
+	return errors.Join(err, s.requests.close(handlerTimeout), s.calls.close(handlerTimeout))
 }
 
 // open returns the connections.
--- a/io/peer/serverconn.go
+++ b/io/peer/serverconn.go
@@ -173,11 +173,20 @@
 func (in *incoming) answerRequest() {
 	c := in.conn
 	answer, fail := c.server.OnRequest(in.ctx, c.remote, in.request)
-	if fail == nil && answer.Head.Error != nil {
+	switch {
+	case fail == nil && answer == nil:
+		fail = outcome.Uncertain(outcome.TargetFailed, "no answer")
+	case fail == nil:
 		fail = answer.Head.Error
 	}
 	if answer != nil && answer.Body != nil {
-		defer func() { _ = answer.Body.Close() }()
+		// A read that waits for the target ends with the context, too.
+		stop := context.AfterFunc(in.ctx, func() { _ = answer.Body.Close() })
+		defer func() {
+			if stop() {
+				_ = answer.Body.Close()
+			}
+		}()
 	}
 	if fail != nil {
 		_ = c.post(c.ctx, &frame{Kind: kindHead, ID: in.id, Head: &message.Head{Error: fail}})
@@ -270,6 +279,9 @@
 // reserve takes credit for up to n bytes, and waits while there is none.
 func (in *incoming) reserve(n int) (int, error) {
 	for {
+		if err := in.ctx.Err(); err != nil {
+			return 0, err
+		}
 		in.mu.Lock()
 		room := min(n, in.credit)
 		in.credit -= room
