Strand leaseholders with friends in the model, and make them forget

The model now has faults that name the dangerous combination: a leaseholder cut off together with hosts that go on confirming it, its target cut from the others, the host list leaving them out; all others restarted while it was away; a target drained by record; and shorter suspicion times.

--- a/core/host/model_test.go
+++ b/core/host/model_test.go
@@ -78,6 +78,9 @@
 	broken  string
 	acked   map[shard.ID]fact
 	digests map[uint64]uint64
+	options Options
+	// operated counts the operator's records after the first.
+	operated uint64
 }
 
 // fact is an assignment that a host has read back.
@@ -120,9 +123,10 @@
 	started time.Duration
 }
 
-func newWorld(seed uint64) *world {
+func newWorld(seed uint64, suspicion time.Duration) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 1)), cuts: map[string]bool{},
+		options: Options{Suspicion: suspicion, Lease: lease.Options{Suspicion: suspicion}},
+		random:  rand.New(rand.NewPCG(seed, 1)), cuts: map[string]bool{},
 		acked: map[shard.ID]fact{}, digests: map[uint64]uint64{},
 	}
 	for i := range modelTargets {
@@ -290,7 +294,7 @@
 		Incarnation: record.Incarnation{Host: h.name(), Run: h.run},
 		Address:     fmt.Sprintf("127.0.1.%d:7000", h.index+1), Domain: fmt.Sprintf("d%d", h.index%modelTargets),
 	}
-	h.host = New(self, Options{}, h.clock())
+	h.host = New(self, h.w.options, h.clock())
 }
 
 func (h *simHost) clock() time.Time {
--- a/core/host/property_test.go
+++ b/core/host/property_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"pineturn/core/record"
 )
 
 // fault is one thing that goes wrong in the model, from at on for a while.
@@ -18,14 +20,14 @@
 
 var faultKinds = []string{
 	"cut-log", "cut-peer", "cut-target", "pause-host", "restart-host", "freeze-target", "restart-target",
-	"log-down", "drain-target", "isolate-host",
+	"log-down", "drain-target", "isolate-host", "drain-record", "strand", "strand", "amnesia",
 }
 
 func drawFaults(t *rapid.T) []fault {
 	draw := rapid.Custom(func(t *rapid.T) fault {
 		return fault{
 			At:   rapid.IntRange(0, 15000).Draw(t, "at"),
-			For:  rapid.IntRange(50, 6000).Draw(t, "for"),
+			For:  rapid.IntRange(50, 12000).Draw(t, "for"),
 			Kind: rapid.SampledFrom(faultKinds).Draw(t, "kind"),
 			A:    rapid.IntRange(0, modelHosts-1).Draw(t, "a"),
 			B:    rapid.IntRange(0, modelHosts-1).Draw(t, "b"),
@@ -63,6 +65,12 @@
 		once(t.restart)
 	case "log-down":
 		both(func(on bool) { w.logDown = on })
+	case "strand":
+		both(func(on bool) { w.strand(t, f.A%3+1, on) })
+	case "amnesia":
+		once(func() { w.forget(t, length) })
+	case "drain-record":
+		both(func(on bool) { w.drainRecord(t, on) })
 	case "drain-target":
 		both(func(on bool) { t.drain = on })
 	}
@@ -75,6 +83,90 @@
 	}
 }
 
+// leads reports whether a host takes itself for the leaseholder of a target.
+func (h *simHost) leads(t *simTarget) bool {
+	for _, status := range h.host.Leases().Statuses(h.clock()) {
+		if status.Target.Name == t.name {
+			return true
+		}
+	}
+	return false
+}
+
+// strand cuts the leaseholder of a target and some of its friends from the
+// log and from the other hosts, the other hosts from the target, and has the
+// platform's list leave the stranded hosts out.
+func (w *world) strand(t *simTarget, size int, on bool) {
+	if !on {
+		w.unstrand()
+		return
+	}
+	stranded := map[int]bool{}
+	for _, h := range w.hosts {
+		if h.leads(t) && len(stranded) < size {
+			stranded[h.index] = true
+		}
+	}
+	for i := 0; len(stranded) < size; i++ {
+		stranded[i] = true
+	}
+	listed := map[string]bool{}
+	for i, h := range w.hosts {
+		listed[h.name()] = !stranded[i]
+		w.setCut("log", i, 0, stranded[i])
+		w.setCut("target", i, t.index, !stranded[i])
+		for j := range i {
+			w.setCut("peer", j, i, stranded[i] != stranded[j])
+		}
+	}
+	w.list(listed)
+}
+
+func (w *world) list(listed map[string]bool) {
+	for _, h := range w.hosts {
+		h.host.OnListed(listed)
+	}
+}
+
+// unstrand mends every cut.
+func (w *world) unstrand() {
+	clear(w.cuts)
+	w.list(nil)
+}
+
+// forget cuts the leaseholder of a target off for a while; when it comes back
+// all others have just restarted, and the log is down.
+func (w *world) forget(t *simTarget, length time.Duration) {
+	for _, h := range w.hosts {
+		if !h.leads(t) {
+			continue
+		}
+		w.setCut("log", h.index, 0, true)
+		w.isolate(h.index, true)
+		w.after(length, func() {
+			w.logDown = true
+			for _, other := range w.hosts {
+				if other != h {
+					other.restart()
+				}
+			}
+			w.unstrand()
+		})
+		w.after(length+2*time.Second, func() { w.logDown = false })
+		return
+	}
+}
+
+// drainRecord has the operator mark a target as leaving.
+func (w *world) drainRecord(t *simTarget, on bool) {
+	w.operated++
+	w.append(record.Batch{
+		Version: record.Version,
+		ID:      record.ID{Writer: record.Incarnation{Host: "operator", Run: 1}, Seq: 1 + w.operated},
+		Ops:     []record.Op{{Drain: &record.Drain{Target: record.Target{Service: "vault", Name: t.name}, On: on}}},
+	})
+}
+
 // TestOneOwnerUnderFaults checks over random faults that no shard has two
 // owners, that acknowledged assignments stand and all folds agree, and that
 // every shard has an owner again once the faults are over. Replay a failure
@@ -82,8 +174,9 @@
 func TestOneOwnerUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
+		suspicion := rapid.SampledFrom([]time.Duration{200 * time.Millisecond, 500 * time.Millisecond}).Draw(t, "suspicion")
 		faults := drawFaults(t)
-		w := newWorld(seed)
+		w := newWorld(seed, suspicion)
 		start := 4 * time.Second
 		w.run(start)
 		mustServe(t, w, "before the faults")
@@ -91,7 +184,7 @@
 		for _, f := range faults {
 			w.inject(f, start)
 		}
-		w.run(start + 22*time.Second)
+		w.run(start + 30*time.Second)
 		mustServe(t, w, "after the faults")
 	})
 }
@@ -116,7 +209,7 @@
 // TestModelIsRepeatable checks that a seed always gives the same run.
 func TestModelIsRepeatable(t *testing.T) {
 	trace := func() string {
-		w := newWorld(7)
+		w := newWorld(7, 0)
 		w.inject(fault{At: 3000, For: 1500, Kind: "freeze-target", B: 1}, 0)
 		w.inject(fault{At: 4000, For: 1500, Kind: "restart-host", A: 1}, 0)
 		w.run(8 * time.Second)
