--- a/core/config/config.go
+++ b/core/config/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"path"
+	"strings"
 	"time"
 
 	"pineturn/core/record"
@@ -133,7 +134,9 @@
 }
 
 // OnceRule marks requests that must not be repeated by method and by a
-// path.Match pattern; an empty field matches all.
+// path.Match pattern; an empty field matches all. A star at the pattern's end
+// matches the rest of the path, slashes included, so that the rule errs on the
+// side of not repeating.
 type OnceRule struct {
 	method  string
 	pattern string
@@ -146,6 +149,9 @@
 	if r.pattern == "" {
 		return true
 	}
+	if prefix, open := strings.CutSuffix(r.pattern, "*"); open && !strings.ContainsAny(prefix, "*?[\\") {
+		return strings.HasPrefix(requestPath, prefix)
+	}
 	ok, err := path.Match(r.pattern, requestPath)
 	return err == nil && ok
 }
--- a/core/config/merge_test.go
+++ b/core/config/merge_test.go
@@ -83,6 +83,7 @@
 	same(t, "max-moves", service.MaxMoves(), 9)
 	same(t, "long-running", service.LongRunning(), true)
 	same(t, "once", service.Once("POST", "/payouts"), true)
+	same(t, "once below the path", service.Once("POST", "/payouts/7/lodge"), true)
 	same(t, "once of GET", service.Once("GET", "/payouts"), false)
 	same(t, "once-window", service.OnceWindow(), time.Minute)
 	same(t, "group of north-early", service.Group("north-early").Name(), "early")
--- a/core/fold/apply.go
+++ b/core/fold/apply.go
@@ -77,7 +77,7 @@
 		}
 		files[change.Name] = File{Name: change.Name, Version: version, Content: change.Content, Author: op.Author}
 	}
-	merged, faults := merge(version, files)
+	merged, faults := s.merge(version, files)
 	if len(faults) == 0 {
 		faults = config.CheckChange(s.config, merged)
 	}
@@ -87,26 +87,29 @@
 	if len(faults) > 0 {
 		return Result{Void: ErrRefused, Faults: faults}
 	}
-	s.files, s.config = files, merged
-	s.rememberLayouts(merged)
 	for _, change := range op.Changes {
+		before := s.files[change.Name]
 		s.history = append(s.history, Change{
 			Version: version, Name: change.Name, Author: op.Author, Removed: change.Remove, Content: change.Content,
+			Replaced: before.Version, Before: before.Content,
 		})
 	}
+	s.files, s.config = files, merged
+	s.rememberLayouts(merged)
 	if extra := len(s.history) - maxHistory; extra > 0 {
 		s.history = append([]Change(nil), s.history[extra:]...)
+		s.dropped = true
 	}
 	return Result{}
 }
 
-func merge(version uint64, files map[string]File) (*config.Config, []config.Fault) {
+func (s *State) merge(version uint64, files map[string]File) (*config.Config, []config.Fault) {
 	list := make([]config.File, 0, len(files))
 	for _, file := range files {
 		list = append(list, config.File{Name: file.Name, Content: file.Content})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	return config.Merge(version, list)
+	return s.merger.Merge(version, list)
 }
 
 // layout is how a service's keys map to shards. It may never change under
@@ -212,9 +215,18 @@
 	if !s.members.Has(op.Holder) {
 		return invalid("holder %s is not a member", op.Holder)
 	}
+	for _, deputy := range op.Deputies {
+		if !s.members.Has(deputy) || deputy == op.Holder {
+			return invalid("%s can't be a deputy", deputy)
+		}
+	}
 	current.Term++
+	if current.Holder != op.Holder {
+		current.First = current.Term
+	}
 	current.Holder = op.Holder
 	current.Since = offset
+	current.Deputies = op.Deputies
 	s.targets[op.Target] = current
 	return Result{}
 }
--- a/core/fold/fold.go
+++ b/core/fold/fold.go
@@ -30,7 +30,9 @@
 	files   map[string]File
 	layouts map[string]string
 	history []Change
+	merger  *config.Merger
 	config  *config.Config
+	dropped bool
 	members Membership
 	targets map[record.Target]Target
 	shards  map[shard.ID]Shard
@@ -62,6 +64,10 @@
 	Author  string `cbor:"3,keyasint,omitempty" json:"author,omitempty"`
 	Removed bool   `cbor:"4,keyasint,omitempty" json:"removed,omitempty"`
 	Content []byte `cbor:"5,keyasint,omitempty" json:"content,omitempty"`
+	// Replaced and Before are the version and content before the change; 0
+	// when the file did not exist.
+	Replaced uint64 `cbor:"6,keyasint,omitempty" json:"replaced,omitempty"`
+	Before   []byte `cbor:"7,keyasint,omitempty" json:"before,omitempty"`
 }
 
 // Target is what the log says of a target.
@@ -72,6 +78,11 @@
 	// Since is the offset of the record that named the holder.
 	Since uint64 `cbor:"3,keyasint" json:"since"`
 	Drain bool   `cbor:"4,keyasint,omitempty" json:"drain,omitempty"`
+	// Deputies may take over from the holder while the log is down.
+	Deputies []record.Incarnation `cbor:"5,keyasint,omitempty" json:"deputies,omitempty"`
+	// First is the first term of the present holder without one of another
+	// host in between.
+	First uint64 `cbor:"6,keyasint" json:"first"`
 }
 
 // Shard is what the log says of a shard.
@@ -98,8 +109,10 @@
 
 // New returns the state before the first record.
 func New() *State {
-	merged, _ := config.Merge(0, nil)
+	merger := &config.Merger{}
+	merged, _ := merger.Merge(0, nil)
 	return &State{
+		merger:  merger,
 		writers: map[string]writer{},
 		files:   map[string]File{},
 		layouts: map[string]string{},
@@ -181,6 +194,9 @@
 // History lists the latest accepted changes of files, oldest first.
 func (s *State) History() []Change { return s.history }
 
+// HistoryDropped reports that there were changes before those of History.
+func (s *State) HistoryDropped() bool { return s.dropped }
+
 // Target returns what the log says of a target; the zero Target if nothing.
 func (s *State) Target(id record.Target) Target { return s.targets[id] }
 
--- a/core/fold/snapshot.go
+++ b/core/fold/snapshot.go
@@ -44,6 +44,7 @@
 	Before  []record.Member   `cbor:"11,keyasint"`
 	Targets []targetImage     `cbor:"12,keyasint"`
 	Shards  []shardImage      `cbor:"13,keyasint"`
+	Dropped bool              `cbor:"14,keyasint"`
 }
 
 type targetImage struct {
@@ -60,7 +61,7 @@
 	img := image{
 		Version: snapshotVersion, Next: s.next, Writers: s.writers, Files: s.Files(), Layouts: s.layouts,
 		History: s.history, Merged: s.config.Version(), Epoch: s.members.epoch, Changed: s.members.changed,
-		Current: s.members.current, Before: s.members.before,
+		Current: s.members.current, Before: s.members.before, Dropped: s.dropped,
 	}
 	for id, target := range s.targets {
 		img.Targets = append(img.Targets, targetImage{ID: id, Target: target})
@@ -104,7 +105,7 @@
 func (img image) state() (*State, error) {
 	s := New()
 	s.next = img.Next
-	s.history = img.History
+	s.history, s.dropped = img.History, img.Dropped
 	for host, last := range img.Writers {
 		s.writers[host] = last
 	}
@@ -114,7 +115,7 @@
 	for _, file := range img.Files {
 		s.files[file.Name] = file
 	}
-	merged, faults := merge(img.Merged, s.files)
+	merged, faults := s.merge(img.Merged, s.files)
 	if len(faults) > 0 {
 		return nil, fmt.Errorf("restore snapshot: %d faults in its files, first: %s", len(faults), faults[0].Text)
 	}
--- a/core/host/act.go
+++ b/core/host/act.go
@@ -27,7 +27,8 @@
 	defer h.mu.Unlock()
 	h.confirm(now)
 	h.leases.Guard(h.tracker, h.state.Members(), now)
-	questions := h.leases.Questions(now)
+	places, next := h.leases.Places(), h.state.Next()
+	questions := h.leases.Questions(now, func(target record.Target) bool { return h.backed(places, target, next) })
 	return h.leases.Orders(now), questions
 }
 
@@ -53,7 +54,7 @@
 }
 
 func (h *Host) input(now time.Time) plan.Input {
-	return plan.Input{State: h.state, Tracker: h.tracker, Now: now, Leaving: h.leaving}
+	return plan.Input{State: h.state, Tracker: h.tracker, Now: now, Leaving: h.leaving, Acting: h.acting}
 }
 
 // join proposes this host's membership, once the last change is settled.
@@ -85,10 +86,37 @@
 
 // OnRelease answers whether shards have left a target.
 func (h *Host) OnRelease(question message.Release, now time.Time) message.Released {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.backed(h.leases.Places(), question.Target, question.Next) {
+		return message.Released{}
+	}
 	shards, _ := h.leases.Released(question, now)
 	return message.Released{Shards: shards}
 }
 
+// backed reports whether a majority has folded the log up to next and has
+// promised itself to no leaseholder of a target above this one. Then no deputy
+// can take over that has folded less. A member that runs no more doesn't
+// count, as it may have promised itself before.
+func (h *Host) backed(places []lease.Place, target record.Target, next uint64) bool {
+	for _, place := range places {
+		if place.Target != target {
+			continue
+		}
+		loyal := h.loyal(target, place.Term, place.Level)
+		return !place.Deputies || h.tracker.Agreed(h.state.Members(), h.state.Next(), func(id record.Incarnation) bool {
+			pong, _ := h.tracker.Pong(id)
+			known := pong.Next
+			if id == h.self.Incarnation {
+				known = h.state.Next()
+			}
+			return known >= next && loyal(id, pong)
+		})
+	}
+	return false
+}
+
 // Route finds where the requests of a key go.
 func (h *Host) Route(service, key string) (route.Route, *outcome.Error) {
 	h.mu.RLock()
@@ -124,13 +152,12 @@
 	if !ok {
 		return route.Route{Service: service, Shard: id}, outcome.Refuse(outcome.NoOwner, id.String(), retryAfter)
 	}
-	logged := h.state.Target(target.ID())
-	holder, ok := h.state.Members().Find(logged.Holder)
+	holder, token, ok := h.holder(target.ID())
 	if !ok {
 		return route.Route{Service: service, Shard: id}, outcome.Refuse(outcome.NoOwner, "no leaseholder of "+target.ID().String(), retryAfter)
 	}
 	return route.Route{
-		Service: service, Target: target, Shard: id, Epoch: owned.Epoch, Holder: holder, Term: logged.Term,
+		Service: service, Target: target, Shard: id, Epoch: owned.Epoch, Holder: holder, Term: token,
 	}, nil
 }
 
@@ -138,7 +165,8 @@
 func (h *Host) HolderOf(target record.Target) (record.Member, bool) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	return h.state.Members().Find(h.state.Target(target).Holder)
+	holder, _, ok := h.holder(target)
+	return holder, ok
 }
 
 // Report is what this host observes of the targets that it leads.
--- a/core/host/beat.go
+++ b/core/host/beat.go
@@ -37,6 +37,7 @@
 		Ready:         h.known() && members.Has(h.self.Incarnation),
 		ConfigVersion: h.state.Config().Version(),
 		Suspects:      h.tracker.Suspects(members, now),
+		Promises:      h.listPromises(),
 	}
 }
 
@@ -55,8 +56,11 @@
 	if !h.known() {
 		return
 	}
-	if at, ok := h.tracker.Confirmed(h.state.Members(), h.state.Next(), now); ok {
-		h.leases.Fresh(at)
+	for _, place := range h.leases.Places() {
+		filter := h.loyal(place.Target, place.Term, place.Level)
+		if at, ok := h.tracker.Confirmed(h.state.Members(), h.state.Next(), now, filter); ok {
+			h.leases.Fresh(place.Target, at)
+		}
 	}
 }
 
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -45,6 +45,11 @@
 	leaving bool
 	joinAt  time.Time
 	image   *Image
+	// logAt is when the log answered last. promises are what this host has
+	// promised to deputies, bids what it asks for as a deputy itself.
+	logAt    time.Time
+	promises map[record.Target]message.Promise
+	bids     map[record.Target]*bid
 }
 
 // New returns the decisions of the host self, which knows nothing yet.
@@ -57,7 +62,8 @@
 		tracker: member.New(self.Incarnation, options.Suspicion, now),
 		planner: plan.New(self.Incarnation),
 		leases:  lease.New(self.Incarnation, options.Lease),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), logAt: now,
+		promises: map[record.Target]message.Promise{}, bids: map[record.Target]*bid{},
 	}
 }
 
@@ -206,14 +212,23 @@
 }
 
 // LogRead records that a read of the log, sent at sent, found its end at next.
+// It confirms this host only for targets without deputies: those may lead
+// without the log.
 func (h *Host) LogRead(next uint64, sent time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if sent.After(h.logAt) {
+		h.logAt = sent
+	}
 	if next != h.state.Next() {
 		return
 	}
 	h.ready = true
-	h.leases.Fresh(sent)
+	for _, place := range h.leases.Places() {
+		if !place.Deputies {
+			h.leases.Fresh(place.Target, sent)
+		}
+	}
 }
 
 // LogTrimmed records that the log no longer keeps the next record, so that
--- a/core/host/model_test.go
+++ b/core/host/model_test.go
@@ -329,6 +329,7 @@
 	h.read()
 	h.beat()
 	h.act()
+	h.bid()
 	h.propose()
 }
 
@@ -509,6 +510,28 @@
 	}
 }
 
+// bid asks the other hosts for promises, ten times a second.
+func (h *simHost) bid() {
+	if h.w.now%(100*time.Millisecond) != time.Duration(h.index)*modelStep {
+		return
+	}
+	for _, promise := range h.host.Bids(h.clock()) {
+		for _, other := range h.w.hosts {
+			if other == h {
+				continue
+			}
+			from := other.host.Self().Incarnation
+			h.ask(other, func(reply func(run func())) {
+				if other.host.Self().Incarnation != from {
+					return
+				}
+				answer := other.host.OnPromise(promise, other.clock())
+				reply(func() { h.host.OnPromised(from, promise, answer, h.clock()) })
+			})
+		}
+	}
+}
+
 func (h *simHost) question(other *simHost, question lease.Question) {
 	h.ask(other, func(reply func(run func())) {
 		shards := other.host.OnRelease(question.Release, other.clock()).Shards
@@ -602,8 +625,7 @@
 		text += fmt.Sprintf("%s: %d shards, left %d us\n", t.name, len(t.held), t.expires-t.clock())
 	}
 	for _, h := range w.hosts {
-		text += fmt.Sprintf("%s#%d next %d ready %v fresh for %v leads", h.name(), h.run, h.host.Next(), h.host.Ready(),
-			h.host.Leases().FreshUntil().Sub(h.clock()))
+		text += fmt.Sprintf("%s#%d next %d ready %v leads", h.name(), h.run, h.host.Next(), h.host.Ready())
 		statuses := h.host.Leases().Statuses(h.clock())
 		sort.Slice(statuses, func(i, j int) bool { return statuses[i].Target.Less(statuses[j].Target) })
 		for _, status := range statuses {
--- a/core/host/property_test.go
+++ b/core/host/property_test.go
@@ -21,6 +21,7 @@
 var faultKinds = []string{
 	"cut-log", "cut-peer", "cut-target", "pause-host", "restart-host", "freeze-target", "restart-target",
 	"log-down", "drain-target", "isolate-host", "drain-record", "strand", "strand", "amnesia",
+	"log-split", "log-split",
 }
 
 func drawFaults(t *rapid.T) []fault {
@@ -67,6 +68,8 @@
 		both(func(on bool) { w.logDown = on })
 	case "strand":
 		both(func(on bool) { w.strand(t, f.A%3+1, on) })
+	case "log-split":
+		both(func(on bool) { w.splitLog(t, f.A, on) })
 	case "amnesia":
 		once(func() { w.forget(t, length) })
 	case "drain-record":
@@ -122,6 +125,23 @@
 	w.list(listed)
 }
 
+// splitLog leaves the log to the leaseholder of a target and one other host.
+// The leaseholder hears that other host alone.
+func (w *world) splitLog(t *simTarget, other int, on bool) {
+	if !on {
+		w.unstrand()
+		return
+	}
+	for i, h := range w.hosts {
+		if h.leads(t) {
+			w.isolate(i, true)
+			w.setCut("peer", min(i, other), max(i, other), false)
+			continue
+		}
+		w.setCut("log", i, 0, i != other)
+	}
+}
+
 func (w *world) list(listed map[string]bool) {
 	for _, h := range w.hosts {
 		h.host.OnListed(listed)
@@ -220,3 +240,25 @@
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
+
+// TestDeputyServesWhileLogIsDown checks that the loss of a leaseholder during
+// an outage of the log leaves its targets' shards served.
+func TestDeputyServesWhileLogIsDown(t *testing.T) {
+	for _, index := range []int{0, 1, 2} {
+		t.Run(fmt.Sprintf("target t%d", index), func(t *testing.T) {
+			w := newWorld(uint64(index), 0)
+			w.run(6 * time.Second)
+			w.logDown = true
+			w.run(8 * time.Second)
+			for _, h := range w.hosts {
+				if h.leads(w.targets[index]) {
+					h.paused = time.Hour
+				}
+			}
+			w.run(14 * time.Second)
+			if got, want := len(w.owners()), modelShards; got != want || w.broken != "" {
+				t.Errorf("got %d shards with an owner, want %d; %s\n%s", got, want, w.broken, w.summary())
+			}
+		})
+	}
+}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -29,16 +29,22 @@
 	mu      sync.Mutex
 	self    record.Incarnation
 	options Options
-	fresh   time.Time
 	next    uint64
 	targets map[record.Target]*held
 }
 
 // held is one target that this host is the leaseholder of.
 type held struct {
-	id          record.Target
+	id record.Target
+	// term and level are the leaseholder's place in the log, token stands
+	// for both.
 	term        uint64
+	level       int
+	first       uint64
+	token       uint64
 	since       uint64
+	deputies    bool
+	fresh       time.Time
 	address     string
 	checked     bool
 	longRunning bool
@@ -122,21 +128,46 @@
 	return len(t.targets)
 }
 
-// Fresh records that a question sent at instant at proved that this host knew
-// the newest record.
-func (t *Table) Fresh(at time.Time) {
+// Place is a leaseholder's place in the log: the level of a term of a target.
+type Place struct {
+	Target record.Target
+	Term   uint64
+	Level  int
+	// Deputies reports that the term has deputies, so that only a majority of
+	// the members can confirm its leaseholders.
+	Deputies bool
+}
+
+// Places lists the places that this host holds, in order of the targets.
+func (t *Table) Places() []Place {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if at.After(t.fresh) {
-		t.fresh = at
+	var list []Place
+	for _, h := range t.sorted() {
+		list = append(list, Place{Target: h.id, Term: h.term, Level: h.level, Deputies: h.deputies})
 	}
+	return list
 }
 
-// FreshUntil is when the latest proof of freshness ends.
-func (t *Table) FreshUntil() time.Time {
+// Fresh records that a question sent at instant at proved, for one target,
+// that this host knew the newest record and was its leaseholder.
+func (t *Table) Fresh(target record.Target, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.fresh.Add(t.options.Life)
+	if h := t.targets[target]; h != nil && at.After(h.fresh) {
+		h.fresh = at
+	}
+}
+
+// FreshUntil is when the latest proof of freshness for a target ends.
+func (t *Table) FreshUntil(target record.Target) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.targets[target]
+	if h == nil {
+		return time.Time{}
+	}
+	return h.fresh.Add(t.options.Life)
 }
 
 // Sync brings the table in line with the folded state at now.
@@ -145,13 +176,16 @@
 	defer t.mu.Unlock()
 	t.next = state.Next()
 	for id, target := range state.Targets() {
-		if target.Holder != t.self {
+		h := t.targets[id]
+		switch {
+		case h != nil && h.level > 0 && h.term == target.Term:
+		case target.Holder != t.self:
 			delete(t.targets, id)
 			continue
-		}
-		h := t.targets[id]
-		if h == nil || h.term != target.Term {
-			h = newHeld(id, target, now)
+		case h != nil && h.level == 0 && h.first == target.First:
+			h.rename(target)
+		default:
+			h = newHeld(id, target, 0, now)
 			t.targets[id] = h
 		}
 		settings, ok := state.Config().Target(id)
@@ -160,10 +194,34 @@
 	t.want(state)
 }
 
-func newHeld(id record.Target, target fold.Target, now time.Time) *held {
+// Activate makes this host the leaseholder of a target as a deputy: a
+// majority has promised at now to confirm no lower level of the term.
+func (t *Table) Activate(state *fold.State, id record.Target, level int, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := newHeld(id, state.Target(id), level, now)
+	h.guarded = false
+	h.seen = now
+	t.targets[id] = h
+	settings, ok := state.Config().Target(id)
+	h.configure(state.Config(), settings, ok)
+	t.want(state)
+}
+
+// rename moves an unbroken leaseholder to the latest of its terms.
+func (h *held) rename(target fold.Target) {
+	if h.term == target.Term {
+		return
+	}
+	h.term, h.token, h.deputies = target.Term, record.Token(target.Term, 0), len(target.Deputies) > 0
+	h.dirty = true
+}
+
+func newHeld(id record.Target, target fold.Target, level int, now time.Time) *held {
+	token := record.Token(target.Term, level)
 	return &held{
-		id: id, term: target.Term, since: target.Since, guarded: target.Term == 1, created: now,
-		version: target.Term << 32, dirty: true,
+		id: id, term: target.Term, level: level, first: target.First, token: token, since: target.Since,
+		deputies: len(target.Deputies) > 0, guarded: target.First == 1, created: now, version: token << 32, dirty: true,
 		wanted: map[shard.ID]entry{}, pending: map[shard.ID]*handover{},
 		flying: map[shard.ID]int{}, flyingKeys: map[keyOf]int{}, spent: map[shard.ID]time.Duration{},
 		load: map[shard.ID]float64{}, hot: hot.New(sketchKeys, loadHalfLife),
--- a/core/lease/order.go
+++ b/core/lease/order.go
@@ -63,8 +63,8 @@
 }
 
 func (t *Table) order(h *held, now time.Time) Order {
-	order := Order{Target: h.id, Address: h.address, Term: h.term, Incarnation: h.incarnation}
-	end := t.fresh.Add(t.options.Life)
+	order := Order{Target: h.id, Address: h.address, Term: h.token, Incarnation: h.incarnation}
+	end := h.fresh.Add(t.options.Life)
 	if !h.trusted || end.Sub(now) < minLeft {
 		order.Probe = true
 		return order
@@ -123,7 +123,7 @@
 // host has lost or regained the target since.
 func (t *Table) current(order Order) *held {
 	h := t.targets[order.Target]
-	if h == nil || h.term != order.Term {
+	if h == nil || h.token != order.Term {
 		return nil
 	}
 	return h
@@ -230,6 +230,7 @@
 type Status struct {
 	Target  record.Target
 	Term    uint64
+	Level   int
 	Guarded bool
 	// Alive reports an answer within the suspicion time, Lost the lack of one
 	// for as long.
@@ -248,7 +249,7 @@
 	var list []Status
 	for _, h := range t.sorted() {
 		status := Status{
-			Target: h.id, Term: h.term, Guarded: h.guarded, Health: h.health, Pending: len(h.pending),
+			Target: h.id, Term: h.term, Level: h.level, Guarded: h.guarded, Health: h.health, Pending: len(h.pending),
 			Alive: t.alive(h, now), Lost: t.lost(h, now),
 		}
 		if h.acked != nil {
--- a/core/lease/permit.go
+++ b/core/lease/permit.go
@@ -34,7 +34,7 @@
 	h.flying[id]++
 	h.flyingKeys[keyOf{shard: id, key: key}]++
 	return route.Permit{
-		Address: h.address, Incarnation: h.incarnation, Epoch: epoch, Term: h.term,
+		Address: h.address, Incarnation: h.incarnation, Epoch: epoch, Term: h.token,
 		Until: h.acked.until, ClockUs: h.clockUs, ClockAt: h.clockAt,
 	}, h.id, nil
 }
@@ -72,7 +72,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.targets[target]
-	if h == nil || h.term != term {
+	if h == nil || h.token != term {
 		return
 	}
 	drop(h.flying, id)
--- a/core/lease/release.go
+++ b/core/lease/release.go
@@ -20,8 +20,8 @@
 
 // Questions returns what is to be asked at now before wanted shards can be
 // granted. Former owners that this host itself is the leaseholder of are
-// looked up at once.
-func (t *Table) Questions(now time.Time) []Question {
+// looked up at once, if backed reports that a majority stands behind it.
+func (t *Table) Questions(now time.Time, backed func(target record.Target) bool) []Question {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Question
@@ -29,12 +29,12 @@
 		if h.address == "" {
 			continue
 		}
-		list = append(list, t.questions(h, now)...)
+		list = append(list, t.questions(h, now, backed)...)
 	}
 	return list
 }
 
-func (t *Table) questions(h *held, now time.Time) []Question {
+func (t *Table) questions(h *held, now time.Time, backed func(target record.Target) bool) []Question {
 	byTarget := map[string][]shard.ID{}
 	for id, move := range h.pending {
 		if len(move.former) == 0 || now.Sub(move.asked) < askInterval {
@@ -51,7 +51,9 @@
 		sort.Slice(ids, func(i, j int) bool { return ids[i].Less(ids[j]) })
 		target := record.Target{Service: h.id.Service, Name: name}
 		if former := t.targets[target]; former != nil {
-			h.letGo(name, former.released(ids, now))
+			if backed(target) {
+				h.letGo(name, former.released(ids, now))
+			}
 			continue
 		}
 		list = append(list, Question{Asker: h.id, Release: message.Release{Target: target, Next: t.next, Shards: ids}})
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -213,6 +213,14 @@
 	})
 }
 
+// Filter tells whether the latest answer of a member counts; the answer of
+// this host itself is empty. A nil filter lets all count.
+type Filter func(id record.Incarnation, pong message.Pong) bool
+
+func (f Filter) passes(id record.Incarnation, pong message.Pong) bool {
+	return f == nil || f(id, pong)
+}
+
 // Seen reports whether a majority of the members, and of those before the
 // last change unless that is settled, have folded the record at offset. A
 // member that runs no more counts as having seen it: it will never confirm
@@ -228,10 +236,16 @@
 		p := t.peers[id]
 		return p != nil && p.pong.Next > offset
 	}
-	if !t.majority(members.Current(), seen) {
+	return t.Agreed(members, next, seen)
+}
+
+// Agreed reports whether a majority of the members, and of those before the
+// last change unless that is settled, satisfy ok.
+func (t *Tracker) Agreed(members *fold.Membership, next uint64, ok func(id record.Incarnation) bool) bool {
+	if !t.majority(members.Current(), ok) {
 		return false
 	}
-	return t.Settled(members, next) || t.majority(members.Before(), seen)
+	return t.Settled(members, next) || t.majority(members.Before(), ok)
 }
 
 // Settled reports whether a majority of the members before the last change
@@ -256,30 +270,32 @@
 // Confirmed returns the latest instant at which a question was sent to which
 // a majority has answered that it knows nothing newer than next; false if
 // there is none. Both memberships count while the last change is unsettled.
-func (t *Tracker) Confirmed(members *fold.Membership, next uint64, now time.Time) (time.Time, bool) {
+func (t *Tracker) Confirmed(members *fold.Membership, next uint64, now time.Time, filter Filter) (time.Time, bool) {
 	if !members.Has(t.self) {
 		return time.Time{}, false
 	}
-	at, ok := t.confirmedBy(members.Current(), next, now)
+	at, ok := t.confirmedBy(members.Current(), next, now, filter)
 	if !ok || t.Settled(members, next) {
 		return at, ok
 	}
-	earlier, ok := t.confirmedBy(members.Before(), next, now)
+	earlier, ok := t.confirmedBy(members.Before(), next, now, filter)
 	if earlier.Before(at) {
 		at = earlier
 	}
 	return at, ok
 }
 
-func (t *Tracker) confirmedBy(members []record.Member, next uint64, now time.Time) (time.Time, bool) {
+func (t *Tracker) confirmedBy(members []record.Member, next uint64, now time.Time, filter Filter) (time.Time, bool) {
 	var times []time.Time
 	for _, member := range members {
 		if member.Incarnation == t.self {
-			times = append(times, now)
+			if filter.passes(t.self, message.Pong{}) {
+				times = append(times, now)
+			}
 			continue
 		}
 		p := t.peers[member.Incarnation]
-		if p != nil && !p.asked.IsZero() && p.pong.Ready && p.pong.Next <= next {
+		if p != nil && !p.asked.IsZero() && p.pong.Ready && p.pong.Next <= next && filter.passes(member.Incarnation, p.pong) {
 			times = append(times, p.asked)
 		}
 	}
@@ -305,6 +321,29 @@
 	return list
 }
 
+// Promises reports whether any member has made a promise to a deputy.
+func (t *Tracker) Promises() bool {
+	for _, p := range t.peers {
+		if len(p.pong.Promises) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Promised reports whether any member has made a promise to a deputy of a
+// target's term.
+func (t *Tracker) Promised(target record.Target, term uint64) bool {
+	for _, p := range t.peers {
+		for _, made := range p.pong.Promises {
+			if made.Target == target && made.Term == term {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Leaving reports whether id said that it is about to stop.
 func (t *Tracker) Leaving(id record.Incarnation) bool {
 	p := t.peers[id]
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -29,6 +29,7 @@
 	Recall  *Recall  `cbor:"5,keyasint,omitempty"`
 	Report  *Report  `cbor:"6,keyasint,omitempty"`
 	Leads   *Leads   `cbor:"7,keyasint,omitempty"`
+	Promise *Promise `cbor:"8,keyasint,omitempty"`
 }
 
 // Reply answers a Call, in the field of the same name.
@@ -40,6 +41,7 @@
 	Recall  *Recalled     `cbor:"5,keyasint,omitempty"`
 	Report  *Reported     `cbor:"6,keyasint,omitempty"`
 	Leads   *Led          `cbor:"7,keyasint,omitempty"`
+	Promise *Promised     `cbor:"8,keyasint,omitempty"`
 }
 
 // Ping is a heartbeat. Next is the first offset that the sender has not
@@ -59,6 +61,23 @@
 	// ConfigVersion is the newest configuration version in force here.
 	ConfigVersion uint64               `cbor:"5,keyasint,omitempty"`
 	Suspects      []record.Incarnation `cbor:"6,keyasint,omitempty"`
+	// Promises are those that the answering host has made.
+	Promises []Promise `cbor:"7,keyasint,omitempty"`
+}
+
+// Promise asks a host to confirm no leaseholder of a target below a level of
+// its term any more. A deputy asks so while the log is down. Next is the first
+// offset that the deputy has not folded: a host that knows more refuses.
+type Promise struct {
+	Target record.Target `cbor:"1,keyasint"`
+	Term   uint64        `cbor:"2,keyasint"`
+	Level  int           `cbor:"3,keyasint"`
+	Next   uint64        `cbor:"4,keyasint,omitempty"`
+}
+
+// Promised says whether the promise was made.
+type Promised struct {
+	Made bool `cbor:"1,keyasint"`
 }
 
 // Release asks the leaseholder of a former owner whether shards have left it.
@@ -151,6 +170,8 @@
 	Health string        `cbor:"4,keyasint,omitempty"`
 	// Left is how long the target's grant runs at least.
 	Left time.Duration `cbor:"5,keyasint,omitempty"`
+	// Busy is how many requests the leaseholder has at the target.
+	Busy int `cbor:"6,keyasint,omitempty"`
 }
 
 // Reported acknowledges a Report.
--- /dev/null
+++ b/core/plan/lead.go
@@ -0,0 +1,193 @@
+package plan
+
+import (
+	"pineturn/core/config"
+	"pineturn/core/fold"
+	"pineturn/core/record"
+)
+
+// maxDeputies is how many deputies a leaseholder has at most.
+const maxDeputies = 2
+
+// minHosts is the number of hosts from which on leaseholders have deputies:
+// with fewer, the loss of one host leaves no majority that could confirm them.
+const minHosts = 3
+
+// lead proposes leaseholders for targets that have none that is at work, and
+// evens out how many each host leads.
+func (p *Planner) lead(in Input) []record.Op {
+	hosts := p.Candidates(in)
+	if len(hosts) == 0 {
+		return nil
+	}
+	round := &leadRound{state: in.State, hosts: hosts, counts: map[record.Incarnation]int{}}
+	var orphans []record.Target
+	targets := leadable(in.State)
+	for _, id := range targets {
+		holder := in.State.Target(id).Holder
+		acting, replaced := in.Acting(id)
+		switch {
+		case replaced && p.fit(in, acting):
+			round.counts[acting]++
+			round.propose(id, acting)
+		case !replaced && p.fit(in, holder):
+			round.counts[holder]++
+		default:
+			orphans = append(orphans, id)
+		}
+	}
+	for _, id := range orphans {
+		chosen := choose(hosts, round.counts, in.State.Config(), id)
+		round.counts[chosen.Incarnation]++
+		round.propose(id, chosen.Incarnation)
+	}
+	if len(round.ops) > 0 || in.Now.Sub(p.evened) < DefaultEvenAfter {
+		return round.ops
+	}
+	p.evened = in.Now
+	p.renewDeputies(in, round, targets)
+	if len(round.ops) == 0 {
+		round.even(targets)
+	}
+	return round.ops
+}
+
+// leadRound collects the proposals of one round.
+type leadRound struct {
+	state  *fold.State
+	hosts  []record.Member
+	counts map[record.Incarnation]int
+	ops    []record.Op
+}
+
+// propose adds a leaseholder, with its deputies, to the proposals.
+func (r *leadRound) propose(id record.Target, holder record.Incarnation) {
+	r.ops = append(r.ops, record.Op{Lead: &record.Lead{
+		Target: id, Holder: holder, Expect: r.state.Target(id).Term, Deputies: r.deputies(id, holder),
+	}})
+}
+
+// deputies picks hosts in failure domains other than the holder's, the
+// target's and each other's, as far as there are any; ties go by rendezvous
+// hash.
+func (r *leadRound) deputies(id record.Target, holder record.Incarnation) []record.Incarnation {
+	if len(r.hosts) < minHosts {
+		return nil
+	}
+	used := map[string]bool{}
+	if target, ok := r.state.Config().Target(id); ok {
+		used[target.Domain()] = true
+	}
+	taken := map[record.Incarnation]bool{holder: true}
+	for _, host := range r.hosts {
+		if host.Incarnation == holder {
+			used[host.Domain] = true
+		}
+	}
+	var list []record.Incarnation
+	for len(list) < maxDeputies {
+		best, ok := r.bestDeputy(id, used, taken)
+		if !ok {
+			break
+		}
+		used[best.Domain], taken[best.Incarnation] = true, true
+		list = append(list, best.Incarnation)
+	}
+	return list
+}
+
+func (r *leadRound) bestDeputy(id record.Target, used map[string]bool, taken map[record.Incarnation]bool) (record.Member, bool) {
+	var best record.Member
+	found := false
+	for _, host := range r.hosts {
+		if taken[host.Incarnation] {
+			continue
+		}
+		switch {
+		case !found, used[best.Domain] && !used[host.Domain]:
+			best, found = host, true
+		case used[best.Domain] == used[host.Domain] && weight(host, id) > weight(best, id):
+			best = host
+		}
+	}
+	return best, found
+}
+
+// renewDeputies names new deputies for targets that lack one or have one that
+// is no longer at work; their leaseholders stay.
+func (p *Planner) renewDeputies(in Input, round *leadRound, targets []record.Target) {
+	want := 0
+	if len(round.hosts) >= minHosts {
+		want = min(maxDeputies, len(round.hosts)-1)
+	}
+	for _, id := range targets {
+		logged := in.State.Target(id)
+		fit := 0
+		for _, deputy := range logged.Deputies {
+			if p.fit(in, deputy) {
+				fit++
+			}
+		}
+		if fit < want || fit < len(logged.Deputies) {
+			round.propose(id, logged.Holder)
+		}
+	}
+}
+
+// choose picks the host that leads fewest targets, outside the target's
+// failure domain if there is one; ties go by rendezvous hash.
+func choose(hosts []record.Member, counts map[record.Incarnation]int, conf *config.Config, id record.Target) record.Member {
+	domain := ""
+	if target, ok := conf.Target(id); ok {
+		domain = target.Domain()
+	}
+	best := hosts[0]
+	for _, host := range hosts[1:] {
+		if better(host, best, domain, counts, id) {
+			best = host
+		}
+	}
+	return best
+}
+
+func better(host, best record.Member, domain string, counts map[record.Incarnation]int, id record.Target) bool {
+	if (host.Domain == domain) != (best.Domain == domain) {
+		return best.Domain == domain
+	}
+	left, right := counts[host.Incarnation], counts[best.Incarnation]
+	if left != right {
+		return left < right
+	}
+	return weight(host, id) > weight(best, id)
+}
+
+func weight(host record.Member, id record.Target) uint64 {
+	return weightOf(host.Incarnation.Host, id.String())
+}
+
+// even moves one target from the host that leads most to the one that leads
+// fewest, when they differ by more than one.
+func (r *leadRound) even(targets []record.Target) {
+	most, fewest := r.hosts[0], r.hosts[0]
+	for _, host := range r.hosts {
+		if r.counts[host.Incarnation] > r.counts[most.Incarnation] {
+			most = host
+		}
+		if r.counts[host.Incarnation] < r.counts[fewest.Incarnation] {
+			fewest = host
+		}
+	}
+	if r.counts[most.Incarnation]-r.counts[fewest.Incarnation] < 2 {
+		return
+	}
+	for _, id := range targets {
+		settings, ok := r.state.Config().Target(id)
+		if !ok || settings.Domain() == fewest.Domain {
+			continue
+		}
+		if r.state.Target(id).Holder == most.Incarnation {
+			r.propose(id, fewest.Incarnation)
+			return
+		}
+	}
+}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"pineturn/core/config"
 	"pineturn/core/fold"
 	"pineturn/core/member"
 	"pineturn/core/message"
@@ -65,6 +64,9 @@
 	Now     time.Time
 	// Leaving reports that this host itself is about to stop.
 	Leaving bool
+	// Acting returns the leaseholder that acts for a target, when deputies
+	// were promised anything in its present term.
+	Acting func(target record.Target) (record.Incarnation, bool)
 }
 
 // New returns a planner for the host self.
@@ -134,41 +136,6 @@
 	return nil
 }
 
-// lead proposes leaseholders for targets that have none that is live, and
-// evens out how many each host leads.
-func (p *Planner) lead(in Input) []record.Op {
-	hosts := p.Candidates(in)
-	if len(hosts) == 0 {
-		return nil
-	}
-	counts := map[record.Incarnation]int{}
-	var orphans []record.Target
-	targets := leadable(in.State)
-	for _, id := range targets {
-		holder := in.State.Target(id).Holder
-		if p.fit(in, holder) {
-			counts[holder]++
-			continue
-		}
-		orphans = append(orphans, id)
-	}
-	var ops []record.Op
-	for _, id := range orphans {
-		chosen := choose(hosts, counts, in.State.Config(), id)
-		counts[chosen.Incarnation]++
-		ops = append(ops, leadOp(in.State, id, chosen.Incarnation))
-	}
-	if len(ops) > 0 || in.Now.Sub(p.evened) < DefaultEvenAfter {
-		return ops
-	}
-	p.evened = in.Now
-	return even(in.State, hosts, counts, targets)
-}
-
-func leadOp(state *fold.State, id record.Target, holder record.Incarnation) record.Op {
-	return record.Op{Lead: &record.Lead{Target: id, Holder: holder, Expect: state.Target(id).Term}}
-}
-
 // fit reports whether a leaseholder may stay: it is a member, not known by a
 // majority to be lost, and not leaving.
 func (p *Planner) fit(in Input, holder record.Incarnation) bool {
@@ -217,65 +184,7 @@
 	return list
 }
 
-// choose picks the host that leads fewest targets, outside the target's
-// failure domain if there is one; ties go by rendezvous hash.
-func choose(hosts []record.Member, counts map[record.Incarnation]int, conf *config.Config, id record.Target) record.Member {
-	domain := ""
-	if target, ok := conf.Target(id); ok {
-		domain = target.Domain()
-	}
-	best := hosts[0]
-	for _, host := range hosts[1:] {
-		if better(host, best, domain, counts, id) {
-			best = host
-		}
-	}
-	return best
-}
-
-func better(host, best record.Member, domain string, counts map[record.Incarnation]int, id record.Target) bool {
-	if (host.Domain == domain) != (best.Domain == domain) {
-		return best.Domain == domain
-	}
-	left, right := counts[host.Incarnation], counts[best.Incarnation]
-	if left != right {
-		return left < right
-	}
-	return weight(host, id) > weight(best, id)
-}
-
-func weight(host record.Member, id record.Target) uint64 {
-	return weightOf(host.Incarnation.Host, id.String())
-}
-
 // weightOf is the rendezvous hash of two names.
 func weightOf(left, right string) uint64 {
 	return xxhash.Sum64String(left + "\x00" + right)
 }
-
-// even moves one target from the host that leads most to the one that leads
-// fewest, when they differ by more than one.
-func even(state *fold.State, hosts []record.Member, counts map[record.Incarnation]int, targets []record.Target) []record.Op {
-	most, fewest := hosts[0], hosts[0]
-	for _, host := range hosts {
-		if counts[host.Incarnation] > counts[most.Incarnation] {
-			most = host
-		}
-		if counts[host.Incarnation] < counts[fewest.Incarnation] {
-			fewest = host
-		}
-	}
-	if counts[most.Incarnation]-counts[fewest.Incarnation] < 2 {
-		return nil
-	}
-	for _, id := range targets {
-		settings, ok := state.Config().Target(id)
-		if !ok || settings.Domain() == fewest.Domain {
-			continue
-		}
-		if state.Target(id).Holder == most.Incarnation {
-			return []record.Op{leadOp(state, id, fewest.Incarnation)}
-		}
-	}
-	return nil
-}
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -145,13 +145,25 @@
 }
 
 // Lead makes a host the leaseholder of a target. Expect is the term that it
-// replaces.
+// replaces. Deputies may take over in their order, by the word of a majority
+// of the members, while the log is down.
 type Lead struct {
-	Target Target      `cbor:"1,keyasint"`
-	Holder Incarnation `cbor:"2,keyasint"`
-	Expect uint64      `cbor:"3,keyasint"`
+	Target   Target        `cbor:"1,keyasint"`
+	Holder   Incarnation   `cbor:"2,keyasint"`
+	Expect   uint64        `cbor:"3,keyasint"`
+	Deputies []Incarnation `cbor:"4,keyasint,omitempty"`
 }
 
+// maxLevels is how many leaseholders a term can have, its deputies included.
+const maxLevels = 256
+
+// Token is the fencing token of a leaseholder: of the one that the log names
+// for a term at level 0, of its deputies from level 1 on.
+func Token(term uint64, level int) uint64 { return term*maxLevels + uint64(level) }
+
+// Level is the level of a fencing token.
+func Level(token uint64) int { return int(token % maxLevels) }
+
 // Split makes a hot key a shard of its own, on the same target. Expect is
 // the epoch of its range shard.
 type Split struct {
--- a/io/daemon/answers.go
+++ b/io/daemon/answers.go
@@ -29,6 +29,9 @@
 		d.host.OnReport(*call.Report, now)
 		signal(d.proposer.wake)
 		return &message.Reply{Report: &message.Reported{}}, nil
+	case call.Promise != nil:
+		promised := d.host.OnPromise(*call.Promise, now)
+		return &message.Reply{Promise: &promised}, nil
 	case call.Leads != nil:
 		return &message.Reply{Leads: d.leads()}, nil
 	case call.Witness != nil:
--- a/io/daemon/dump.go
+++ b/io/daemon/dump.go
@@ -18,7 +18,6 @@
 	Diverged        bool              `json:"diverged"`
 	Next            uint64            `json:"next"`
 	ConfigVersion   uint64            `json:"config_version"`
-	FreshForMs      int64             `json:"fresh_for_ms"`
 	MembershipEpoch uint64            `json:"membership_epoch"`
 	Members         []memberDump      `json:"members"`
 	Leads           []leadDump        `json:"leads"`
@@ -43,7 +42,8 @@
 
 type leadDump struct {
 	lease.Status
-	LeftMs int64 `json:"left_ms"`
+	LeftMs     int64 `json:"left_ms"`
+	FreshForMs int64 `json:"fresh_for_ms"`
 }
 
 type targetDump struct {
@@ -62,11 +62,13 @@
 	now := d.now()
 	out := dump{
 		Host: d.host.Self(), Ready: d.host.Ready(), Leaving: d.host.Leaving(), Settings: d.settings,
-		FreshForMs: d.host.Leases().FreshUntil().Sub(now).Milliseconds(), Shards: map[string]int{},
-		Requests: d.requests.dump(),
+		Shards: map[string]int{}, Requests: d.requests.dump(),
 	}
 	for _, status := range d.host.Leases().Statuses(now) {
-		out.Leads = append(out.Leads, leadDump{Status: status, LeftMs: status.Left.Milliseconds()})
+		out.Leads = append(out.Leads, leadDump{
+			Status: status, LeftMs: status.Left.Milliseconds(),
+			FreshForMs: d.host.Leases().FreshUntil(status.Target).Sub(now).Milliseconds(),
+		})
 	}
 	d.host.Watch(func(state *fold.State, tracker *member.Tracker) {
 		out.addState(state)
--- a/io/daemon/queries.go
+++ b/io/daemon/queries.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 
 	"github.com/cockroachdb/errors"
 
 	"pineturn/core/fold"
-	"pineturn/core/lease"
 	"pineturn/core/member"
+	"pineturn/core/message"
 	"pineturn/core/record"
 	"pineturn/core/shard"
 	"pineturn/io/operator"
@@ -122,7 +123,8 @@
 					holder := logged.Holder
 					view.Holder = &holder
 				}
-				addStatus(&view, statuses[id], missing[logged.Holder.Host])
+				led, known := statuses[id]
+				addStatus(&view, led, known, missing[logged.Holder.Host])
 				list = append(list, view)
 			}
 		}
@@ -131,11 +133,11 @@
 }
 
 // addStatus fills in what the target's leaseholder says.
-func addStatus(view *operator.Target, status *lease.Status, missing string) {
+func addStatus(view *operator.Target, led message.LedTarget, known bool, missing string) {
 	switch {
-	case status != nil && status.Alive:
-		view.GrantLeftMs, view.Health = status.Left.Milliseconds(), status.Health
-	case status != nil:
+	case known && led.Alive:
+		view.GrantLeftMs, view.Health, view.Busy = led.Left.Milliseconds(), led.Health, led.Busy
+	case known:
 		view.Unavailable = "target does not answer its leaseholder"
 	case missing != "":
 		view.Unavailable = missing
@@ -241,33 +243,24 @@
 		return operator.History{}, err
 	}
 	var out operator.History
-	d.host.Read(func(state *fold.State) { out = historyView(state.History(), limit) })
+	d.host.Read(func(state *fold.State) { out = historyView(state.History(), state.HistoryDropped(), limit) })
 	return out, nil
 }
 
 // historyView groups changed files by change, the newest first.
-func historyView(changes []fold.Change, limit int) operator.History {
-	var out operator.History
-	latest := map[string]fold.Change{}
+func historyView(changes []fold.Change, dropped bool, limit int) operator.History {
 	var list []operator.Change
 	for _, change := range changes {
-		file := operator.ChangedFile{Name: change.Name, Content: change.Content, Removed: change.Removed}
-		if before, ok := latest[change.Name]; ok && !before.Removed {
-			file.Replaced, file.Before = before.Version, before.Content
+		file := operator.ChangedFile{
+			Name: change.Name, Content: change.Content, Removed: change.Removed,
+			Replaced: change.Replaced, Before: change.Before,
 		}
-		latest[change.Name] = change
 		if n := len(list); n > 0 && list[n-1].Version == change.Version {
 			list[n-1].Files = append(list[n-1].Files, file)
 			continue
 		}
 		list = append(list, operator.Change{Version: change.Version, Author: change.Author, Files: []operator.ChangedFile{file}})
 	}
-	for i := len(list) - 1; i >= 0; i-- {
-		if len(out.Changes) == limit {
-			out.Truncated = true
-			break
-		}
-		out.Changes = append(out.Changes, list[i])
-	}
-	return out
+	slices.Reverse(list)
+	return operator.History{Changes: list[:min(len(list), limit)], Truncated: dropped || len(list) > limit}
 }
--- a/io/daemon/statuses.go
+++ b/io/daemon/statuses.go
@@ -5,20 +5,19 @@
 	"sync"
 
 	"pineturn/core/fold"
-	"pineturn/core/lease"
 	"pineturn/core/message"
 	"pineturn/core/record"
 )
 
 // gatherStatuses asks every member for the targets that it leads. Hosts that
 // do not answer are named with the reason.
-func (d *Daemon) gatherStatuses(ctx context.Context) (map[record.Target]*lease.Status, map[string]string) {
+func (d *Daemon) gatherStatuses(ctx context.Context) (map[record.Target]message.LedTarget, map[string]string) {
 	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
-	statuses := map[record.Target]*lease.Status{}
+	statuses := map[record.Target]message.LedTarget{}
 	missing := map[string]string{}
-	for _, status := range d.host.Leases().Statuses(d.now()) {
-		statuses[status.Target] = &status
+	for _, led := range d.leads().Targets {
+		statuses[led.Target] = led
 	}
 	var (
 		mu    sync.Mutex
@@ -34,10 +33,7 @@
 				return
 			}
 			for _, led := range reply.Leads.Targets {
-				status := lease.Status{
-					Target: led.Target, Term: led.Term, Alive: led.Alive, Health: led.Health, Left: led.Left,
-				}
-				statuses[led.Target] = &status
+				statuses[led.Target] = led
 			}
 		})
 	}
@@ -61,9 +57,11 @@
 // leads answers which targets this host is the leaseholder of.
 func (d *Daemon) leads() *message.Led {
 	led := &message.Led{}
+	queues := d.requests.holder.Load()
 	for _, status := range d.host.Leases().Statuses(d.now()) {
 		led.Targets = append(led.Targets, message.LedTarget{
 			Target: status.Target, Term: status.Term, Alive: status.Alive, Health: status.Health, Left: status.Left,
+			Busy: queues[status.Target].Running,
 		})
 	}
 	return led
--- a/io/daemon/writer.go
+++ b/io/daemon/writer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
 	"pineturn/core/fold"
 	"pineturn/core/host"
@@ -37,6 +38,9 @@
 	self   record.Incarnation
 	counts *metrics
 	queue  chan submission
+	// held is a submission that did not fit into the last batch; only run
+	// uses it.
+	held *submission
 
 	mu       sync.Mutex
 	seq      uint64
@@ -53,6 +57,9 @@
 // Submit appends operations and returns their verdicts once they are read
 // back. With errUnresolved they may take effect later.
 func (w *writer) Submit(ctx context.Context, ops []record.Op) (Written, error) {
+	if _, err := record.Encode(record.Batch{Version: record.Version, Ops: ops}); err != nil {
+		return Written{}, errors.Wrap(err, "nothing was written")
+	}
 	item := submission{ops: ops, ctx: ctx, answer: make(chan Written, 1)}
 	select {
 	case w.queue <- item:
@@ -85,6 +92,12 @@
 // run appends what is submitted until ctx ends.
 func (w *writer) run(ctx context.Context) {
 	for {
+		if w.held != nil {
+			first := *w.held
+			w.held = nil
+			w.write(ctx, w.collect(first))
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -94,13 +107,29 @@
 	}
 }
 
+// alone reports whether a submission makes a batch of its own: changes of
+// files, which have one author and version, and checkpoints, whose state is
+// encoded right after them.
+func alone(item submission) bool {
+	for _, op := range item.ops {
+		if op.Files != nil || op.Checkpoint != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // collect joins waiting submissions into one batch.
 func (w *writer) collect(first submission) []submission {
 	list := []submission{first}
 	count := len(first.ops)
-	for count < maxOps {
+	for count < maxOps && !alone(first) {
 		select {
 		case item := <-w.queue:
+			if alone(item) {
+				w.held = &item
+				return live(list)
+			}
 			list = append(list, item)
 			count += len(item.ops)
 		default:
@@ -129,9 +158,13 @@
 	for _, item := range list {
 		batch.Ops = append(batch.Ops, item.ops...)
 	}
+	if len(batch.Ops) == 0 {
+		return
+	}
 	data, err := record.Encode(batch)
-	if err != nil || len(batch.Ops) == 0 {
+	if err != nil {
 		w.counts.appendFailures.Add(1)
+		klog.ErrorS(err, "A batch could not be encoded")
 		return
 	}
 	for ctx.Err() == nil && len(live(list)) > 0 {
