Wait for the request's own route, and retry while a lease is renewed

Cause: any change of any route woke a waiting request and used up one of its attempts, and the retry budget refused requests during a handover, although these retries reach no target. Only a change of the request's own route now ends its pause; a lost lease or a refused connection is tried again with backoff, an unreachable host once on the budget. A target marked cold before its first request is warmed as well.

Seen to fail with any change waking (got more than 1 send, want 1). Measured: go test -race ./core/dispatch ./io/target: ok.

--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -44,14 +44,16 @@
 
 // journey is one request's attempts.
 type journey struct {
-	entry     *Entry
-	service   string
-	req       message.Request
-	deadline  time.Time
-	waitEnd   time.Time
-	pause     *backoff.ExponentialBackOff
-	attempts  int
-	uncertain int
+	entry    *Entry
+	service  string
+	req      message.Request
+	deadline time.Time
+	waitEnd  time.Time
+	pause    *backoff.ExponentialBackOff
+	attempts int
+	// uncertain and unreachable count the attempts that ended so.
+	uncertain   int
+	unreachable int
 }
 
 func (j *journey) run(ctx context.Context, way route.Route, failure *outcome.Error, changed <-chan struct{}) (*message.Answer, *outcome.Error) {
@@ -64,15 +66,11 @@
 			}
 		}
 		next := j.decide(failure)
-		if next == giveUp || !j.await(ctx, next, failure.RetryAfter, changed) {
+		if next == giveUp || !j.await(ctx, next, way, failure.RetryAfter, changed) {
 			return nil, withRetryAfter(failure)
 		}
 		changed = j.entry.Changed()
-		fresh, lookup := j.entry.Route(j.service, j.req.Key)
-		if next == onChange && lookup == nil && sameWay(fresh, way) {
-			continue
-		}
-		way, failure = fresh, lookup
+		way, failure = j.entry.Route(j.service, j.req.Key)
 	}
 }
 
@@ -155,16 +153,26 @@
 		return j.decideUnknown(failure)
 	}
 	switch failure.Reason {
-	case outcome.NotLeaseholder, outcome.NotReady:
+	case outcome.NotLeaseholder, outcome.NotReady, outcome.LeaseLost, outcome.TargetFailed:
 		return soon
-	case outcome.NoOwner, outcome.TargetFailed, outcome.Draining:
+	case outcome.NoOwner, outcome.Draining:
 		return onChange
-	case outcome.LeaseLost, outcome.HostUnreachable:
-		return j.budgeted(soon)
+	case outcome.HostUnreachable:
+		return j.decideUnreachable()
 	}
 	return giveUp
 }
 
+// decideUnreachable tries a host that could not be reached once more, and
+// from then on waits until another one is to be asked.
+func (j *journey) decideUnreachable() step {
+	j.unreachable++
+	if j.unreachable > 1 || j.budgeted(soon) == giveUp {
+		return onChange
+	}
+	return soon
+}
+
 // decideUnknown lets a request that may be run twice be sent once more when
 // its connection failed.
 func (j *journey) decideUnknown(failure *outcome.Error) step {
@@ -187,9 +195,10 @@
 	return next
 }
 
-// await pauses before the next attempt. It returns false when the request's
-// time for waiting is over or too many others wait.
-func (j *journey) await(ctx context.Context, next step, after time.Duration, changed <-chan struct{}) bool {
+// await pauses before the next attempt, but not when the request's route has
+// changed. It returns false when the request's time for waiting is over or
+// too many others wait.
+func (j *journey) await(ctx context.Context, next step, way route.Route, after time.Duration, changed <-chan struct{}) bool {
 	e := j.entry
 	left := j.waitEnd.Sub(e.Clock.Now())
 	if left <= 0 {
@@ -207,16 +216,27 @@
 	}
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-timer.C:
-		return next == soon && pause < left
-	case <-ctx.Done():
-		return false
+	for {
+		select {
+		case <-changed:
+			changed = e.Changed()
+			if j.moved(way) {
+				return true
+			}
+		case <-timer.C:
+			return next == soon && pause < left
+		case <-ctx.Done():
+			return false
+		}
 	}
 }
 
+// moved reports whether the request now has another route.
+func (j *journey) moved(way route.Route) bool {
+	fresh, failure := j.entry.Route(j.service, j.req.Key)
+	return failure == nil && !sameWay(fresh, way)
+}
+
 func newBackoff() *backoff.ExponentialBackOff {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = firstBackoff, maxBackoff
--- a/core/dispatch/entry_test.go
+++ b/core/dispatch/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,6 +81,39 @@
 	})
 }
 
+func TestHandleWaitsForOwnRoute(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.hosts[1].entry.Wait = 20 * time.Second
+	var sends, rearmed atomic.Int64
+	c.hosts[1].entry.Changed = func() <-chan struct{} {
+		defer rearmed.Add(1)
+		return c.change()
+	}
+	c.target = func(context.Context, *message.Request) (*message.Answer, *outcome.Error) {
+		sends.Add(1)
+		return nil, outcome.Refuse(outcome.Draining, "", 0)
+	}
+	ended := make(chan *outcome.Error, 1)
+	go func() {
+		_, failure := c.handle(1, read("r1"))
+		ended <- failure
+	}()
+	c.awaitWaiting(1)
+	for range 10 {
+		before := rearmed.Load()
+		c.assign(0, 1, 1)
+		await(t, "look at the change", func() bool { return rearmed.Load() > before })
+	}
+	if got := sends.Load(); got != 1 {
+		t.Errorf("got %d sends while other routes changed, want 1", got)
+	}
+	c.setTarget(nil)
+	c.assign(2, 2, 2)
+	if failure := <-ended; failure != nil {
+		t.Errorf("got %v, want an answer", failure)
+	}
+}
+
 func (c *cluster) awaitWaiting(i int) {
 	for c.hosts[i].entry.Counts().Waiting == 0 {
 		time.Sleep(time.Millisecond)
@@ -92,13 +126,13 @@
 		fail  *outcome.Error
 		sends int
 	}{
-		"unknown, may be repeated":     {read("r1"), outcome.Uncertain(outcome.TargetFailed, ""), 2},
-		"unknown, must not be":         {payout("r1"), outcome.Uncertain(outcome.TargetFailed, ""), 1},
-		"unknown at the deadline":      {read("r1"), outcome.Uncertain(outcome.DeadlineExceeded, ""), 1},
-		"shed":                         {read("r1"), outcome.Refuse(outcome.Shed, "", 0), 1},
-		"shed, must not be repeated":   {payout("r1"), outcome.Refuse(outcome.Shed, "", 0), 1},
-		"overloaded":                   {read("r1"), outcome.Refuse(outcome.Overloaded, "", 0), 1},
-		"target down, no other so far": {read("r1"), outcome.Refuse(outcome.TargetFailed, "", 0), 1},
+		"unknown, may be repeated":   {read("r1"), outcome.Uncertain(outcome.TargetFailed, ""), 2},
+		"unknown, must not be":       {payout("r1"), outcome.Uncertain(outcome.TargetFailed, ""), 1},
+		"unknown at the deadline":    {read("r1"), outcome.Uncertain(outcome.DeadlineExceeded, ""), 1},
+		"shed":                       {read("r1"), outcome.Refuse(outcome.Shed, "", 0), 1},
+		"shed, must not be repeated": {payout("r1"), outcome.Refuse(outcome.Shed, "", 0), 1},
+		"overloaded":                 {read("r1"), outcome.Refuse(outcome.Overloaded, "", 0), 1},
+		"draining, no other so far":  {read("r1"), outcome.Refuse(outcome.Draining, "", 0), 1},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/core/dispatch/holder.go
+++ b/core/dispatch/holder.go
@@ -45,8 +45,10 @@
 	background sync.WaitGroup
 
 	// mutex guards gates; it is taken before a gate's own lock.
-	mutex  sync.Mutex
-	gates  map[record.Target]*gate
+	mutex sync.Mutex
+	gates map[record.Target]*gate
+	// cold lists targets to be warmed when they get their gate.
+	cold   map[record.Target]bool
 	counts holderCounts
 }
 
@@ -115,7 +117,12 @@
 	defer h.mutex.Unlock()
 	if gate, ok := h.gates[target]; ok {
 		gate.Warm()
+		return
+	}
+	if h.cold == nil {
+		h.cold = make(map[record.Target]bool)
 	}
+	h.cold[target] = true
 }
 
 // Drop refuses what waits for a target, when this host ceases to be its
@@ -124,6 +131,7 @@
 	h.mutex.Lock()
 	gate, ok := h.gates[target]
 	delete(h.gates, target)
+	delete(h.cold, target)
 	h.mutex.Unlock()
 	if ok {
 		gate.Close()
@@ -188,6 +196,10 @@
 			h.gates = make(map[record.Target]*gate)
 		}
 		existing = newGate(h.Clock, id.String(), slots, queue)
+		if h.cold[id] {
+			delete(h.cold, id)
+			existing.Warm()
+		}
 		h.gates[id] = existing
 		return existing
 	}
--- a/io/target/header.go
+++ b/io/target/header.go
@@ -39,6 +39,9 @@
 	return fields
 }
 
+// regrant is when a target that holds no valid grant may hold one again.
+const regrant = 100 * time.Millisecond
+
 // refusal reads a target's own statement that it did not run the request.
 func refusal(fields http.Header) *outcome.Error {
 	code := fields.Get(header.Reason)
@@ -52,7 +55,7 @@
 	}
 	switch code {
 	case StaleTerm, WrongIncarnation, notOwner:
-		return outcome.Refuse(outcome.LeaseLost, "target: "+code, after)
+		return outcome.Refuse(outcome.LeaseLost, "target: "+code, max(after, regrant))
 	}
 	return outcome.Refuse(outcome.TargetFailed, "target: "+strconv.Quote(code), after)
 }
