--- a/core/dispatch/holder.go
+++ b/core/dispatch/holder.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sony/gobreaker/v2"
 	"golang.org/x/sync/singleflight"
 
 	"pineturn/core/admit"
@@ -44,8 +45,10 @@
 	background sync.WaitGroup
 
 	// mutex guards gates; it is taken before a gate's own lock.
-	mutex  sync.Mutex
-	gates  map[record.Target]*gate
+	mutex sync.Mutex
+	gates map[record.Target]*gate
+	// cold lists targets to be warmed when they get their gate.
+	cold   map[record.Target]bool
 	counts holderCounts
 }
 
@@ -53,6 +56,20 @@
 type gate struct {
 	*admit.Gate
 	slots, queue int
+	// breaker refuses requests while no connection to the target opens.
+	breaker *gobreaker.TwoStepCircuitBreaker[any]
+}
+
+func newGate(source clock.Clock, name string, slots, queue int) *gate {
+	return &gate{
+		Gate:  admit.NewGate(source, admit.Options{Slots: slots, Queue: queue}),
+		slots: slots, queue: queue,
+		breaker: gobreaker.NewTwoStepCircuitBreaker[any](gobreaker.Settings{
+			Name:        name,
+			Timeout:     breakerPause,
+			ReadyToTrip: func(counts gobreaker.Counts) bool { return counts.ConsecutiveFailures >= breakerFailures },
+		}),
+	}
 }
 
 type holderCounts struct {
@@ -100,7 +117,12 @@
 	defer h.mutex.Unlock()
 	if gate, ok := h.gates[target]; ok {
 		gate.Warm()
+		return
+	}
+	if h.cold == nil {
+		h.cold = make(map[record.Target]bool)
 	}
+	h.cold[target] = true
 }
 
 // Drop refuses what waits for a target, when this host ceases to be its
@@ -109,6 +131,7 @@
 	h.mutex.Lock()
 	gate, ok := h.gates[target]
 	delete(h.gates, target)
+	delete(h.cold, target)
 	h.mutex.Unlock()
 	if ok {
 		gate.Close()
@@ -162,7 +185,7 @@
 }
 
 // gate returns the queue of a target, with its present limits.
-func (h *Holder) gate(way route.Route) *admit.Gate {
+func (h *Holder) gate(way route.Route) *gate {
 	slots, queue := way.Target.Slots(), way.Service.Queue()
 	id := way.Target.ID()
 	h.mutex.Lock()
@@ -172,12 +195,13 @@
 		if h.gates == nil {
 			h.gates = make(map[record.Target]*gate)
 		}
-		existing = &gate{
-			Gate:  admit.NewGate(h.Clock, admit.Options{Slots: slots, Queue: queue}),
-			slots: slots, queue: queue,
+		existing = newGate(h.Clock, id.String(), slots, queue)
+		if h.cold[id] {
+			delete(h.cold, id)
+			existing.Warm()
 		}
 		h.gates[id] = existing
-		return existing.Gate
+		return existing
 	}
 	if existing.slots != slots {
 		existing.slots = slots
@@ -187,7 +211,7 @@
 		existing.queue = queue
 		existing.SetQueue(queue)
 	}
-	return existing.Gate
+	return existing
 }
 
 // after calls finish once d has passed.
