--- a/io/peer/failure_test.go
+++ b/io/peer/failure_test.go
@@ -120,6 +120,24 @@
 	}
 }
 
+// TestQuietIsNotSilent holds a request for longer than a connection may be
+// silent. Pings show that the other host is there.
+func TestQuietIsNotSilent(t *testing.T) {
+	const pings = 20
+	frames := new(total)
+	options := Options{RequestConns: 1, Silence: 10 * soon, Keepalive: soon, CancelGrace: limit}
+	options.Metrics.Frames = frames
+	r := newRig(t, options)
+	started, _ := holding(r, outcome.Refuse(outcome.Cancelled, "", 0))
+	ctx, cancel := context.WithCancel(context.Background())
+	failed := requestHeld(ctx, r)
+	await(t, "request started", started)
+	// Each ping and each pong is counted at both ends, for both ends' pings.
+	eventually(t, "pings and pongs", func() bool { return frames.Load() > 8*pings })
+	cancel()
+	assertOutcome(t, await(t, "request failed", failed), outcome.NotRun, outcome.Cancelled)
+}
+
 func TestSilentHostUnreachable(t *testing.T) {
 	r := newRig(t, Options{RequestConns: 1, Silence: soon, Keepalive: soon / 4})
 	y := newRelay(t, r)
