--- a/core/message/message.go
+++ b/core/message/message.go
@@ -27,6 +27,8 @@
 	Catchup *Catchup `cbor:"3,keyasint,omitempty"`
 	Witness *Witness `cbor:"4,keyasint,omitempty"`
 	Recall  *Recall  `cbor:"5,keyasint,omitempty"`
+	Report  *Report  `cbor:"6,keyasint,omitempty"`
+	Leads   *Leads   `cbor:"7,keyasint,omitempty"`
 }
 
 // Reply answers a Call, in the field of the same name.
@@ -36,19 +38,19 @@
 	Catchup *CatchupReply `cbor:"3,keyasint,omitempty"`
 	Witness *Witnessed    `cbor:"4,keyasint,omitempty"`
 	Recall  *Recalled     `cbor:"5,keyasint,omitempty"`
+	Report  *Reported     `cbor:"6,keyasint,omitempty"`
+	Leads   *Led          `cbor:"7,keyasint,omitempty"`
 }
 
-// Ping is a heartbeat. It tells how far the sender has folded the log and
-// which members it suspects.
+// Ping is a heartbeat. Next is the first offset that the sender has not
+// folded, so that a host which can't read the log learns that it is behind.
 type Ping struct {
-	Next     uint64               `cbor:"1,keyasint"`
-	Suspects []record.Incarnation `cbor:"2,keyasint,omitempty"`
-	Leaving  bool                 `cbor:"3,keyasint,omitempty"`
+	Next uint64 `cbor:"1,keyasint"`
 }
 
 // Pong answers a Ping. Next is the first offset that the answering host has
-// not folded; a Next no higher than the question's confirms that the sender
-// is as current as the answering host.
+// not folded: an asking host that has folded up to it knows nothing older.
+// Suspects are the members that the answering host suspects to be lost.
 type Pong struct {
 	From    record.Incarnation `cbor:"1,keyasint"`
 	Next    uint64             `cbor:"2,keyasint"`
@@ -82,6 +84,8 @@
 type CatchupReply struct {
 	Records  []Record `cbor:"1,keyasint,omitempty"`
 	Snapshot []byte   `cbor:"2,keyasint,omitempty"`
+	// Digest is the snapshot's.
+	Digest uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Record is one log record with its offset.
@@ -91,11 +95,14 @@
 }
 
 // Witness asks a host in another failure domain to remember the id of a
-// request that must not be repeated, before it is sent to its target.
+// request that must not be repeated, before it is sent to its target. A
+// Window of zero takes that back, as the request was certainly not run.
 type Witness struct {
 	Target  record.Target `cbor:"1,keyasint"`
 	Request string        `cbor:"2,keyasint"`
 	Window  time.Duration `cbor:"3,keyasint"`
+	// Hash is the hash of the request's key.
+	Hash uint64 `cbor:"4,keyasint"`
 }
 
 // Witnessed says whether the id is now remembered; Known when it was before.
@@ -103,9 +110,12 @@
 	Known bool `cbor:"1,keyasint"`
 }
 
-// Recall asks for the ids that a host remembers for a target.
+// Recall asks for the ids that a host remembers for the keys of a service
+// whose hashes lie from Low to High, both included.
 type Recall struct {
-	Target record.Target `cbor:"1,keyasint"`
+	Service string `cbor:"1,keyasint"`
+	Low     uint64 `cbor:"2,keyasint"`
+	High    uint64 `cbor:"3,keyasint"`
 }
 
 // Recalled lists remembered ids with the time left until they are forgotten.
@@ -117,6 +127,63 @@
 type Remembered struct {
 	Request string        `cbor:"1,keyasint"`
 	Left    time.Duration `cbor:"2,keyasint"`
+	Hash    uint64        `cbor:"3,keyasint"`
+}
+
+// Report tells the planner what a leaseholder observes of its targets.
+type Report struct {
+	Targets []TargetReport `cbor:"1,keyasint"`
+}
+
+// Leads asks which targets a host is the leaseholder of.
+type Leads struct{}
+
+// Led lists the targets that a host is the leaseholder of.
+type Led struct {
+	Targets []LedTarget `cbor:"1,keyasint,omitempty"`
+}
+
+// LedTarget is what a leaseholder knows of one target.
+type LedTarget struct {
+	Target record.Target `cbor:"1,keyasint"`
+	Term   uint64        `cbor:"2,keyasint"`
+	Alive  bool          `cbor:"3,keyasint,omitempty"`
+	Health string        `cbor:"4,keyasint,omitempty"`
+	// Left is how long the target's grant runs at least.
+	Left time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// Reported acknowledges a Report.
+type Reported struct{}
+
+// TargetReport is what a leaseholder observes of one target.
+type TargetReport struct {
+	Target record.Target `cbor:"1,keyasint"`
+	Term   uint64        `cbor:"2,keyasint"`
+	// Alive reports that the target answered its latest orders in time.
+	Alive bool `cbor:"3,keyasint"`
+	// Lost reports that the target has been silent for the suspicion time.
+	Lost bool `cbor:"8,keyasint,omitempty"`
+	// Draining reports that the target said it is leaving.
+	Draining bool `cbor:"4,keyasint,omitempty"`
+	// Cold reports that the target said it is still warming up.
+	Cold   bool        `cbor:"5,keyasint,omitempty"`
+	Shards []ShardLoad `cbor:"6,keyasint,omitempty"`
+	Hot    []HotKey    `cbor:"7,keyasint,omitempty"`
+}
+
+// ShardLoad is the load that a shard puts on its target.
+type ShardLoad struct {
+	Shard shard.ID `cbor:"1,keyasint"`
+	// Busy is the share of one slot that the shard's requests take up.
+	Busy float64 `cbor:"2,keyasint"`
+}
+
+// HotKey is a key that takes up a large part of its target.
+type HotKey struct {
+	Key string `cbor:"1,keyasint"`
+	// Busy is the share of one slot that the key's requests take up.
+	Busy float64 `cbor:"2,keyasint"`
 }
 
 // Request is a caller's request on its way to the leaseholder of its target.
