--- a/io/caller/path_test.go
+++ b/io/caller/path_test.go
@@ -31,8 +31,9 @@
 	tb.Cleanup(server.Close)
 	address := server.Listener.Addr().String()
 	self := record.Member{Incarnation: record.Incarnation{Host: "host-1", Run: 1}, Domain: "pos-a"}
+	service := newService(tb)
 	way := route.Route{
-		Service: new(config.Service), Target: new(config.Target), Epoch: 1, Term: 1, Holder: self,
+		Service: service, Target: service.Targets()[0], Epoch: 1, Term: 1, Holder: self,
 		Shard: shard.ID{Service: "coverdesk", Group: "all"},
 	}
 	source := clock.System{}
@@ -65,6 +66,21 @@
 	return front.Listener.Addr().String(), address
 }
 
+// newService returns a service with one target.
+func newService(tb testing.TB) *config.Service {
+	tb.Helper()
+	merged, faults := config.Merge(1, []config.File{{Name: "coverdesk.yaml", Content: []byte(`services:
+  coverdesk:
+    targets:
+      coverdesk-1: {address: "127.0.0.1:9001", domain: pos-a, slots: 64, connections: 100}
+`)}})
+	if len(faults) > 0 {
+		tb.Fatal(faults)
+	}
+	service, _ := merged.Service("coverdesk")
+	return service
+}
+
 func echo(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
 	_, _ = io.Copy(w, r.Body)
@@ -150,19 +166,31 @@
 }
 
 // BenchmarkPath calls a target through one host and directly, one call after
-// the other.
+// the other and about 64 at once.
 func BenchmarkPath(b *testing.B) {
 	callers, direct := startPath(b, echo)
-	for name, address := range map[string]string{"through a host": callers, "direct": direct} {
-		b.Run(name, func(b *testing.B) {
-			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
-			defer client.CloseIdleConnections()
+	for _, way := range []struct{ name, address string }{{"through a host", callers}, {"direct", direct}} {
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+		call := func(b *testing.B) {
+			if _, err := get(context.Background(), client, way.address); err != nil {
+				b.Error(err)
+			}
+		}
+		b.Run(way.name+"/one", func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, err := get(context.Background(), client, address); err != nil {
-					b.Fatal(err)
-				}
+				call(b)
 			}
 		})
+		b.Run(way.name+"/parallel", func(b *testing.B) {
+			b.ReportAllocs()
+			b.SetParallelism((64 + runtime.GOMAXPROCS(0) - 1) / runtime.GOMAXPROCS(0))
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					call(b)
+				}
+			})
+		})
+		client.CloseIdleConnections()
 	}
 }
