Hold slots and connections exactly through changes of the lease

Cause: a leaseholder that lost a target and got it back started an empty queue beside its requests still in flight, so more than the slots ran; and the connections for orders came on top of a target's stated number. The queue is now kept and opened again, and orders take their share. Also bounded: requests that a host handles at once (8192, refused before the body is read), shards known to be collected. Bytes of an answer's header that are not UTF-8 are replaced, as they would break a frame between hosts.

Seen to fail: header test with the replacement off; queue test without the opening.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -296,6 +296,19 @@
 		gate.Close()
 		check(t, result, outcome.NotLeaseholder)
 	})
+	t.Run("opened again", func(t *testing.T) {
+		gate, slot := newGate()
+		gate.Close()
+		gate.Open()
+		result := acquire(context.Background(), gate, time.Hour)
+		if got := gate.Load().Running; got != 1 {
+			t.Errorf("got %d running, want only the one from before", got)
+		}
+		slot.Release(Result{Served: true})
+		if failure := <-result; failure != nil {
+			t.Errorf("got %v, want a slot", failure)
+		}
+	})
 	t.Run("starts again by itself after a pause", func(t *testing.T) {
 		gate, slot := newGate()
 		result := acquire(context.Background(), gate, time.Hour)
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -125,6 +125,11 @@
 	return g.queue.Load(g.clock.Now())
 }
 
+// Open takes requests in again after Close. Those that still run count.
+func (g *Gate) Open() {
+	g.change(func(time.Time) { g.closed = false })
+}
+
 // Close refuses all that wait and all that come.
 func (g *Gate) Close() {
 	g.mutex.Lock()
--- a/core/dispatch/holder.go
+++ b/core/dispatch/holder.go
@@ -56,6 +56,8 @@
 type gate struct {
 	*admit.Gate
 	slots, queue int
+	// dropped is set while another host is the leaseholder.
+	dropped bool
 	// breaker refuses requests while no connection to the target opens.
 	breaker *gobreaker.TwoStepCircuitBreaker[any]
 }
@@ -106,7 +108,9 @@
 	defer h.mutex.Unlock()
 	loads := make(map[record.Target]admit.Load, len(h.gates))
 	for target, gate := range h.gates {
-		loads[target] = gate.Load()
+		if !gate.dropped {
+			loads[target] = gate.Load()
+		}
 	}
 	return loads
 }
@@ -129,11 +133,10 @@
 // leaseholder. Requests in flight end by themselves.
 func (h *Holder) Drop(target record.Target) {
 	h.mutex.Lock()
-	gate, ok := h.gates[target]
-	delete(h.gates, target)
+	defer h.mutex.Unlock()
 	delete(h.cold, target)
-	h.mutex.Unlock()
-	if ok {
+	if gate, ok := h.gates[target]; ok {
+		gate.dropped = true
 		gate.Close()
 	}
 }
@@ -203,6 +206,10 @@
 		h.gates[id] = existing
 		return existing
 	}
+	if existing.dropped {
+		existing.dropped = false
+		existing.Open()
+	}
 	if existing.slots != slots {
 		existing.slots = slots
 		existing.SetSlots(slots)
--- a/core/once/change.go
+++ b/core/once/change.go
@@ -192,6 +192,10 @@
 			}
 		}
 	}
+	if len(m.ready) >= maxReady {
+		// Shards that are still in use are collected again.
+		clear(m.ready)
+	}
 	m.ready[id] = tenure{epoch: epoch, term: term}
 	return true
 }
--- a/core/once/options.go
+++ b/core/once/options.go
@@ -13,6 +13,9 @@
 	MaxAnswer = 4 << 10
 	// DefaultMostAnswers bounds the bytes of kept answers in all.
 	DefaultMostAnswers = 16 << 20
+
+	// maxReady bounds how many shards are known to be collected.
+	maxReady = 1 << 14
 )
 
 // Options tunes a Memory; a zero field takes its default.
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -49,12 +50,27 @@
 	for i := len(middlewares) - 1; i >= 0; i-- {
 		handle = middlewares[i](handle)
 	}
-	return kithttp.NewServer(
+	return limit(DefaultMaxRequests, kithttp.NewServer(
 		handle,
 		decoder{maxBody: entry.MaxBody}.decode,
 		encodeAnswer,
 		kithttp.ServerErrorEncoder(encodeError),
-	)
+	))
+}
+
+// limit refuses requests at once while most others are in flight.
+func limit(most int64, next http.Handler) http.Handler {
+	var inFlight atomic.Int64
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer inFlight.Add(-1)
+		if inFlight.Add(1) > most {
+			refusal := outcome.Refuse(outcome.Overloaded, "the host handles too many requests", retryHostFull)
+			id, _ := requestID(r.Header)
+			encodeError(r.Context(), failure{cause: refusal, id: id}, w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // NewServer returns an HTTP server with the limits that callers are held to.
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -176,6 +176,25 @@
 	})
 }
 
+func TestLimit(t *testing.T) {
+	var handler http.Handler
+	handler = limit(1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		inner := httptest.NewRecorder()
+		handler.ServeHTTP(inner, r)
+		if got, want := inner.Code, http.StatusTooManyRequests; got != want {
+			t.Errorf("got status %d for a second request, want %d", got, want)
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	for range 2 {
+		outer := httptest.NewRecorder()
+		handler.ServeHTTP(outer, httptest.NewRequest("GET", "/", nil))
+		if got, want := outer.Code, http.StatusNoContent; got != want {
+			t.Errorf("got status %d, want %d", got, want)
+		}
+	}
+}
+
 func TestOutcomes(t *testing.T) {
 	cases := map[string]struct {
 		failed *outcome.Error
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -19,6 +19,11 @@
 	// an answer.
 	DefaultWriteTimeout = 10 * time.Second
 
+	// DefaultMaxRequests is how many requests a host handles at once.
+	DefaultMaxRequests = 8192
+
+	// retryHostFull is when to come back to a host that handles too many.
+	retryHostFull = 500 * time.Millisecond
 	// maxID and maxKey bound request ids and keys, in bytes.
 	maxID  = 128
 	maxKey = 1024
--- a/io/target/header.go
+++ b/io/target/header.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"pineturn/core/header"
@@ -30,9 +31,15 @@
 	return fields
 }
 
-// answerHeader is the part of a target's header that is passed on.
+// answerHeader is the part of a target's header that is passed on. Bytes that
+// are not UTF-8 are replaced, as hosts pass text on.
 func answerHeader(response *http.Response) http.Header {
 	fields := header.EndToEnd(response.Header)
+	for _, values := range fields {
+		for i, value := range values {
+			values[i] = strings.ToValidUTF8(value, "\uFFFD")
+		}
+	}
 	if length := response.Header["Content-Length"]; len(length) > 0 {
 		fields["Content-Length"] = length
 	}
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -119,12 +119,10 @@
 	return transport
 }
 
-// request returns the connections for requests to address, at most
-// connections of them. A changed limit starts a new pool.
-func (c *Client) request(address string, connections int) *http.Transport {
-	if connections <= 0 {
-		connections = c.options.Connections
-	}
+// request returns the connections for requests to address. A changed limit
+// starts a new pool.
+func (c *Client) request(address string, most int) *http.Transport {
+	connections := c.share(most)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	existing, ok := c.requests[address]
@@ -140,6 +138,15 @@
 	return transport
 }
 
+// share is how many of the connections that a target accepts are for
+// requests; the others are for orders, and for one that replaces a silent one.
+func (c *Client) share(most int) int {
+	if most <= 0 {
+		return c.options.Connections
+	}
+	return max(most-c.options.ControlConnections-1, 1)
+}
+
 func (c *Client) transport(connections int) *http.Transport {
 	return &http.Transport{
 		MaxConnsPerHost:        connections,
--- a/io/target/target_test.go
+++ b/io/target/target_test.go
@@ -190,6 +190,21 @@
 	}
 }
 
+func TestAnswerHeader(t *testing.T) {
+	f := newFixture(t, func(conn net.Conn, req *http.Request) bool {
+		return write(conn, req, "200 OK", "Content-Length: 2\r\nX-Name: T\xf6m\xf6r\r\nPineturn-Epoch: 9\r\nKeep-Alive: timeout=5\r\n", "ok")
+	})
+	answer, failure := f.send(newRequest("r1", http.MethodGet))
+	checkBody(t, answer, failure, "ok", nil)
+	got := http.Header(answer.Head.Header)
+	want := map[string]string{"X-Name": "T\uFFFDm\uFFFDr", header.Epoch: "", "Keep-Alive": "", "Content-Length": "2"}
+	for name, value := range want {
+		if got.Get(name) != value {
+			t.Errorf("header %s: got %q, want %q", name, got.Get(name), value)
+		}
+	}
+}
+
 func TestSendFailures(t *testing.T) {
 	refuse := func(status, reason, more string) func(net.Conn, *http.Request) bool {
 		return func(conn net.Conn, req *http.Request) bool {
