io/peer: find silent connections to callers that give up early

Cause: a connection was judged only while something was in flight.

A question that was given up without any sign of life since now counts as owed, until anything comes or the connection is found silent.

--- a/io/peer/clientconn.go
+++ b/io/peer/clientconn.go
@@ -51,6 +51,7 @@
 // addStream gives a stream its id.
 func (c *clientConn) addStream(s *stream) {
 	c.busy.Add(1)
+	c.asked.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.last++
@@ -61,6 +62,7 @@
 // addCall gives a call its id.
 func (c *clientConn) addCall(p *pendingCall) uint64 {
 	c.busy.Add(1)
+	c.asked.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.last++
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -41,8 +41,9 @@
 	done   chan struct{}
 	wg     sync.WaitGroup
 
-	// busy counts calls and requests in flight.
+	// busy counts calls and requests in flight, asked all that this end sent.
 	busy     atomic.Int64
+	asked    atomic.Int64
 	draining atomic.Bool
 
 	once  sync.Once
--- a/io/peer/failure_test.go
+++ b/io/peer/failure_test.go
@@ -138,6 +138,22 @@
 	assertOutcome(t, await(t, "request failed", failed), outcome.NotRun, outcome.Cancelled)
 }
 
+// TestSilentToShortCalls asks questions that give up long before a connection
+// counts as silent. It is found all the same, and a fresh one answers.
+func TestSilentToShortCalls(t *testing.T) {
+	r := newRig(t, Options{Silence: 5 * soon, Keepalive: soon})
+	y := newRelay(t, r)
+	assertPing(t, r, 1)
+	y.hold()
+	eventually(t, "answer over a fresh connection", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), soon/2)
+		defer cancel()
+		_, err := r.client.Call(ctx, r.to, ping(2))
+		time.Sleep(soon / 2) // leaves the connection without a question meanwhile
+		return err == nil
+	})
+}
+
 func TestSilentHostUnreachable(t *testing.T) {
 	r := newRig(t, Options{RequestConns: 1, Silence: soon, Keepalive: soon / 4})
 	y := newRelay(t, r)
--- a/io/peer/keeper.go
+++ b/io/peer/keeper.go
@@ -11,10 +11,15 @@
 // keepState is what the keeper remembers of a connection. Only the keeper
 // uses it.
 type keepState struct {
-	received int64         // bytes received when last looked at
-	quiet    time.Duration // how long nothing came while traffic was outstanding
-	sincePing,
-	idle time.Duration
+	received int64 // bytes received when last looked at
+	asked    int64 // questions asked when last looked at
+	// owed is set while the other host owes a sign of life: something is in
+	// flight, or nothing came since a question that was given up.
+	owed bool
+	// quiet is how long nothing came while a sign of life was owed.
+	quiet     time.Duration
+	sincePing time.Duration
+	idle      time.Duration
 }
 
 // keeper looks after the connections of one Client or Server: pings, silence,
@@ -94,19 +99,16 @@
 func (k *keeper) look(c *conn, step time.Duration) {
 	c.tally.publish(k.options.Metrics, c.plane)
 	state := &c.keep
-	received := c.tally.bytesIn.total.Load()
-	heard := received != state.received
-	state.received = received
-	if c.busy.Load() == 0 {
-		k.rest(c, step)
-		return
-	}
-	state.idle = 0
-	if heard {
+	if heard := state.update(c); heard {
 		state.quiet = 0
 	} else {
 		state.quiet += step
 	}
+	if !state.owed {
+		k.rest(c, step)
+		return
+	}
+	state.idle = 0
 	if state.quiet > k.options.Silence {
 		k.options.Metrics.Silent.With("plane", c.plane.String()).Add(1)
 		c.fail(ErrSilent)
@@ -119,6 +121,22 @@
 	}
 }
 
+// update takes in what a connection has done since the last look. It reports
+// whether anything came.
+func (s *keepState) update(c *conn) (heard bool) {
+	received, asked := c.tally.bytesIn.total.Load(), c.asked.Load()
+	heard = received != s.received
+	busy := c.busy.Load() > 0
+	switch {
+	case heard:
+		s.owed = busy
+	case busy || asked != s.asked:
+		s.owed = true
+	}
+	s.received, s.asked = received, asked
+	return heard
+}
+
 // rest counts how long a connection has been unused, and closes it in the end.
 func (k *keeper) rest(c *conn, step time.Duration) {
 	state := &c.keep
