--- a/core/host/act.go
+++ b/core/host/act.go
@@ -176,19 +176,13 @@
 		shards, keys := h.leases.Load(status.Target, now)
 		report.Targets = append(report.Targets, message.TargetReport{
 			Target: status.Target, Term: status.Term, Alive: status.Alive, Lost: status.Lost,
-			Draining: status.Health == healthDraining, Cold: status.Health == healthCold,
+			Draining: status.Health == lease.HealthDraining, Cold: status.Health == lease.HealthCold,
 			Shards: shards, Hot: keys,
 		})
 	}
 	return report
 }
 
-// The words by which targets state their health.
-const (
-	healthDraining = "draining"
-	healthCold     = "cold"
-)
-
 // Leads counts the targets that this host is the leaseholder of.
 func (h *Host) Leads() int { return h.leases.Len() }
 
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -59,9 +59,13 @@
 	clockSent   time.Time
 	clockAt     time.Time
 	health      string
-	answered    time.Time
-	created     time.Time
-	trusted     bool
+	// drained is set while the log or the settings take the target out of
+	// use, leaving since when that or the target itself says so.
+	drained  bool
+	leaving  time.Time
+	answered time.Time
+	created  time.Time
+	trusted  bool
 
 	// sets of shards: wanted by the log, accepted by the target, and sent
 	// without an answer.
@@ -190,10 +194,28 @@
 		}
 		settings, ok := state.Config().Target(id)
 		h.configure(state.Config(), settings, ok)
+		h.drained = target.Drain || ok && settings.Drain()
+		h.noteLeaving(now)
 	}
 	t.want(state)
 }
 
+// noteLeaving keeps since when the target is known to be leaving.
+func (h *held) noteLeaving(now time.Time) {
+	switch {
+	case !h.drained && h.health != HealthDraining:
+		h.leaving = time.Time{}
+	case h.leaving.IsZero():
+		h.leaving = now
+	}
+}
+
+// HealthDraining and HealthCold are words by which targets state their health.
+const (
+	HealthDraining = "draining"
+	HealthCold     = "cold"
+)
+
 // Activate makes this host the leaseholder of a target as a deputy: a
 // majority has promised at now to confirm no lower level of the term.
 func (t *Table) Activate(state *fold.State, id record.Target, level int, now time.Time) {
--- a/core/lease/options.go
+++ b/core/lease/options.go
@@ -15,6 +15,10 @@
 	// DefaultSuspicion is how long a target may leave orders unanswered
 	// before it is reported as not alive.
 	DefaultSuspicion = 500 * time.Millisecond
+	// DrainGrace is how long a leaving target still gets requests, while its
+	// shards are handed over. It holds also when they can't be, as the log is
+	// down.
+	DrainGrace = 3 * time.Second
 	// askInterval is the time between two questions for one former owner.
 	askInterval = 20 * time.Millisecond
 	// settleInterval is the time after which a Settle is proposed again.
--- a/core/lease/order.go
+++ b/core/lease/order.go
@@ -148,6 +148,7 @@
 	wasTrusted := h.trusted
 	h.clockUs, h.clockSent, h.clockAt = answer.ClockUs, sent, now
 	h.health, h.answered, h.trusted = answer.Health, now, true
+	h.noteLeaving(now)
 	if order.Probe {
 		h.dirty = h.dirty || !wasTrusted
 		return
--- a/core/lease/permit.go
+++ b/core/lease/permit.go
@@ -31,6 +31,9 @@
 	if h.acked == nil || !now.Before(h.acked.until) || h.acked.shards[id].epoch != epoch {
 		return route.Permit{}, h.id, outcome.Refuse(outcome.LeaseLost, id.String(), retryAfter)
 	}
+	if !h.leaving.IsZero() && now.Sub(h.leaving) >= DrainGrace {
+		return route.Permit{}, h.id, outcome.Refuse(outcome.Draining, h.id.String(), retryAfter)
+	}
 	h.flying[id]++
 	h.flyingKeys[keyOf{shard: id, key: key}]++
 	return route.Permit{
