Add benchmarks of a cell over sizes a decade apart

docs/CAPACITY.md needs slopes: memory, fold, leases, members, planning and bytes between processes. Sizes differ by a factor of ten in one dimension at a time.

--- /dev/null
+++ b/core/capacity/cell_bench_test.go
@@ -0,0 +1,215 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pineturn/core/host"
+	"pineturn/core/member"
+	"pineturn/core/message"
+	"pineturn/core/outcome"
+	"pineturn/core/plan"
+	"pineturn/core/record"
+	"pineturn/core/shard"
+)
+
+// memberSizes are the numbers of members of a cell.
+var memberSizes = []int{3, 30, 300}
+
+// BenchmarkConfirmed asks once whether a majority confirms this host.
+func BenchmarkConfirmed(b *testing.B) {
+	benchmarkMembers(b, func(t *member.Tracker, c *cell) bool {
+		_, ok := t.Confirmed(c.state.Members(), c.state.Next(), start, nil)
+		return ok
+	})
+}
+
+// BenchmarkAgreed asks once whether a majority has folded the last record.
+func BenchmarkAgreed(b *testing.B) {
+	benchmarkMembers(b, func(t *member.Tracker, c *cell) bool {
+		return t.Seen(c.state.Members(), c.state.Next()-1, c.state.Next())
+	})
+}
+
+// BenchmarkLost judges one silent member.
+func BenchmarkLost(b *testing.B) {
+	benchmarkMembers(b, func(t *member.Tracker, c *cell) bool {
+		return !t.Lost(c.state.Members(), incarnation(1), start.Add(time.Second))
+	})
+}
+
+func benchmarkMembers(b *testing.B, ask func(t *member.Tracker, c *cell) bool) {
+	b.Helper()
+	for _, count := range memberSizes {
+		b.Run(fmt.Sprintf("hosts=%d", count), func(b *testing.B) {
+			c := newCell(b, size{count, 30, 100})
+			t := c.tracker(start)
+			b.ReportAllocs()
+			for b.Loop() {
+				if !ask(t, c) {
+					b.Fatal("got no majority, want one")
+				}
+			}
+		})
+	}
+}
+
+// newHost returns host 0 of a cell; the others have confirmed it at start.
+func newHost(b *testing.B, c *cell) *host.Host {
+	b.Helper()
+	h := host.New(c.state.Members().Current()[0], host.Options{}, start)
+	if _, err := h.Fold(c.records(), start); err != nil {
+		b.Fatal(err)
+	}
+	h.LogRead(h.Next(), start)
+	heartbeats(h, c, start)
+	return h
+}
+
+// heartbeats takes in the answers of all other members at now.
+func heartbeats(h *host.Host, c *cell, now time.Time) {
+	for i := 1; i < c.size.hosts; i++ {
+		h.OnPong(pong(i, h.Next()), now, now)
+	}
+}
+
+// BenchmarkHeartbeats takes in one round of heartbeats of a whole cell, with
+// the confirmations that follow from them.
+func BenchmarkHeartbeats(b *testing.B) {
+	for _, s := range []size{{3, 30, 100}, {12, 30, 100}, {12, 300, 100}, {12, 3000, 100}, {30, 30, 100}, {300, 30, 100}, {300, 300, 100}} {
+		b.Run(s.String(), func(b *testing.B) {
+			c := newCell(b, s)
+			h := newHost(b, c)
+			now := start
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(member.DefaultInterval)
+				heartbeats(h, c, now)
+			}
+			b.ReportMetric(float64(h.Leads()), "targets")
+		})
+	}
+}
+
+// BenchmarkAct looks for what is due, as a host does a hundred times a second.
+func BenchmarkAct(b *testing.B) {
+	for _, s := range []size{{12, 10, 100}, {12, 100, 1000}, {12, 1000, 10_000}, {12, 1000, 100_000}} {
+		b.Run(s.String(), func(b *testing.B) {
+			c := newCell(b, s)
+			h := newHost(b, c)
+			now := start
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(10 * time.Millisecond)
+				orders, _ := h.Act(now)
+				answer(h.Leases(), orders)
+			}
+			b.ReportMetric(float64(h.Leads()), "targets")
+		})
+	}
+}
+
+// BenchmarkPropose is one round of proposals of the planner's host.
+func BenchmarkPropose(b *testing.B) {
+	for _, s := range planSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			c := newCell(b, s)
+			h := newHost(b, c)
+			h.OnReport(c.report(), start)
+			b.ReportAllocs()
+			for b.Loop() {
+				h.Propose(start)
+			}
+		})
+	}
+}
+
+// BenchmarkRoute finds the way of one request.
+func BenchmarkRoute(b *testing.B) {
+	for _, s := range []size{{12, 10, 100}, {12, 100, 1000}, {12, 1000, 10_000}, {12, 1000, 100_000}} {
+		b.Run(s.String(), func(b *testing.B) {
+			h := newHost(b, newCell(b, s))
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				_, refused := h.Route(service(0), keys[i%len(keys)])
+				assertRouted(b, refused)
+			}
+		})
+	}
+}
+
+var keys = func() []string {
+	var list []string
+	for i := range 1024 {
+		list = append(list, fmt.Sprintf("key-%d", i))
+	}
+	return list
+}()
+
+func assertRouted(b *testing.B, refused *outcome.Error) {
+	b.Helper()
+	if refused != nil {
+		b.Fatal(refused)
+	}
+}
+
+// BenchmarkHostFold folds a record in a whole host: state, tracker and leases.
+func BenchmarkHostFold(b *testing.B) {
+	for _, s := range foldSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			c := newCell(b, s)
+			h := newHost(b, c)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				b.StopTimer()
+				offset, data := c.state.Next(), c.encode(foldAssign(c, i))
+				c.apply(data)
+				b.StartTimer()
+				if _, err := h.Fold([]message.Record{{Offset: offset, Data: data}}, start); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// planSizes are the cells that rounds are planned for.
+var planSizes = []size{{12, 3, 100}, {12, 30, 1000}, {12, 300, 1000}, {12, 300, 10_000}, {12, 300, 100_000}, {120, 300, 1000}}
+
+// report says that every target of the cell is alive.
+func (c *cell) report() message.Report {
+	shards := map[record.Target][]shard.ID{}
+	for i := range c.size.shards {
+		id := c.size.owner(i, 0)
+		shards[id] = append(shards[id], c.size.shard(i))
+	}
+	var report message.Report
+	for i := range c.size.targets {
+		id := c.size.target(i)
+		one := message.TargetReport{Target: id, Term: c.state.Target(id).Term, Alive: true}
+		for _, owned := range shards[id] {
+			one.Shards = append(one.Shards, message.ShardLoad{Shard: owned, Busy: 0.01})
+		}
+		report.Targets = append(report.Targets, one)
+	}
+	return report
+}
+
+// BenchmarkRound plans one round of a cell at rest.
+func BenchmarkRound(b *testing.B) {
+	for _, s := range planSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			c := newCell(b, s)
+			p := plan.New(incarnation(0))
+			p.Report(c.report(), start)
+			in := plan.Input{State: c.state, Tracker: c.tracker(start), Now: start, Acting: nobody}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Round(in)
+			}
+		})
+	}
+}
+
+func nobody(record.Target) (record.Incarnation, bool) { return record.Incarnation{}, false }
--- /dev/null
+++ b/core/capacity/fold_bench_test.go
@@ -0,0 +1,148 @@
+package capacity
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"pineturn/core/fold"
+	"pineturn/core/record"
+)
+
+// stateSizes grow in one dimension at a time.
+var stateSizes = []size{
+	{12, 30, 100}, {12, 30, 1000}, {12, 30, 10_000}, {12, 30, 100_000},
+	{12, 300, 1000}, {12, 3000, 1000},
+	{120, 30, 1000}, {1200, 30, 1000},
+}
+
+// BenchmarkState builds a state from its snapshot. B/state is the memory that
+// it holds, B/image the snapshot's size.
+func BenchmarkState(b *testing.B) {
+	for _, s := range stateSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			data, digest, err := newCell(b, s).state.Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			before := heap()
+			held, err := fold.Restore(data, digest)
+			if err != nil {
+				b.Fatal(err)
+			}
+			after := heap()
+			b.ResetTimer()
+			for b.Loop() {
+				if _, err := fold.Restore(data, digest); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(after-before, "B/state")
+			b.ReportMetric(float64(len(data)), "B/image")
+			runtime.KeepAlive(held)
+		})
+	}
+}
+
+// BenchmarkEncode encodes a state, as every host does at each checkpoint.
+func BenchmarkEncode(b *testing.B) {
+	for _, s := range stateSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			c := newCell(b, s)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, _, err := c.state.Encode(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// foldSizes are the cells into which single records are folded.
+var foldSizes = []size{{12, 30, 1000}, {12, 300, 10_000}, {120, 3000, 100_000}}
+
+// BenchmarkFold folds records of one operation by kind; B/record is the size
+// of the record.
+func BenchmarkFold(b *testing.B) {
+	kinds := map[string]func(c *cell, i int) record.Op{
+		"assign": foldAssign, "settle": foldSettle, "lead": foldLead, "member": foldMember, "drain": foldDrain,
+	}
+	for kind, next := range kinds {
+		for _, s := range foldSizes {
+			b.Run(kind+"/"+s.String(), func(b *testing.B) { benchmarkFold(b, newCell(b, s), next) })
+		}
+	}
+}
+
+func benchmarkFold(b *testing.B, c *cell, next func(c *cell, i int) record.Op) {
+	bytes := 0
+	for i := 0; b.Loop(); i++ {
+		data := c.encode(next(c, i))
+		bytes += len(data)
+		if _, results, err := c.state.Apply(c.state.Next(), data); err != nil || results[0].Void != nil {
+			b.Fatal(err, results[0].Void)
+		}
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "B/record")
+}
+
+func foldAssign(c *cell, i int) record.Op {
+	index := i % c.size.shards
+	return assign(c.size, index, i/c.size.shards+1, c.state.Shard(c.size.shard(index)).Epoch)
+}
+
+func foldSettle(c *cell, i int) record.Op {
+	id := c.size.shard(i % c.size.shards)
+	return record.Op{Settle: &record.Settle{Shard: id, Epoch: c.state.Shard(id).Epoch}}
+}
+
+func foldLead(c *cell, i int) record.Op {
+	index := i % c.size.targets
+	return lead(c.size, index, c.state.Target(c.size.target(index)).Term)
+}
+
+// foldMember lets a host join and leave by turns.
+func foldMember(c *cell, i int) record.Op {
+	members := c.state.Members()
+	if i%2 == 0 {
+		return record.Op{Join: &record.Join{Member: memberAt(c.size.hosts), Expect: members.Epoch()}}
+	}
+	return record.Op{Leave: &record.Leave{Incarnation: incarnation(c.size.hosts), Expect: members.Epoch()}}
+}
+
+func foldDrain(c *cell, i int) record.Op {
+	return record.Op{Drain: &record.Drain{Target: c.size.target(i % c.size.targets), On: i%2 == 0}}
+}
+
+// BenchmarkFiles folds a change of one file of a folder. B/file is the memory
+// that the state holds for each file of 100 targets.
+func BenchmarkFiles(b *testing.B) {
+	for _, count := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("files=%d", count), func(b *testing.B) {
+			before := heap()
+			c := newCell(b, size{12, perFile * count, 100})
+			held := heap() - before
+			change := files(c.size)[count-1]
+			for i := 0; b.Loop(); i++ {
+				op := &record.Files{Changes: []record.FileChange{{
+					Name: change.Name, Expect: c.version(change.Name), Content: append(bytes.Clone(change.Content), []byte(fmt.Sprintf("# %d\n", i))...),
+				}}}
+				if results := c.apply(c.encode(record.Op{Files: op})); results[0].Void != nil {
+					b.Fatal(results[0].Void, results[0].Faults)
+				}
+			}
+			b.ReportMetric(held/float64(count), "B/file")
+		})
+	}
+}
+
+func (c *cell) version(name string) uint64 {
+	for _, file := range c.state.Files() {
+		if file.Name == name {
+			return file.Version
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/core/capacity/lease_bench_test.go
@@ -0,0 +1,139 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+
+	"pineturn/core/lease"
+)
+
+// tableSizes are the states that a table is kept in line with; the host is
+// one of twelve, and so leads a twelfth of the targets.
+var tableSizes = []size{{12, 30, 100}, {12, 30, 1000}, {12, 30, 10_000}, {12, 300, 10_000}, {12, 300, 100_000}, {12, 3000, 10_000}}
+
+// newTable returns the table of host 0, whose targets have accepted their
+// grants.
+func newTable(b *testing.B, c *cell) *lease.Table {
+	b.Helper()
+	t := lease.New(incarnation(0), lease.Options{Life: 10_000 * time.Hour})
+	t.Sync(c.state, start)
+	for _, place := range t.Places() {
+		t.Fresh(place.Target, start)
+	}
+	t.Guard(c.tracker(start), c.state.Members(), start)
+	for range 3 {
+		answer(t, t.Orders(start))
+	}
+	return t
+}
+
+// answer has the targets accept orders at start.
+func answer(t *lease.Table, orders []lease.Order) {
+	for _, order := range orders {
+		t.Answer(order, lease.Answer{Incarnation: "a", ClockUs: 1e6, Health: "ok", Set: order.Set}, start, start)
+	}
+}
+
+// BenchmarkSync brings a table in line after a record that concerns none of
+// its targets, as after most records.
+func BenchmarkSync(b *testing.B) {
+	for _, s := range tableSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			c := newCell(b, s)
+			t := newTable(b, c)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				b.StopTimer()
+				c.apply(c.encode(foldDrain(c, i)))
+				b.StartTimer()
+				t.Sync(c.state, start)
+			}
+		})
+	}
+}
+
+// BenchmarkSyncMove brings a table in line after a shard has moved.
+func BenchmarkSyncMove(b *testing.B) {
+	for _, s := range tableSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			c := newCell(b, s)
+			t := newTable(b, c)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				b.StopTimer()
+				c.apply(c.encode(foldAssign(c, i)))
+				b.StartTimer()
+				t.Sync(c.state, start)
+			}
+		})
+	}
+}
+
+// BenchmarkOrders makes and answers the renewals of all held targets.
+func BenchmarkOrders(b *testing.B) {
+	for _, s := range tableSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			t := newTable(b, newCell(b, s))
+			now := start
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(lease.DefaultRenewal)
+				orders := t.Orders(now)
+				if len(orders) == 0 || !orders[0].Renew {
+					b.Fatalf("got %d orders, want renewals", len(orders))
+				}
+				answer(t, orders)
+			}
+			b.ReportMetric(float64(t.Len()), "targets")
+		})
+	}
+}
+
+// BenchmarkOrdersIdle looks for orders while none is due, as a host does a
+// hundred times a second.
+func BenchmarkOrdersIdle(b *testing.B) {
+	for _, s := range tableSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			t := newTable(b, newCell(b, s))
+			b.ReportAllocs()
+			for b.Loop() {
+				if got := len(t.Orders(start)); got != 0 {
+					b.Fatalf("got %d orders, want 0", got)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkPermit admits one request and ends it.
+func BenchmarkPermit(b *testing.B) {
+	for _, s := range tableSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			c := newCell(b, s)
+			t := newTable(b, c)
+			id := c.size.shard(0)
+			epoch := c.state.Shard(id).Epoch
+			b.ReportAllocs()
+			for b.Loop() {
+				permit, to, refused := t.Permit(id, epoch, "key-1", start)
+				if refused != nil {
+					b.Fatal(refused)
+				}
+				t.Done(to, permit.Term, id, "key-1", time.Millisecond, start)
+			}
+		})
+	}
+}
+
+// BenchmarkStatuses lists the held targets, as each report does.
+func BenchmarkStatuses(b *testing.B) {
+	for _, s := range tableSizes {
+		b.Run(s.String(), func(b *testing.B) {
+			t := newTable(b, newCell(b, s))
+			b.ReportAllocs()
+			for b.Loop() {
+				t.Statuses(start)
+			}
+		})
+	}
+}
