Pass on which memberships are settled, and let a restarted host join first

Cause: thin-path hung when a second host was lost right after the first had restarted. The restarted host could not join: it never heard the lost one and so could not know that the last change was settled, though another host did. On the earlier order (former run leaves, later run joins) a membership of two stood in between, and losing one of the two left it unsettled for good; three processes were seen stuck so for 390 s.

A heartbeat's answer now carries the latest epoch known to be settled (it stays true), and a former run is expelled only once the later one is a member.

Also: the leaseholder of a target is now chosen in the target's own failure domain. Remembered ids are handed over at a stop and repaired when a member goes; cold targets start with a slot.

--- a/core/host/beat.go
+++ b/core/host/beat.go
@@ -32,12 +32,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	members := h.state.Members()
+	h.tracker.Settled(members, h.state.Next())
 	return message.Pong{
 		From: h.self.Incarnation, Next: h.state.Next(), Leaving: h.leaving,
 		Ready:         h.known() && members.Has(h.self.Incarnation),
 		ConfigVersion: h.state.Config().Version(),
 		Suspects:      h.tracker.Suspects(members, now),
 		Promises:      h.listPromises(),
+		Settled:       h.tracker.SettledEpoch(),
 	}
 }
 
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -89,28 +89,28 @@
 }
 
 // answer has the target accept an order, a millisecond after it was sent.
-func (r *rig) answer(order Order, health string) {
+func (r *rig) answer(order Order) {
 	sent := r.now
 	r.now = r.now.Add(time.Millisecond)
 	clock := r.clock + r.now.Sub(epoch).Microseconds()
-	r.table.Answer(order, Answer{Incarnation: "i1", ClockUs: clock, Health: health, Set: order.Set}, sent, r.now)
+	r.table.Answer(order, Answer{Incarnation: "i1", ClockUs: clock, Health: "ok", Set: order.Set}, sent, r.now)
 }
 
 // grant probes a target, proves freshness, and has a grant accepted.
 func (r *rig) grant(target record.Target) Order {
 	r.t.Helper()
 	if order := r.order(target); order.Probe {
-		r.answer(order, "ok")
+		r.answer(order)
 	} else {
 		r.table.Fail(order, false, r.now)
 	}
 	r.table.Fresh(target, r.now)
 	order := r.order(target)
 	if order.Probe {
-		r.answer(order, "ok")
+		r.answer(order)
 		order = r.order(target)
 	}
-	r.answer(order, "ok")
+	r.answer(order)
 	return order
 }
 
@@ -165,7 +165,7 @@
 		r.wantPermit("k", "")
 		for end := r.now.Add(DrainGrace); r.now.Before(end); {
 			r.table.Fresh(first, r.now)
-			r.answer(r.order(first), "ok")
+			r.answer(r.order(first))
 		}
 		r.wantPermit("k", outcome.Draining)
 	})
@@ -174,14 +174,14 @@
 func TestOrders(t *testing.T) {
 	t.Run("no grant without a proof of freshness", func(t *testing.T) {
 		r := newRig(t)
-		r.answer(r.order(first), "ok")
+		r.answer(r.order(first))
 		if got := r.order(first).Probe; !got {
 			t.Errorf("got a grant, want a probe")
 		}
 	})
 	t.Run("no grant for longer than the proof", func(t *testing.T) {
 		r := newRig(t)
-		r.answer(r.order(first), "ok")
+		r.answer(r.order(first))
 		fresh := r.now
 		r.table.Fresh(first, fresh)
 		r.now = r.now.Add(DefaultLife / 2)
@@ -216,7 +216,7 @@
 		r.grant(first)
 		r.fold(move)
 		r.table.Fresh(first, r.now)
-		r.answer(r.order(first), "ok")
+		r.answer(r.order(first))
 		r.wantReleased(true)
 	})
 	t.Run("not while a request is in flight", func(t *testing.T) {
@@ -225,11 +225,11 @@
 		permit, target, _ := r.table.Permit(piece, 1, "k", r.now)
 		r.fold(move)
 		r.table.Fresh(first, r.now)
-		r.answer(r.order(first), "ok")
+		r.answer(r.order(first))
 		r.wantReleased(false)
 		r.table.Done(target, permit.Term, piece, "k", 0, r.now)
 		r.table.Fresh(first, r.now)
-		r.answer(r.order(first), "ok")
+		r.answer(r.order(first))
 		r.wantReleased(true)
 	})
 	t.Run("not a key whose request went out before it was split off", func(t *testing.T) {
@@ -241,7 +241,7 @@
 		r.fold(record.Op{Split: &record.Split{Shard: hot, Expect: 1}})
 		r.fold(record.Op{Assign: &record.Assign{Shard: hot, Target: "t2", Expect: 1}})
 		r.table.Fresh(first, r.now)
-		r.answer(r.order(first), "ok")
+		r.answer(r.order(first))
 		question := message.Release{Target: first, Next: r.state.Next(), Shards: []shard.ID{hot}}
 		if got, _ := r.table.Released(question, r.now); len(got) != 0 {
 			t.Errorf("got %v released with a request in flight, want none", got)
@@ -253,7 +253,7 @@
 	})
 	t.Run("after an order without an answer, once it has lapsed", func(t *testing.T) {
 		r := newRig(t)
-		r.answer(r.order(first), "ok")
+		r.answer(r.order(first))
 		r.table.Fresh(first, r.now)
 		r.table.Fail(r.order(first), true, r.now)
 		r.fold(move)
@@ -299,7 +299,7 @@
 	}
 	r.grant(first)
 	r.table.Questions(r.now, func(record.Target) bool { return true })
-	r.answer(r.order(other), "ok")
+	r.answer(r.order(other))
 	r.table.Fresh(other, r.now)
 	order := r.order(other)
 	if len(order.Shards) != 1 {
@@ -308,7 +308,7 @@
 	if got := len(r.table.Settles(r.now)); got != 0 {
 		t.Errorf("got %d settles before the grant is accepted, want 0", got)
 	}
-	r.answer(order, "ok")
+	r.answer(order)
 	if got := len(r.table.Settles(r.now)); got != 1 {
 		t.Errorf("got %d settles, want 1", got)
 	}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -29,6 +29,8 @@
 	peers     map[record.Incarnation]*peer
 	gone      map[record.Incarnation]time.Time
 	listed    map[string]bool
+	// settled is the epoch of the latest membership known to be settled.
+	settled uint64
 }
 
 // peer is the latest that one incarnation said.
@@ -80,6 +82,7 @@
 	}
 	p.answered = now
 	p.leaving = pong.Leaving
+	t.settled = max(t.settled, pong.Settled)
 	if asked.After(p.asked) {
 		p.asked = asked
 		p.pong = pong
@@ -249,13 +252,14 @@
 }
 
 // Settled reports whether a majority of the members before the last change
-// have seen it, so that the next change may be made.
+// have seen it, so that the next change may be made. What another host knows
+// to be settled is settled: the word of members that were lost since counts.
 func (t *Tracker) Settled(members *fold.Membership, next uint64) bool {
 	before := members.Before()
-	if len(before) == 0 {
+	if len(before) == 0 || t.settled >= members.Epoch() {
 		return true
 	}
-	return t.majority(before, func(id record.Incarnation) bool {
+	settled := t.majority(before, func(id record.Incarnation) bool {
 		if id == t.self {
 			return next > members.Changed()
 		}
@@ -265,8 +269,15 @@
 		p := t.peers[id]
 		return p != nil && p.pong.Next > members.Changed()
 	})
+	if settled {
+		t.settled = members.Epoch()
+	}
+	return settled
 }
 
+// SettledEpoch is the epoch of the latest membership known to be settled.
+func (t *Tracker) SettledEpoch() uint64 { return t.settled }
+
 // Confirmed returns the latest instant at which a question was sent to which
 // a majority has answered that it knows nothing newer than next; false if
 // there is none. Both memberships count while the last change is unsettled.
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -63,6 +63,9 @@
 	Suspects      []record.Incarnation `cbor:"6,keyasint,omitempty"`
 	// Promises are those that the answering host has made.
 	Promises []Promise `cbor:"7,keyasint,omitempty"`
+	// Settled is the epoch of the latest membership that the answering host
+	// knows to be settled.
+	Settled uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Promise asks a host to confirm no leaseholder of a target below a level of
--- a/core/plan/lead.go
+++ b/core/plan/lead.go
@@ -9,6 +9,9 @@
 // maxDeputies is how many deputies a leaseholder has at most.
 const maxDeputies = 2
 
+// maxEvened is how many targets change leaseholder in one round for no need.
+const maxEvened = 4
+
 // minHosts is the number of hosts from which on leaseholders have deputies:
 // with fewer, the loss of one host leaves no majority that could confirm them.
 const minHosts = 3
@@ -134,8 +137,10 @@
 	}
 }
 
-// choose picks the host that leads fewest targets, outside the target's
-// failure domain if there is one; ties go by rendezvous hash.
+// choose picks the host that leads fewest targets, in the target's failure
+// domain if there is one; ties go by rendezvous hash. A slot of the target is
+// empty while an answer and the next request cross between the two, so the
+// way between them is to be short.
 func choose(hosts []record.Member, counts map[record.Incarnation]int, conf *config.Config, id record.Target) record.Member {
 	domain := ""
 	if target, ok := conf.Target(id); ok {
@@ -152,7 +157,7 @@
 
 func better(host, best record.Member, domain string, counts map[record.Incarnation]int, id record.Target) bool {
 	if (host.Domain == domain) != (best.Domain == domain) {
-		return best.Domain == domain
+		return host.Domain == domain
 	}
 	left, right := counts[host.Incarnation], counts[best.Incarnation]
 	if left != right {
@@ -165,29 +170,33 @@
 	return weightOf(host.Incarnation.Host, id.String())
 }
 
-// even moves one target from the host that leads most to the one that leads
-// fewest, when they differ by more than one.
+// even moves a few targets to hosts in their own failure domain, and to hosts
+// that lead at least two targets fewer.
 func (r *leadRound) even(targets []record.Target) {
-	most, fewest := r.hosts[0], r.hosts[0]
-	for _, host := range r.hosts {
-		if r.counts[host.Incarnation] > r.counts[most.Incarnation] {
-			most = host
+	for _, id := range targets {
+		if len(r.ops) == maxEvened {
+			return
 		}
-		if r.counts[host.Incarnation] < r.counts[fewest.Incarnation] {
-			fewest = host
+		holder := r.state.Target(id).Holder
+		chosen := choose(r.hosts, r.counts, r.state.Config(), id)
+		if chosen.Incarnation == holder || !r.pays(id, holder, chosen) {
+			continue
 		}
+		r.counts[holder]--
+		r.counts[chosen.Incarnation]++
+		r.propose(id, chosen.Incarnation)
 	}
-	if r.counts[most.Incarnation]-r.counts[fewest.Incarnation] < 2 {
-		return
+}
+
+// pays reports whether a move of a target's lease is worth its handover.
+func (r *leadRound) pays(id record.Target, holder record.Incarnation, chosen record.Member) bool {
+	settings, ok := r.state.Config().Target(id)
+	if !ok {
+		return false
 	}
-	for _, id := range targets {
-		settings, ok := r.state.Config().Target(id)
-		if !ok || settings.Domain() == fewest.Domain {
-			continue
-		}
-		if r.state.Target(id).Holder == most.Incarnation {
-			r.propose(id, fewest.Incarnation)
-			return
-		}
+	member, ok := r.state.Members().Find(holder)
+	if ok && member.Domain != settings.Domain() && chosen.Domain == settings.Domain() {
+		return true
 	}
+	return r.counts[holder]-r.counts[chosen.Incarnation] >= 2
 }
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -128,8 +128,7 @@
 		if _, ok := p.lost[id]; !ok {
 			p.lost[id] = in.Now
 		}
-		_, gone := in.Tracker.Gone(id)
-		if gone || in.Now.Sub(p.lost[id]) >= DefaultExpelAfter {
+		if replaced(members, id) || in.Now.Sub(p.lost[id]) >= DefaultExpelAfter {
 			return []record.Op{{Leave: &record.Leave{Incarnation: id, Expect: members.Epoch()}}}
 		}
 	}
@@ -148,6 +147,17 @@
 	return !in.Tracker.Leaving(holder)
 }
 
+// replaced reports whether a later run of a host is a member. It joins before
+// the former one leaves, so that the membership never shrinks in between.
+func replaced(members *fold.Membership, id record.Incarnation) bool {
+	for _, one := range members.Current() {
+		if one.Incarnation.Host == id.Host && one.Incarnation.Run > id.Run {
+			return true
+		}
+	}
+	return false
+}
+
 // Candidates lists the hosts that may be leaseholders: live members that
 // aren't leaving.
 func (p *Planner) Candidates(in Input) []record.Member {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -130,6 +130,7 @@
 	}
 	d.requests = newRequests(d)
 	d.server.OnRequest = d.requests.onRequest
+	d.reporter.warm = d.requests.warm
 }
 
 // Start listens and starts the parts.
@@ -209,6 +210,7 @@
 	klog.InfoS("Leaving", "host", d.host.Self().Incarnation.String())
 	d.handOver(ctx)
 	err := d.callers.shutdown(ctx)
+	d.requests.handOver(ctx)
 	d.leaveMembership(ctx)
 	err = errors.CombineErrors(err, d.server.Close(ctx))
 	err = errors.CombineErrors(err, d.peers.Close(ctx))
--- a/io/daemon/dump.go
+++ b/io/daemon/dump.go
@@ -19,6 +19,7 @@
 	Next            uint64            `json:"next"`
 	ConfigVersion   uint64            `json:"config_version"`
 	MembershipEpoch uint64            `json:"membership_epoch"`
+	SettledEpoch    uint64            `json:"settled_epoch"`
 	Members         []memberDump      `json:"members"`
 	Leads           []leadDump        `json:"leads"`
 	Targets         []targetDump      `json:"targets"`
@@ -98,6 +99,7 @@
 }
 
 func (o *dump) addMembers(state *fold.State, tracker *member.Tracker, now time.Time) {
+	o.SettledEpoch = tracker.SettledEpoch()
 	for _, one := range state.Members().Current() {
 		pong, answered := tracker.Pong(one.Incarnation)
 		_, gone := tracker.Gone(one.Incarnation)
--- a/io/daemon/metrics.go
+++ b/io/daemon/metrics.go
@@ -30,6 +30,7 @@
 	latency          *prometheus.HistogramVec
 	peerRefused      prometheus.Counter
 	diverged         prometheus.Gauge
+	idsAlone         prometheus.Gauge
 	peerOpened       *prometheus.CounterVec
 	peerSilent       *prometheus.CounterVec
 	peerFrames       *prometheus.CounterVec
@@ -56,6 +57,7 @@
 		requests:         counters("requests_total", "Callers' requests, by service, outcome and reason.", "service", "outcome", "reason"),
 		peerRefused:      counter("peer_refused_total", "Connections of other hosts that were refused or broken off."),
 		diverged:         gauge("state_diverged", "1 when this host's state differs from another host's digest; it then serves nothing."),
+		idsAlone:         gauge("ids_alone", "Ids of requests that must not be repeated which only this host remembers."),
 		peerOpened:       counters("peer_connections_total", "Connections between hosts that were opened.", "plane"),
 		peerSilent:       counters("peer_silent_total", "Connections between hosts that went silent.", "plane"),
 		peerFrames:       counters("peer_frames_total", "Frames between hosts.", "plane", "direction"),
@@ -68,7 +70,7 @@
 	m.registry.MustRegister(
 		m.logReads, m.logFailures, m.logUp, m.appends, m.appendFailures, m.appendBytes, m.foldedOps, m.snapshots,
 		m.snapshotFailures, m.beats, m.orders, m.questions, m.catchups, m.requests, m.latency, m.peerRefused,
-		m.diverged, m.peerOpened, m.peerSilent, m.peerFrames, m.peerBytes,
+		m.diverged, m.idsAlone, m.peerOpened, m.peerSilent, m.peerFrames, m.peerBytes,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return m
--- a/io/daemon/options.go
+++ b/io/daemon/options.go
@@ -50,6 +50,8 @@
 	listTimeout = time.Second
 	// commandTimeout is how long an operator's change is pursued.
 	commandTimeout = 8 * time.Second
+	// repairTimeout bounds the search for second hosts that remember ids.
+	repairTimeout = 2 * time.Second
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 5 * time.Second
 	// idleTimeout is how long an unused connection is kept.
--- a/io/daemon/proposer.go
+++ b/io/daemon/proposer.go
@@ -41,6 +41,8 @@
 	call callFunc
 	now  nowFunc
 	wake chan struct{}
+	// warm is called before each report.
+	warm func()
 }
 
 // run reports until ctx ends.
@@ -49,6 +51,7 @@
 }
 
 func (r *reporter) report(ctx context.Context) {
+	r.warm()
 	now := r.now()
 	planner, ok := r.host.Planner(now)
 	if !ok {
--- a/io/daemon/requests.go
+++ b/io/daemon/requests.go
@@ -6,11 +6,13 @@
 
 	"github.com/cockroachdb/errors"
 	kitprometheus "github.com/go-kit/kit/metrics/prometheus"
+	"k8s.io/klog/v2"
 
 	"pineturn/core/admit"
 	"pineturn/core/dispatch"
 	"pineturn/core/fold"
 	"pineturn/core/host"
+	"pineturn/core/lease"
 	"pineturn/core/message"
 	"pineturn/core/once"
 	"pineturn/core/outcome"
@@ -69,11 +71,16 @@
 	})
 }
 
-// run drops the queues of targets that this host no longer leads, whenever
-// the state changes.
+// run follows the state: it drops the queues of targets that this host no
+// longer leads, and has ids remembered elsewhere when a member has gone.
 func (r *requests) run(ctx context.Context) {
+	var epoch uint64
 	for {
 		changed := r.host.Changed()
+		if now := r.epoch(); now != epoch {
+			epoch = now
+			r.repair(ctx)
+		}
 		for target := range r.holder.Load() {
 			holder, ok := r.host.HolderOf(target)
 			if !ok || holder.Incarnation != r.host.Self().Incarnation {
@@ -88,6 +95,41 @@
 	}
 }
 
+// epoch is that of the membership.
+func (r *requests) epoch() uint64 {
+	var epoch uint64
+	r.host.Read(func(state *fold.State) { epoch = state.Members().Epoch() })
+	return epoch
+}
+
+// repair finds a second host for ids whose second host is no member any more.
+func (r *requests) repair(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
+	defer cancel()
+	if alone := r.holder.Repair(ctx); alone > 0 {
+		r.counts.idsAlone.Set(float64(alone))
+		return
+	}
+	r.counts.idsAlone.Set(0)
+}
+
+// handOver lets other hosts know every remembered id, before this one stops.
+func (r *requests) handOver(ctx context.Context) {
+	if alone := r.holder.HandOver(ctx); alone > 0 {
+		klog.InfoS("Some ids of requests that must not be repeated stay behind", "ids", alone)
+	}
+	r.holder.Close()
+}
+
+// warm lets targets that say they are cold have few requests at first.
+func (r *requests) warm() {
+	for _, status := range r.host.Leases().Statuses(r.now()) {
+		if status.Health == lease.HealthCold {
+			r.holder.Warm(status.Target)
+		}
+	}
+}
+
 func (r *requests) maxBody(service string) (int64, bool) {
 	var (
 		size int64
