Tell requests of two services with one id apart in the check

Requests are now keyed by service and id everywhere, which is also stricter for an answer that no target of the service gave. go test ./core/audit passes.

--- a/core/audit/audit_test.go
+++ b/core/audit/audit_test.go
@@ -214,6 +214,11 @@
 		"done without a run": {
 			owner().run("r2", 10, 20), []audit.Record{record(once)}, []audit.Problem{audit.DoneWithoutRun},
 		},
+		"an id that two services share": {
+			owner().run("r1", 10, 20).run("r1", 30, 40), []audit.Record{
+				record(func(*audit.Record) {}), record(func(r *audit.Record) { r.Service, r.Once = "coverdesk", true }),
+			}, nil,
+		},
 		"answer of another request": {
 			owner().run("r1", 10, 20), []audit.Record{record(func(r *audit.Record) { r.BodyID = "r9" })},
 			[]audit.Problem{audit.AnswerOfAnother},
--- a/core/audit/requests.go
+++ b/core/audit/requests.go
@@ -7,20 +7,27 @@
 	"pineturn/core/outcome"
 )
 
-// runsByID groups the runs by request id.
-func runsByID(runs []*execution) map[string][]*execution {
-	groups := map[string][]*execution{}
+// requestID names a request. Callers of two services may choose the same id.
+type requestID struct{ service, id string }
+
+func (e *execution) requestID() requestID { return requestID{e.owner.service, e.request.ID} }
+
+func (r Record) requestID() requestID { return requestID{r.Service, r.ID} }
+
+// runsByID groups the runs by request.
+func runsByID(runs []*execution) map[requestID][]*execution {
+	groups := map[requestID][]*execution{}
 	for _, run := range runs {
-		groups[run.request.ID] = append(groups[run.request.ID], run)
+		groups[run.requestID()] = append(groups[run.requestID()], run)
 	}
 	return groups
 }
 
 // runTwice finds requests recorded as once that ran more than once.
 func runTwice(runs []*execution, records []Record) []Finding {
-	once := map[string]bool{}
+	once := map[requestID]bool{}
 	for _, record := range records {
-		once[record.ID] = once[record.ID] || record.Once
+		once[record.requestID()] = once[record.requestID()] || record.Once
 	}
 	var findings []Finding
 	for id, group := range runsByID(runs) {
@@ -29,7 +36,7 @@
 		}
 		first, last := group[0], group[len(group)-1]
 		findings = append(findings, Finding{
-			Problem: RunTwice, Service: first.owner.service, Key: first.request.Key, Request: id,
+			Problem: RunTwice, Service: first.owner.service, Key: first.request.Key, Request: id.id,
 			Targets: []string{first.owner.name(), last.owner.name()}, FromNs: first.from, ToNs: last.to,
 			Detail: fmt.Sprintf("ran %d times", len(group)),
 		})
@@ -41,13 +48,13 @@
 // had not. A run is accounted for by an attempt of the same request that was
 // sent before the run began and was not said not to have run.
 func toldNotRun(runs []*execution, records []Record) []Finding {
-	attempts := map[string][]Record{}
+	attempts := map[requestID][]Record{}
 	for _, record := range records {
-		attempts[record.ID] = append(attempts[record.ID], record)
+		attempts[record.requestID()] = append(attempts[record.requestID()], record)
 	}
 	var findings []Finding
 	for _, run := range runs {
-		made := attempts[run.request.ID]
+		made := attempts[run.requestID()]
 		if len(made) == 0 || accounted(run, made) {
 			continue
 		}
@@ -71,13 +78,13 @@
 
 // unrecorded counts the runs of requests that no caller recorded.
 func unrecorded(runs []*execution, records []Record) int {
-	known := map[string]bool{}
+	known := map[requestID]bool{}
 	for _, record := range records {
-		known[record.ID] = true
+		known[record.requestID()] = true
 	}
 	count := 0
 	for _, run := range runs {
-		if !known[run.request.ID] {
+		if !known[run.requestID()] {
 			count++
 		}
 	}
@@ -94,7 +101,7 @@
 			continue
 		}
 		problem, detail := record.fault()
-		if problem == "" && found.services[record.Service] && len(ran[record.ID]) == 0 {
+		if problem == "" && found.services[record.Service] && len(ran[record.requestID()]) == 0 {
 			problem, detail = DoneWithoutRun, "no target ran it"
 		}
 		if problem == "" {
