--- a/core/host/property_test.go
+++ b/core/host/property_test.go
@@ -21,6 +21,7 @@
 var faultKinds = []string{
 	"cut-log", "cut-peer", "cut-target", "pause-host", "restart-host", "freeze-target", "restart-target",
 	"log-down", "drain-target", "isolate-host", "drain-record", "strand", "strand", "amnesia",
+	"log-split", "log-split",
 }
 
 func drawFaults(t *rapid.T) []fault {
@@ -67,6 +68,8 @@
 		both(func(on bool) { w.logDown = on })
 	case "strand":
 		both(func(on bool) { w.strand(t, f.A%3+1, on) })
+	case "log-split":
+		both(func(on bool) { w.splitLog(t, f.A, on) })
 	case "amnesia":
 		once(func() { w.forget(t, length) })
 	case "drain-record":
@@ -122,6 +125,23 @@
 	w.list(listed)
 }
 
+// splitLog leaves the log to the leaseholder of a target and one other host.
+// The leaseholder hears that other host alone.
+func (w *world) splitLog(t *simTarget, other int, on bool) {
+	if !on {
+		w.unstrand()
+		return
+	}
+	for i, h := range w.hosts {
+		if h.leads(t) {
+			w.isolate(i, true)
+			w.setCut("peer", min(i, other), max(i, other), false)
+			continue
+		}
+		w.setCut("log", i, 0, i != other)
+	}
+}
+
 func (w *world) list(listed map[string]bool) {
 	for _, h := range w.hosts {
 		h.host.OnListed(listed)
@@ -175,26 +195,48 @@
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		suspicion := rapid.SampledFrom([]time.Duration{200 * time.Millisecond, 500 * time.Millisecond}).Draw(t, "suspicion")
-		faults := drawFaults(t)
-		w := newWorld(seed, suspicion)
-		start := 4 * time.Second
-		w.run(start)
-		mustServe(t, w, "before the faults")
-		start = w.now
-		for _, f := range faults {
-			w.inject(f, start)
-		}
-		w.run(start + 30*time.Second)
-		mustServe(t, w, "after the faults")
+		mustStand(t, seed, suspicion, drawFaults(t))
+	})
+}
+
+// TestCasesFound runs cases in which the property test once found two owners.
+func TestCasesFound(t *testing.T) {
+	t.Run("holder named again after its deputy acted", func(t *testing.T) {
+		mustStand(t, 0x40, 500*time.Millisecond, []fault{
+			{At: 49, For: 52, Kind: "strand", A: 1, B: 3}, {At: 12, For: 866, Kind: "cut-peer", A: 1, B: 0},
+			{At: 729, For: 2312, Kind: "strand", A: 1, B: 2}, {At: 2, For: 1286, Kind: "log-down", A: 0, B: 4},
+			{At: 2433, For: 227, Kind: "cut-log", A: 2, B: 0}, {At: 3, For: 54, Kind: "restart-target", A: 0, B: 3},
+		})
 	})
 }
 
+// failer is the part of a test that can fail.
+type failer interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// mustStand runs a world through faults.
+func mustStand(t failer, seed uint64, suspicion time.Duration, faults []fault) {
+	t.Helper()
+	w := newWorld(seed, suspicion)
+	start := 4 * time.Second
+	w.run(start)
+	mustServe(t, w, "before the faults")
+	start = w.now
+	for _, f := range faults {
+		w.inject(f, start)
+	}
+	w.run(start + 30*time.Second)
+	mustServe(t, w, "after the faults")
+}
+
 // servedWithin is how long the model may take to serve every shard again
 // after the last fault has ended, the expulsion of lost members included.
 const servedWithin = 15 * time.Second
 
 // mustServe runs until every shard has an owner.
-func mustServe(t *rapid.T, w *world, when string) {
+func mustServe(t failer, w *world, when string) {
 	for end := w.now + servedWithin; w.now < end && w.broken == "" && len(w.owners()) < modelShards; {
 		w.run(w.now + 100*time.Millisecond)
 	}
@@ -220,3 +262,25 @@
 		t.Errorf("got %s, want %s", got, want)
 	}
 }
+
+// TestDeputyServesWhileLogIsDown checks that the loss of a leaseholder during
+// an outage of the log leaves its targets' shards served.
+func TestDeputyServesWhileLogIsDown(t *testing.T) {
+	for _, index := range []int{0, 1, 2} {
+		t.Run(fmt.Sprintf("target t%d", index), func(t *testing.T) {
+			w := newWorld(uint64(index), 0)
+			w.run(6 * time.Second)
+			w.logDown = true
+			w.run(8 * time.Second)
+			for _, h := range w.hosts {
+				if h.leads(w.targets[index]) {
+					h.paused = time.Hour
+				}
+			}
+			w.run(14 * time.Second)
+			if got, want := len(w.owners()), modelShards; got != want || w.broken != "" {
+				t.Errorf("got %d shards with an owner, want %d; %s\n%s", got, want, w.broken, w.summary())
+			}
+		})
+	}
+}
--- a/io/peer/failure_test.go
+++ b/io/peer/failure_test.go
@@ -120,6 +120,40 @@
 	}
 }
 
+// TestQuietIsNotSilent holds a request for longer than a connection may be
+// silent. Pings show that the other host is there.
+func TestQuietIsNotSilent(t *testing.T) {
+	const pings = 20
+	frames := new(total)
+	options := Options{RequestConns: 1, Silence: 10 * soon, Keepalive: soon, CancelGrace: limit}
+	options.Metrics.Frames = frames
+	r := newRig(t, options)
+	started, _ := holding(r, outcome.Refuse(outcome.Cancelled, "", 0))
+	ctx, cancel := context.WithCancel(context.Background())
+	failed := requestHeld(ctx, r)
+	await(t, "request started", started)
+	// Each ping and each pong is counted at both ends, for both ends' pings.
+	eventually(t, "pings and pongs", func() bool { return frames.Load() > 8*pings })
+	cancel()
+	assertOutcome(t, await(t, "request failed", failed), outcome.NotRun, outcome.Cancelled)
+}
+
+// TestSilentToShortCalls asks questions that give up long before a connection
+// counts as silent. It is found all the same, and a fresh one answers.
+func TestSilentToShortCalls(t *testing.T) {
+	r := newRig(t, Options{Silence: 5 * soon, Keepalive: soon})
+	y := newRelay(t, r)
+	assertPing(t, r, 1)
+	y.hold()
+	eventually(t, "answer over a fresh connection", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), soon/2)
+		defer cancel()
+		_, err := r.client.Call(ctx, r.to, ping(2))
+		time.Sleep(soon / 2) // leaves the connection without a question meanwhile
+		return err == nil
+	})
+}
+
 func TestSilentHostUnreachable(t *testing.T) {
 	r := newRig(t, Options{RequestConns: 1, Silence: soon, Keepalive: soon / 4})
 	y := newRelay(t, r)
--- a/io/target/header.go
+++ b/io/target/header.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"pineturn/core/header"
@@ -30,15 +31,24 @@
 	return fields
 }
 
-// answerHeader is the part of a target's header that is passed on.
+// answerHeader is the part of a target's header that is passed on. Bytes that
+// are not UTF-8 are replaced, as hosts pass text on.
 func answerHeader(response *http.Response) http.Header {
 	fields := header.EndToEnd(response.Header)
+	for _, values := range fields {
+		for i, value := range values {
+			values[i] = strings.ToValidUTF8(value, "\uFFFD")
+		}
+	}
 	if length := response.Header["Content-Length"]; len(length) > 0 {
 		fields["Content-Length"] = length
 	}
 	return fields
 }
 
+// regrant is when a target that holds no valid grant may hold one again.
+const regrant = 100 * time.Millisecond
+
 // refusal reads a target's own statement that it did not run the request.
 func refusal(fields http.Header) *outcome.Error {
 	code := fields.Get(header.Reason)
@@ -52,7 +62,7 @@
 	}
 	switch code {
 	case StaleTerm, WrongIncarnation, notOwner:
-		return outcome.Refuse(outcome.LeaseLost, "target: "+code, after)
+		return outcome.Refuse(outcome.LeaseLost, "target: "+code, max(after, regrant))
 	}
 	return outcome.Refuse(outcome.TargetFailed, "target: "+strconv.Quote(code), after)
 }
