Tell a passed deadline from a caller's cancellation

Cause: in trials with real processes a request whose time ran out in the leaseholder's queue was told to its caller as cancelled, as the entry's own deadline had cancelled the forward. The entry now names its deadline, and gives the next host up to 5 ms less, so that the leaseholder's own words arrive first. Seen to fail with the naming off (cancelled, want deadline-exceeded).

--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -83,7 +84,7 @@
 	}
 	req := j.req
 	req.Shard, req.Epoch = way.Shard, way.Epoch
-	req.Left, req.Retries = left, j.attempts
+	req.Left, req.Retries = left-min(left/10, hopMargin), j.attempts
 	req.Once = req.Once || way.Service.Once(req.Method, pathOnly(req.Path))
 	j.req.Once = req.Once
 
@@ -106,7 +107,18 @@
 	if claim != nil {
 		claim.Finish(fate(failure), nil)
 	}
-	return answer, failure
+	return answer, ownDeadline(ctx, failure)
+}
+
+// ownDeadline names the cause of a cancellation that came from this host's
+// own deadline, not from the caller.
+func ownDeadline(ctx context.Context, failure *outcome.Error) *outcome.Error {
+	if failure == nil || failure.Reason != outcome.Cancelled || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return failure
+	}
+	late := *failure
+	late.Reason, late.RetryAfter = outcome.DeadlineExceeded, retryLate
+	return &late
 }
 
 // claim remembers the id of a request that must not be repeated before any
--- a/core/dispatch/entry_test.go
+++ b/core/dispatch/entry_test.go
@@ -65,6 +65,17 @@
 			t.Errorf("got %v for the one that waits, want an answer", failure)
 		}
 	})
+	t.Run("names its own deadline", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		c.hosts[1].entry.Forward = func(ctx context.Context, _ record.Member, _ *message.Request) (*message.Answer, *outcome.Error) {
+			<-ctx.Done()
+			return nil, outcome.Refuse(outcome.Cancelled, "cancelled in the queue", 0)
+		}
+		req := read("r1")
+		req.Left = 20 * time.Millisecond
+		_, failure := c.handle(1, req)
+		checkFailure(t, failure, outcome.NotRun, outcome.DeadlineExceeded)
+	})
 	t.Run("follows a route that moved", func(t *testing.T) {
 		c := newCluster(t, 3, 3)
 		entry := c.hosts[1].entry
--- a/core/dispatch/options.go
+++ b/core/dispatch/options.go
@@ -23,6 +23,11 @@
 	// retryNoOwner tells the caller of a key without an owner when to come
 	// back.
 	retryNoOwner = 500 * time.Millisecond
+	// retryLate tells the caller whose deadline passed when to come back.
+	retryLate = 250 * time.Millisecond
+	// hopMargin is how much less time the next host is given, so that its own
+	// words on a deadline arrive before this host's.
+	hopMargin = 5 * time.Millisecond
 	// retryWitness tells the caller when no second host could be asked to
 	// remember the request.
 	retryWitness = 250 * time.Millisecond
