Tell a request as unknown when an earlier attempt may have run

Cause: a trial at twice the capacity with real processes (standin check) found two requests told as not run that ran: the first attempt's outcome was unknown, the entry tried again, and told the second attempt's refusal. The entry now tells the first unknown failure, unless an attempt is done. Seen to fail in TestUnknownThenNotRun with the rule off.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -136,15 +136,15 @@
 }
 
 // Advance starts waiting requests while there are slots, in turn by key, and
-// returns the tickets that now run or that are refused because their
-// deadline has passed.
+// returns the tickets that now run or that are refused because they would
+// hardly end before their deadline.
 func (q *Queue) Advance(now time.Time) []*Ticket {
 	var changed []*Ticket
 	for q.waiting > 0 && q.limit.open(now, q.running) {
 		ticket := q.pop()
 		changed = append(changed, ticket)
-		if !now.Before(ticket.deadline) {
-			q.refuse(ticket, outcome.DeadlineExceeded, "the deadline passed in the queue", q.RetryAfter(now))
+		if now.Add(q.service).After(ticket.deadline) {
+			q.refuse(ticket, outcome.DeadlineExceeded, "too little time was left after the queue", q.RetryAfter(now))
 			continue
 		}
 		q.start(now, ticket)
@@ -209,14 +209,15 @@
 }
 
 // estimate returns how long a new request of key would wait: its key's turn
-// comes once a round, behind the key's own waiting requests.
+// comes once a round, behind the key's own waiting requests. Other keys are
+// taken to go on having requests, as they do under overload.
 func (q *Queue) estimate(now time.Time, key string) time.Duration {
 	own, lanes := 0, len(q.lanes)
 	if lane, ok := q.lanes[key]; ok {
 		own = len(lane.tickets)
 		lanes--
 	}
-	ahead := min(q.waiting, own+lanes*(own+1))
+	ahead := own + lanes*(own+1)
 	free := max(q.limit.allowed(now)-q.running, 0)
 	return q.drainTime(now, max(ahead+1-free, 0)) + q.limit.pauseLeft(now) + q.stall(now)
 }
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -55,6 +55,8 @@
 	// uncertain and unreachable count the attempts that ended so.
 	uncertain   int
 	unreachable int
+	// unknown is the first failure after which the request may have run.
+	unknown *outcome.Error
 }
 
 func (j *journey) run(ctx context.Context, way route.Route, failure *outcome.Error, changed <-chan struct{}) (*message.Answer, *outcome.Error) {
@@ -66,15 +68,32 @@
 				return answer, nil
 			}
 		}
+		j.note(failure)
 		next := j.decide(failure)
 		if next == giveUp || !j.await(ctx, next, way, failure.RetryAfter, changed) {
-			return nil, withRetryAfter(failure)
+			return nil, j.verdict(failure)
 		}
 		changed = j.entry.Changed()
 		way, failure = j.entry.Route(j.service, j.req.Key)
 	}
 }
 
+// note keeps the first failure after which the request may have run.
+func (j *journey) note(failure *outcome.Error) {
+	if j.unknown == nil && failure.Outcome != outcome.NotRun {
+		j.unknown = failure
+	}
+}
+
+// verdict is what the caller is told: the last failure, unless an earlier
+// attempt may have run.
+func (j *journey) verdict(last *outcome.Error) *outcome.Error {
+	if j.unknown != nil {
+		return j.unknown
+	}
+	return withRetryAfter(last)
+}
+
 // attempt passes the request on once.
 func (j *journey) attempt(ctx context.Context, way route.Route) (*message.Answer, *outcome.Error) {
 	e := j.entry
--- a/core/dispatch/entry_test.go
+++ b/core/dispatch/entry_test.go
@@ -92,6 +92,27 @@
 	})
 }
 
+// A retry that certainly was not run says nothing of the attempt before it.
+func TestUnknownThenNotRun(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.hosts[1].entry.Wait = 50 * time.Millisecond
+	for _, reason := range []outcome.Reason{outcome.Overloaded, outcome.DeadlineExceeded, outcome.TargetFailed, outcome.Shed} {
+		attempts := 0
+		c.setTarget(func(ctx context.Context, req *message.Request) (*message.Answer, *outcome.Error) {
+			attempts++
+			if attempts == 1 {
+				return c.answerLost(ctx, req)
+			}
+			return nil, outcome.Refuse(reason, "", 0)
+		})
+		_, failure := c.handle(1, read("r1"))
+		checkFailure(t, failure, outcome.Unknown, outcome.TargetFailed)
+		if attempts < 2 {
+			t.Errorf("got %d attempts, want a retry", attempts)
+		}
+	}
+}
+
 func TestHandleWaitsForOwnRoute(t *testing.T) {
 	c := newCluster(t, 3, 3)
 	c.hosts[1].entry.Wait = 20 * time.Second
