Keep to a service's time limit that was not known at first

Cause: a request that came while its key had no route, and so no service, kept the default of 10 s for its deadline once the route was there. Seen to fail with the limit left out (over 9 s left, want at most 9 s). Measured: go test -race ./core/dispatch: ok.

--- a/core/dispatch/cluster_test.go
+++ b/core/dispatch/cluster_test.go
@@ -112,10 +112,15 @@
 
 // assign makes host i the leaseholder; -1 leaves the shard without an owner.
 func (c *cluster) assign(i int, epoch, term uint64) {
+	c.assignTo(new(config.Service), i, epoch, term)
+}
+
+// assignTo does the same with a service of its own.
+func (c *cluster) assignTo(service *config.Service, i int, epoch, term uint64) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.way = route.Route{
-		Service: new(config.Service), Target: new(config.Target),
+		Service: service, Target: new(config.Target),
 		Shard: shard.ID{Service: "payoutledger", Group: "all"}, Epoch: epoch, Term: term,
 	}
 	if i >= 0 {
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -29,6 +29,7 @@
 		entry:    e,
 		service:  service,
 		req:      *req,
+		start:    start,
 		deadline: deadline,
 		waitEnd:  earlier(deadline, start.Add(orDefault(e.Wait, DefaultWait))),
 		pause:    newBackoff(),
@@ -48,6 +49,7 @@
 	entry    *Entry
 	service  string
 	req      message.Request
+	start    time.Time
 	deadline time.Time
 	waitEnd  time.Time
 	pause    *backoff.ExponentialBackOff
@@ -97,7 +99,9 @@
 // attempt passes the request on once.
 func (j *journey) attempt(ctx context.Context, way route.Route) (*message.Answer, *outcome.Error) {
 	e := j.entry
-	left := j.deadline.Sub(e.Clock.Now())
+	// The service's own limit was not known while no route was.
+	limit := j.start.Add(timeLimit(way.Service, j.req.Left))
+	left := earlier(limit, j.deadline).Sub(e.Clock.Now())
 	if left <= 0 {
 		return nil, outcome.Refuse(outcome.DeadlineExceeded, "the deadline has passed", 0)
 	}
--- a/core/dispatch/entry_test.go
+++ b/core/dispatch/entry_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pineturn/core/clock"
+	"pineturn/core/config"
 	"pineturn/core/message"
 	"pineturn/core/outcome"
 	"pineturn/core/record"
@@ -30,7 +31,7 @@
 		c := newCluster(t, 3, 3)
 		c.assign(-1, 2, 2)
 		go func() {
-			c.awaitWaiting(1)
+			c.awaitWaiting()
 			c.assign(2, 3, 3)
 		}()
 		c.hosts[1].entry.Wait = 20 * time.Second
@@ -57,7 +58,7 @@
 			_, failure := c.handle(1, read("r1"))
 			ended <- failure
 		}()
-		c.awaitWaiting(1)
+		c.awaitWaiting()
 		_, failure := c.handle(1, read("r2"))
 		checkFailure(t, failure, outcome.NotRun, outcome.NoOwner)
 		c.assign(0, 3, 3)
@@ -76,6 +77,29 @@
 		_, failure := c.handle(1, req)
 		checkFailure(t, failure, outcome.NotRun, outcome.DeadlineExceeded)
 	})
+	t.Run("keeps to the service's limit, known late", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		c.assign(-1, 2, 2)
+		c.way.Service = nil
+		c.hosts[1].entry.Wait = 20 * time.Second
+		service := limited(t)
+		var left time.Duration
+		c.target = func(ctx context.Context, req *message.Request) (*message.Answer, *outcome.Error) {
+			left = req.Left
+			return c.answerOK(ctx, req)
+		}
+		go func() {
+			c.awaitWaiting()
+			c.assignTo(service, 2, 3, 3)
+		}()
+		req := read("r1")
+		req.Left = 0
+		body, failure := c.handle(1, req)
+		checkOK(t, body, failure)
+		if left > 9*time.Second {
+			t.Errorf("got %v left, want at most the service's 9s", left)
+		}
+	})
 	t.Run("follows a route that moved", func(t *testing.T) {
 		c := newCluster(t, 3, 3)
 		entry := c.hosts[1].entry
@@ -130,7 +154,7 @@
 		_, failure := c.handle(1, read("r1"))
 		ended <- failure
 	}()
-	c.awaitWaiting(1)
+	c.awaitWaiting()
 	for range 10 {
 		before := rearmed.Load()
 		c.assign(0, 1, 1)
@@ -146,8 +170,25 @@
 	}
 }
 
-func (c *cluster) awaitWaiting(i int) {
-	for c.hosts[i].entry.Counts().Waiting == 0 {
+// limited returns a service whose requests take 9 s at most, which is far more
+// than the test waits for and less than the default.
+func limited(t *testing.T) *config.Service {
+	t.Helper()
+	merged, faults := config.Merge(1, []config.File{{Name: "10.yaml", Content: []byte(`services:
+  payoutledger:
+    timeout: 9s
+    targets:
+      p1: {address: "127.0.0.1:9001", domain: pos-a, slots: 2, connections: 100}
+`)}})
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	service, _ := merged.Service("payoutledger")
+	return service
+}
+
+func (c *cluster) awaitWaiting() {
+	for c.hosts[1].entry.Counts().Waiting == 0 {
 		time.Sleep(time.Millisecond)
 	}
 }
