Collect ids before a request takes a slot

Cause: after a takeover the first request of each shard that must not be repeated held a slot of its target while the other hosts were asked, up to 50 ms a shard when one of them is silent, and all other requests waited. Seen to fail with the collect left to the slot's holder: 1 slot taken, want none.

--- a/core/dispatch/once.go
+++ b/core/dispatch/once.go
@@ -14,18 +14,34 @@
 	"pineturn/core/shard"
 )
 
+// recall looks for an earlier attempt before the request waits for a slot,
+// and collects what other hosts know of the shard if that was not done yet.
+func (r *run) recall(ctx context.Context) (*once.Answer, *outcome.Error) {
+	memory := r.holder.Memory
+	kept, failure := memory.Seen(digested(r.way, &r.req))
+	if kept != nil || failure != nil || memory.Ready(r.req.Shard, r.way.Epoch, r.way.Term) {
+		return kept, failure
+	}
+	if failure := r.allow(); failure != nil {
+		return nil, failure
+	}
+	return nil, r.collect(ctx)
+}
+
 // begin claims the id of a request that must not be repeated, and makes sure
 // that a host in another failure domain knows it too. The permit was got
 // before, so no earlier leaseholder can send the request any more.
 func (r *run) begin(ctx context.Context) (*once.Answer, *outcome.Error) {
 	memory, req := r.holder.Memory, digested(r.way, &r.req)
-	id, epoch, term := r.req.Shard, r.permit.Epoch, r.permit.Term
-	if !memory.Ready(id, epoch, term) || memory.Collected(req.Service, req.ID) {
+	if !memory.Ready(r.req.Shard, r.permit.Epoch, r.permit.Term) || memory.Collected(req.Service, req.ID) {
 		if failure := r.collect(ctx); failure != nil {
 			return nil, failure
 		}
+		if failure := r.allow(); failure != nil {
+			return nil, failure
+		}
 	}
-	claim, kept, failure := memory.Begin(req, id, epoch, term)
+	claim, kept, failure := memory.Begin(req, r.req.Shard, r.permit.Epoch, r.permit.Term)
 	if kept != nil || failure != nil {
 		return kept, failure
 	}
@@ -46,7 +62,7 @@
 }
 
 // collect asks the other hosts for the ids of the shard, once for all
-// requests that need it at the moment, and renews the permit.
+// requests that need it at the moment. The run has a permit.
 func (r *run) collect(ctx context.Context) *outcome.Error {
 	id, epoch, term := r.req.Shard, r.permit.Epoch, r.permit.Term
 	flight := fmt.Sprintf("%s@%d.%d", id, epoch, term)
@@ -62,13 +78,6 @@
 			return outcome.Refuse(outcome.NotReady, got.Err.Error(), retryWitness)
 		}
 	}
-	r.done()
-	r.done = nil
-	permit, done, failure := r.holder.Permit(r.req.Shard, r.req.Epoch, r.req.Key)
-	if failure != nil {
-		return failure
-	}
-	r.permit, r.done = permit, done
 	return nil
 }
 
--- a/core/dispatch/once_test.go
+++ b/core/dispatch/once_test.go
@@ -10,6 +10,7 @@
 
 	"pineturn/core/message"
 	"pineturn/core/outcome"
+	"pineturn/core/record"
 )
 
 func TestOnce(t *testing.T) {
@@ -111,6 +112,35 @@
 		checkFailure(t, failure, outcome.NotRun, outcome.NotReady)
 		c.checkRuns(t, 0)
 	})
+	t.Run("collects without a slot", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		c.hosts[1].entry.Wait = 20 * time.Second
+		asked, free := make(chan struct{}, 1), make(chan struct{})
+		inner := c.hosts[0].holder.Recall
+		c.hosts[0].holder.Recall = func(ctx context.Context, to record.Member, ask message.Recall) (message.Recalled, error) {
+			select {
+			case asked <- struct{}{}:
+			default:
+			}
+			<-free
+			return inner(ctx, to, ask)
+		}
+		ended := make(chan *outcome.Error, 1)
+		go func() {
+			_, failure := c.handle(1, payout("r1"))
+			ended <- failure
+		}()
+		<-asked
+		for _, load := range c.hosts[0].holder.Load() {
+			if load.Running != 0 {
+				t.Errorf("got %d slots taken, want none", load.Running)
+			}
+		}
+		close(free)
+		if failure := <-ended; failure != nil {
+			t.Errorf("got %v, want an answer", failure)
+		}
+	})
 	t.Run("no witness", func(t *testing.T) {
 		c := newCluster(t, 3, 3)
 		_, _ = c.handle(0, payout("r0"))
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -81,7 +81,7 @@
 // repeated its id. It returns the kept answer of an earlier attempt, if any.
 func (r *run) prepare(ctx context.Context) (*once.Answer, *outcome.Error) {
 	if r.req.Once {
-		if kept, failure := r.holder.Memory.Seen(digested(r.way, &r.req)); kept != nil || failure != nil {
+		if kept, failure := r.recall(ctx); kept != nil || failure != nil {
 			return kept, failure
 		}
 	}
@@ -91,15 +91,26 @@
 		return nil, failure
 	}
 	r.slot = slot
-	if r.permit, r.done, failure = r.holder.Permit(r.req.Shard, r.req.Epoch, r.req.Key); failure != nil {
+	if failure := r.allow(); failure != nil || !r.req.Once {
 		return nil, failure
 	}
-	if !r.req.Once {
-		return nil, nil
-	}
 	return r.begin(ctx)
 }
 
+// allow gets a permit, in place of the one the run has.
+func (r *run) allow() *outcome.Error {
+	permit, done, failure := r.holder.Permit(r.req.Shard, r.req.Epoch, r.req.Key)
+	if r.done != nil {
+		r.done()
+		r.done = nil
+	}
+	if failure != nil {
+		return failure
+	}
+	r.permit, r.done = permit, done
+	return nil
+}
+
 // deliver returns an answer. A short one is read whole first.
 func (r *run) deliver(answer *message.Answer) (*message.Answer, *outcome.Error) {
 	if answer.Head.Header == nil {
