Make the experiment's runs independent of each other

A run into the folder of an earlier one had 9 to 25 findings 'epoch-reverted': the audits of two clusters were judged as one. A wait that ends in vain says what the last answer was: one run on a busy machine (load 33) waited 60 s for scale-read at one host and did not say why; it has not come back. Work is four times longer, so that the processors are not the limit (4800 requests/s were).

--- a/experiment/cluster_test.go
+++ b/experiment/cluster_test.go
@@ -125,11 +125,11 @@
 
 // startCluster starts the platform and the hosts for a fleet, publishes its
 // configuration and waits until each service answers.
-func (b *bench) startCluster(f *fleet) *cluster {
+func (b *bench) startCluster(f *fleet, round string) *cluster {
 	b.t.Helper()
 	c := &cluster{fleet: f}
 	logAddress, listAddress := b.address(), b.address()
-	b.start("log", "standin", "log", "--listen", logAddress)
+	b.start(round+"-log", "standin", "log", "--listen", logAddress)
 	var list hostlist.List
 	var peers []string
 	for i := range f.site.hosts {
@@ -142,17 +142,17 @@
 	b.check(err)
 	file := filepath.Join(b.out, "hosts.json")
 	b.check(os.WriteFile(file, data, 0o644))
-	b.start("hostlist", "standin", "hostlist", "--listen", listAddress, "--file", file)
+	b.start(round+"-hostlist", "standin", "hostlist", "--listen", listAddress, "--file", file)
 	for _, address := range []string{logAddress, listAddress} {
 		b.until("platform at "+address, func() bool { return accepts(address) })
 	}
 	for i, one := range list.Hosts {
-		c.daemon = append(c.daemon, b.start(one.Name, "pineturnd", "--name", one.Name, "--domain", one.Domain,
+		c.daemon = append(c.daemon, b.start(round+"-"+one.Name, "pineturnd", "--name", one.Name, "--domain", one.Domain,
 			"--caller-address", c.hosts[i], "--peer-address", peers[i], "--admin-address", c.admins[i],
 			"--log-address", logAddress, "--hostlist-address", listAddress, "--insecure"))
 	}
 	for _, admin := range c.admins {
-		b.until("host at "+admin, func() bool { return ok("http://"+admin+"/readyz", nil) })
+		b.answers("http://"+admin+"/readyz", nil)
 	}
 	b.publish(c)
 	return c
@@ -168,7 +168,7 @@
 		for _, service := range c.fleet.site.services {
 			for key := range 2 * c.fleet.site.shards {
 				header := map[string]string{"Pineturn-Service": service, "Pineturn-Key": fmt.Sprint("warm-", key)}
-				b.until(service+" at "+host, func() bool { return ok("http://"+host+"/?ms=0", header) })
+				b.answers("http://"+host+"/?ms=0", header)
 			}
 		}
 	}
--- a/experiment/overhead_test.go
+++ b/experiment/overhead_test.go
@@ -15,6 +15,9 @@
 	// defaultDuration is the length of each run.
 	defaultDuration = "20s"
 	durationEnv     = "PINETURN_EXPERIMENT_DURATION"
+	// timeScale lengthens the targets' work, so that this machine's processors
+	// are not the limit before the targets' slots are.
+	timeScale = "4"
 )
 
 // TestOverhead compares requests through three hosts with direct ones, at
@@ -28,13 +31,15 @@
 func overhead(t *testing.T, s site) {
 	b := newBench(t)
 	service := s.services[0]
+	one := s
+	one.services = s.services[:1]
 	for _, load := range []struct {
 		name   string
 		factor float64
 	}{{"half", 0.5}, {"twice", 2}} {
-		rate := fmt.Sprint(load.factor * b.capacity(s, service))
-		direct := b.direct(s, load.name+"-direct", "--services", service, "--rate", rate)
-		routed := b.routed(s, load.name+"-routed", "--services", service, "--rate", rate)
+		rate := fmt.Sprint(load.factor * b.capacity(one, service))
+		direct := b.direct(one, load.name+"-direct", "--services", service, "--rate", rate)
+		routed := b.routed(one, load.name+"-routed", "--services", service, "--rate", rate)
 		t.Logf("%s capacity of %s\n%s", load.name, service, b.run("pineload", "compare", direct, routed))
 	}
 	rate := fmt.Sprint(0.5 * b.capacity(s, ""))
@@ -65,7 +70,7 @@
 // of one service.
 func (b *bench) capacity(s site, service string) float64 {
 	b.t.Helper()
-	args := []string{"capacity", "--workload", s.user}
+	args := []string{"capacity", "--workload", s.user, "--time-scale", timeScale}
 	if service != "" {
 		args = append(args, "--services", service)
 	}
@@ -90,7 +95,7 @@
 func (b *bench) routed(s site, name string, flags ...string) string {
 	b.t.Helper()
 	f := b.startTargets(s, name)
-	c := b.startCluster(f)
+	c := b.startCluster(f, name)
 	flags = append(append(f.countFlags(), "--hosts", strings.Join(c.hosts, ",")), flags...)
 	file := b.load("run", s, name, flags...)
 	for _, cmd := range c.daemon {
@@ -106,7 +111,7 @@
 	duration := cmp.Or(os.Getenv(durationEnv), defaultDuration)
 	out := filepath.Join(b.out, name, name)
 	args := append([]string{
-		mode, "--workload", s.user, "--duration", duration, "--quiet", "--attempts", "1", "--out", out, "--plot", out + ".svg",
+		mode, "--workload", s.user, "--duration", duration, "--quiet", "--attempts", "1", "--time-scale", timeScale, "--out", out, "--plot", out + ".svg",
 	}, flags...)
 	b.run("pineload", args...)
 	if _, err := os.Stat(out + ".report.json"); err != nil {
--- a/experiment/process_test.go
+++ b/experiment/process_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -38,6 +39,8 @@
 		b.out = t.TempDir()
 	}
 	b.out = filepath.Join(b.out, t.Name())
+	// Audits of an earlier run would be judged together with those of this one.
+	b.check(os.RemoveAll(b.out))
 	b.check(os.MkdirAll(b.out, 0o755))
 	build := exec.Command("go", "build", "-o", b.programs+"/", "./cmd/...")
 	build.Dir = ".."
@@ -118,6 +121,20 @@
 	b.t.Fatalf("waited in vain: %s", what)
 }
 
+// answers waits until a URL answers with 200.
+func (b *bench) answers(url string, header map[string]string) {
+	b.t.Helper()
+	last := ""
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(pollEvery) {
+		status, body := get(url, header)
+		if status == http.StatusOK {
+			return
+		}
+		last = fmt.Sprint(status, " ", body)
+	}
+	b.t.Fatalf("waited in vain for %s %v: %s", url, header, last)
+}
+
 func accepts(address string) bool {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
@@ -126,19 +143,23 @@
 	return conn.Close() == nil
 }
 
-// ok reports whether a request is answered with 200.
-func ok(url string, header map[string]string) bool {
+// get returns the status and the body of an answer, or what went wrong.
+func get(url string, header map[string]string) (int, string) {
 	request, err := http.NewRequest(http.MethodGet, url, http.NoBody)
 	if err != nil {
-		return false
+		return 0, err.Error()
 	}
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
 	answer, err := (&http.Client{Timeout: limit}).Do(request)
 	if err != nil {
-		return false
+		return 0, err.Error()
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, err.Error()
 	}
-	_ = answer.Body.Close()
-	return answer.StatusCode == http.StatusOK
+	return answer.StatusCode, string(body)
 }
