io/peer: smaller connections, and benchmarks of the peer plane by size

Cause: an unused control connection took 139 KB in memory, both ends together, at 1,000 connections: room for 1,024 urgent and 256 other frames was held on each end whether used or not.

The connection closes the bodies of what it aborts itself.

BenchmarkHeartbeat and BenchmarkConnections at 10, 100 and 1,000 connections, now in make bench.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	golangci-lint run ./...
 
 bench:
-	go test -run '^$$' -bench . -benchmem ./core/...
+	go test -run '^$$' -bench . -benchmem ./core/... ./io/peer
 
 # Measures clusters of real processes; the reports stay in $(BIN)/experiment.
 experiment:
--- a/io/peer/bench_test.go
+++ b/io/peer/bench_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"pineturn/core/message"
+	"pineturn/core/record"
 	"pineturn/core/shard"
 )
 
@@ -81,3 +87,107 @@
 		}
 	})
 }
+
+// crowd is a client of many hosts: one server that listens at many addresses.
+type crowd struct {
+	*rig
+	hosts []record.Member
+}
+
+func newCrowd(b *testing.B, hosts int, options Options) *crowd {
+	b.Helper()
+	c := &crowd{rig: newRig(b, options)}
+	web := &http.Server{Handler: c.server}
+	b.Cleanup(func() { _ = web.Close() })
+	for range hosts {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		go func() { _ = web.Serve(listener) }()
+		to := c.to
+		to.Address = listener.Addr().String()
+		c.hosts = append(c.hosts, to)
+	}
+	return c
+}
+
+// connect opens a control connection to every host.
+func (c *crowd) connect(b *testing.B) {
+	b.Helper()
+	for _, to := range c.hosts {
+		if _, err := c.client.Call(within(b), to, ping(1)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// settleTime lets what was closed before end, so that it isn't counted.
+const settleTime = 200 * time.Millisecond
+
+// memory returns the bytes of heap and stacks in use.
+func memory() float64 {
+	time.Sleep(settleTime)
+	for range 3 {
+		runtime.GC() // shrinks stacks, too
+	}
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
+
+// sizes are numbers of connections, a decade apart.
+var sizes = []int{10, 100, 1000}
+
+// BenchmarkHeartbeat asks many hosts in turn. It reports the bytes of one
+// question and its answer on the wire without TCP and IP headers, and
+// processor time, both ends together.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, hosts := range sizes {
+		b.Run(fmt.Sprintf("conns=%d", hosts), func(b *testing.B) {
+			bytes := new(total)
+			c := newCrowd(b, hosts, Options{Metrics: Metrics{Bytes: bytes}})
+			c.connect(b)
+			c.client.keeper.sweep(0)
+			c.server.keeper.sweep(0)
+			before := bytes.Load()
+			report := reportCPU(b)
+			var next atomic.Int64
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					to := c.hosts[int(next.Add(1))%hosts]
+					if _, err := c.client.Call(b.Context(), to, ping(1<<20)); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+			report()
+			c.client.keeper.sweep(0)
+			c.server.keeper.sweep(0)
+			// Both ends count each byte, one as sent and one as received.
+			b.ReportMetric(float64(bytes.Load()-before)/2/float64(b.N), "wire-B/op")
+		})
+	}
+}
+
+// BenchmarkConnections opens control connections and reports what one takes
+// in memory while unused, and how long one look at all of them takes, both
+// ends together.
+func BenchmarkConnections(b *testing.B) {
+	for _, hosts := range sizes {
+		b.Run(fmt.Sprintf("conns=%d", hosts), func(b *testing.B) {
+			c := newCrowd(b, hosts, Options{})
+			assertPing(b, c.rig, 1) // what all connections share is there
+			before := memory()
+			c.connect(b)
+			each := (memory() - before) / float64(hosts)
+			for b.Loop() {
+				c.client.keeper.sweep(0)
+				c.server.keeper.sweep(0)
+			}
+			b.ReportMetric(each, "B/conn")
+			b.ReportMetric(float64(b.Elapsed())/float64(b.N)/float64(hosts), "ns/conn/look")
+		})
+	}
+}
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -15,12 +15,8 @@
 	"pineturn/core/record"
 )
 
-const (
-	// urgentQueue is how many frames of flow control may wait on a connection.
-	urgentQueue = 1024
-	// closeTimeout bounds the closing handshake.
-	closeTimeout = 500 * time.Millisecond
-)
+// closeTimeout bounds the closing handshake.
+const closeTimeout = 500 * time.Millisecond
 
 // messageType is that of every message between hosts.
 const messageType = websocket.MessageBinary
@@ -36,7 +32,7 @@
 	tally   *tally
 	tls     *tls.ConnectionState // nil without TLS
 
-	urgent chan item
+	urgent *urgentQueue
 	bulk   chan item
 	done   chan struct{}
 	wg     sync.WaitGroup
@@ -60,7 +56,7 @@
 		net:     net,
 		options: options,
 		tally:   net.tally,
-		urgent:  make(chan item, urgentQueue),
+		urgent:  newUrgentQueue(),
 		bulk:    make(chan item, options.Queue),
 		done:    make(chan struct{}),
 	}
@@ -123,7 +119,7 @@
 func (c *conn) dispatch(f *frame, handle func(*frame) error) error {
 	switch f.Kind {
 	case kindPing:
-		c.reply(&frame{Kind: kindPong})
+		c.sendUrgent(&frame{Kind: kindPong})
 	case kindPong:
 	case kindGoAway:
 		c.draining.Store(true)
--- a/io/peer/keeper.go
+++ b/io/peer/keeper.go
@@ -117,7 +117,7 @@
 	state.sincePing += step
 	if state.sincePing >= k.options.Keepalive {
 		state.sincePing = 0
-		c.reply(&frame{Kind: kindPing})
+		c.sendUrgent(&frame{Kind: kindPing})
 	}
 }
 
--- a/io/peer/options.go
+++ b/io/peer/options.go
@@ -20,7 +20,7 @@
 	// DefaultWindow is in bytes a stream.
 	DefaultWindow = 256 << 10
 	// DefaultQueue is in frames a connection.
-	DefaultQueue = 256
+	DefaultQueue = 64
 	// DefaultRequestWorkers and DefaultCallWorkers bound what a Server runs at once.
 	DefaultRequestWorkers = 4096
 	DefaultCallWorkers    = 512
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -127,7 +127,7 @@
 	s.keeper.add(c.conn)
 	c.wg.Go(c.write)
 	c.read(c.handle)
-	c.cancelAll()
+	c.abortAll()
 	c.wg.Wait()
 	s.keeper.remove(c.conn)
 	s.mu.Lock()
--- a/io/peer/writer.go
+++ b/io/peer/writer.go
@@ -49,43 +49,18 @@
 	}
 }
 
-// sendUrgent queues a frame before those of send and waits for room.
+// sendUrgent queues a frame before those of send, without waiting. A host that
+// leaves too much unread loses the connection.
 func (c *conn) sendUrgent(f *frame) {
-	it, ok := c.wrap(f)
-	if !ok {
-		return
-	}
-	select {
-	case c.urgent <- it:
-	case <-c.done:
-		recycle(it.buffer)
-	}
-}
-
-// reply queues a frame from the reading goroutine, which must not wait. A
-// host that leaves so much unread loses the connection.
-func (c *conn) reply(f *frame) {
-	it, ok := c.wrap(f)
-	if !ok {
-		return
-	}
-	select {
-	case c.urgent <- it:
-	default:
-		recycle(it.buffer)
-		c.fail(ErrOverloaded)
-	}
-}
-
-// wrap encodes a frame for the queue. A frame of the connection's own that
-// can't be encoded ends the connection.
-func (c *conn) wrap(f *frame) (item, bool) {
 	buffer, err := c.pack(f)
 	if err != nil {
 		c.fail(err)
-		return item{}, false
+		return
+	}
+	if !c.urgent.push(item{buffer: buffer}) {
+		recycle(buffer)
+		c.fail(ErrOverloaded)
 	}
-	return item{buffer: buffer}, true
 }
 
 // pack encodes a frame that the other host will accept by its size.
@@ -104,12 +79,9 @@
 // write writes queued frames until the connection ends.
 func (c *conn) write() {
 	for {
-		var it item
-		select {
-		case <-c.done:
+		it, ok := c.next()
+		if !ok {
 			return
-		case it = <-c.urgent:
-		case it = <-c.bulk:
 		}
 		if err := c.writeBatch(it); err != nil {
 			c.fail(fmt.Errorf("write: %w", err))
@@ -118,6 +90,22 @@
 	}
 }
 
+// next waits for a frame. It reports false when the connection has ended.
+func (c *conn) next() (item, bool) {
+	for {
+		select {
+		case <-c.done:
+			return item{}, false
+		case it := <-c.bulk:
+			return it, true
+		case <-c.urgent.wake:
+			if it, ok := c.urgent.pop(); ok {
+				return it, true
+			}
+		}
+	}
+}
+
 // writeBatch writes a frame and those that wait behind it.
 func (c *conn) writeBatch(it item) error {
 	c.net.hold()
@@ -157,10 +145,9 @@
 
 // poll fetches the next queued frame without waiting.
 func (c *conn) poll(it *item) bool {
-	select {
-	case *it = <-c.urgent:
+	if urgent, ok := c.urgent.pop(); ok {
+		*it = urgent
 		return true
-	default:
 	}
 	select {
 	case *it = <-c.bulk:
