io/peer: bound the bytes of requests that a server runs at once

Cause: 4,096 requests of up to 4 MiB were admitted together; the number of workers alone doesn't bound a host's memory.

RequestBytes (64 MiB by default) bounds the sizes of the frames being answered; beyond it a request is refused at once as overloaded and not run. One alone is always admitted.

TestOverloaded/bytes was seen to fail without the check (the request ran); go test -race ./io/peer: pass.

--- a/io/peer/failure_test.go
+++ b/io/peer/failure_test.go
@@ -370,22 +370,30 @@
 }
 
 func TestOverloaded(t *testing.T) {
-	r := newRig(t, Options{RequestWorkers: 1})
-	started, _ := holding(r, outcome.Refuse(outcome.Cancelled, "", 0))
-	ctx, cancel := context.WithCancel(context.Background())
-	failed := requestHeld(ctx, r)
-	await(t, "request started", started)
-	_, fail := r.client.Request(within(t), r.to, &message.Request{ID: "r"})
-	assertOutcome(t, fail, outcome.NotRun, outcome.Overloaded)
-	cancel()
-	_ = await(t, "request failed", failed)
-	eventually(t, "room again", func() bool {
-		answer, fail := r.client.Request(within(t), r.to, &message.Request{ID: "r"})
-		if fail == nil {
-			_ = answer.Body.Close()
-		}
-		return fail == nil
-	})
+	cases := map[string]Options{
+		"workers": {RequestWorkers: 1},
+		"bytes":   {RequestBytes: 1},
+	}
+	for name, options := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, options)
+			started, _ := holding(r, outcome.Refuse(outcome.Cancelled, "", 0))
+			ctx, cancel := context.WithCancel(context.Background())
+			failed := requestHeld(ctx, r)
+			await(t, "request started", started)
+			_, fail := r.client.Request(within(t), r.to, &message.Request{ID: "r"})
+			assertOutcome(t, fail, outcome.NotRun, outcome.Overloaded)
+			cancel()
+			_ = await(t, "request failed", failed)
+			eventually(t, "room again", func() bool {
+				answer, fail := r.client.Request(within(t), r.to, &message.Request{ID: "r"})
+				if fail == nil {
+					_ = answer.Body.Close()
+				}
+				return fail == nil
+			})
+		})
+	}
 }
 
 func TestServerCloseIsGraceful(t *testing.T) {
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -51,6 +51,9 @@
 	Credit int64 `cbor:"14,keyasint,omitempty"`
 	// Fault says why a call failed or a body is cut.
 	Fault string `cbor:"15,keyasint,omitempty"`
+
+	// size is that of the encoded frame, in bytes, on the receiving side.
+	size int
 }
 
 // Limits of what a frame may hold.
@@ -119,7 +122,7 @@
 
 // decode reads a frame into f and checks that its kind has what it needs.
 func decode(data []byte, f *frame) error {
-	*f = frame{}
+	*f = frame{size: len(data)}
 	if err := decoder.Unmarshal(data, f); err != nil {
 		return &BadFrame{Detail: err.Error()}
 	}
--- a/io/peer/incoming.go
+++ b/io/peer/incoming.go
@@ -15,6 +15,7 @@
 type incoming struct {
 	conn    *serverConn
 	id      uint64
+	size    int // bytes that count against the server's bound
 	call    *message.Call
 	request *message.Request
 	ctx     context.Context
--- a/io/peer/options.go
+++ b/io/peer/options.go
@@ -19,6 +19,8 @@
 	DefaultMaxFrame = 4 << 20
 	// DefaultWindow is in bytes a stream.
 	DefaultWindow = 256 << 10
+	// DefaultRequestBytes is in bytes a Server.
+	DefaultRequestBytes = 64 << 20
 	// DefaultQueue is in frames a connection.
 	DefaultQueue = 64
 	// DefaultRequestWorkers and DefaultCallWorkers bound what a Server runs at once.
@@ -53,6 +55,9 @@
 	// RequestWorkers and CallWorkers bound what a Server runs at once.
 	RequestWorkers int
 	CallWorkers    int
+	// RequestBytes bounds the size of the requests that a Server runs at once,
+	// in bytes.
+	RequestBytes int
 	// TLS gives a Client's configuration for each new connection, so that
 	// certificates may change; nil for plain TCP.
 	TLS func() *tls.Config
@@ -75,6 +80,7 @@
 	o.Queue = orDefault(o.Queue, DefaultQueue)
 	o.RequestWorkers = orDefault(o.RequestWorkers, DefaultRequestWorkers)
 	o.CallWorkers = orDefault(o.CallWorkers, DefaultCallWorkers)
+	o.RequestBytes = orDefault(o.RequestBytes, DefaultRequestBytes)
 	if o.Clock == nil {
 		o.Clock = clock.System{}
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -38,6 +39,8 @@
 	keeper   *keeper
 	requests *pool
 	calls    *pool
+	// held is the size of all that is being answered, in bytes.
+	held atomic.Int64
 
 	mu     sync.Mutex
 	conns  map[*serverConn]struct{}
@@ -100,6 +103,13 @@
 	return true
 }
 
+// admit reports whether there is room for one more, which is already counted
+// as held. One alone always has room.
+func (s *Server) admit(in *incoming) bool {
+	held := s.held.Load()
+	return held <= int64(s.options.RequestBytes) || held == int64(in.size)
+}
+
 // refused tells why a connection was refused.
 func (s *Server) refused(address string, err error) {
 	if s.OnRefused != nil {
--- a/io/peer/serverconn.go
+++ b/io/peer/serverconn.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	if !workers.run(in.run) {
+	if !c.server.admit(in) || !workers.run(in.run) {
 		c.drop(in)
 		c.refuse(f, outcome.Refuse(outcome.Overloaded, "host runs too many at once", 0))
 	}
@@ -100,6 +100,7 @@
 	in := &incoming{
 		conn:    c,
 		id:      f.ID,
+		size:    f.size,
 		call:    f.Call,
 		request: f.Request,
 		credit:  int(f.Credit),
@@ -113,12 +114,14 @@
 	in.ctx, in.cancel = context.WithCancel(c.ctx)
 	c.incoming[f.ID] = in
 	c.busy.Add(1)
+	c.server.held.Add(int64(in.size))
 	return in, nil
 }
 
 // drop forgets what has been answered.
 func (c *serverConn) drop(in *incoming) {
 	in.cancel()
+	c.server.held.Add(-int64(in.size))
 	if body := in.release(); body != nil {
 		_ = body.Close()
 	}
