--- a/io/peer/keeper.go
+++ b/io/peer/keeper.go
@@ -60,7 +60,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.conns, c)
-	c.tally.publish(k.options.Metrics, c.plane)
+	var last sums
+	last.add(c)
+	last.publish(k.options.Metrics)
 }
 
 // close stops the keeper.
@@ -90,14 +92,16 @@
 func (k *keeper) sweep(step time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	var came sums
 	for c := range k.conns {
+		came.add(c)
 		k.look(c, step)
 	}
+	came.publish(k.options.Metrics)
 }
 
 // look pings one connection, or ends it when it is silent or idle.
 func (k *keeper) look(c *conn, step time.Duration) {
-	c.tally.publish(k.options.Metrics, c.plane)
 	state := &c.keep
 	if heard := state.update(c); heard {
 		state.quiet = 0
