io/peer: test which calls are asked again

Cause: that a Witness is asked once only was not tested by itself.

TestCallsAskedAgain/witness was seen to fail with every call repeated; go test -race ./io/peer: pass.

--- a/io/peer/failure_test.go
+++ b/io/peer/failure_test.go
@@ -120,6 +120,36 @@
 	}
 }
 
+// TestCallsAskedAgain cuts the connection under a first question. A Witness
+// is not asked again, because a second answer would say that it is known.
+func TestCallsAskedAgain(t *testing.T) {
+	cases := map[string]struct {
+		call *message.Call
+		want int32
+	}{
+		"ping":    {ping(1), 2},
+		"witness": {&message.Call{Witness: &message.Witness{Request: "r"}}, 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, Options{})
+			y := newRelay(t, r)
+			var asked atomic.Int32
+			r.server.OnCall = func(ctx context.Context, _ record.Member, _ *message.Call) (*message.Reply, error) {
+				if asked.Add(1) == 1 {
+					y.cut()
+					<-ctx.Done()
+				}
+				return &message.Reply{Ping: &message.Pong{}}, nil
+			}
+			_, err := r.client.Call(within(t), r.to, test.call)
+			if got := asked.Load(); got != test.want || (err == nil) != (got == 2) {
+				t.Errorf("got asked %d times and error %v, want %d times and an error only if once", got, err, test.want)
+			}
+		})
+	}
+}
+
 // TestQuietIsNotSilent holds a request for longer than a connection may be
 // silent. Pings show that the other host is there.
 func TestQuietIsNotSilent(t *testing.T) {
