--- a/io/daemon/writer.go
+++ b/io/daemon/writer.go
@@ -23,6 +23,17 @@
 	Results []fold.Result
 }
 
+// repeated reports that only a later copy of the batch was folded here: the
+// first one is part of a snapshot that was restored, and so are its verdicts.
+func (w Written) repeated() bool {
+	for _, result := range w.Results {
+		if errors.Is(result.Void, fold.ErrDuplicate) {
+			return true
+		}
+	}
+	return false
+}
+
 // submission waits for its operations to be read back from the log.
 type submission struct {
 	ops    []record.Op
@@ -68,6 +79,9 @@
 	}
 	select {
 	case written := <-item.answer:
+		if written.repeated() {
+			return Written{}, errUnresolved
+		}
 		return written, nil
 	case <-ctx.Done():
 		return Written{}, errUnresolved
