--- a/io/daemon/reader.go
+++ b/io/daemon/reader.go
@@ -22,11 +22,17 @@
 	folded  func(list []host.Folded)
 	restore func(ctx context.Context) error
 	up      atomic.Bool
+	floor   atomic.Uint64
+	behind  bool
 }
 
 // Up reports whether the latest read of the log got an answer.
 func (r *reader) Up() bool { return r.up.Load() }
 
+// Floor is the offset of the first record that the log still kept when it
+// refused a read; a state before it can't be continued by the log.
+func (r *reader) Floor() uint64 { return r.floor.Load() }
+
 // run reads until ctx ends.
 func (r *reader) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -40,13 +46,13 @@
 func (r *reader) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	sent := r.now()
-	page, err := r.log.Read(ctx, Stream, r.host.Next(), readLimit, readWait)
+	sent, known := r.now(), r.host.Next()
+	page, err := r.log.Read(ctx, Stream, known, readLimit, readWait)
 	if err != nil {
 		return errors.Wrap(err, "read the log")
 	}
-	if page.Next < r.host.Next() {
-		return errors.Newf("log ends at %d, before the known record %d", page.Next, r.host.Next())
+	if page.Next < known {
+		return errors.Newf("log ends at %d, before the known record %d", page.Next, known)
 	}
 	list, err := r.host.Fold(messages(page.Records), r.now())
 	r.folded(list)
@@ -55,6 +61,7 @@
 	}
 	r.host.LogRead(page.Next, sent)
 	r.counts.logReads.Add(1)
+	r.behind = false
 	r.setUp(true)
 	return nil
 }
@@ -73,11 +80,9 @@
 	r.counts.logFailures.Add(1)
 	var trimmed *logservice.Trimmed
 	if errors.As(err, &trimmed) {
+		r.floor.Store(trimmed.Earliest)
 		r.host.LogTrimmed()
-		klog.ErrorS(err, "The log no longer keeps the next record; restoring a snapshot", "next", r.host.Next())
-		if err := r.restore(ctx); err != nil {
-			klog.ErrorS(err, "No snapshot could be restored")
-		}
+		r.fallBehind(ctx, err)
 	} else {
 		r.setUp(false)
 		r.log.Reset()
@@ -85,6 +90,19 @@
 	pause(ctx, readPause)
 }
 
+// fallBehind restores a snapshot. It logs the first attempt only, as each
+// later one fails for the same reason.
+func (r *reader) fallBehind(ctx context.Context, cause error) {
+	err := r.restore(ctx)
+	if !r.behind {
+		klog.ErrorS(cause, "The log no longer keeps the next record; restoring a snapshot", "next", r.host.Next())
+		if err != nil {
+			klog.ErrorS(err, "No snapshot could be restored; trying again")
+		}
+	}
+	r.behind = true
+}
+
 func (r *reader) setUp(up bool) {
 	if r.up.Swap(up) == up {
 		return
--- /dev/null
+++ b/io/daemon/settings_test.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestCheckNamesAllFaults(t *testing.T) {
+	settings := goodSettings(t, "h1", "127.0.0.1:7000")
+	assertEqual(t, "faults of good settings", len(settings.Check()), 0)
+	settings.Name, settings.Domain, settings.LogAddress = "", "", "log:7000"
+	settings.PeerAddress, settings.AdminAddress = settings.CallerAddress, "127.0.0.1:0"
+	settings.HostListAddress = "127.0.0.1"
+	settings.GrantLife, settings.Suspicion, settings.SnapshotInterval, settings.StopTimeout = 0, 0, -1, 0
+	settings.Security.PeerKeyFile = "keys"
+	var got []string
+	for _, fault := range settings.Check() {
+		got = append(got, fault.Error())
+	}
+	for _, want := range []string{
+		"--name", "--domain", "--log-address", "--peer-address", "--admin-address", "--hostlist-address",
+		"--grant-life", "--suspicion", "--snapshot-interval", "--stop-timeout", "peer-keys",
+	} {
+		if !strings.Contains(strings.Join(got, "\n"), want) {
+			t.Errorf("faults: got %q, want one of %s", got, want)
+		}
+	}
+	if want := 12; len(got) != want {
+		t.Fatalf("faults: got %q, want %d", got, want)
+	}
+}
+
+func TestMainRefusesSettings(t *testing.T) {
+	for name, args := range map[string][]string{
+		"missing":         {"pineturnd"},
+		"out of bounds":   {"pineturnd", "--insecure", "--name", "h1", "--domain", "d", "--log-address", "127.0.0.1:1", "--grant-life", "1ms"},
+		"without a unit":  {"pineturnd", "--grant-life", "900"},
+		"of unknown name": {"pineturnd", "--grand-life", "1s"},
+	} {
+		t.Run(name, func(t *testing.T) { assertEqual(t, "exit status", Main(args), exitSettings) })
+	}
+	t.Run("from the environment", func(t *testing.T) {
+		t.Setenv("PINETURN_SUSPICION", "soon")
+		assertEqual(t, "exit status", Main([]string{"pineturnd"}), exitSettings)
+	})
+}
--- /dev/null
+++ b/io/daemon/snapshots_test.go
@@ -0,0 +1,150 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pineturn/core/host"
+	"pineturn/core/record"
+)
+
+// images are the encoded states of a log at each of its offsets.
+func images(t *testing.T, log *logRig, count uint64) []host.Image {
+	t.Helper()
+	r := newRig(t, log, "writer")
+	var list []host.Image
+	for i := range count {
+		appendJoins(t, r, i, i+1)
+		assertNoError(t, r.reader.read(within(t)))
+		data, digest, err := r.host.Snapshot()
+		assertNoError(t, err)
+		list = append(list, host.Image{Next: r.host.Next(), Digest: digest, Data: data})
+	}
+	return list
+}
+
+// inThree divides a snapshot into three parts.
+func inThree(image host.Image) []snapshotPart {
+	third := len(image.Data) / 3
+	var parts []snapshotPart
+	for i, data := range [][]byte{image.Data[:third], image.Data[third : 2*third], image.Data[2*third:]} {
+		parts = append(parts, snapshotPart{Next: image.Next, Digest: image.Digest, Index: i, Count: 3, Data: data})
+	}
+	return parts
+}
+
+func (r *rig) appendParts(parts ...snapshotPart) {
+	r.t.Helper()
+	for _, part := range parts {
+		data, err := cbor.Marshal(part)
+		assertNoError(r.t, err)
+		_, err = r.client.Append(within(r.t), SnapshotStream, data)
+		assertNoError(r.t, err)
+	}
+}
+
+func TestSnapshotChoice(t *testing.T) {
+	restore := func(t *testing.T, choose func(older, newer []snapshotPart) []snapshotPart, want uint64) {
+		t.Helper()
+		log := newLog(t)
+		list := images(t, log, 3)
+		late := newRig(t, log, "late")
+		late.appendParts(choose(inThree(list[0]), inThree(list[2]))...)
+		err := late.snapshots.restore(within(t))
+		assertEqual(t, "restored", err == nil, want > 0)
+		assertEqual(t, "next", late.host.Next(), want)
+		assertEqual(t, "ready by a snapshot alone", late.host.Ready(), false)
+	}
+	t.Run("of two whole ones the newest", func(t *testing.T) {
+		restore(t, func(older, newer []snapshotPart) []snapshotPart { return append(newer, older...) }, 3)
+	})
+	t.Run("two written at once", func(t *testing.T) {
+		restore(t, func(older, newer []snapshotPart) []snapshotPart {
+			return []snapshotPart{newer[0], older[0], older[1], newer[1], newer[2], older[2]}
+		}, 3)
+	})
+	t.Run("the same one written by two hosts, each cut", func(t *testing.T) {
+		restore(t, func(_, newer []snapshotPart) []snapshotPart {
+			return []snapshotPart{newer[0], newer[1], newer[0], newer[2]}
+		}, 3)
+	})
+	t.Run("not one that is cut in the middle", func(t *testing.T) {
+		restore(t, func(older, newer []snapshotPart) []snapshotPart { return append(older, newer[:2]...) }, 1)
+	})
+	t.Run("not one with a wrong digest", func(t *testing.T) {
+		restore(t, func(older, newer []snapshotPart) []snapshotPart {
+			newer[1].Data[0]++
+			return append(older, newer...)
+		}, 1)
+	})
+	t.Run("not one with parts that make no sense", func(t *testing.T) {
+		restore(t, func(older, newer []snapshotPart) []snapshotPart {
+			newer[0].Index, newer[1].Index, newer[2].Index = -1, 1<<40, 3
+			return append(older, newer...)
+		}, 1)
+	})
+	t.Run("none when no one is whole", func(t *testing.T) {
+		restore(t, func(older, newer []snapshotPart) []snapshotPart { return append(older[1:], newer[:2]...) }, 0)
+	})
+}
+
+func TestReturnAfterRetention(t *testing.T) {
+	// stopped is a host that has the first two records of a log that keeps
+	// only later ones.
+	stopped := func(t *testing.T) (*logRig, *rig) {
+		t.Helper()
+		log := newLog(t)
+		r := newRig(t, log, "h1")
+		appendJoins(t, r, 0, 2)
+		assertNoError(t, r.reader.read(within(t)))
+		assertEqual(t, "ready before the stop", r.host.Ready(), true)
+		appendJoins(t, r, 2, 5)
+		log.trim(t, Stream, 4)
+		return log, r
+	}
+	t.Run("serves nothing and appends no snapshot of its old state", func(t *testing.T) {
+		log, r := stopped(t)
+		r.run(r.reader.run, r.writer.run)
+		eventually(t, "not ready", func() bool { return !r.host.Ready() })
+		ctx, cancel := context.WithCancel(within(t))
+		wrote := make(chan error, 1)
+		go func() { wrote <- r.snapshots.write(ctx) }()
+		eventually(t, "the checkpoint is sent", func() bool { return log.next(Stream) > 5 })
+		cancel()
+		if err := <-wrote; err == nil {
+			t.Fatal("write: got no error, want one")
+		}
+		assertEqual(t, "snapshot records", log.next(SnapshotStream), 0)
+		assertEqual(t, "ready", r.host.Ready(), false)
+	})
+	t.Run("with a newer snapshot it goes on from there", func(t *testing.T) {
+		log, r := stopped(t)
+		other := newRig(t, newLog(t), "other")
+		data := appendJoins(t, other, 0, 5)
+		assertNoError(t, other.reader.read(within(t)))
+		image, digest, err := other.host.Snapshot()
+		assertNoError(t, err)
+		r.appendParts(inThree(host.Image{Next: uint64(len(data)), Digest: digest, Data: image})...)
+		r.run(r.reader.run)
+		eventually(t, "ready at the end", func() bool { return r.host.Ready() && r.host.Next() == log.next(Stream) })
+		assertSameState(t, r, other)
+	})
+	t.Run("paused between checkpoint and snapshot, it appends nothing", func(t *testing.T) {
+		log := newLog(t)
+		r := newRig(t, log, "h1")
+		r.run(r.reader.run, r.writer.run)
+		r.snapshots.interval = time.Second
+		r.snapshots.submit = func(ctx context.Context, ops []record.Op) (Written, error) {
+			written, err := r.writer.Submit(within(t), ops)
+			<-ctx.Done()
+			return written, err
+		}
+		if err := r.snapshots.write(within(t)); err == nil {
+			t.Fatal("write: got no error, want one")
+		}
+		assertEqual(t, "snapshot records", log.next(SnapshotStream), 0)
+	})
+}
