io/daemon: start in an outage by the whole of a peer's state; bound the dump; test both

Causes: a host that started while the log was down took one answer of another host, at most 256 records, and served by it at once, so its configuration could be one that had long been replaced (test: next 256, want 769). It now fetches until it knows all that a ready host knows. A state that the log had told to be behind its retention was taken from a host that was behind as well; it counts no more. The dump's shards and queues were not cut (test: 1001, want 1000), and /readyz said 'no state yet' of a diverged state.

--- a/io/daemon/admin.go
+++ b/io/daemon/admin.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"pineturn/core/fold"
 	"pineturn/io/operator"
 )
 
@@ -31,6 +32,8 @@
 	switch {
 	case d.host.Leaving():
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case d.diverged():
+		http.Error(w, "state differs from another host's", http.StatusServiceUnavailable)
 	case !d.host.Ready():
 		http.Error(w, "no state yet", http.StatusServiceUnavailable)
 	default:
@@ -38,6 +41,11 @@
 	}
 }
 
+func (d *Daemon) diverged() (diverged bool) {
+	d.host.Read(func(state *fold.State) { diverged = state.Diverged() })
+	return diverged
+}
+
 // debugState dumps the state of the process, bounded in size, without
 // requests' contents or keys.
 func (d *Daemon) debugState(w http.ResponseWriter, _ *http.Request) {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -151,7 +151,10 @@
 	}
 	d.stopping = []*part{start(d.keeper.run)}
 	if d.settings.HostListAddress != "" {
-		lister := &lister{host: d.host, client: hostlist.New(d.settings.HostListAddress), beater: d.beater, leave: d.leave}
+		lister := &lister{
+			host: d.host, client: hostlist.New(d.settings.HostListAddress), beater: d.beater, leave: d.leave,
+			floor: d.reader.Floor,
+		}
 		d.parts = append(d.parts, start(lister.run))
 	}
 	klog.InfoS("Started", "host", d.host.Self().Incarnation.String(), "domain", d.settings.Domain)
--- a/io/daemon/dump.go
+++ b/io/daemon/dump.go
@@ -114,10 +114,24 @@
 
 // cut bounds the lists.
 func (o *dump) cut() {
-	o.Truncated = max(len(o.Members), len(o.Leads), len(o.Targets), len(o.Unsettled), len(o.Files)) > maxDump
+	o.Truncated = max(
+		len(o.Members), len(o.Leads), len(o.Targets), len(o.Unsettled), len(o.Files), len(o.Shards), len(o.Requests.Queues),
+	) > maxDump
+	cutMap(o.Shards)
+	cutMap(o.Requests.Queues)
 	o.Members = o.Members[:min(len(o.Members), maxDump)]
 	o.Leads = o.Leads[:min(len(o.Leads), maxDump)]
 	o.Targets = o.Targets[:min(len(o.Targets), maxDump)]
 	o.Unsettled = o.Unsettled[:min(len(o.Unsettled), maxDump)]
 	o.Files = o.Files[:min(len(o.Files), maxDump)]
 }
+
+// cutMap drops entries beyond maxDump.
+func cutMap[V any](entries map[string]V) {
+	for key := range entries {
+		if len(entries) <= maxDump {
+			return
+		}
+		delete(entries, key)
+	}
+}
--- a/io/daemon/lister.go
+++ b/io/daemon/lister.go
@@ -6,6 +6,7 @@
 	"k8s.io/klog/v2"
 
 	"pineturn/core/host"
+	"pineturn/core/message"
 	"pineturn/core/record"
 	"pineturn/io/hostlist"
 )
@@ -17,6 +18,8 @@
 	client *hostlist.Client
 	beater *beater
 	leave  func()
+	// floor is the lowest state that the log can still continue.
+	floor  func() uint64
 	failed bool
 }
 
@@ -63,11 +66,38 @@
 			continue
 		}
 		from := record.Member{Incarnation: record.Incarnation{Host: one.Name}, Address: one.Address, Domain: one.Domain}
-		before := l.host.Next()
-		if err := l.beater.fetch(ctx, from); err != nil || l.host.Next() == before {
+		if !l.caughtUp(ctx, from) {
 			continue
 		}
 		l.host.Adopt()
 		klog.InfoS("Took the state from another host", "from", one.Name, "next", l.host.Next())
 	}
 }
+
+// caughtUp fetches until this host knows all that a ready one knows. A state
+// that the log has told to be behind its retention does not count.
+func (l *lister) caughtUp(ctx context.Context, from record.Member) bool {
+	for ctx.Err() == nil {
+		pong, ok := l.ping(ctx, from)
+		if !ok || !pong.Ready {
+			return false
+		}
+		if next := l.host.Next(); next >= pong.Next {
+			return next >= l.floor()
+		}
+		if err := l.beater.fetch(ctx, from); err != nil {
+			return false
+		}
+	}
+	return false
+}
+
+func (l *lister) ping(ctx context.Context, to record.Member) (message.Pong, bool) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	reply, err := l.beater.call(ctx, to, &message.Call{Ping: &message.Ping{Next: l.host.Next()}})
+	if err != nil || reply.Ping == nil {
+		return message.Pong{}, false
+	}
+	return *reply.Ping, true
+}
