Speak TLS to targets and show them the keys

The settings for TLS and keys towards targets were read and checked, but orders and requests went over plain HTTP. io/target takes two fields: TLS, for each new connection, and Authorize, for each order and request. The guard that admits a request's bytes sits above TLS, so a handshake may run before the permit is checked, and no byte of the request does. Tests against a TLS server: key shown, wrong authority refused as not run and nothing sent, rotation without restart, permit ended, target without TLS.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -72,7 +72,7 @@
 	options := host.Options{Lease: lease.Options{Life: settings.GrantLife}, Suspicion: settings.Suspicion}
 	d := &Daemon{
 		settings: settings, clock: source, counts: newMetrics(), log: logservice.New(settings.LogAddress),
-		host: host.New(self, options, now), targets: target.New(source, target.Options{}),
+		host: host.New(self, options, now), targets: target.New(source, targetOptions(keys)),
 		leaving: make(chan struct{}, 1), keys: keys,
 	}
 	d.connect(self)
@@ -80,6 +80,18 @@
 	return d, nil
 }
 
+// targetOptions are what the settings say of TLS and keys towards targets.
+func targetOptions(keys *security.Security) target.Options {
+	var options target.Options
+	if certificates := keys.Targets(); certificates != nil {
+		options.TLS = certificates.Client
+	}
+	if shared := keys.TargetKeys(); shared != nil {
+		options.Authorize = shared.Authorize
+	}
+	return options
+}
+
 // now tells the time by the daemon's clock.
 func (d *Daemon) now() time.Time { return d.clock.Now() }
 
--- a/io/target/control.go
+++ b/io/target/control.go
@@ -71,7 +71,7 @@
 
 // Clock asks a target for its status.
 func (c *Client) Clock(ctx context.Context, address string) (Status, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+clockPath, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.scheme()+"://"+address+clockPath, nil)
 	if err != nil {
 		return Status{}, fmt.Errorf("ask %s for its clock: %w", address, err)
 	}
@@ -89,7 +89,7 @@
 	if err != nil {
 		return Status{}, fmt.Errorf("encode grant: %w", err)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+grantPath, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, c.scheme()+"://"+address+grantPath, bytes.NewReader(body))
 	if err != nil {
 		return Status{}, fmt.Errorf("send grant to %s: %w", address, err)
 	}
@@ -111,6 +111,9 @@
 }
 
 func (c *Client) order(address string, request *http.Request) (orderAnswer, error) {
+	if err := c.authorize(request); err != nil {
+		return orderAnswer{}, err
+	}
 	response, err := c.control(address).RoundTrip(request)
 	if err != nil {
 		return orderAnswer{}, err
--- a/io/target/options.go
+++ b/io/target/options.go
@@ -1,6 +1,10 @@
 package target
 
-import "time"
+import (
+	"crypto/tls"
+	"net/http"
+	"time"
+)
 
 // Defaults of Options.
 const (
@@ -37,6 +41,11 @@
 	Connections        int
 	AnswerGrace        time.Duration
 	MaxHeader          int64
+	// TLS gives the configuration for each new connection; nil for none.
+	TLS func() *tls.Config
+	// Authorize adds what shows the target who asks to an order or request;
+	// nil for nothing. After an error nothing is sent.
+	Authorize func(request *http.Request) error
 }
 
 func (o Options) withDefaults() Options {
--- a/io/target/send.go
+++ b/io/target/send.go
@@ -26,7 +26,7 @@
 	if err != nil || location.Host != "" {
 		return nil, outcome.Refuse(outcome.BadRequest, "path is not valid", 0)
 	}
-	location.Scheme, location.Host = "http", permit.Address
+	location.Scheme, location.Host = c.scheme(), permit.Address
 
 	limit := c.limit(ctx, req)
 	deadline, wait := c.deadlines(limit, permit, longRunning)
@@ -43,6 +43,10 @@
 	if len(req.Body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(req.Body))
 	}
+	if err := c.authorize(request); err != nil {
+		cancel()
+		return nil, outcome.Refuse(outcome.TargetFailed, err.Error(), 0)
+	}
 	transport := c.request(permit.Address, target.Connections())
 	response, err := transport.RoundTrip(request)
 	if err != nil {
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -3,7 +3,6 @@
 package target
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -113,7 +112,7 @@
 	transport, ok := c.controls[address]
 	if !ok {
 		transport = c.transport(c.options.ControlConnections)
-		transport.DialContext = c.dialer.DialContext
+		transport.DialContext, transport.DialTLSContext = c.dialer.DialContext, c.dialTLS
 		c.controls[address] = transport
 	}
 	return transport
@@ -135,7 +134,8 @@
 		existing.transport.CloseIdleConnections()
 	}
 	transport := c.transport(connections)
-	transport.DialContext = c.dialGuarded
+	transport.DialContext = guarded(c.dialer.DialContext)
+	transport.DialTLSContext = guarded(c.dialTLS)
 	c.requests[address] = &pool{transport: transport, connections: connections}
 	return transport
 }
@@ -150,11 +150,3 @@
 		MaxResponseHeaderBytes: c.options.MaxHeader,
 	}
 }
-
-func (c *Client) dialGuarded(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := c.dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &guardedConn{Conn: conn}, nil
-}
