--- a/io/daemon/snapshots_test.go
+++ b/io/daemon/snapshots_test.go
@@ -46,8 +46,22 @@
 	}
 }
 
+// refusals is how often a snapshot was refused.
+func (r *rig) refusals() float64 {
+	r.t.Helper()
+	families, err := r.snapshots.counts.registry.Gather()
+	assertNoError(r.t, err)
+	for _, family := range families {
+		if family.GetName() == "pineturn_snapshot_failures_total" {
+			return family.GetMetric()[0].GetCounter().GetValue()
+		}
+	}
+	r.t.Fatal("no count of refused snapshots")
+	return 0
+}
+
 func TestSnapshotChoice(t *testing.T) {
-	restore := func(t *testing.T, choose func(older, newer []snapshotPart) []snapshotPart, want uint64) {
+	restore := func(t *testing.T, choose func(older, newer []snapshotPart) []snapshotPart, want uint64, refused float64) {
 		t.Helper()
 		log := newLog(t)
 		list := images(t, log, 3)
@@ -57,37 +71,46 @@
 		assertEqual(t, "restored", err == nil, want > 0)
 		assertEqual(t, "next", late.host.Next(), want)
 		assertEqual(t, "ready by a snapshot alone", late.host.Ready(), false)
+		assertEqual(t, "refused snapshots", late.refusals(), refused)
 	}
 	t.Run("of two whole ones the newest", func(t *testing.T) {
-		restore(t, func(older, newer []snapshotPart) []snapshotPart { return append(newer, older...) }, 3)
+		restore(t, func(older, newer []snapshotPart) []snapshotPart { return append(newer, older...) }, 3, 0)
 	})
 	t.Run("two written at once", func(t *testing.T) {
 		restore(t, func(older, newer []snapshotPart) []snapshotPart {
 			return []snapshotPart{newer[0], older[0], older[1], newer[1], newer[2], older[2]}
-		}, 3)
+		}, 3, 0)
 	})
 	t.Run("the same one written by two hosts, each cut", func(t *testing.T) {
 		restore(t, func(_, newer []snapshotPart) []snapshotPart {
 			return []snapshotPart{newer[0], newer[1], newer[0], newer[2]}
-		}, 3)
+		}, 3, 0)
 	})
 	t.Run("not one that is cut in the middle", func(t *testing.T) {
-		restore(t, func(older, newer []snapshotPart) []snapshotPart { return append(older, newer[:2]...) }, 1)
+		restore(t, func(older, newer []snapshotPart) []snapshotPart { return append(older, newer[:2]...) }, 1, 0)
 	})
 	t.Run("not one with a wrong digest", func(t *testing.T) {
+		restore(t, func(older, newer []snapshotPart) []snapshotPart {
+			for i := range newer {
+				newer[i].Digest++
+			}
+			return append(older, newer...)
+		}, 1, 1)
+	})
+	t.Run("not one whose content was changed", func(t *testing.T) {
 		restore(t, func(older, newer []snapshotPart) []snapshotPart {
 			newer[1].Data[0]++
 			return append(older, newer...)
-		}, 1)
+		}, 1, 1)
 	})
 	t.Run("not one with parts that make no sense", func(t *testing.T) {
 		restore(t, func(older, newer []snapshotPart) []snapshotPart {
 			newer[0].Index, newer[1].Index, newer[2].Index = -1, 1<<40, 3
 			return append(older, newer...)
-		}, 1)
+		}, 1, 0)
 	})
 	t.Run("none when no one is whole", func(t *testing.T) {
-		restore(t, func(older, newer []snapshotPart) []snapshotPart { return append(older[1:], newer[:2]...) }, 0)
+		restore(t, func(older, newer []snapshotPart) []snapshotPart { return append(older[1:], newer[:2]...) }, 0, 0)
 	})
 }
 
@@ -136,11 +159,10 @@
 		log := newLog(t)
 		r := newRig(t, log, "h1")
 		r.run(r.reader.run, r.writer.run)
-		r.snapshots.interval = time.Second
-		r.snapshots.submit = func(ctx context.Context, ops []record.Op) (Written, error) {
-			written, err := r.writer.Submit(within(t), ops)
-			<-ctx.Done()
-			return written, err
+		r.snapshots.interval = 100 * time.Millisecond
+		r.snapshots.submit = func(_ context.Context, ops []record.Op) (Written, error) {
+			defer time.Sleep(2 * r.snapshots.interval)
+			return r.writer.Submit(within(t), ops)
 		}
 		if err := r.snapshots.write(within(t)); err == nil {
 			t.Fatal("write: got no error, want one")
