--- a/io/daemon/settings.go
+++ b/io/daemon/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,6 +29,9 @@
 	StopTimeout      time.Duration
 	MaxHeaderBytes   int
 	Security         security.Settings
+
+	// malformed are the values that could not be read.
+	malformed []error
 }
 
 // Flags returns the command line flags that fill the settings; each can also
@@ -41,14 +45,11 @@
 		text(&s.AdminAddress, "admin-address", "127.0.0.1:7082", "IP:port for operators, metrics, health and dumps"),
 		text(&s.LogAddress, "log-address", "", "IP:port of the platform's log service"),
 		text(&s.HostListAddress, "hostlist-address", "", "IP:port of the platform's host list; empty for none"),
-		span(&s.GrantLife, "grant-life", lease.DefaultLife, "time a grant lasts after the latest proof of freshness; the same on all hosts"),
-		span(&s.Suspicion, "suspicion", member.DefaultSuspicion, "time of silence after which another host is suspected"),
-		span(&s.SnapshotInterval, "snapshot-interval", DefaultSnapshotInterval, "time between two snapshots; at most a third of the log's retention"),
-		span(&s.StopTimeout, "stop-timeout", DefaultStopTimeout, "time a stop may take to hand over and to finish requests"),
-		&cli.IntFlag{
-			Name: "max-header-bytes", Value: DefaultMaxHeaderBytes, Destination: &s.MaxHeaderBytes,
-			Usage: "size of the largest request header, in bytes", Sources: cli.EnvVars("PINETURN_MAX_HEADER_BYTES"),
-		},
+		s.span(&s.GrantLife, "grant-life", lease.DefaultLife, "time a grant lasts after the latest proof of freshness; the same on all hosts"),
+		s.span(&s.Suspicion, "suspicion", member.DefaultSuspicion, "time of silence after which another host is suspected"),
+		s.span(&s.SnapshotInterval, "snapshot-interval", DefaultSnapshotInterval, "time between two snapshots; at most a third of the log's retention"),
+		s.span(&s.StopTimeout, "stop-timeout", DefaultStopTimeout, "time a stop may take to hand over and to finish requests"),
+		s.count(&s.MaxHeaderBytes, "max-header-bytes", DefaultMaxHeaderBytes, "size of the largest request header, in bytes"),
 	}, s.Security.Flags()...)
 }
 
@@ -56,10 +57,18 @@
 	return &cli.StringFlag{Name: name, Value: value, Destination: into, Usage: usage, Sources: cli.EnvVars(envName(name))}
 }
 
-func span(into *time.Duration, name string, value time.Duration, usage string) cli.Flag {
-	return &cli.DurationFlag{
-		Name: name, Value: value, Destination: into, Usage: usage + " (such as 900ms)", Sources: cli.EnvVars(envName(name)),
-	}
+func (s *Settings) span(into *time.Duration, name string, value time.Duration, usage string) cli.Flag {
+	*into = value
+	return flagOf(&parsed[time.Duration]{
+		into: into, name: name, parse: time.ParseDuration, want: "a duration with its unit, such as 900ms", faults: &s.malformed,
+	}, name, usage+" (such as 900ms)")
+}
+
+func (s *Settings) count(into *int, name string, value int, usage string) cli.Flag {
+	*into = value
+	return flagOf(&parsed[int]{
+		into: into, name: name, parse: strconv.Atoi, want: "a whole number", faults: &s.malformed,
+	}, name, usage)
 }
 
 // envName is the environment variable of a flag.
@@ -81,11 +90,14 @@
 	minGrantLife = 300 * time.Millisecond
 	maxGrantLife = time.Minute
 	minSuspicion = 200 * time.Millisecond
+	// minHeaderBytes and maxHeaderBytes bound the size of a header.
+	minHeaderBytes = 1 << 10
+	maxHeaderBytes = 1 << 20
 )
 
 // Check names everything that is wrong with the settings.
 func (s *Settings) Check() []error {
-	var faults []error
+	faults := slices.Clone(s.malformed)
 	fault := func(format string, args ...any) { faults = append(faults, errors.Newf(format, args...)) }
 	if s.Name == "" {
 		fault("--name: missing")
@@ -124,6 +136,9 @@
 	if s.SnapshotInterval <= 0 {
 		fault("--snapshot-interval: %v, want more than 0", s.SnapshotInterval)
 	}
+	if s.MaxHeaderBytes < minHeaderBytes || s.MaxHeaderBytes > maxHeaderBytes {
+		fault("--max-header-bytes: %d, want %d to %d", s.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
+	}
 	if s.StopTimeout <= 0 {
 		fault("--stop-timeout: %v, want more than 0", s.StopTimeout)
 	}
--- a/io/daemon/settings_test.go
+++ b/io/daemon/settings_test.go
@@ -1,8 +1,14 @@
 package daemon
 
 import (
+	"context"
+	"slices"
 	"strings"
 	"testing"
+
+	"github.com/urfave/cli/v3"
+
+	"pineturn/core/lease"
 )
 
 func TestCheckNamesAllFaults(t *testing.T) {
@@ -12,24 +18,42 @@
 	settings.PeerAddress, settings.AdminAddress = settings.CallerAddress, "127.0.0.1:0"
 	settings.HostListAddress = "127.0.0.1"
 	settings.GrantLife, settings.Suspicion, settings.SnapshotInterval, settings.StopTimeout = 0, 0, -1, 0
-	settings.Security.PeerKeyFile = "keys"
+	settings.Security.PeerKeyFile, settings.MaxHeaderBytes = "keys", 1
 	var got []string
 	for _, fault := range settings.Check() {
 		got = append(got, fault.Error())
 	}
 	for _, want := range []string{
 		"--name", "--domain", "--log-address", "--peer-address", "--admin-address", "--hostlist-address",
-		"--grant-life", "--suspicion", "--snapshot-interval", "--stop-timeout", "peer-keys",
+		"--grant-life", "--suspicion", "--snapshot-interval", "--stop-timeout", "--max-header-bytes", "peer-keys",
 	} {
 		if !strings.Contains(strings.Join(got, "\n"), want) {
 			t.Errorf("faults: got %q, want one of %s", got, want)
 		}
 	}
-	if want := 12; len(got) != want {
+	if want := 13; len(got) != want {
 		t.Fatalf("faults: got %q, want %d", got, want)
 	}
 }
 
+func TestMalformedValuesAreNamedWithOtherFaults(t *testing.T) {
+	t.Setenv("PINETURN_SUSPICION", "soon")
+	var settings Settings
+	command := &cli.Command{Name: "pineturnd", Flags: settings.Flags(), Action: func(context.Context, *cli.Command) error { return nil }}
+	args := []string{"pineturnd", "--insecure", "--domain", "d", "--log-address", "127.0.0.1:1", "--grant-life", "900", "--max-header-bytes", "1k"}
+	assertNoError(t, command.Run(context.Background(), args))
+	var got []string
+	for _, fault := range settings.Check() {
+		got = append(got, strings.Fields(fault.Error())[0])
+	}
+	slices.Sort(got)
+	want := []string{"--grant-life:", "--max-header-bytes:", "--name:", "--suspicion:"}
+	if !slices.Equal(got, want) {
+		t.Fatalf("faults: got %q, want %q", got, want)
+	}
+	assertEqual(t, "grant life", settings.GrantLife, lease.DefaultLife)
+}
+
 func TestMainRefusesSettings(t *testing.T) {
 	for name, args := range map[string][]string{
 		"missing":         {"pineturnd"},
