--- a/io/daemon/snapshots.go
+++ b/io/daemon/snapshots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -65,19 +66,48 @@
 	if !ok {
 		return errors.New("the checkpoint left no image")
 	}
-	for _, part := range split(image) {
-		data, err := cbor.Marshal(part)
-		if err != nil {
-			return errors.Wrap(err, "encode snapshot part")
-		}
-		if _, err := s.log.Append(ctx, SnapshotStream, data); err != nil {
-			return errors.Wrap(err, "append snapshot part")
-		}
+	if err := s.store(ctx, split(image)); err != nil {
+		return err
 	}
 	s.counts.snapshots.Add(1)
 	return nil
 }
 
+// store appends parts until each is known to be on the log. A part without an
+// answer is looked for before it is sent again; copies of one are harmless.
+func (s *snapshots) store(ctx context.Context, parts []snapshotPart) error {
+	for {
+		var lost []snapshotPart
+		var fault error
+		for _, part := range parts {
+			if err := s.append(ctx, part); err != nil {
+				lost, fault = append(lost, part), err
+			}
+		}
+		if len(lost) == 0 {
+			return nil
+		}
+		if pause(ctx, appendSettle); ctx.Err() != nil {
+			return errors.Wrap(fault, "append snapshot")
+		}
+		parts = lost
+		if found, err := s.scan(ctx); err == nil {
+			parts = slices.DeleteFunc(lost, found.holds)
+		}
+	}
+}
+
+func (s *snapshots) append(ctx context.Context, part snapshotPart) error {
+	data, err := cbor.Marshal(part)
+	if err != nil {
+		return errors.Wrap(err, "encode snapshot part")
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err = s.log.Append(ctx, SnapshotStream, data)
+	return errors.Wrap(err, "append snapshot part")
+}
+
 func split(image host.Image) []snapshotPart {
 	count := (len(image.Data) + partSize - 1) / partSize
 	parts := make([]snapshotPart, 0, count)
@@ -90,12 +120,65 @@
 	return parts
 }
 
+// snapshotSet is what the stream holds of each snapshot.
+type snapshotSet map[snapshotID]*snapshotContent
+
+type snapshotContent struct {
+	count int
+	parts map[int][]byte
+}
+
+// add takes in one record; one that is no part of a snapshot is left out.
+func (s snapshotSet) add(data []byte) {
+	var part snapshotPart
+	if err := cbor.Unmarshal(data, &part); err != nil || part.Index < 0 || part.Index >= part.Count {
+		return
+	}
+	id := snapshotID{next: part.Next, digest: part.Digest}
+	if s[id] == nil {
+		s[id] = &snapshotContent{parts: map[int][]byte{}}
+	}
+	s[id].parts[part.Index] = part.Data
+	s[id].count = part.Count
+}
+
+// holds reports whether a part is there.
+func (s snapshotSet) holds(part snapshotPart) bool {
+	content := s[snapshotID{next: part.Next, digest: part.Digest}]
+	if content == nil {
+		return false
+	}
+	_, ok := content.parts[part.Index]
+	return ok
+}
+
+// newest takes the newest snapshot out of the set.
+func (s snapshotSet) newest() (snapshotID, *snapshotContent) {
+	newest := snapshotID{}
+	for id := range s {
+		if id.next >= newest.next {
+			newest = id
+		}
+	}
+	content := s[newest]
+	delete(s, newest)
+	return newest, content
+}
+
 // restore loads the newest whole snapshot of the stream.
 func (s *snapshots) restore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	found := map[snapshotID]map[int][]byte{}
-	counts := map[snapshotID]int{}
+	found, err := s.scan(ctx)
+	if err != nil {
+		return err
+	}
+	return s.restoreNewest(found)
+}
+
+// scan reads the whole stream.
+func (s *snapshots) scan(ctx context.Context) (snapshotSet, error) {
+	found := snapshotSet{}
 	from := uint64(0)
 	for {
 		page, err := s.log.Read(ctx, SnapshotStream, from, readLimit, 0)
@@ -105,56 +188,36 @@
 			continue
 		}
 		if err != nil {
-			return errors.Wrap(err, "read snapshots")
+			return nil, errors.Wrap(err, "read snapshots")
 		}
 		for _, rec := range page.Records {
 			from = rec.Offset + 1
-			collect(found, counts, rec.Data)
+			found.add(rec.Data)
 		}
 		if from >= page.Next {
-			return s.restoreNewest(found, counts)
+			return found, nil
 		}
 	}
 }
 
-func collect(found map[snapshotID]map[int][]byte, counts map[snapshotID]int, data []byte) {
-	var part snapshotPart
-	if err := cbor.Unmarshal(data, &part); err != nil || part.Index < 0 || part.Index >= part.Count {
-		return
-	}
-	id := snapshotID{next: part.Next, digest: part.Digest}
-	if found[id] == nil {
-		found[id] = map[int][]byte{}
-	}
-	found[id][part.Index] = part.Data
-	counts[id] = part.Count
-}
-
 // restoreNewest tries the whole snapshots from the newest on; one that does
 // not match its digest is passed over.
-func (s *snapshots) restoreNewest(found map[snapshotID]map[int][]byte, counts map[snapshotID]int) error {
+func (s *snapshots) restoreNewest(found snapshotSet) error {
 	for len(found) > 0 {
-		newest := snapshotID{}
-		for id := range found {
-			if id.next >= newest.next {
-				newest = id
-			}
-		}
-		parts := found[newest]
-		delete(found, newest)
-		if len(parts) != counts[newest] {
+		id, content := found.newest()
+		if len(content.parts) != content.count {
 			continue
 		}
 		var data []byte
-		for i := range len(parts) {
-			data = append(data, parts[i]...)
+		for i := range content.count {
+			data = append(data, content.parts[i]...)
 		}
-		err := s.host.Restore(data, newest.digest, s.now())
+		err := s.host.Restore(data, id.digest, s.now())
 		if err == nil {
 			return nil
 		}
 		s.counts.snapshotFailures.Add(1)
-		klog.ErrorS(err, "A snapshot was refused", "next", newest.next)
+		klog.ErrorS(err, "A snapshot was refused", "next", id.next)
 	}
 	return errors.New("the log holds no whole snapshot")
 }
--- a/io/daemon/snapshots_test.go
+++ b/io/daemon/snapshots_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"pineturn/core/host"
 	"pineturn/core/record"
+	standinlog "pineturn/io/standin/log"
 )
 
 // images are the encoded states of a log at each of its offsets.
@@ -114,6 +116,38 @@
 	})
 }
 
+// TestSnapshotAnswersLost writes a snapshot of several parts.
+func TestSnapshotAnswersLost(t *testing.T) {
+	for name, fault := range map[string]standinlog.Fault{
+		"all":          {Mode: standinlog.LoseAnswers},
+		"of two":       {Mode: standinlog.LoseAnswers, Only: "append", Count: 2},
+		"some refused": {Mode: standinlog.Down, Only: "append", Count: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log := newLog(t)
+			r := newRig(t, log, "h1")
+			r.run(r.reader.run, r.writer.run)
+			for _, file := range []string{"1.yaml", "2.yaml", "3.yaml", "4.yaml", "5.yaml"} {
+				got := receive(t, submitting(within(t), r.writer, put(file, "#"+strings.Repeat("x", 60<<10)+"\n")))
+				assertApplied(t, got)
+			}
+			r.snapshots.submit = func(ctx context.Context, ops []record.Op) (Written, error) {
+				written, err := r.writer.Submit(ctx, ops)
+				log.service.SetFault(fault)
+				return written, err
+			}
+			assertNoError(t, r.snapshots.write(within(t)))
+			if got := log.next(SnapshotStream); got < 2 {
+				t.Fatalf("parts: got %d, want at least 2", got)
+			}
+			late := newRig(t, log, "h2")
+			assertNoError(t, late.snapshots.restore(within(t)))
+			assertEqual(t, "next", late.host.Next(), r.host.Next())
+			assertEqual(t, "refused snapshots", late.refusals(), 0)
+		})
+	}
+}
+
 func TestReturnAfterRetention(t *testing.T) {
 	// stopped is a host that has the first two records of a log that keeps
 	// only later ones.
