--- a/io/daemon/daemon_test.go
+++ b/io/daemon/daemon_test.go
@@ -116,6 +116,22 @@
 	assertEqual(t, "next", late.host.Next(), records)
 }
 
+// TestMembersReset starts a host under a new name when all members are lost.
+func TestMembersReset(t *testing.T) {
+	log := newLog(t)
+	appendJoins(t, newRig(t, log, "other"), 0, 3)
+	d := started(t, goodSettings(t, "h1", log.address))
+	eventually(t, "ready", d.host.Ready)
+	assertEqual(t, "proposals without a majority", len(d.host.Propose(time.Now())), 0)
+	verdict, version, err := d.reset(within(t))
+	assertNoError(t, err)
+	assertEqual(t, "accepted", verdict.Accepted, true)
+	eventually(t, "folded", func() bool { return d.next() >= version })
+	members := d.dump().Members
+	assertEqual(t, "members", len(members), 1)
+	assertEqual(t, "member", members[0].Incarnation, d.host.Self().Incarnation)
+}
+
 func TestReadyz(t *testing.T) {
 	d := newDaemon(t, goodSettings(t, "h1", "127.0.0.1:1"))
 	assertReadyz(t, d, 503, "no state yet")
