--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -59,9 +59,13 @@
 	clockSent   time.Time
 	clockAt     time.Time
 	health      string
-	answered    time.Time
-	created     time.Time
-	trusted     bool
+	// drained is set while the log or the settings take the target out of
+	// use, leaving since when that or the target itself says so.
+	drained  bool
+	leaving  time.Time
+	answered time.Time
+	created  time.Time
+	trusted  bool
 
 	// sets of shards: wanted by the log, accepted by the target, and sent
 	// without an answer.
@@ -190,17 +194,34 @@
 		}
 		settings, ok := state.Config().Target(id)
 		h.configure(state.Config(), settings, ok)
+		h.drained = target.Drain || ok && settings.Drain()
+		h.noteLeaving(now)
 	}
 	t.want(state)
 }
 
+// noteLeaving keeps since when the target is known to be leaving.
+func (h *held) noteLeaving(now time.Time) {
+	switch {
+	case !h.drained && h.health != HealthDraining:
+		h.leaving = time.Time{}
+	case h.leaving.IsZero():
+		h.leaving = now
+	}
+}
+
+// HealthDraining and HealthCold are words by which targets state their health.
+const (
+	HealthDraining = "draining"
+	HealthCold     = "cold"
+)
+
 // Activate makes this host the leaseholder of a target as a deputy: a
 // majority has promised at now to confirm no lower level of the term.
 func (t *Table) Activate(state *fold.State, id record.Target, level int, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := newHeld(id, state.Target(id), level, now)
-	h.guarded = false
 	h.seen = now
 	t.targets[id] = h
 	settings, ok := state.Config().Target(id)
@@ -208,11 +229,16 @@
 	t.want(state)
 }
 
-// rename moves an unbroken leaseholder to the latest of its terms.
+// rename moves an unbroken leaseholder to the latest of its terms. What it
+// granted itself it still knows; but a deputy of the term before may have
+// granted as well, so that the guard is to be passed again.
 func (h *held) rename(target fold.Target) {
 	if h.term == target.Term {
 		return
 	}
+	if h.deputies {
+		h.guarded, h.seen, h.since = false, time.Time{}, target.Since
+	}
 	h.term, h.token, h.deputies = target.Term, record.Token(target.Term, 0), len(target.Deputies) > 0
 	h.dirty = true
 }
@@ -221,7 +247,7 @@
 	token := record.Token(target.Term, level)
 	return &held{
 		id: id, term: target.Term, level: level, first: target.First, token: token, since: target.Since,
-		deputies: len(target.Deputies) > 0, guarded: target.First == 1, created: now, version: token << 32, dirty: true,
+		deputies: len(target.Deputies) > 0, guarded: target.Term == 1 && level == 0, created: now, version: token << 32, dirty: true,
 		wanted: map[shard.ID]entry{}, pending: map[shard.ID]*handover{},
 		flying: map[shard.ID]int{}, flyingKeys: map[keyOf]int{}, spent: map[shard.ID]time.Duration{},
 		load: map[shard.ID]float64{}, hot: hot.New(sketchKeys, loadHalfLife),
