Have leaseholders look only at targets whose shards have changed

Table.Sync went through every shard of the state, and looked up the hot keys of its own, after each record, under the locks that requests wait for. The state now keeps the shards by target, with the position of their latest change, and the table passes over targets that stand as before.

--- a/core/fold/apply.go
+++ b/core/fold/apply.go
@@ -173,9 +173,9 @@
 	if current.Target != "" && current.Target != op.Target {
 		former = with(former, current.Target)
 	}
-	s.shards[op.Shard] = Shard{
+	s.setShard(op.Shard, Shard{
 		Target: op.Target, Epoch: current.Epoch + 1, Former: without(former, op.Target), Since: offset, Why: op.Why,
-	}
+	})
 	return Result{}
 }
 
@@ -203,7 +203,7 @@
 		return stale(current.Epoch)
 	}
 	current.Former = nil
-	s.shards[op.Shard] = current
+	s.setShard(op.Shard, current)
 	return Result{}
 }
 
@@ -247,9 +247,9 @@
 		s.hot[op.Shard.Parent()] = map[string]struct{}{}
 	}
 	s.hot[op.Shard.Parent()][op.Shard.Key] = struct{}{}
-	s.shards[op.Shard] = Shard{
+	s.setShard(op.Shard, Shard{
 		Target: parent.Target, Epoch: parent.Epoch, Former: parent.Former, Since: offset, Why: "split",
-	}
+	})
 	return Result{}
 }
 
@@ -265,8 +265,8 @@
 	// The epoch of a later split starts from the range shard's, so that one
 	// must be the higher of both.
 	parent.Epoch = max(parent.Epoch, hot.Epoch) + 1
-	s.shards[op.Shard.Parent()] = parent
-	delete(s.shards, op.Shard)
+	s.setShard(op.Shard.Parent(), parent)
+	s.dropShard(op.Shard)
 	delete(s.hot[op.Shard.Parent()], op.Shard.Key)
 	if len(s.hot[op.Shard.Parent()]) == 0 {
 		delete(s.hot, op.Shard.Parent())
--- a/core/fold/fold.go
+++ b/core/fold/fold.go
@@ -36,6 +36,7 @@
 	members Membership
 	targets map[record.Target]Target
 	shards  map[shard.ID]Shard
+	owned   map[record.Target]*owned
 	hot     map[shard.ID]map[string]struct{}
 	digests []Checkpoint
 
@@ -119,6 +120,7 @@
 		config:  merged,
 		targets: map[record.Target]Target{},
 		shards:  map[shard.ID]Shard{},
+		owned:   map[record.Target]*owned{},
 		hot:     map[shard.ID]map[string]struct{}{},
 	}
 }
--- a/core/fold/snapshot.go
+++ b/core/fold/snapshot.go
@@ -131,7 +131,7 @@
 }
 
 func (s *State) restoreShard(held shardImage) {
-	s.shards[held.ID] = held.Shard
+	s.setShard(held.ID, held.Shard)
 	if held.ID.Key == "" {
 		return
 	}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -69,6 +69,7 @@
 
 	// sets of shards: wanted by the log, accepted by the target, and sent
 	// without an answer.
+	basis   basis
 	wanted  map[shard.ID]entry
 	pending map[shard.ID]*handover
 	acked   *set
@@ -92,6 +93,14 @@
 	key   string
 }
 
+// basis is what the wanted shards of a target were computed from.
+type basis struct {
+	// changed is the log position of the latest change of the target's shards.
+	changed uint64
+	// placed reports that the target has an address.
+	placed bool
+}
+
 // entry is one shard of a set.
 type entry struct {
 	epoch  uint64
@@ -271,29 +280,37 @@
 	}
 }
 
-// want computes from the log which shards each held target is to own.
+// want computes from the log which shards each held target is to own. Only
+// targets of which something has changed since the last time are looked at.
 func (t *Table) want(state *fold.State) {
-	wanted := map[record.Target]map[shard.ID]entry{}
-	for id, owned := range state.Shards() {
-		target := record.Target{Service: id.Service, Name: owned.Target}
-		h := t.targets[target]
-		if h == nil || h.address == "" {
+	for _, h := range t.targets {
+		shards, changed := state.ShardsOf(h.id)
+		basis := basis{changed: changed, placed: h.address != ""}
+		if basis == h.basis {
 			continue
 		}
-		if wanted[target] == nil {
-			wanted[target] = map[shard.ID]entry{}
+		h.basis = basis
+		if !basis.placed {
+			shards = nil
 		}
+		h.replaceWanted(h.wantedOf(shards, state), state)
+	}
+}
+
+// wantedOf lists those of shards that the target is to be granted now.
+func (h *held) wantedOf(shards map[shard.ID]struct{}, state *fold.State) map[shard.ID]entry {
+	wanted := make(map[shard.ID]entry, len(shards))
+	for id := range shards {
+		owned := state.Shard(id)
 		item := entry{epoch: owned.Epoch}
 		if id.Key == "" {
 			item.except = state.HotKeys(id)
 		}
 		if h.handOver(id, owned, item.except) {
-			wanted[target][id] = item
+			wanted[id] = item
 		}
 	}
-	for id, h := range t.targets {
-		h.replaceWanted(wanted[id], state)
-	}
+	return wanted
 }
 
 // handOver reports whether every former owner of a shard has let go, and
