Confirm all targets at once while nobody has made a promise

Each answer to a heartbeat counted the members anew for every target led, and so did each look for orders a hundred times a second. Without promises to deputies every answer counts alike for every target, so one count is enough; with any promise the targets are counted one by one as before.

BenchmarkHeartbeats, one round, 12 hosts and 300 targets: 935 us to 85 us; 3000 targets: 9.2 ms to 118 us. BenchmarkAct, 84 targets led: 480 us to 171 us (-benchtime 20ms, busy machine). The model of core/host passes.

--- a/core/host/beat.go
+++ b/core/host/beat.go
@@ -51,11 +51,18 @@
 	return pong.Next > h.state.Next()
 }
 
-// confirm takes the word of a majority as a proof of freshness.
+// confirm takes the word of a majority as a proof of freshness. While nobody
+// has made a promise, one answer holds for every target.
 func (h *Host) confirm(now time.Time) {
 	if !h.known() {
 		return
 	}
+	if len(h.promises) == 0 && !h.tracker.Promises() {
+		if at, ok := h.tracker.Confirmed(h.state.Members(), h.state.Next(), now, nil); ok {
+			h.leases.FreshAll(at)
+		}
+		return
+	}
 	for _, place := range h.leases.Places() {
 		filter := h.loyal(place.Target, place.Term, place.Level)
 		if at, ok := h.tracker.Confirmed(h.state.Members(), h.state.Next(), now, filter); ok {
