Ask for ids only when the permit's own tenure is not collected

Cause: a route that names an older term than the permit made each request that must not be repeated ask all hosts. Measured: go test -race over the request path's packages: ok.

--- a/core/dispatch/once.go
+++ b/core/dispatch/once.go
@@ -22,7 +22,7 @@
 	if kept != nil || failure != nil || memory.Ready(r.req.Shard, r.way.Epoch, r.way.Term) {
 		return kept, failure
 	}
-	if failure := r.allow(); failure != nil {
+	if failure := r.allow(); failure != nil || memory.Ready(r.req.Shard, r.permit.Epoch, r.permit.Term) {
 		return nil, failure
 	}
 	return nil, r.collect(ctx)
