Keep orders and requests in flight over a change of term

Cause: a leaseholder that is named again (new deputies) kept what it had granted but took a new token, and both the answer to an order and the end of a request that were on their way under the old one were ignored. Both now count from the token with which this host began to lead without a break; only an order under the present token passes the guard of a checked target.

Ruled out: the queue and the permits (a dump showed 3 in flight, none queued).

Seen to fail before: both new tests of core/lease.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -38,10 +38,13 @@
 	id record.Target
 	// term and level are the leaseholder's place in the log, token stands
 	// for both.
-	term        uint64
-	level       int
-	first       uint64
-	token       uint64
+	term  uint64
+	level int
+	first uint64
+	token uint64
+	// born is the token with which this host began to lead without a break;
+	// orders and requests since then are this leaseholder's.
+	born        uint64
 	since       uint64
 	deputies    bool
 	fresh       time.Time
@@ -213,7 +216,7 @@
 func newHeld(id record.Target, target fold.Target, level int, now time.Time) *held {
 	token := record.Token(target.Term, level)
 	return &held{
-		id: id, term: target.Term, level: level, first: target.First, token: token, since: target.Since,
+		id: id, term: target.Term, level: level, first: target.First, token: token, born: token, since: target.Since,
 		deputies: len(target.Deputies) > 0, guarded: target.Term == 1 && level == 0, created: now, version: token << 32, dirty: true,
 		wanted: map[shard.ID]entry{}, pending: map[shard.ID]*handover{},
 		flying: map[shard.ID]int{}, flyingKeys: map[keyOf]int{}, spent: map[shard.ID]time.Duration{},
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -232,6 +232,16 @@
 		r.answer(r.order(first))
 		r.wantReleased(true)
 	})
+	t.Run("once a request that began under an earlier term has ended", func(t *testing.T) {
+		r := newRig(t)
+		r.grant(first)
+		permit, target, _ := r.table.Permit(piece, 1, "k", r.now)
+		r.fold(record.Op{Lead: &record.Lead{Target: first, Holder: self, Expect: 1}})
+		r.fold(move)
+		r.table.Done(target, permit.Term, piece, "k", 0, r.now)
+		r.grant(first)
+		r.wantReleased(true)
+	})
 	t.Run("not a key whose request went out before it was split off", func(t *testing.T) {
 		r := newRig(t)
 		r.grant(first)
@@ -287,6 +297,19 @@
 	})
 }
 
+func TestTermChangesWhileAnOrderIsOut(t *testing.T) {
+	r := newRig(t)
+	r.grant(first)
+	r.table.Fresh(first, r.now)
+	order := r.order(first)
+	r.fold(record.Op{Lead: &record.Lead{Target: first, Holder: self, Expect: 1}})
+	r.answer(order)
+	r.table.Fresh(first, r.now)
+	if next := r.order(first); next.Probe || next.Term <= order.Term {
+		t.Errorf("got probe %v of token %d, want a grant above token %d", next.Probe, next.Term, order.Term)
+	}
+}
+
 func TestHandover(t *testing.T) {
 	r := newRig(t)
 	r.grant(first)
--- a/core/lease/order.go
+++ b/core/lease/order.go
@@ -123,7 +123,7 @@
 // host has lost or regained the target since.
 func (t *Table) current(order Order) *held {
 	h := t.targets[order.Target]
-	if h == nil || h.token != order.Term {
+	if h == nil || order.Term < h.born {
 		return nil
 	}
 	return h
@@ -163,7 +163,7 @@
 		return
 	}
 	h.acked = order.sent
-	if h.checked {
+	if h.checked && order.Term == h.token {
 		h.guarded = true
 	}
 }
--- a/core/lease/permit.go
+++ b/core/lease/permit.go
@@ -75,7 +75,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.targets[target]
-	if h == nil || h.token != term {
+	if h == nil || term < h.born {
 		return
 	}
 	drop(h.flying, id)
--- a/io/daemon/requests.go
+++ b/io/daemon/requests.go
@@ -130,7 +130,12 @@
 	}
 }
 
+// maxBody returns the largest body of a service's requests. A host that knows
+// no state refuses later, as not ready, rather than the service as unknown.
 func (r *requests) maxBody(service string) (int64, bool) {
+	if !r.host.Ready() {
+		return 0, true
+	}
 	var (
 		size int64
 		ok   bool
