--- a/experiment/cluster_test.go
+++ b/experiment/cluster_test.go
@@ -28,18 +28,21 @@
 	maxMoves    int
 	weights     string
 	domains     []string
+	// timeScale lengthens the targets' work, so that their slots are the limit
+	// before this machine's processors are.
+	timeScale string
 }
 
 var (
 	trinidad = site{
 		user: "caroni", services: []string{"coverdesk", "recordsvault", "payoutledger"},
 		perService: 4, slots: 2, connections: 100, hosts: 3, shards: 64, maxMoves: 4,
-		weights: "{unavailable: 10, churn: 1, imbalance: 1}", domains: []string{"pos-a", "pos-b", "chag-a", "arima-a"},
+		weights: "{unavailable: 10, churn: 1, imbalance: 1}", domains: []string{"pos-a", "pos-b", "chag-a", "arima-a"}, timeScale: "4",
 	}
 	ulaanbaatar = site{
 		user: "tomor", services: []string{"scale-read", "payout-ledger", "records-desk"},
 		perService: 3, slots: 4, connections: 60, hosts: 3, shards: 64, maxMoves: 4,
-		weights: "{unavailable: 3, churn: 10, imbalance: 1}", domains: []string{"songino", "bayanzurkh", "nalaikh", "khan-uul"},
+		weights: "{unavailable: 3, churn: 10, imbalance: 1}", domains: []string{"songino", "bayanzurkh", "nalaikh", "khan-uul"}, timeScale: "4",
 	}
 )
 
@@ -158,6 +161,18 @@
 	return c
 }
 
+// dump keeps each host's state, and what it says of every shard.
+func (b *bench) dump(c *cluster, name string) {
+	b.t.Helper()
+	for i, admin := range c.admins {
+		for _, path := range []string{"debug/state", "operator/v1/shards", "operator/v1/moves"} {
+			_, body := get("http://"+admin+"/"+path, nil)
+			file := fmt.Sprintf("host-%d-%s.json", i+1, filepath.Base(path))
+			b.check(os.WriteFile(filepath.Join(b.out, name, file), []byte(body), 0o644))
+		}
+	}
+}
+
 func (b *bench) publish(c *cluster) {
 	b.t.Helper()
 	client := operator.Client{Servers: []string{"http://" + c.admins[0]}, HTTP: http.DefaultClient, Timeout: limit}
--- a/experiment/overhead_test.go
+++ b/experiment/overhead_test.go
@@ -15,9 +15,6 @@
 	// defaultDuration is the length of each run.
 	defaultDuration = "20s"
 	durationEnv     = "PINETURN_EXPERIMENT_DURATION"
-	// timeScale lengthens the targets' work, so that this machine's processors
-	// are not the limit before the targets' slots are.
-	timeScale = "4"
 )
 
 // TestOverhead compares requests through three hosts with direct ones, at
@@ -53,11 +50,11 @@
 func TestBalance(t *testing.T) {
 	for _, s := range []site{trinidad, ulaanbaatar} {
 		t.Run(s.user, func(t *testing.T) {
-			s.services, s.perService = s.services[:1], 10
+			s.services, s.perService, s.timeScale = s.services[:1], 10, "1"
 			b := newBench(t)
 			flags := []string{
 				"--services", s.services[0], "--rate", fmt.Sprint(0.5 * b.capacity(s, s.services[0])),
-				"--duration", cmp.Or(os.Getenv(durationEnv), "60s"), "--shift", "20s",
+				"--duration", cmp.Or(os.Getenv(durationEnv), "60s"), "--shift", "15s",
 			}
 			direct := b.direct(s, "direct", flags...)
 			routed := b.routed(s, "routed", append(flags, "--probe", "4")...)
@@ -70,7 +67,7 @@
 // of one service.
 func (b *bench) capacity(s site, service string) float64 {
 	b.t.Helper()
-	args := []string{"capacity", "--workload", s.user, "--time-scale", timeScale}
+	args := []string{"capacity", "--workload", s.user, "--time-scale", s.timeScale}
 	if service != "" {
 		args = append(args, "--services", service)
 	}
@@ -98,6 +95,7 @@
 	c := b.startCluster(f, name)
 	flags = append(append(f.countFlags(), "--hosts", strings.Join(c.hosts, ",")), flags...)
 	file := b.load("run", s, name, flags...)
+	b.dump(c, name)
 	for _, cmd := range c.daemon {
 		b.stop(cmd)
 	}
@@ -111,7 +109,7 @@
 	duration := cmp.Or(os.Getenv(durationEnv), defaultDuration)
 	out := filepath.Join(b.out, name, name)
 	args := append([]string{
-		mode, "--workload", s.user, "--duration", duration, "--quiet", "--attempts", "1", "--time-scale", timeScale, "--out", out, "--plot", out + ".svg",
+		mode, "--workload", s.user, "--duration", duration, "--quiet", "--attempts", "1", "--time-scale", s.timeScale, "--out", out, "--plot", out + ".svg",
 	}, flags...)
 	b.run("pineload", args...)
 	if _, err := os.Stat(out + ".report.json"); err != nil {
