--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -28,6 +29,7 @@
 		entry:    e,
 		service:  service,
 		req:      *req,
+		start:    start,
 		deadline: deadline,
 		waitEnd:  earlier(deadline, start.Add(orDefault(e.Wait, DefaultWait))),
 		pause:    newBackoff(),
@@ -47,6 +49,7 @@
 	entry    *Entry
 	service  string
 	req      message.Request
+	start    time.Time
 	deadline time.Time
 	waitEnd  time.Time
 	pause    *backoff.ExponentialBackOff
@@ -54,6 +57,8 @@
 	// uncertain and unreachable count the attempts that ended so.
 	uncertain   int
 	unreachable int
+	// unknown is the first failure after which the request may have run.
+	unknown *outcome.Error
 }
 
 func (j *journey) run(ctx context.Context, way route.Route, failure *outcome.Error, changed <-chan struct{}) (*message.Answer, *outcome.Error) {
@@ -65,25 +70,44 @@
 				return answer, nil
 			}
 		}
+		j.note(failure)
 		next := j.decide(failure)
 		if next == giveUp || !j.await(ctx, next, way, failure.RetryAfter, changed) {
-			return nil, withRetryAfter(failure)
+			return nil, j.verdict(failure)
 		}
 		changed = j.entry.Changed()
 		way, failure = j.entry.Route(j.service, j.req.Key)
 	}
 }
 
+// note keeps the first failure after which the request may have run.
+func (j *journey) note(failure *outcome.Error) {
+	if j.unknown == nil && failure.Outcome != outcome.NotRun {
+		j.unknown = failure
+	}
+}
+
+// verdict is what the caller is told: the last failure, unless an earlier
+// attempt may have run.
+func (j *journey) verdict(last *outcome.Error) *outcome.Error {
+	if j.unknown != nil {
+		return j.unknown
+	}
+	return withRetryAfter(last)
+}
+
 // attempt passes the request on once.
 func (j *journey) attempt(ctx context.Context, way route.Route) (*message.Answer, *outcome.Error) {
 	e := j.entry
-	left := j.deadline.Sub(e.Clock.Now())
+	// The service's own limit was not known while no route was.
+	limit := j.start.Add(timeLimit(way.Service, j.req.Left))
+	left := earlier(limit, j.deadline).Sub(e.Clock.Now())
 	if left <= 0 {
 		return nil, outcome.Refuse(outcome.DeadlineExceeded, "the deadline has passed", 0)
 	}
 	req := j.req
 	req.Shard, req.Epoch = way.Shard, way.Epoch
-	req.Left, req.Retries = left, j.attempts
+	req.Left, req.Retries = left-min(left/10, hopMargin), j.attempts
 	req.Once = req.Once || way.Service.Once(req.Method, pathOnly(req.Path))
 	j.req.Once = req.Once
 
@@ -106,7 +130,18 @@
 	if claim != nil {
 		claim.Finish(fate(failure), nil)
 	}
-	return answer, failure
+	return answer, ownDeadline(ctx, failure)
+}
+
+// ownDeadline names the cause of a cancellation that came from this host's
+// own deadline, not from the caller.
+func ownDeadline(ctx context.Context, failure *outcome.Error) *outcome.Error {
+	if failure == nil || failure.Reason != outcome.Cancelled || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return failure
+	}
+	late := *failure
+	late.Reason, late.RetryAfter = outcome.DeadlineExceeded, retryLate
+	return &late
 }
 
 // claim remembers the id of a request that must not be repeated before any
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -69,6 +69,7 @@
 
 	// sets of shards: wanted by the log, accepted by the target, and sent
 	// without an answer.
+	basis   basis
 	wanted  map[shard.ID]entry
 	pending map[shard.ID]*handover
 	acked   *set
@@ -92,6 +93,14 @@
 	key   string
 }
 
+// basis is what the wanted shards of a target were computed from.
+type basis struct {
+	// changed is the log position of the latest change of the target's shards.
+	changed uint64
+	// placed reports that the target has an address.
+	placed bool
+}
+
 // entry is one shard of a set.
 type entry struct {
 	epoch  uint64
@@ -132,48 +141,6 @@
 	return len(t.targets)
 }
 
-// Place is a leaseholder's place in the log: the level of a term of a target.
-type Place struct {
-	Target record.Target
-	Term   uint64
-	Level  int
-	// Deputies reports that the term has deputies, so that only a majority of
-	// the members can confirm its leaseholders.
-	Deputies bool
-}
-
-// Places lists the places that this host holds, in order of the targets.
-func (t *Table) Places() []Place {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var list []Place
-	for _, h := range t.sorted() {
-		list = append(list, Place{Target: h.id, Term: h.term, Level: h.level, Deputies: h.deputies})
-	}
-	return list
-}
-
-// Fresh records that a question sent at instant at proved, for one target,
-// that this host knew the newest record and was its leaseholder.
-func (t *Table) Fresh(target record.Target, at time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if h := t.targets[target]; h != nil && at.After(h.fresh) {
-		h.fresh = at
-	}
-}
-
-// FreshUntil is when the latest proof of freshness for a target ends.
-func (t *Table) FreshUntil(target record.Target) time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	h := t.targets[target]
-	if h == nil {
-		return time.Time{}
-	}
-	return h.fresh.Add(t.options.Life)
-}
-
 // Sync brings the table in line with the folded state at now.
 func (t *Table) Sync(state *fold.State, now time.Time) {
 	t.mu.Lock()
@@ -271,29 +238,37 @@
 	}
 }
 
-// want computes from the log which shards each held target is to own.
+// want computes from the log which shards each held target is to own. Only
+// targets of which something has changed since the last time are looked at.
 func (t *Table) want(state *fold.State) {
-	wanted := map[record.Target]map[shard.ID]entry{}
-	for id, owned := range state.Shards() {
-		target := record.Target{Service: id.Service, Name: owned.Target}
-		h := t.targets[target]
-		if h == nil || h.address == "" {
+	for _, h := range t.targets {
+		shards, changed := state.ShardsOf(h.id)
+		basis := basis{changed: changed, placed: h.address != ""}
+		if basis == h.basis {
 			continue
 		}
-		if wanted[target] == nil {
-			wanted[target] = map[shard.ID]entry{}
+		h.basis = basis
+		if !basis.placed {
+			shards = nil
 		}
+		h.replaceWanted(h.wantedOf(shards, state), state)
+	}
+}
+
+// wantedOf lists those of shards that the target is to be granted now.
+func (h *held) wantedOf(shards map[shard.ID]struct{}, state *fold.State) map[shard.ID]entry {
+	wanted := make(map[shard.ID]entry, len(shards))
+	for id := range shards {
+		owned := state.Shard(id)
 		item := entry{epoch: owned.Epoch}
 		if id.Key == "" {
 			item.except = state.HotKeys(id)
 		}
 		if h.handOver(id, owned, item.except) {
-			wanted[target][id] = item
+			wanted[id] = item
 		}
 	}
-	for id, h := range t.targets {
-		h.replaceWanted(wanted[id], state)
-	}
+	return wanted
 }
 
 // handOver reports whether every former owner of a shard has let go, and
