--- a/experiment/idle_test.go
+++ b/experiment/idle_test.go
@@ -34,7 +34,7 @@
 
 func idle(t *testing.T, s site) {
 	b := newBench(t)
-	c := b.startCluster(b.startTargets(s, "idle"))
+	c := b.startCluster(b.startTargets(s, "idle"), "idle")
 	time.Sleep(10 * time.Second)
 	before := b.gather(c)
 	time.Sleep(idleTime)
