--- a/experiment/cluster_test.go
+++ b/experiment/cluster_test.go
@@ -121,6 +121,7 @@
 // cluster is a running deployment: the platform, hosts and targets.
 type cluster struct {
 	fleet  *fleet
+	log    string
 	hosts  []string
 	admins []string
 	daemon []*exec.Cmd
@@ -132,13 +133,14 @@
 	b.t.Helper()
 	c := &cluster{fleet: f}
 	logAddress, listAddress := b.address(), b.address()
+	c.log = logAddress
 	b.start(round+"-log", "standin", "log", "--listen", logAddress)
 	var list hostlist.List
 	var peers []string
 	for i := range f.site.hosts {
 		c.hosts, c.admins, peers = append(c.hosts, b.address()), append(c.admins, b.address()), append(peers, b.address())
 		list.Hosts = append(list.Hosts, hostlist.Host{
-			Name: fmt.Sprintf("host-%d", i+1), Address: peers[i], Domain: f.site.domains[i], State: "live",
+			Name: fmt.Sprintf("host-%d", i+1), Address: peers[i], Domain: f.site.domains[i%len(f.site.domains)], State: "live",
 		})
 	}
 	data, err := json.Marshal(list)
