--- a/core/message/message.go
+++ b/core/message/message.go
@@ -66,6 +66,8 @@
 	// Settled is the epoch of the latest membership that the answering host
 	// knows to be settled.
 	Settled uint64 `cbor:"8,keyasint,omitempty"`
+	// LogDown reports that the answering host can't read the log.
+	LogDown bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Promise asks a host to confirm no leaseholder of a target below a level of
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -79,8 +79,10 @@
 	State   *fold.State
 	Tracker *member.Tracker
 	Now     time.Time
-	// Leaving reports that this host itself is about to stop.
+	// Leaving reports that this host itself is about to stop, LogDown that it
+	// can't read the log.
 	Leaving bool
+	LogDown bool
 	// Acting returns the leaseholder that acts for a target, when deputies
 	// were promised anything in its present term.
 	Acting func(target record.Target) (record.Incarnation, bool)
@@ -114,17 +116,25 @@
 }
 
 // Elect returns the member that is to plan: the first by name of those that
-// this host takes for live.
+// this host takes for live and that read the log.
 func Elect(in Input, self record.Incarnation) (record.Member, bool) {
 	for _, one := range in.Tracker.Live(in.State.Members(), in.Now) {
-		if one.Incarnation == self && in.Leaving {
-			continue
+		if able(in, self, one.Incarnation) {
+			return one, true
 		}
-		return one, true
 	}
 	return record.Member{}, false
 }
 
+// able reports whether a live member can plan.
+func able(in Input, self, id record.Incarnation) bool {
+	if id == self {
+		return !in.Leaving && !in.LogDown
+	}
+	pong, _ := in.Tracker.Pong(id)
+	return !pong.LogDown
+}
+
 // Round returns the operations to append now.
 func (p *Planner) Round(in Input) []record.Op {
 	ops := p.expel(in)
--- a/io/peer/options.go
+++ b/io/peer/options.go
@@ -28,6 +28,10 @@
 	DefaultCallWorkers    = 512
 )
 
+// closeLinger is how long a closing Server goes on to answer, with a refusal,
+// what other hosts have sent before they heard that it closes.
+const closeLinger = 100 * time.Millisecond
+
 // maxChunk is the most bytes of an answer's body in one frame.
 const maxChunk = 32 << 10
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -158,6 +158,7 @@
 		c.goAway()
 	}
 	s.mu.Unlock()
+	linger(ctx, closeLinger)
 	err := settle(ctx, s.settled)
 	for _, c := range s.open() {
 		c.flush(ctx)
@@ -169,6 +170,16 @@
 	return errors.Join(err, s.requests.close(handlerTimeout), s.calls.close(handlerTimeout))
 }
 
+// linger waits for d, or until ctx ends.
+func linger(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // open returns the connections.
 func (s *Server) open() []*serverConn {
 	s.mu.Lock()
