--- a/core/host/act.go
+++ b/core/host/act.go
@@ -183,8 +183,19 @@
 	return report
 }
 
-// Leads counts the targets that this host is the leaseholder of.
-func (h *Host) Leads() int { return h.leases.Len() }
+// Leads counts the targets that this host is the leaseholder of, leaving out
+// those that a deputy has taken over while the log is down.
+func (h *Host) Leads() int {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	count := 0
+	for _, place := range h.leases.Places() {
+		if h.effective(place.Target) <= place.Level {
+			count++
+		}
+	}
+	return count
+}
 
 // Successors reports whether another host could take over what this one leads.
 func (h *Host) Successors(now time.Time) bool {
--- a/core/host/succession_test.go
+++ b/core/host/succession_test.go
@@ -168,6 +168,19 @@
 	}
 }
 
+func TestLeadsLeaveOutWhatADeputyTookOver(t *testing.T) {
+	tr := newTrio(t)
+	tr.lose()
+	if got, want := tr.a.Leads(), 1; got != want {
+		t.Errorf("before: got %d, want %d", got, want)
+	}
+	wantMade(t, tr.c, tr.bid(), tr.now, true)
+	tr.beat(tr.a, tr.b, tr.c)
+	if got, want := tr.a.Leads(), 0; got != want {
+		t.Errorf("after: got %d, want %d", got, want)
+	}
+}
+
 // moveAway has a fold that the shard moves to t1, and t0 accept a set without.
 func (tr *trio) moveAway() message.Release {
 	tr.t.Helper()
