Keep a leaving leaseholder while shards move to its target

Leases now change by choice, or for a stop, only when no shard is on its way to the target.

Ruled out: a second owner (nobody else was granted the shard).

--- a/core/plan/lead.go
+++ b/core/plan/lead.go
@@ -33,7 +33,7 @@
 		case replaced && p.fit(in, acting):
 			round.counts[acting]++
 			round.propose(id, acting)
-		case !replaced && p.fit(in, holder):
+		case !replaced && (p.fit(in, holder) || p.present(in, holder) && moving(in.State, id)):
 			round.counts[holder]++
 		default:
 			orphans = append(orphans, id)
@@ -55,6 +55,25 @@
 	return round.ops
 }
 
+// present reports whether a leaseholder is still at work, if about to stop.
+func (p *Planner) present(in Input, holder record.Incarnation) bool {
+	members := in.State.Members()
+	return members.Has(holder) && !in.Tracker.Lost(members, holder, in.Now)
+}
+
+// moving reports whether shards are on their way to a target. Its leaseholder
+// may have granted some of them already, which a successor could not know: it
+// would take them from the target until it has asked anew.
+func moving(state *fold.State, id record.Target) bool {
+	shards, _ := state.ShardsOf(id)
+	for piece := range shards {
+		if len(state.Shard(piece).Former) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // leadRound collects the proposals of one round.
 type leadRound struct {
 	state  *fold.State
@@ -179,7 +198,7 @@
 		}
 		holder := r.state.Target(id).Holder
 		chosen := choose(r.hosts, r.counts, r.state.Config(), id)
-		if chosen.Incarnation == holder || !r.pays(id, holder, chosen) {
+		if chosen.Incarnation == holder || !r.pays(id, holder, chosen) || moving(r.state, id) {
 			continue
 		}
 		r.counts[holder]--
