Name the lease table's and the deputies' parts by the field's terms

Cause: read as a newcomer, flights, landing, letting go, bids and loyalty were metaphors. They are now unacknowledged orders, releases noted, candidacies and members without a promise.

--- a/core/host/act.go
+++ b/core/host/act.go
@@ -28,7 +28,7 @@
 	h.confirm(now)
 	h.leases.Guard(h.tracker, h.state.Members(), now)
 	places, next := h.leases.Places(), h.state.Next()
-	questions := h.leases.Questions(now, func(target record.Target) bool { return h.backed(places, target, next) })
+	questions := h.leases.Questions(now, func(target record.Target) bool { return h.majorityKnows(places, target, next) })
 	return h.leases.Orders(now), questions
 }
 
@@ -88,30 +88,30 @@
 func (h *Host) OnRelease(question message.Release, now time.Time) message.Released {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.backed(h.leases.Places(), question.Target, question.Next) {
+	if !h.majorityKnows(h.leases.Places(), question.Target, question.Next) {
 		return message.Released{}
 	}
 	shards, _ := h.leases.Released(question, now)
 	return message.Released{Shards: shards}
 }
 
-// backed reports whether a majority has folded the log up to next and has
+// majorityKnows reports whether a majority has folded the log up to next and has
 // promised itself to no leaseholder of a target above this one. Then no deputy
 // can take over that has folded less. A member that runs no more doesn't
 // count, as it may have promised itself before.
-func (h *Host) backed(places []lease.Place, target record.Target, next uint64) bool {
+func (h *Host) majorityKnows(places []lease.Place, target record.Target, next uint64) bool {
 	for _, place := range places {
 		if place.Target != target {
 			continue
 		}
-		loyal := h.loyal(target, place.Term, place.Level)
+		unpromised := h.unpromised(target, place.Term, place.Level)
 		return !place.Deputies || h.tracker.Agreed(h.state.Members(), h.state.Next(), func(id record.Incarnation) bool {
 			pong, _ := h.tracker.Pong(id)
 			known := pong.Next
 			if id == h.self.Incarnation {
 				known = h.state.Next()
 			}
-			return known >= next && loyal(id, pong)
+			return known >= next && unpromised(id, pong)
 		})
 	}
 	return false
--- a/core/host/beat.go
+++ b/core/host/beat.go
@@ -67,7 +67,7 @@
 		return
 	}
 	for _, place := range h.leases.Places() {
-		filter := h.loyal(place.Target, place.Term, place.Level)
+		filter := h.unpromised(place.Target, place.Term, place.Level)
 		if at, ok := h.tracker.Confirmed(h.state.Members(), h.state.Next(), now, filter); ok {
 			h.leases.Fresh(place.Target, at)
 		}
--- a/core/host/host.go
+++ b/core/host/host.go
@@ -46,10 +46,10 @@
 	joinAt  time.Time
 	image   *Image
 	// logAt is when the log answered last. promises are what this host has
-	// promised to deputies, bids what it asks for as a deputy itself.
-	logAt    time.Time
-	promises map[record.Target]message.Promise
-	bids     map[record.Target]*bid
+	// promised to deputies, candidacies what it asks for as a deputy itself.
+	logAt       time.Time
+	promises    map[record.Target]message.Promise
+	candidacies map[record.Target]*candidacy
 }
 
 // New returns the decisions of the host self, which knows nothing yet.
@@ -63,7 +63,7 @@
 		planner: plan.New(self.Incarnation),
 		leases:  lease.New(self.Incarnation, options.Lease),
 		changed: make(chan struct{}), logAt: now,
-		promises: map[record.Target]message.Promise{}, bids: map[record.Target]*bid{},
+		promises: map[record.Target]message.Promise{}, candidacies: map[record.Target]*candidacy{},
 	}
 }
 
--- a/core/host/model_test.go
+++ b/core/host/model_test.go
@@ -329,7 +329,7 @@
 	h.read()
 	h.beat()
 	h.act()
-	h.bid()
+	h.stand()
 	h.propose()
 }
 
@@ -510,12 +510,12 @@
 	}
 }
 
-// bid asks the other hosts for promises, ten times a second.
-func (h *simHost) bid() {
+// stand asks the other hosts for promises, ten times a second.
+func (h *simHost) stand() {
 	if h.w.now%(100*time.Millisecond) != time.Duration(h.index)*modelStep {
 		return
 	}
-	for _, promise := range h.host.Bids(h.clock()) {
+	for _, promise := range h.host.Candidacies(h.clock()) {
 		for _, other := range h.w.hosts {
 			if other == h {
 				continue
@@ -535,7 +535,7 @@
 func (h *simHost) question(other *simHost, question lease.Question) {
 	h.ask(other, func(reply func(run func())) {
 		shards := other.host.OnRelease(question.Release, other.clock()).Shards
-		reply(func() { h.host.Leases().LetGo(question, shards) })
+		reply(func() { h.host.Leases().NoteReleased(question, shards) })
 	})
 }
 
--- a/core/host/succession.go
+++ b/core/host/succession.go
@@ -11,8 +11,8 @@
 // takes over without it.
 const logPatience = time.Second
 
-// bid is a deputy's attempt to take over a target.
-type bid struct {
+// candidacy is a deputy's attempt to take over a target.
+type candidacy struct {
 	promise message.Promise
 	made    map[record.Incarnation]bool
 }
@@ -40,9 +40,9 @@
 	return list
 }
 
-// loyal returns a filter of the answers that may confirm the leaseholder of a
+// unpromised returns a filter of the answers that may confirm the leaseholder of a
 // target at a level: those that have promised themselves to none above.
-func (h *Host) loyal(target record.Target, term uint64, level int) func(id record.Incarnation, pong message.Pong) bool {
+func (h *Host) unpromised(target record.Target, term uint64, level int) func(id record.Incarnation, pong message.Pong) bool {
 	return func(id record.Incarnation, pong message.Pong) bool {
 		if id == h.self.Incarnation {
 			return h.level(target) <= level
@@ -70,14 +70,14 @@
 	return append([]record.Incarnation{logged.Holder}, logged.Deputies...)
 }
 
-// Bids returns the promises that this host asks of the other members at now:
+// Candidacies returns the promises that this host asks of the other members at now:
 // for targets that it is a deputy of, while the log is down and every
 // leaseholder before it is lost or leaving.
-func (h *Host) Bids(now time.Time) []message.Promise {
+func (h *Host) Candidacies(now time.Time) []message.Promise {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.known() || h.leaving || !h.logDown(now) || !h.state.Members().Has(h.self.Incarnation) {
-		clear(h.bids)
+		clear(h.candidacies)
 		return nil
 	}
 	var list []message.Promise
@@ -86,7 +86,7 @@
 			if deputy != h.self.Incarnation || h.holds(target, i+1) || !h.vacant(target, i+1, now) {
 				continue
 			}
-			list = append(list, h.bid(target, logged.Term, i+1))
+			list = append(list, h.ask(target, logged.Term, i+1))
 		}
 	}
 	return list
@@ -113,13 +113,13 @@
 	return true
 }
 
-// bid returns the promise to ask for, and makes it at this host itself.
-func (h *Host) bid(target record.Target, term uint64, level int) message.Promise {
+// ask returns the promise to ask for, and makes it at this host itself.
+func (h *Host) ask(target record.Target, term uint64, level int) message.Promise {
 	promise := message.Promise{Target: target, Term: term, Level: level, Next: h.state.Next()}
-	known := h.bids[target]
+	known := h.candidacies[target]
 	if known == nil || known.promise != promise {
-		known = &bid{promise: promise, made: map[record.Incarnation]bool{}}
-		h.bids[target] = known
+		known = &candidacy{promise: promise, made: map[record.Incarnation]bool{}}
+		h.candidacies[target] = known
 	}
 	if h.level(target) <= level {
 		h.promises[target] = promise
@@ -155,13 +155,13 @@
 	return true
 }
 
-// OnPromised takes in the answer to a bid. Once a majority has promised, this
-// host is the target's leaseholder at the bid's level; it reports whether that
+// OnPromised takes in the answer to a candidacy. Once a majority has promised, this
+// host is the target's leaseholder at its level; it reports whether that
 // has come about now.
 func (h *Host) OnPromised(from record.Incarnation, ask message.Promise, answer message.Promised, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	known := h.bids[ask.Target]
+	known := h.candidacies[ask.Target]
 	if !answer.Made || known == nil || known.promise != ask || ask.Term != h.state.Target(ask.Target).Term {
 		return false
 	}
@@ -173,7 +173,7 @@
 	if !h.tracker.Agreed(h.state.Members(), h.state.Next(), made) {
 		return false
 	}
-	delete(h.bids, ask.Target)
+	delete(h.candidacies, ask.Target)
 	h.leases.Activate(h.state, ask.Target, ask.Level, now)
 	return true
 }
--- a/core/host/succession_test.go
+++ b/core/host/succession_test.go
@@ -90,19 +90,19 @@
 	}
 }
 
-// bid returns b's bid for t0.
-func (tr *trio) bid() message.Promise {
+// ask returns the promise that b asks for.
+func (tr *trio) ask() message.Promise {
 	tr.t.Helper()
-	bids := tr.b.Bids(tr.now)
-	if len(bids) != 1 {
-		tr.t.Fatalf("got %d bids, want 1", len(bids))
+	candidacies := tr.b.Candidacies(tr.now)
+	if len(candidacies) != 1 {
+		tr.t.Fatalf("got %d candidacies, want 1", len(candidacies))
 	}
-	return bids[0]
+	return candidacies[0]
 }
 
-func wantMade(t *testing.T, h *Host, bid message.Promise, now time.Time, want bool) {
+func wantMade(t *testing.T, h *Host, ask message.Promise, now time.Time, want bool) {
 	t.Helper()
-	if got := h.OnPromise(bid, now).Made; got != want {
+	if got := h.OnPromise(ask, now).Made; got != want {
 		t.Errorf("promise made: got %v, want %v", got, want)
 	}
 }
@@ -111,9 +111,9 @@
 	t.Run("made while the log is down and the leaseholder lost", func(t *testing.T) {
 		tr := newTrio(t)
 		tr.lose()
-		bid := tr.bid()
-		wantMade(t, tr.c, bid, tr.now, true)
-		if !tr.b.OnPromised(tr.c.Self().Incarnation, bid, message.Promised{Made: true}, tr.now) {
+		ask := tr.ask()
+		wantMade(t, tr.c, ask, tr.now, true)
+		if !tr.b.OnPromised(tr.c.Self().Incarnation, ask, message.Promised{Made: true}, tr.now) {
 			t.Errorf("got no takeover by a majority's promises, want one")
 		}
 	})
@@ -123,44 +123,44 @@
 			tr.now = tr.now.Add(100 * time.Millisecond)
 			tr.beat(tr.a, tr.b, tr.c)
 		}
-		if got := tr.b.Bids(tr.now); len(got) != 0 {
-			t.Errorf("got bids %v, want none", got)
+		if got := tr.b.Candidacies(tr.now); len(got) != 0 {
+			t.Errorf("got candidacies %v, want none", got)
 		}
 	})
 	t.Run("refused by a host that reads the log", func(t *testing.T) {
 		tr := newTrio(t)
 		tr.lose()
-		bid := tr.bid()
+		ask := tr.ask()
 		tr.read(tr.c)
-		wantMade(t, tr.c, bid, tr.now, false)
+		wantMade(t, tr.c, ask, tr.now, false)
 	})
 	t.Run("refused by a host that hears the leaseholder", func(t *testing.T) {
 		tr := newTrio(t)
 		tr.lose()
-		bid := tr.bid()
+		ask := tr.ask()
 		tr.beat(tr.a, tr.c)
-		wantMade(t, tr.c, bid, tr.now, false)
+		wantMade(t, tr.c, ask, tr.now, false)
 	})
 	t.Run("refused to a deputy that knows less of the log", func(t *testing.T) {
 		tr := newTrio(t)
 		tr.write(record.Op{Assign: &record.Assign{Shard: trioShard, Target: "t1", Expect: 1}})
 		tr.read(tr.c)
 		tr.lose()
-		wantMade(t, tr.c, tr.bid(), tr.now, false)
+		wantMade(t, tr.c, tr.ask(), tr.now, false)
 	})
 	t.Run("refused for a term that is over", func(t *testing.T) {
 		tr := newTrio(t)
 		tr.lose()
-		bid := tr.bid()
-		bid.Term++
-		wantMade(t, tr.c, bid, tr.now, false)
+		ask := tr.ask()
+		ask.Term++
+		wantMade(t, tr.c, ask, tr.now, false)
 	})
 }
 
 func TestPromisedHostsConfirmNoLowerLevel(t *testing.T) {
 	tr := newTrio(t)
 	tr.lose()
-	wantMade(t, tr.c, tr.bid(), tr.now, true)
+	wantMade(t, tr.c, tr.ask(), tr.now, true)
 	before := tr.a.Leases().FreshUntil(trioTarget)
 	tr.beat(tr.a, tr.b, tr.c)
 	if got := tr.a.Leases().FreshUntil(trioTarget); got.After(before) {
@@ -174,7 +174,7 @@
 	if got, want := tr.a.Leads(), 1; got != want {
 		t.Errorf("before: got %d, want %d", got, want)
 	}
-	wantMade(t, tr.c, tr.bid(), tr.now, true)
+	wantMade(t, tr.c, tr.ask(), tr.now, true)
 	tr.beat(tr.a, tr.b, tr.c)
 	if got, want := tr.a.Leads(), 0; got != want {
 		t.Errorf("after: got %d, want %d", got, want)
@@ -216,7 +216,7 @@
 	t.Run("not when a majority has promised itself to a deputy", func(t *testing.T) {
 		tr := newTrio(t)
 		tr.lose()
-		wantMade(t, tr.c, tr.bid(), tr.now, true)
+		wantMade(t, tr.c, tr.ask(), tr.now, true)
 		ask := tr.moveAway()
 		tr.read(tr.b)
 		tr.read(tr.c)
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -76,15 +76,15 @@
 	wanted  map[shard.ID]entry
 	pending map[shard.ID]*handover
 	acked   *set
-	flights []*set
+	unacked []*set
 	version uint64
 	busy    bool
 	ordered time.Time
 	dirty   bool
 
 	// requests in flight, and the time they took since the last report.
-	flying     map[shard.ID]int
-	flyingKeys map[keyOf]int
+	active     map[shard.ID]int
+	activeKeys map[keyOf]int
 	spent      map[shard.ID]time.Duration
 	load       map[shard.ID]float64
 	measured   time.Time
@@ -219,7 +219,7 @@
 		id: id, term: target.Term, level: level, first: target.First, token: token, born: token, since: target.Since,
 		deputies: len(target.Deputies) > 0, guarded: target.Term == 1 && level == 0, created: now, version: token << 32, dirty: true,
 		wanted: map[shard.ID]entry{}, pending: map[shard.ID]*handover{},
-		flying: map[shard.ID]int{}, flyingKeys: map[keyOf]int{}, spent: map[shard.ID]time.Duration{},
+		active: map[shard.ID]int{}, activeKeys: map[keyOf]int{}, spent: map[shard.ID]time.Duration{},
 		load: map[shard.ID]float64{}, hot: hot.New(sketchKeys, loadHalfLife),
 	}
 }
--- a/core/lease/order.go
+++ b/core/lease/order.go
@@ -82,7 +82,7 @@
 	}
 	order.Set = sent.version
 	order.sent = sent
-	h.flights = append(h.flights, sent)
+	h.unacked = append(h.unacked, sent)
 	return order
 }
 
@@ -97,7 +97,7 @@
 		return shards
 	}
 	for id, item := range h.acked.shards {
-		if _, ok := shards[id]; !ok && h.flying[id] > 0 {
+		if _, ok := shards[id]; !ok && h.active[id] > 0 {
 			shards[id] = item
 		}
 	}
@@ -157,7 +157,7 @@
 		h.dirty = true
 		return
 	}
-	h.land(order.sent)
+	h.acknowledge(order.sent)
 	if answer.Refused != "" {
 		h.refused(answer.Refused)
 		return
@@ -172,15 +172,16 @@
 func (h *held) restarted(incarnation string) {
 	h.incarnation = incarnation
 	h.acked = nil
-	h.flights = nil
+	h.unacked = nil
 	h.dirty = true
 }
 
-// land takes an answered order off the list of those in flight.
-func (h *held) land(sent *set) {
-	for i, flight := range h.flights {
-		if flight == sent {
-			h.flights = append(h.flights[:i], h.flights[i+1:]...)
+// acknowledge takes an order that was answered, or not sent, off the list of
+// those without an answer.
+func (h *held) acknowledge(sent *set) {
+	for i, other := range h.unacked {
+		if other == sent {
+			h.unacked = append(h.unacked[:i], h.unacked[i+1:]...)
 			return
 		}
 	}
@@ -211,7 +212,7 @@
 	}
 	h.busy = false
 	if order.sent != nil && !sent {
-		h.land(order.sent)
+		h.acknowledge(order.sent)
 	}
 	h.trusted = false
 	h.dropLapsed(now)
@@ -219,12 +220,12 @@
 
 func (h *held) dropLapsed(now time.Time) {
 	var rest []*set
-	for _, flight := range h.flights {
-		if now.Before(flight.late) {
-			rest = append(rest, flight)
+	for _, other := range h.unacked {
+		if now.Before(other.late) {
+			rest = append(rest, other)
 		}
 	}
-	h.flights = rest
+	h.unacked = rest
 }
 
 // Status is what this host knows of a target that it is the leaseholder of.
--- a/core/lease/permit.go
+++ b/core/lease/permit.go
@@ -34,8 +34,8 @@
 	if !h.leaving.IsZero() && now.Sub(h.leaving) >= DrainGrace {
 		return route.Permit{}, h.id, outcome.Refuse(outcome.Draining, h.id.String(), retryAfter)
 	}
-	h.flying[id]++
-	h.flyingKeys[keyOf{shard: id, key: key}]++
+	h.active[id]++
+	h.activeKeys[keyOf{shard: id, key: key}]++
 	return route.Permit{
 		Address: h.address, Incarnation: h.incarnation, Epoch: epoch, Term: h.token,
 		Until: h.acked.until, ClockUs: h.clockUs, ClockAt: h.clockAt,
@@ -78,11 +78,11 @@
 	if h == nil || term < h.born {
 		return
 	}
-	drop(h.flying, id)
-	drop(h.flyingKeys, keyOf{shard: id, key: key})
+	drop(h.active, id)
+	drop(h.activeKeys, keyOf{shard: id, key: key})
 	h.spent[id] += spent
 	h.hot.Add(now, key, spent.Seconds())
-	if _, wanted := h.wanted[id]; !wanted && h.flying[id] == 0 {
+	if _, wanted := h.wanted[id]; !wanted && h.active[id] == 0 {
 		h.dirty = true
 	}
 }
@@ -101,7 +101,7 @@
 	defer t.mu.Unlock()
 	total := 0
 	for _, h := range t.targets {
-		for _, count := range h.flying {
+		for _, count := range h.active {
 			total += count
 		}
 	}
--- a/core/lease/release.go
+++ b/core/lease/release.go
@@ -52,7 +52,7 @@
 		target := record.Target{Service: h.id.Service, Name: name}
 		if former := t.targets[target]; former != nil {
 			if backed(target) {
-				h.letGo(name, former.released(ids, now))
+				h.noteReleased(name, former.released(ids, now))
 			}
 			continue
 		}
@@ -61,17 +61,17 @@
 	return list
 }
 
-// LetGo records the answer to a question: the former owner holds the shards
+// NoteReleased records the answer to a question: the former owner holds the shards
 // no more.
-func (t *Table) LetGo(question Question, shards []shard.ID) {
+func (t *Table) NoteReleased(question Question, shards []shard.ID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if h := t.targets[question.Asker]; h != nil {
-		h.letGo(question.Release.Target.Name, shards)
+		h.noteReleased(question.Release.Target.Name, shards)
 	}
 }
 
-func (h *held) letGo(former string, shards []shard.ID) {
+func (h *held) noteReleased(former string, shards []shard.ID) {
 	for _, id := range shards {
 		move := h.pending[id]
 		if move == nil {
@@ -130,8 +130,8 @@
 	if h.acked != nil && now.Before(h.acked.late) && covers(h.acked.shards, id) {
 		return true
 	}
-	for _, flight := range h.flights {
-		if now.Before(flight.late) && covers(flight.shards, id) {
+	for _, other := range h.unacked {
+		if now.Before(other.late) && covers(other.shards, id) {
 			return true
 		}
 	}
@@ -140,9 +140,9 @@
 
 func (h *held) inFlight(id shard.ID) bool {
 	if id.Key == "" {
-		return h.flying[id] > 0
+		return h.active[id] > 0
 	}
-	return h.flying[id] > 0 || h.flyingKeys[keyOf{shard: id.Parent(), key: id.Key}] > 0
+	return h.active[id] > 0 || h.activeKeys[keyOf{shard: id.Parent(), key: id.Key}] > 0
 }
 
 // covers reports whether a set of shards holds a shard's keys; a range shard
--- a/core/plan/lead.go
+++ b/core/plan/lead.go
@@ -9,8 +9,8 @@
 // maxDeputies is how many deputies a leaseholder has at most.
 const maxDeputies = 2
 
-// maxEvened is how many targets change leaseholder in one round for no need.
-const maxEvened = 4
+// maxRebalanced is how many targets change leaseholder in one round for no need.
+const maxRebalanced = 4
 
 // minHosts is the number of hosts from which on leaseholders have deputies:
 // with fewer, the loss of one host leaves no majority that could confirm them.
@@ -44,13 +44,13 @@
 		round.counts[chosen.Incarnation]++
 		round.propose(id, chosen.Incarnation)
 	}
-	if len(round.ops) > 0 || in.Now.Sub(p.evened) < DefaultEvenAfter {
+	if len(round.ops) > 0 || in.Now.Sub(p.rebalanced) < DefaultRebalanceInterval {
 		return round.ops
 	}
-	p.evened = in.Now
+	p.rebalanced = in.Now
 	p.renewDeputies(in, round, targets)
 	if len(round.ops) == 0 {
-		round.even(targets)
+		round.rebalance(targets)
 	}
 	return round.ops
 }
@@ -189,11 +189,11 @@
 	return weightOf(host.Incarnation.Host, id.String())
 }
 
-// even moves a few targets to hosts in their own failure domain, and to hosts
+// rebalance moves a few targets to hosts in their own failure domain, and to hosts
 // that lead at least two targets fewer.
-func (r *leadRound) even(targets []record.Target) {
+func (r *leadRound) rebalance(targets []record.Target) {
 	for _, id := range targets {
-		if len(r.ops) == maxEvened {
+		if len(r.ops) == maxRebalanced {
 			return
 		}
 		holder := r.state.Target(id).Holder
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -21,9 +21,9 @@
 	// DefaultExpelAfter is how long a member must have been lost before it is
 	// taken off the membership.
 	DefaultExpelAfter = 5 * time.Second
-	// DefaultEvenAfter is the time between two moves that only even out how
+	// DefaultRebalanceInterval is the time between two moves that only even out how
 	// many targets each host leads.
-	DefaultEvenAfter = time.Second
+	DefaultRebalanceInterval = time.Second
 	// settleAfter is how long a new service waits for reports of all its
 	// targets before its shards are given to those that are known.
 	settleAfter = time.Second
@@ -51,14 +51,14 @@
 // Planner keeps what a planner remembers between rounds. It is not safe for
 // concurrent use.
 type Planner struct {
-	self    record.Incarnation
-	reports map[record.Target]report
-	lost    map[record.Incarnation]time.Time
-	evened  time.Time
-	seen    map[string]time.Time
-	levels  map[string]time.Time
-	idle    map[shard.ID]time.Time
-	rounds  map[string]serviceRound
+	self       record.Incarnation
+	reports    map[record.Target]report
+	lost       map[record.Incarnation]time.Time
+	rebalanced time.Time
+	seen       map[string]time.Time
+	levels     map[string]time.Time
+	idle       map[shard.ID]time.Time
+	rounds     map[string]serviceRound
 	// targets are the leadable ones of the state at position next.
 	targets []record.Target
 	next    uint64
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -44,7 +44,7 @@
 	beater    *beater
 	proposer  *proposer
 	reporter  *reporter
-	bidder    *bidder
+	candidate *candidate
 	snapshots *snapshots
 	requests  *requests
 	parts     []*part
@@ -130,7 +130,7 @@
 	}
 	d.proposer = &proposer{host: d.host, submit: d.writer.Submit, now: d.now, wake: make(chan struct{}, 1)}
 	d.reporter = &reporter{host: d.host, call: d.peers.Call, now: d.now, wake: make(chan struct{}, 1)}
-	d.bidder = &bidder{
+	d.candidate = &candidate{
 		host: d.host, call: d.peers.Call, members: d.otherMembers, now: d.now, wake: d.keeper.wake,
 	}
 	d.snapshots = &snapshots{
@@ -160,7 +160,7 @@
 	}
 	d.parts = []*part{
 		start(d.reader.run), start(d.writer.run), start(d.beater.run), start(d.proposer.run), start(d.reporter.run),
-		start(d.snapshots.run), start(d.requests.run), start(d.bidder.run),
+		start(d.snapshots.run), start(d.requests.run), start(d.candidate.run),
 	}
 	d.stopping = []*part{start(d.keeper.run)}
 	if d.settings.HostListAddress != "" {
--- a/io/daemon/keeper.go
+++ b/io/daemon/keeper.go
@@ -139,6 +139,6 @@
 	if err != nil || reply.Release == nil || len(reply.Release.Shards) == 0 {
 		return
 	}
-	k.host.Leases().LetGo(question, reply.Release.Shards)
+	k.host.Leases().NoteReleased(question, reply.Release.Shards)
 	signal(k.wake)
 }
--- a/io/daemon/options.go
+++ b/io/daemon/options.go
@@ -34,8 +34,8 @@
 	// orderTimeout bounds one order to a target; three fit into the time after
 	// which a target is suspected.
 	orderTimeout = 120 * time.Millisecond
-	// bidInterval is the time between two rounds of a deputy's bids.
-	bidInterval = 100 * time.Millisecond
+	// candidateInterval is the time between two rounds in which a deputy asks for promises.
+	candidateInterval = 100 * time.Millisecond
 	// questionTimeout bounds one question about a former owner.
 	questionTimeout = 200 * time.Millisecond
 	// beatTimeout bounds one heartbeat.
