Note settled memberships only under the write lock

Cause: found by reading. Looking up a route during an outage asks whether the membership is settled, and that query stored its answer while only the read lock was held. The query now changes nothing; answers to heartbeats note it.

Ruled out: a wrong result (the value only grows). No test was found that the race detector fails on before: the store happens once a membership, and a heartbeat nearly always comes first. The race detector passes on core/host's tests of deputies, io/daemon, core/dispatch, core/lease and core/plan.

--- a/core/host/beat.go
+++ b/core/host/beat.go
@@ -32,7 +32,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	members := h.state.Members()
-	h.tracker.Settled(members, h.state.Next())
+	h.tracker.NoteSettled(members, h.state.Next())
 	return message.Pong{
 		From: h.self.Incarnation, Next: h.state.Next(), Leaving: h.leaving,
 		Ready:         h.known() && members.Has(h.self.Incarnation),
@@ -50,6 +50,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.tracker.Answered(pong, asked, now)
+	h.tracker.NoteSettled(h.state.Members(), h.state.Next())
 	h.confirm(now)
 	return pong.Next > h.state.Next()
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -259,7 +259,7 @@
 	if len(before) == 0 || t.settled >= members.Epoch() {
 		return true
 	}
-	settled := t.majority(before, func(id record.Incarnation) bool {
+	return t.majority(before, func(id record.Incarnation) bool {
 		if id == t.self {
 			return next > members.Changed()
 		}
@@ -269,10 +269,14 @@
 		p := t.peers[id]
 		return p != nil && p.pong.Next > members.Changed()
 	})
-	if settled {
-		t.settled = members.Epoch()
+}
+
+// NoteSettled keeps that the present membership is settled, if it is, so that
+// other hosts can be told.
+func (t *Tracker) NoteSettled(members *fold.Membership, next uint64) {
+	if t.Settled(members, next) {
+		t.settled = max(t.settled, members.Epoch())
 	}
-	return settled
 }
 
 // SettledEpoch is the epoch of the latest membership known to be settled.
