--- a/cmd/pineturnd/main.go
+++ b/cmd/pineturnd/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"pineturn/io/daemon"
+	"pineturn/io/gateway"
 )
 
-func main() { os.Exit(daemon.Main(os.Args)) }
+func main() { os.Exit(daemon.Main(os.Args, gateway.Command())) }
--- /dev/null
+++ b/core/owner/leader.go
@@ -0,0 +1,387 @@
+package owner
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Times of leases.
+const (
+	// Hold is how long a lease lasts.
+	Hold = 4 * time.Second
+	// renewAfter is the time after which a lease is renewed.
+	renewAfter = 1400 * time.Millisecond
+	// retryAfter is the time between tries of an order without an answer.
+	retryAfter = 300 * time.Millisecond
+	// FreshFor is how long a host goes on renewing leases after it last proved
+	// that it leads. It covers outages of the store.
+	FreshFor = 12 * time.Second
+	// lapse is the time after which a lease has ended by every clock: targets'
+	// clocks run up to 2% slow, and an order may wait on its way.
+	lapse = Hold + Hold/50 + 400*time.Millisecond
+	// unreachableAfter is how long a target's renewals fail before its keys are
+	// moved elsewhere.
+	unreachableAfter = 2500 * time.Millisecond
+	// fencesAnEpoch is the number of fencing tokens of one leader.
+	fencesAnEpoch = 1 << 24
+)
+
+// Kind is the kind of an order.
+type Kind int
+
+// Kinds of orders.
+const (
+	// Grant starts or renews a lease.
+	Grant Kind = iota
+	// Release ends one.
+	Release
+)
+
+// Order is what a target is to be told.
+type Order struct {
+	Kind     Kind
+	Service  string
+	First    uint16
+	Last     uint16
+	Target   Holder
+	Fence    int64
+	Handover string
+	// Renewal orders are sent only on a connection that was open before, as
+	// another life of the target must not take them.
+	Renewal bool
+	lease   *lease
+	former  *formerHolder
+}
+
+// Outcome is how an order ended.
+type Outcome struct {
+	// Done says that the target carried it out, Fenced that it has seen a
+	// higher fencing token.
+	Done   bool
+	Fenced bool
+	// Unsent says that nothing has reached the target.
+	Unsent   bool
+	Handover string
+}
+
+// lease is a range with what this leader knows of its grants.
+type lease struct {
+	first, last uint16
+	owner       Holder
+	fence       int64
+	// granted says that the owner accepted a grant of this leader.
+	granted bool
+	// renewable says that the fencing token was accepted by this life of the
+	// owner.
+	renewable bool
+	// written says that the store's record has the range as it is here.
+	written bool
+	// inherited says that a leader before may have granted it to the owner.
+	inherited bool
+	// sent is when a grant may last have reached the owner.
+	sent     time.Time
+	answered time.Time
+	tried    time.Time
+	failing  time.Time
+	busy     bool
+	handover string
+	former   []*formerHolder
+}
+
+// formerHolder is an owner that may still hold a range.
+type formerHolder struct {
+	holder Holder
+	fence  int64
+	// free is when its lease has ended at the latest.
+	free  time.Time
+	tried time.Time
+	busy  bool
+	done  bool
+}
+
+// Target is what the leader knows of a target.
+type Target struct {
+	Holder
+	Service string
+	Slots   int
+	// Leaving targets lose their keys.
+	Leaving bool
+}
+
+// Leader decides for the host that leads. It is not safe for concurrent use.
+type Leader struct {
+	record   *Assignment
+	services map[string][]*lease
+	// guard is when every lease that a leader before may have renewed has
+	// ended.
+	guard time.Time
+	// alone says that the process that led before is proved to have ended.
+	alone  bool
+	fences int64
+	fenced bool
+	dirty  bool
+}
+
+// Lead starts a leader from the record that made it one. The record before it
+// may be nil. Now is when the store had acknowledged the record.
+func Lead(record *Assignment, now time.Time) *Leader {
+	l := &Leader{record: record, services: make(map[string][]*lease), guard: now.Add(FreshFor + lapse)}
+	for service, ranges := range record.Services {
+		for _, r := range ranges {
+			l.services[service] = append(l.services[service], l.inherit(r))
+		}
+	}
+	return l
+}
+
+func (l *Leader) inherit(r Range) *lease {
+	p := &lease{first: r.First, last: r.Last, owner: r.Owner, fence: l.nextFence(), inherited: true, written: true}
+	for _, h := range r.Former {
+		p.former = append(p.former, &formerHolder{holder: h, fence: l.nextFence(), free: l.guard})
+	}
+	return p
+}
+
+func (l *Leader) nextFence() int64 {
+	l.fences++
+	return l.record.Epoch*fencesAnEpoch + l.fences
+}
+
+// Epoch returns the epoch that the leader was made in.
+func (l *Leader) Epoch() int64 { return l.record.Epoch }
+
+// Fenced reports whether a target has seen a later leader.
+func (l *Leader) Fenced() bool { return l.fenced }
+
+// PredecessorEnded notes that the process that led before sent its last grant
+// before a moment: leases of it end by themselves one lapse later.
+func (l *Leader) PredecessorEnded(at time.Time) {
+	l.alone = true
+	free := at.Add(lapse)
+	if !free.Before(l.guard) {
+		return
+	}
+	l.guard = free
+	for _, leases := range l.services {
+		for _, p := range leases {
+			for _, f := range p.former {
+				if f.free.After(free) && p.inherited {
+					f.free = free
+				}
+			}
+		}
+	}
+}
+
+// freeAt returns when the owner's hold on a range has ended at the latest.
+func (l *Leader) freeAt(p *lease) time.Time {
+	var free time.Time
+	if !p.sent.IsZero() {
+		free = p.sent.Add(lapse)
+	}
+	if p.inherited && !p.granted && l.guard.After(free) {
+		free = l.guard
+	}
+	return free
+}
+
+// Settle drops former owners that no longer hold anything, and reports whether
+// the record has to be written.
+func (l *Leader) Settle(targets map[string]Target, now time.Time) bool {
+	for _, leases := range l.services {
+		for _, p := range leases {
+			n := len(p.former)
+			p.former = slices.DeleteFunc(p.former, func(f *formerHolder) bool {
+				return f.done || !now.Before(f.free) || ended(f.holder, targets)
+			})
+			if len(p.former) != n {
+				l.dirty = true
+			}
+		}
+	}
+	return l.dirty
+}
+
+// ended reports whether a life of a target is over, as another one has begun.
+func ended(h Holder, targets map[string]Target) bool {
+	t, ok := targets[h.Target]
+	return ok && t.Born > h.Born
+}
+
+// Record returns the assignment as it now stands, for the store.
+func (l *Leader) Record() *Assignment {
+	a := *l.record
+	a.Services = make(map[string][]Range, len(l.services))
+	for service, leases := range l.services {
+		for _, p := range leases {
+			r := Range{First: p.first, Last: p.last, Owner: p.owner}
+			for _, f := range p.former {
+				r.Former = append(r.Former, f.holder)
+			}
+			a.Services[service] = append(a.Services[service], r)
+		}
+	}
+	return &a
+}
+
+// Written notes that the store's record is the one that Record returns now.
+func (l *Leader) Written(a *Assignment) {
+	l.record = a
+	l.dirty = false
+	for _, leases := range l.services {
+		for _, p := range leases {
+			p.written = true
+		}
+	}
+}
+
+// Assigned reports whether a service's keys have owners.
+func (l *Leader) Assigned(service string) bool { return len(l.services[service]) > 0 }
+
+// Waits reports whether leases of the leader before may still be in force.
+func (l *Leader) Waits(now time.Time) bool { return !l.alone && now.Before(l.guard) }
+
+// Dirty reports whether the store's record is behind.
+func (l *Leader) Dirty() bool { return l.dirty }
+
+// Orders returns the orders that are due for ranges that the store's record
+// has. It is called only while the host is proved to lead; each order's outcome
+// goes to Ended.
+func (l *Leader) Orders(targets map[string]Target, now time.Time) []Order {
+	var orders []Order
+	for _, service := range slices.Sorted(maps.Keys(l.services)) {
+		for _, p := range l.services[service] {
+			orders = append(orders, l.releases(service, p, targets, now)...)
+			if order, ok := l.grant(service, p, targets, now); ok {
+				orders = append(orders, order)
+			}
+		}
+	}
+	return orders
+}
+
+func (l *Leader) releases(service string, p *lease, targets map[string]Target, now time.Time) []Order {
+	var orders []Order
+	for _, f := range p.former {
+		_, known := targets[f.holder.Target]
+		if f.busy || f.done || !p.written || !known || now.Sub(f.tried) < retryAfter || !l.mayRelease(p) {
+			continue
+		}
+		f.busy, f.tried = true, now
+		orders = append(orders, Order{
+			Kind: Release, Service: service, First: p.first, Last: p.last, Target: f.holder, Fence: f.fence, lease: p, former: f,
+		})
+	}
+	return orders
+}
+
+// mayRelease reports whether an answered release proves that a range is free:
+// not while a leader before might still renew the lease.
+func (l *Leader) mayRelease(p *lease) bool { return l.alone || !p.inherited }
+
+func (l *Leader) grant(service string, p *lease, targets map[string]Target, now time.Time) (Order, bool) {
+	t, known := targets[p.owner.Target]
+	if p.busy || !p.written || !known || t.Leaving || len(p.former) > 0 || t.Born != p.owner.Born {
+		return Order{}, false
+	}
+	if now.Sub(p.tried) < retryAfter || (p.granted && now.Sub(p.answered) < renewAfter) {
+		return Order{}, false
+	}
+	p.busy, p.tried = true, now
+	order := Order{
+		Kind: Grant, Service: service, First: p.first, Last: p.last, Target: p.owner, Fence: p.fence,
+		Renewal: p.renewable, lease: p,
+	}
+	if !p.granted {
+		order.Handover = p.handover
+	}
+	return order, true
+}
+
+// Ended notes the outcome of an order that ended now.
+func (l *Leader) Ended(o Order, out Outcome, now time.Time) {
+	if o.Kind == Release {
+		l.releaseEnded(o, out)
+		return
+	}
+	p := o.lease
+	p.busy = false
+	if !out.Unsent {
+		p.sent = now
+	}
+	switch {
+	case out.Done && o.Fence == p.fence && o.Target == p.owner:
+		p.granted, p.renewable, p.answered, p.failing, p.handover = true, true, now, time.Time{}, ""
+	case out.Fenced:
+		l.fenced = true
+	case !out.Done:
+		if p.failing.IsZero() {
+			p.failing = now
+		}
+		// The connection may have ended with that life of the target, so that
+		// the next grant must not pass for a renewal.
+		p.fence = l.nextFence()
+		p.renewable = false
+		if o.Renewal && out.Unsent {
+			p.tried = time.Time{}
+		}
+	}
+}
+
+func (l *Leader) releaseEnded(o Order, out Outcome) {
+	o.former.busy = false
+	if !out.Done {
+		return
+	}
+	o.former.done = true
+	if out.Handover != "" {
+		o.lease.handover = out.Handover
+	}
+}
+
+// Move has a range change its owner. The range is split off the leases that it
+// lies in. It returns false while any part of it is still on its way.
+func (l *Leader) Move(service string, first, last uint16, to Holder, now time.Time) bool {
+	for _, p := range l.services[service] {
+		if p.last >= first && p.first <= last && (p.busy || len(p.former) > 0) {
+			return false
+		}
+	}
+	l.split(service, first)
+	if last < Keys-1 {
+		l.split(service, last+1)
+	}
+	for _, p := range l.services[service] {
+		if p.first >= first && p.last <= last && p.owner != to {
+			l.hand(p, to)
+		}
+	}
+	return true
+}
+
+func (l *Leader) hand(p *lease, to Holder) {
+	former := &formerHolder{holder: p.owner, fence: p.fence, free: l.freeAt(p)}
+	never := p.sent.IsZero() && !p.inherited
+	wasInherited := p.inherited && !p.granted
+	*p = lease{first: p.first, last: p.last, owner: to, fence: l.nextFence(), inherited: wasInherited}
+	if !never {
+		p.former = []*formerHolder{former}
+	}
+	l.dirty = true
+}
+
+// split makes a lease begin at a key.
+func (l *Leader) split(service string, at uint16) {
+	leases := l.services[service]
+	for i, p := range leases {
+		if p.first >= at || p.last < at {
+			continue
+		}
+		right := *p
+		right.first = at
+		p.last = at - 1
+		l.services[service] = slices.Insert(leases, i+1, &right)
+		return
+	}
+}
--- /dev/null
+++ b/core/owner/loads.go
@@ -0,0 +1,98 @@
+package owner
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// loadHalfLife is the time in which the memory of a key's load halves.
+	loadHalfLife = 4 * time.Second
+	// mostKeys bounds the keys remembered of one service.
+	mostKeys = 8192
+	// leastLoad is the load in requests a second at which a key is forgotten.
+	leastLoad = 0.01
+	// evenLoad is the load in requests a second that all keys of a service are
+	// taken to have together beyond what was seen of each.
+	evenLoad = 1.0
+)
+
+// KeyCount is the number of requests for a key of a service.
+type KeyCount struct {
+	Service string  `cbor:"1,keyasint"`
+	Key     uint16  `cbor:"2,keyasint"`
+	Count   float64 `cbor:"3,keyasint"`
+}
+
+// keyLoad is the load of a key in requests a second.
+type keyLoad struct {
+	key  uint16
+	load float64
+}
+
+// Loads are the loads of keys, learned from all hosts' counts.
+type Loads struct {
+	services map[string]map[uint16]float64
+	aged     time.Time
+}
+
+// NewLoads returns loads of nothing.
+func NewLoads(now time.Time) *Loads {
+	return &Loads{services: make(map[string]map[uint16]float64), aged: now}
+}
+
+// Add counts requests. The load of a steady rate r settles at r.
+func (l *Loads) Add(counts []KeyCount) {
+	// A request that ages by halves contributes its count times the half-life
+	// over ln 2 to the sum over time.
+	scale := math.Ln2 / loadHalfLife.Seconds()
+	for _, c := range counts {
+		keys := l.services[c.Service]
+		if keys == nil {
+			keys = make(map[uint16]float64)
+			l.services[c.Service] = keys
+		}
+		if _, known := keys[c.Key]; known || len(keys) < mostKeys {
+			keys[c.Key] += c.Count * scale
+		}
+	}
+}
+
+// Age lets old counts fade.
+func (l *Loads) Age(now time.Time) {
+	keep := math.Exp2(-now.Sub(l.aged).Seconds() / loadHalfLife.Seconds())
+	l.aged = now
+	for _, keys := range l.services {
+		for key, load := range keys {
+			if load *= keep; load < leastLoad {
+				delete(keys, key)
+			} else {
+				keys[key] = load
+			}
+		}
+	}
+}
+
+// Range returns the load of a range of keys.
+func (l *Loads) Range(service string, first, last uint16) float64 {
+	load := evenLoad * (float64(last) - float64(first) + 1) / Keys
+	for key, n := range l.services[service] {
+		if key >= first && key <= last {
+			load += n
+		}
+	}
+	return load
+}
+
+// busy returns the keys of a range that have load, in their order.
+func (l *Loads) busy(service string, first, last uint16) []keyLoad {
+	var keys []keyLoad
+	for key, n := range l.services[service] {
+		if key >= first && key <= last {
+			keys = append(keys, keyLoad{key: key, load: n})
+		}
+	}
+	slices.SortFunc(keys, func(a, b keyLoad) int { return int(a.key) - int(b.key) })
+	return keys
+}
--- /dev/null
+++ b/core/owner/plan.go
@@ -0,0 +1,247 @@
+package owner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// slicesATarget is the number of ranges that each target gets at first:
+	// busy keys lie side by side, so that one range a target would leave most
+	// of the work to one.
+	slicesATarget = 4
+	// overload is the load of a target, over the mean, from which keys are moved
+	// off it.
+	overload = 1.25
+	// leastExcess is the load in requests a second over the mean that is worth a
+	// move.
+	leastExcess = 0.6
+	// mostMoves bounds the moves of one round.
+	mostMoves = 6
+)
+
+// Share is a range and its load.
+type share struct {
+	lease *lease
+	load  float64
+}
+
+// Assign gives keys that have no owner, or one that leaves, ended or can't be
+// reached, to other targets, and a newcomer its part. It answers targets that
+// crash, are replaced one by one, or are added without work.
+func (l *Leader) Assign(service string, targets map[string]Target, loads *Loads, now time.Time) {
+	live := l.live(service, targets, now)
+	if len(live) == 0 {
+		return
+	}
+	if len(l.services[service]) == 0 {
+		l.deal(service, live)
+		return
+	}
+	tally := l.tally(service, live, loads)
+	for _, p := range slices.Clone(l.services[service]) {
+		l.rehome(service, p, targets, live, tally, loads, now)
+	}
+	l.welcome(service, live, tally, loads, now)
+}
+
+// live returns the targets of a service that may own keys, in the order of
+// their ids.
+func (l *Leader) live(service string, targets map[string]Target, now time.Time) []Target {
+	lost := l.unreachable(service, now)
+	var live []Target
+	for _, id := range slices.Sorted(maps.Keys(targets)) {
+		if t := targets[id]; t.Service == service && !t.Leaving && !lost[t.Holder] {
+			live = append(live, t)
+		}
+	}
+	return live
+}
+
+// unreachable returns the owners whose renewals have failed for long. Where
+// most fail, it is this host that is cut off, and none is returned.
+func (l *Leader) unreachable(service string, now time.Time) map[Holder]bool {
+	lost := make(map[Holder]bool)
+	all := make(map[Holder]bool)
+	for _, p := range l.services[service] {
+		all[p.owner] = true
+		if !p.failing.IsZero() && now.Sub(p.failing) > unreachableAfter {
+			lost[p.owner] = true
+		}
+	}
+	if len(lost)*2 > len(all) {
+		return nil
+	}
+	return lost
+}
+
+// deal divides all keys for the first time, in ranges that take turns.
+func (l *Leader) deal(service string, live []Target) {
+	n := len(live) * slicesATarget
+	for i := range n {
+		first, last := i*Keys/n, (i+1)*Keys/n-1
+		l.services[service] = append(l.services[service], &lease{
+			first: uint16(first), last: uint16(last), owner: live[i%len(live)].Holder, fence: l.nextFence(),
+		})
+	}
+	l.dirty = true
+}
+
+// tally returns the load of each live target by its slots.
+func (l *Leader) tally(service string, live []Target, loads *Loads) map[Holder]float64 {
+	tally := make(map[Holder]float64, len(live))
+	slots := make(map[Holder]float64, len(live))
+	for _, t := range live {
+		tally[t.Holder] = 0
+		slots[t.Holder] = float64(max(t.Slots, 1))
+	}
+	for _, p := range l.services[service] {
+		if _, ok := tally[p.owner]; ok {
+			tally[p.owner] += loads.Range(service, p.first, p.last) / slots[p.owner]
+		}
+	}
+	return tally
+}
+
+// least returns the live target with the least load.
+func least(live []Target, tally map[Holder]float64) Target {
+	return slices.MinFunc(live, func(a, b Target) int { return cmp.Compare(tally[a.Holder], tally[b.Holder]) })
+}
+
+func (l *Leader) rehome(service string, p *lease, targets map[string]Target, live []Target, tally map[Holder]float64, loads *Loads, now time.Time) {
+	if slices.ContainsFunc(live, func(t Target) bool { return t.Holder == p.owner }) {
+		return
+	}
+	to := least(live, tally)
+	if t, ok := targets[p.owner.Target]; ok && !t.Leaving && t.Born > p.owner.Born {
+		to = t
+	}
+	if l.Move(service, p.first, p.last, to.Holder, now) {
+		tally[to.Holder] += loads.Range(service, p.first, p.last) / float64(max(to.Slots, 1))
+	}
+}
+
+// welcome gives targets that own nothing a range of the busiest one.
+func (l *Leader) welcome(service string, live []Target, tally map[Holder]float64, loads *Loads, now time.Time) {
+	owns := make(map[Holder]int)
+	for _, p := range l.services[service] {
+		owns[p.owner]++
+	}
+	for _, t := range live {
+		if owns[t.Holder] > 0 {
+			continue
+		}
+		p := l.spare(service, owns, tally, loads)
+		if p == nil {
+			return
+		}
+		from := p.owner
+		load := loads.Range(service, p.first, p.last)
+		if l.Move(service, p.first, p.last, t.Holder, now) {
+			owns[t.Holder]++
+			owns[from]--
+			tally[from] -= load
+			tally[t.Holder] += load
+		}
+	}
+}
+
+// spare returns the range, of a target that has others, with the most load that
+// does not make its new owner the busiest.
+func (l *Leader) spare(service string, owns map[Holder]int, tally map[Holder]float64, loads *Loads) *lease {
+	var best *lease
+	bestLoad := -1.0
+	for _, p := range l.services[service] {
+		load := loads.Range(service, p.first, p.last)
+		if owns[p.owner] > 1 && !p.busy && len(p.former) == 0 && load <= tally[p.owner]*0.75 && load > bestLoad {
+			best, bestLoad = p, load
+		}
+	}
+	return best
+}
+
+// Balance moves small ranges of busy keys from the busiest target to the
+// idlest. It answers hot keys and busy neighbourhoods of keys.
+func (l *Leader) Balance(service string, targets map[string]Target, loads *Loads, now time.Time) int {
+	live := l.live(service, targets, now)
+	if len(live) < 2 || len(l.services[service]) == 0 {
+		return 0
+	}
+	tally := l.tally(service, live, loads)
+	mean := 0.0
+	for _, load := range tally {
+		mean += load / float64(len(tally))
+	}
+	moves := 0
+	for moves < mostMoves && l.balanceOnce(service, live, tally, mean, loads, now) {
+		moves++
+	}
+	return moves
+}
+
+func (l *Leader) balanceOnce(service string, live []Target, tally map[Holder]float64, mean float64, loads *Loads, now time.Time) bool {
+	from := slices.MaxFunc(live, func(a, b Target) int { return cmp.Compare(tally[a.Holder], tally[b.Holder]) })
+	to := least(live, tally)
+	excess := tally[from.Holder] - mean
+	if tally[from.Holder] < mean*overload || excess*float64(from.Slots) < leastExcess {
+		return false
+	}
+	room := min(excess, mean-tally[to.Holder])
+	w, ok := l.window(service, from.Holder, room*float64(from.Slots), loads)
+	if !ok || !l.Move(service, w.first, w.last, to.Holder, now) {
+		return false
+	}
+	tally[from.Holder] -= w.load / float64(max(from.Slots, 1))
+	tally[to.Holder] += w.load / float64(max(to.Slots, 1))
+	return true
+}
+
+// window is a piece of an owner's keys.
+type window struct {
+	first, last uint16
+	load        float64
+}
+
+// width is the number of keys of the window.
+func (w window) width() int { return int(w.last) - int(w.first) + 1 }
+
+// window returns the narrowest piece of an owner's ranges with about a wanted
+// load, at least half of it; moves are priced by their keys.
+func (l *Leader) window(service string, from Holder, want float64, loads *Loads) (window, bool) {
+	var best window
+	found := false
+	for _, p := range l.services[service] {
+		if p.owner != from || p.busy || len(p.former) > 0 {
+			continue
+		}
+		if w, ok := narrowest(loads.busy(service, p.first, p.last), want); ok && (!found || w.width() < best.width()) {
+			best, found = w, true
+		}
+	}
+	return best, found
+}
+
+// narrowest returns the fewest neighbouring keys with a load between half of
+// the wanted one and all of it.
+func narrowest(keys []keyLoad, want float64) (window, bool) {
+	var best window
+	found := false
+	sum, start := 0.0, 0
+	for end := range keys {
+		sum += keys[end].load
+		for sum > want && start <= end {
+			sum -= keys[start].load
+			start++
+		}
+		if sum < want/2 || start > end {
+			continue
+		}
+		w := window{first: keys[start].key, last: keys[end].key, load: sum}
+		if !found || w.width() < best.width() {
+			best, found = w, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/core/placement/target.go
@@ -0,0 +1,79 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// reportHalfLife is the time after which half of a target's reported work
+	// for other hosts is taken to be done.
+	reportHalfLife = 250 * time.Millisecond
+	// speedWeight is the weight of one answer in a target's learned time.
+	speedWeight = 0.12
+	// coldFactor is how much longer work takes at a target that has just
+	// started.
+	coldFactor = 2.0
+	// troubleHalfLife is the time in which the memory of failures halves.
+	troubleHalfLife = 1500 * time.Millisecond
+	// troubleLimit keeps old failures from outweighing later successes.
+	troubleLimit = 6.0
+	// meanWork is taken for the work of a request before any was answered.
+	meanWork = 200 * time.Millisecond
+)
+
+// Target is what a host knows of one target. It is guarded by its set.
+type Target struct {
+	entry   Entry
+	warmEnd time.Time
+	// inFlight are requests of this host that have no answer yet.
+	inFlight int
+	// others is the work for other hosts at the time of the last report.
+	others   float64
+	reported time.Time
+	// pace is the learned time of a request over the mean of its service.
+	pace float64
+	// trouble counts recent failures, halved by time.
+	trouble   float64
+	troubleAt time.Time
+	// open is the time until which the target is not tried.
+	closedUntil time.Time
+}
+
+// Entry returns what the target last said of itself.
+func (t *Target) Entry() Entry { return t.entry }
+
+// othersNow estimates the work that other hosts have at the target, from its
+// last report and, as that ages, from the mean of its service.
+func (t *Target) othersNow(now time.Time, mean float64) float64 {
+	if t.reported.IsZero() {
+		return mean
+	}
+	keep := halving(now.Sub(t.reported), reportHalfLife)
+	return t.others*keep + mean*(1-keep)
+}
+
+func (t *Target) troubleNow(now time.Time) float64 {
+	return t.trouble * halving(now.Sub(t.troubleAt), troubleHalfLife)
+}
+
+func (t *Target) addTrouble(now time.Time, amount float64) {
+	t.trouble = min(t.troubleNow(now)+amount, troubleLimit)
+	t.troubleAt = now
+}
+
+// slowness is the time of a request here over the mean of the service.
+func (t *Target) slowness(now time.Time) float64 {
+	pace := t.pace
+	if now.Before(t.warmEnd) {
+		pace *= coldFactor
+	}
+	return pace
+}
+
+func halving(age, halfLife time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
--- a/io/daemon/main.go
+++ b/io/daemon/main.go
@@ -23,13 +23,15 @@
 
 // Main runs pineturnd with its command line and returns its exit status: 0
 // after a graceful stop, 1 when it could not run or stop, 2 for wrong settings.
-func Main(args []string) int {
+// Further commands run other things than the daemon.
+func Main(args []string, others ...*cli.Command) int {
 	var settings Settings
 	status := exitOK
 	command := &cli.Command{
-		Name:  "pineturnd",
-		Usage: "route requests to the targets that own their keys",
-		Flags: append(settings.Flags(), verbosity()),
+		Name:     "pineturnd",
+		Usage:    "route requests to the targets that own their keys",
+		Flags:    append(settings.Flags(), verbosity()),
+		Commands: others,
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			status = run(ctx, settings)
 			return nil
--- /dev/null
+++ b/io/entry/counts.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"sync"
+
+	"pineturn/core/owner"
+)
+
+// mostCounted bounds the keys that are counted between two reports.
+const mostCounted = 4096
+
+type countedKey struct {
+	service string
+	key     uint16
+}
+
+// counts are the requests for each key since the last report.
+type counts struct {
+	mu   sync.Mutex
+	keys map[countedKey]float64
+}
+
+func (c *counts) add(service string, key uint16) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.keys == nil {
+		c.keys = make(map[countedKey]float64)
+	}
+	k := countedKey{service: service, key: key}
+	if _, known := c.keys[k]; known || len(c.keys) < mostCounted {
+		c.keys[k]++
+	}
+}
+
+// Counts returns the requests for each key since the call before.
+func (e *Entry) Counts() []owner.KeyCount {
+	e.counts.mu.Lock()
+	defer e.counts.mu.Unlock()
+	var counted []owner.KeyCount
+	for k, n := range e.counts.keys {
+		counted = append(counted, owner.KeyCount{Service: k.service, Key: k.key, Count: n})
+	}
+	clear(e.counts.keys)
+	return counted
+}
--- /dev/null
+++ b/io/gateway/gateway.go
@@ -0,0 +1,191 @@
+// Package gateway runs one host on the users' platform: it takes callers'
+// requests, follows the platform's store, and may lead the other hosts.
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"pineturn/core/budget"
+	"pineturn/core/clock"
+	"pineturn/core/placement"
+	"pineturn/io/entry"
+	"pineturn/io/metastore"
+	"pineturn/io/steward"
+	"pineturn/platform"
+)
+
+const (
+	// heapTarget is the heap at which the collector works hardest, in bytes.
+	heapTarget = 12 << 20
+	// gcPercent is the growth of the heap between collections.
+	gcPercent = 40
+	// bytesBeforeBody bounds the time that a caller's header may take.
+	headerTimeout = 15 * time.Second
+	// callerIdleTimeout is longer than any that the operator sets, as callers
+	// use connections for up to that time.
+	callerIdleTimeout = 120 * time.Second
+	// settingsInterval is the time between looks at the settings file.
+	settingsInterval = time.Second
+	// sweepInterval is the time between looks for connections to targets that
+	// are gone.
+	sweepInterval = 2 * time.Second
+	// budgetHosts is the number of hosts that the extra sends are divided among.
+	budgetHosts  = 16
+	processBytes = 8
+)
+
+// Gateway is a host's process.
+type Gateway struct {
+	path     string
+	settings *platform.Settings
+	clock    clock.Clock
+	store    *platform.Store
+	targets  *placement.Set
+	catalog  *metastore.Catalog
+	steward  *steward.Steward
+	pool     *entry.Pool
+	entry    *entry.Entry
+	metrics  *metrics
+	process  string
+	started  time.Time
+	front    *http.Server
+	ready    *http.Server
+	stop     *stopper
+}
+
+// New returns a host's process with the settings at a path.
+func New(path string) (*Gateway, error) {
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "start")
+	}
+	process, err := newProcess()
+	if err != nil {
+		return nil, err
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(heapTarget)
+	g := &Gateway{path: path, settings: settings, clock: clock.Boot{}, process: process, metrics: newMetrics()}
+	g.started = g.clock.Now()
+	g.store = platform.NewStore(settings.StoreAddress)
+	g.store.Observe = g.metrics.storeCall
+	g.targets = placement.NewSet(settings.Domain)
+	g.catalog = metastore.NewCatalog(g.clock, g.targets)
+	g.pool = entry.NewPool()
+	b := budget.New(settings.RetryRatio, settings.RetryExtra/budgetHosts, settings.RetryWindow)
+	g.entry = entry.New(g.catalog, g.targets, b, g.pool, g.clock)
+	g.entry.Ended = g.ended
+	self := steward.Self{Name: settings.Name, Process: process, Address: peerAddress(settings)}
+	g.steward = steward.New(self, g.store, g.catalog, g.targets, g.clock)
+	g.catalog.WatchOwners(g.ownersWait)
+	g.stop = newStopper(settings.StopTimeout)
+	return g, nil
+}
+
+// newProcess returns the incarnation of this process.
+func newProcess() (string, error) {
+	var data [processBytes]byte
+	if _, err := rand.Read(data[:]); err != nil {
+		return "", errors.Wrap(err, "draw an incarnation")
+	}
+	return hex.EncodeToString(data[:]), nil
+}
+
+func peerAddress(s *platform.Settings) string {
+	return net.JoinHostPort(s.Address, strconv.Itoa(s.PeerPorts[0]))
+}
+
+const (
+	// leaderWait is how long the leader's reads of the assignment wait: each
+	// proves again that it leads.
+	leaderWait = time.Second
+	hostWait   = 3 * time.Second
+)
+
+func (g *Gateway) ownersWait() time.Duration {
+	if g.steward.Leading() {
+		return leaderWait
+	}
+	return hostWait
+}
+
+// Run serves until the context ends, then stops without cutting a request off.
+func (g *Gateway) Run(ctx context.Context, reload <-chan struct{}) error {
+	front, err := net.Listen("tcp", g.settings.CallerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	ready, err := net.Listen("tcp", g.settings.ReadyAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for the balancer")
+	}
+	klog.InfoS("Host starts", "host", g.settings.Name, "domain", g.settings.Domain, "process", g.process,
+		"callers", g.settings.CallerAddress, "store", g.settings.StoreAddress)
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go g.catalog.Run(work, g.store)
+	go g.steward.Run(work)
+	go g.watchSettings(work, reload)
+	go g.sweep(work)
+	g.front = &http.Server{
+		Handler: g.entry.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+	g.ready = &http.Server{Handler: g.readiness(), ReadHeaderTimeout: headerTimeout}
+	gate := newGate(front)
+	failed := make(chan error, 2)
+	go func() { failed <- g.front.Serve(gate) }()
+	go func() { failed <- g.ready.Serve(ready) }()
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	}
+	g.shutDown(gate)
+	cancel()
+	<-g.catalog.Done()
+	<-g.steward.Done()
+	klog.InfoS("Host has stopped", "host", g.settings.Name)
+	return nil
+}
+
+// maxHeaderBytes bounds a caller's header.
+const maxHeaderBytes = 64 << 10
+
+func (g *Gateway) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.catalog.Ready() || g.stop.stopping() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// sweep drops connections to targets that are gone.
+func (g *Gateway) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		named := make(map[string]bool)
+		for _, e := range g.targets.Entries("") {
+			named[e.ID] = true
+		}
+		g.pool.Keep(named)
+	}
+}
--- /dev/null
+++ b/io/metastore/follower.go
@@ -0,0 +1,163 @@
+// Package metastore follows the topics of the platform's metadata store and
+// keeps what a host believes of the configuration, the targets and the owners
+// of keys.
+package metastore
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"pineturn/core/clock"
+	"pineturn/platform"
+)
+
+const (
+	// retryPause is the pause after a call to the store that failed, lengthened
+	// at random by up to half.
+	retryPause = 600 * time.Millisecond
+	// impairedAfter is the time without an answer after which the store counts
+	// as lost.
+	impairedAfter = 1500 * time.Millisecond
+)
+
+// Reader is the part of the store's client that a follower needs.
+type Reader interface {
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]platform.Record, int64, error)
+	Newest(ctx context.Context, topic string) ([]platform.Record, int64, error)
+}
+
+// Follower applies the records of a topic in their order. Its function fields
+// are set before Run.
+type Follower struct {
+	Topic string
+	Clock clock.Clock
+	// Wait returns how long a read waits for a record.
+	Wait func() time.Duration
+	// Pause is the time between a read that brought records and the next, in
+	// which more may gather.
+	Pause time.Duration
+	// Apply takes new records. Whole says that they are the newest record of
+	// every key.
+	Apply func(records []platform.Record, whole bool)
+
+	mu       sync.Mutex
+	next     int64
+	fresh    time.Time
+	failing  time.Time
+	lost     bool
+	regained time.Time
+	done     chan struct{}
+}
+
+// NewFollower returns a follower of a topic.
+func NewFollower(topic string, c clock.Clock) *Follower {
+	return &Follower{Topic: topic, Clock: c, next: -1, done: make(chan struct{})}
+}
+
+// Done is closed when Run has returned.
+func (f *Follower) Done() <-chan struct{} { return f.done }
+
+// Position returns the offset after the newest record read, or a negative
+// number before the first, and the time at which the read was sent that proved
+// it to be the end.
+func (f *Follower) Position() (next int64, fresh time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next, f.fresh
+}
+
+// Impaired reports whether the store was lost within a time before now.
+func (f *Follower) Impaired(within time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost || (!f.regained.IsZero() && f.Clock.Now().Sub(f.regained) < within)
+}
+
+// Run follows the topic until the context ends.
+func (f *Follower) Run(ctx context.Context, store Reader) {
+	defer close(f.done)
+	for ctx.Err() == nil {
+		n, err := f.step(ctx, store)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			f.failed(err)
+			sleep(ctx, retryPause+rand.N(retryPause/2))
+		case n > 0 && f.Pause > 0:
+			sleep(ctx, f.Pause)
+		}
+	}
+}
+
+func (f *Follower) step(ctx context.Context, store Reader) (int, error) {
+	sent := f.Clock.Now()
+	next, _ := f.Position()
+	if next < 0 {
+		records, end, err := store.Newest(ctx, f.Topic)
+		if err != nil {
+			return 0, err
+		}
+		f.Apply(records, true)
+		f.read(end, sent)
+		return len(records), nil
+	}
+	records, after, err := store.Read(ctx, f.Topic, next, f.Wait())
+	if errors.Is(err, platform.ErrExpired) {
+		klog.InfoS("History of a topic has expired, reading the newest records", "topic", f.Topic, "from", next)
+		f.reset()
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	if len(records) > 0 {
+		f.Apply(records, false)
+	}
+	f.read(after, sent)
+	return int(after - next), nil
+}
+
+func (f *Follower) reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next = -1
+}
+
+func (f *Follower) read(next int64, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next, f.fresh = next, sent
+	f.failing = time.Time{}
+	if f.lost {
+		f.lost = false
+		f.regained = f.Clock.Now()
+		klog.InfoS("Store is reachable again", "topic", f.Topic, "offset", next)
+	}
+}
+
+func (f *Follower) failed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.Now()
+	if f.failing.IsZero() {
+		f.failing = now
+	}
+	if f.lost || now.Sub(f.failing) < impairedAfter && !errors.Is(err, platform.ErrRefused) {
+		return
+	}
+	f.lost = true
+	klog.InfoS("Store is lost", "topic", f.Topic, "offset", f.next, "lastRead", f.fresh, "err", err)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
