Report requests for keys to the host that leads, and move busy keys

Change: io/hostlink joins the hosts over WebSocket with CBOR; each reports the requests for each key, and the leader moves narrow ranges off the busiest target, with a handover. The same link proves that a former leader has ended.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"pineturn/core/clock"
 	"pineturn/core/placement"
 	"pineturn/io/entry"
+	"pineturn/io/hostlink"
 	"pineturn/io/metastore"
 	"pineturn/io/steward"
 	"pineturn/platform"
@@ -60,6 +61,8 @@
 	started  time.Time
 	front    *http.Server
 	ready    *http.Server
+	links    *hostlink.Server
+	reporter *hostlink.Reporter
 	stop     *stopper
 }
 
@@ -87,7 +90,15 @@
 	g.entry.Ended = g.ended
 	self := steward.Self{Name: settings.Name, Process: process, Address: peerAddress(settings)}
 	g.steward = steward.New(self, g.store, g.catalog, g.targets, g.clock)
+	g.steward.PredecessorEnded = g.predecessorEnded
 	g.catalog.WatchOwners(g.ownersWait)
+	g.links = hostlink.NewServer(process, g.clock)
+	g.links.Take = g.steward.Add
+	g.reporter = hostlink.NewReporter()
+	g.reporter.Leader = g.leader
+	g.reporter.Counts = g.entry.Counts
+	g.reporter.Here = g.steward.Leading
+	g.reporter.Take = g.steward.Add
 	g.stop = newStopper(settings.StopTimeout)
 	return g, nil
 }
@@ -105,6 +116,32 @@
 	return net.JoinHostPort(s.Address, strconv.Itoa(s.PeerPorts[0]))
 }
 
+// leader returns where the host that leads is reached.
+func (g *Gateway) leader() (address, process string, ok bool) {
+	a := g.catalog.Assignment()
+	if a == nil || a.Process == g.process {
+		return "", "", false
+	}
+	return a.Address, a.Process, true
+}
+
+// predecessorEnded asks the host at an address whether another process runs
+// there now, and returns when that one has started at the latest.
+func (g *Gateway) predecessorEnded(ctx context.Context, address, process string) (time.Time, bool) {
+	if address == peerAddress(g.settings) {
+		return g.started, true
+	}
+	link, err := hostlink.Dial(ctx, address)
+	if err != nil {
+		return time.Time{}, false
+	}
+	defer link.Close()
+	if link.Process() == process {
+		return time.Time{}, false
+	}
+	return g.clock.Now().Add(-link.Age()), true
+}
+
 const (
 	// leaderWait is how long the leader's reads of the assignment wait: each
 	// proves again that it leads.
@@ -129,6 +166,10 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for the balancer")
 	}
+	peers, err := net.Listen("tcp", peerAddress(g.settings))
+	if err != nil {
+		return errors.Wrap(err, "listen for hosts")
+	}
 	klog.InfoS("Host starts", "host", g.settings.Name, "domain", g.settings.Domain, "process", g.process,
 		"callers", g.settings.CallerAddress, "store", g.settings.StoreAddress)
 	work, cancel := context.WithCancel(context.Background())
@@ -137,13 +178,16 @@
 	go g.steward.Run(work)
 	go g.watchSettings(work, reload)
 	go g.sweep(work)
+	go g.reporter.Run(work)
 	g.front = &http.Server{
 		Handler: g.entry.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
 	g.ready = &http.Server{Handler: g.readiness(), ReadHeaderTimeout: headerTimeout}
+	linked := &http.Server{Handler: g.links.Handler(), ReadHeaderTimeout: headerTimeout}
 	gate := newGate(front)
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
+	go func() { failed <- linked.Serve(peers) }()
 	go func() { failed <- g.front.Serve(gate) }()
 	go func() { failed <- g.ready.Serve(ready) }()
 	select {
@@ -153,8 +197,12 @@
 	}
 	g.shutDown(gate)
 	cancel()
+	if err := linked.Close(); err != nil {
+		klog.ErrorS(err, "Closing the links of hosts")
+	}
 	<-g.catalog.Done()
 	<-g.steward.Done()
+	<-g.reporter.Done()
 	klog.InfoS("Host has stopped", "host", g.settings.Name)
 	return nil
 }
--- /dev/null
+++ b/io/hostlink/reporter.go
@@ -0,0 +1,109 @@
+package hostlink
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"pineturn/core/owner"
+)
+
+const (
+	// reportInterval is the time between two reports.
+	reportInterval = 700 * time.Millisecond
+	// quietInterval is the longest time without a report, within which the
+	// other host keeps the link.
+	quietInterval = 5 * time.Second
+	// dialPause is the pause after a link that failed.
+	dialPause = 2 * time.Second
+)
+
+// Reporter keeps a link to the host that leads and reports to it. Its function
+// fields are set before Run.
+type Reporter struct {
+	// Leader returns the address and the process of the host that leads, or
+	// false where there is none.
+	Leader func() (address, process string, ok bool)
+	// Counts returns what callers asked for since the call before.
+	Counts func() []owner.KeyCount
+	// Here takes the counts where this host leads itself.
+	Here func() bool
+	Take func([]owner.KeyCount)
+
+	link   *Link
+	sent   time.Time
+	dialed time.Time
+	done   chan struct{}
+}
+
+// NewReporter returns a reporter.
+func NewReporter() *Reporter { return &Reporter{done: make(chan struct{})} }
+
+// Done is closed when Run has returned.
+func (r *Reporter) Done() <-chan struct{} { return r.done }
+
+// Run reports until the context ends.
+func (r *Reporter) Run(ctx context.Context) {
+	defer close(r.done)
+	tick := time.NewTicker(reportInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.drop()
+			return
+		case <-tick.C:
+			r.report(ctx)
+		}
+	}
+}
+
+func (r *Reporter) report(ctx context.Context) {
+	counts := r.Counts()
+	if r.Here() {
+		r.drop()
+		r.Take(counts)
+		return
+	}
+	address, process, ok := r.Leader()
+	if !ok || (len(counts) == 0 && time.Since(r.sent) < quietInterval) {
+		return
+	}
+	if r.link != nil && r.link.Process() != process {
+		r.drop()
+	}
+	if r.link == nil && !r.dial(ctx, address, process) {
+		return
+	}
+	r.sent = time.Now()
+	if err := r.link.Report(ctx, counts); err != nil {
+		klog.InfoS("Link to the host that leads is lost", "address", address, "err", err)
+		r.drop()
+	}
+}
+
+func (r *Reporter) dial(ctx context.Context, address, process string) bool {
+	if time.Since(r.dialed) < dialPause {
+		return false
+	}
+	r.dialed = time.Now()
+	link, err := Dial(ctx, address)
+	if err != nil {
+		klog.InfoS("No link to the host that leads", "address", address, "err", err)
+		return false
+	}
+	if link.Process() != process {
+		link.Close()
+		return false
+	}
+	r.link = link
+	return true
+}
+
+func (r *Reporter) drop() {
+	if r.link != nil {
+		r.link.Close()
+		r.link = nil
+	}
+}
