Relay what the leader reads of the store to the other hosts

Change: the leader passes each batch on over the hosts' links, with marks that say how far and how long ago it read; a host reads itself once the newest mark is older than 1.4 s, so that a lost or cut leader costs no bound.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -91,14 +91,16 @@
 	self := steward.Self{Name: settings.Name, Process: process, Address: peerAddress(settings)}
 	g.steward = steward.New(self, g.store, g.catalog, g.targets, g.clock)
 	g.steward.PredecessorEnded = g.predecessorEnded
-	g.catalog.WatchOwners(g.ownersWait)
+	g.catalog.SetWait(g.readWait)
 	g.links = hostlink.NewServer(process, g.clock)
 	g.links.Take = g.steward.Add
+	g.links.Feed = g.feed
 	g.reporter = hostlink.NewReporter()
 	g.reporter.Leader = g.leader
 	g.reporter.Counts = g.entry.Counts
 	g.reporter.Here = g.steward.Leading
 	g.reporter.Take = g.steward.Add
+	g.reporter.Relay = g.catalog.Relay
 	g.stop = newStopper(settings.StopTimeout)
 	return g, nil
 }
@@ -125,6 +127,17 @@
 	return a.Address, a.Process, true
 }
 
+// feed returns what another host need not read itself, while this host leads.
+func (g *Gateway) feed() (updates <-chan metastore.Update, cancel func(), marks func() []metastore.Mark) {
+	updates, cancel = g.catalog.Subscribe()
+	return updates, cancel, func() []metastore.Mark {
+		if !g.steward.Leading() {
+			return nil
+		}
+		return g.catalog.Marks()
+	}
+}
+
 // predecessorEnded asks the host at an address whether another process runs
 // there now, and returns when that one has started at the latest.
 func (g *Gateway) predecessorEnded(ctx context.Context, address, process string) (time.Time, bool) {
@@ -143,13 +156,13 @@
 }
 
 const (
-	// leaderWait is how long the leader's reads of the assignment wait: each
-	// proves again that it leads.
-	leaderWait = time.Second
+	// leaderWait is how long the leader's reads wait: each proves again that it
+	// leads, and that the other hosts need not read themselves.
+	leaderWait = 600 * time.Millisecond
 	hostWait   = 3 * time.Second
 )
 
-func (g *Gateway) ownersWait() time.Duration {
+func (g *Gateway) readWait() time.Duration {
 	if g.steward.Leading() {
 		return leaderWait
 	}
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -15,6 +15,7 @@
 
 	"pineturn/core/clock"
 	"pineturn/core/owner"
+	"pineturn/io/metastore"
 )
 
 const (
@@ -26,8 +27,12 @@
 	// silence is the time without a report after which a link is closed.
 	silence = 10 * time.Second
 	// maxReport is the largest report in bytes.
-	maxReport  = 256 << 10
-	bufferSize = 2 << 10
+	maxReport = 256 << 10
+	// maxFeed is the largest feed in bytes.
+	maxFeed = 16 << 20
+	// feedInterval is the time between two feeds without news.
+	feedInterval = 300 * time.Millisecond
+	bufferSize   = 2 << 10
 )
 
 // hello is the first message on a link, from the host that took it.
@@ -43,6 +48,12 @@
 	Counts []owner.KeyCount `cbor:"1,keyasint"`
 }
 
+// feed is what a host has read of the platform's store since its last feed.
+type feed struct {
+	Updates []metastore.Update `cbor:"1,keyasint,omitempty"`
+	Marks   []metastore.Mark   `cbor:"2,keyasint,omitempty"`
+}
+
 // Server takes links of other hosts.
 type Server struct {
 	process string
@@ -50,6 +61,9 @@
 	started time.Time
 	// Take is told of each report. It is set before use.
 	Take func(counts []owner.KeyCount)
+	// Feed returns what this host reads from now on, and a function that tells
+	// how far it has read. It is set before use.
+	Feed func() (updates <-chan metastore.Update, cancel func(), marks func() []metastore.Mark)
 }
 
 // NewServer returns a server for a process.
@@ -76,13 +90,51 @@
 		klog.InfoS("Link was lost", "from", r.RemoteAddr, "err", err)
 		return
 	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	fed := make(chan struct{})
+	go func() {
+		defer close(fed)
+		s.feedLink(ctx, conn)
+	}()
 	for {
 		var message report
-		if err := read(r.Context(), conn, silence, &message); err != nil {
-			return
+		if err := read(ctx, conn, silence, &message); err != nil {
+			break
 		}
 		s.Take(message.Counts)
 	}
+	cancel()
+	<-fed
+}
+
+// feedLink passes on what this host reads until the link ends.
+func (s *Server) feedLink(ctx context.Context, conn *websocket.Conn) {
+	updates, cancel, marks := s.Feed()
+	defer cancel()
+	tick := time.NewTicker(feedInterval)
+	defer tick.Stop()
+	for {
+		var message feed
+		select {
+		case <-ctx.Done():
+			return
+		case u, ok := <-updates:
+			if !ok {
+				_ = conn.CloseNow()
+				return
+			}
+			message.Updates = append(message.Updates, u)
+		case <-tick.C:
+		}
+		message.Marks = marks()
+		if len(message.Marks) == 0 && len(message.Updates) == 0 {
+			continue
+		}
+		if err := write(ctx, conn, message); err != nil {
+			return
+		}
+	}
 }
 
 // Link is an open link to another host.
@@ -102,6 +154,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial host at %s", address)
 	}
+	conn.SetReadLimit(maxFeed)
 	l := &Link{conn: conn}
 	if err := read(ctx, conn, dialTimeout, &l.hello); err != nil {
 		_ = conn.CloseNow()
@@ -128,6 +181,15 @@
 	return write(ctx, l.conn, report{Counts: counts})
 }
 
+// Receive waits for the other host's next feed.
+func (l *Link) Receive(ctx context.Context) ([]metastore.Update, []metastore.Mark, error) {
+	var message feed
+	if err := read(ctx, l.conn, silence, &message); err != nil {
+		return nil, nil, err
+	}
+	return message.Updates, message.Marks, nil
+}
+
 // Close ends the link.
 func (l *Link) Close() { _ = l.conn.CloseNow() }
 
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"pineturn/core/owner"
+	"pineturn/io/metastore"
 )
 
 const (
@@ -16,7 +17,7 @@
 	// other host keeps the link.
 	quietInterval = 5 * time.Second
 	// dialPause is the pause after a link that failed.
-	dialPause = 2 * time.Second
+	dialPause = 1500 * time.Millisecond
 )
 
 // Reporter keeps a link to the host that leads and reports to it. Its function
@@ -30,6 +31,8 @@
 	// Here takes the counts where this host leads itself.
 	Here func() bool
 	Take func([]owner.KeyCount)
+	// Relay takes what the host that leads has read of the platform's store.
+	Relay func([]metastore.Update, []metastore.Mark)
 
 	link   *Link
 	sent   time.Time
@@ -98,9 +101,21 @@
 		return false
 	}
 	r.link = link
+	go r.receive(ctx, link)
 	return true
 }
 
+// receive passes feeds on until the link ends.
+func (r *Reporter) receive(ctx context.Context, link *Link) {
+	for {
+		updates, marks, err := link.Receive(ctx)
+		if err != nil {
+			return
+		}
+		r.Relay(updates, marks)
+	}
+}
+
 func (r *Reporter) drop() {
 	if r.link != nil {
 		r.link.Close()
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	// readWait is how long a read waits for a record. A connection that has
-	// gone silent is noticed after it.
+	// readWait is how long a read waits for a record where nothing else is set.
+	// A connection that has gone silent is noticed after it.
 	readWait = 3 * time.Second
 	// gatherTime is the time in which changes of targets gather for one read.
-	gatherTime = 250 * time.Millisecond
+	gatherTime = 150 * time.Millisecond
 	// returnGrace is the time after the store's return in which targets renew
 	// entries that lapsed meanwhile.
 	returnGrace = 2 * time.Second
@@ -50,6 +50,7 @@
 	offsets map[string]int64
 	seen    bool
 	changed chan struct{}
+	hub     *hub
 	done    chan struct{}
 }
 
@@ -69,10 +70,13 @@
 		doubted:        make(map[string]time.Time),
 		offsets:        make(map[string]int64),
 		changed:        make(chan struct{}),
+		hub:            newHub(),
 		done:           make(chan struct{}),
 	}
-	wait := func() time.Duration { return readWait }
-	k.configFollower.Wait, k.targetFollower.Wait, k.ownerFollower.Wait = wait, wait, wait
+	for _, f := range k.followers() {
+		f.Wait = func() time.Duration { return readWait }
+		f.Publish = k.hub.publish
+	}
 	k.configFollower.Apply = k.applyConfig
 	k.targetFollower.Apply = k.applyTargets
 	k.targetFollower.Pause = gatherTime
@@ -84,8 +88,16 @@
 // read was sent that proved it to be the newest.
 func (k *Catalog) Position() (next int64, fresh time.Time) { return k.ownerFollower.Position() }
 
-// WatchOwners sets how long reads of the assignment wait for a change.
-func (k *Catalog) WatchOwners(wait func() time.Duration) { k.ownerFollower.Wait = wait }
+// SetWait sets how long reads wait for a change. It is called before Run.
+func (k *Catalog) SetWait(wait func() time.Duration) {
+	for _, f := range k.followers() {
+		f.Wait = wait
+	}
+}
+
+func (k *Catalog) followers() []*Follower {
+	return []*Follower{k.configFollower, k.targetFollower, k.ownerFollower}
+}
 
 // Done is closed when Run has returned.
 func (k *Catalog) Done() <-chan struct{} { return k.done }
@@ -113,8 +125,7 @@
 // Run follows the store until the context ends.
 func (k *Catalog) Run(ctx context.Context, store Reader) {
 	defer close(k.done)
-	followers := []*Follower{k.configFollower, k.targetFollower, k.ownerFollower}
-	for _, f := range followers {
+	for _, f := range k.followers() {
 		go f.Run(ctx, store)
 	}
 	tick := time.NewTicker(gatherTime)
@@ -126,7 +137,7 @@
 			k.expire()
 		}
 	}
-	for _, f := range followers {
+	for _, f := range k.followers() {
 		<-f.Done()
 	}
 }
--- a/io/metastore/follower.go
+++ b/io/metastore/follower.go
@@ -41,12 +41,18 @@
 	// Pause is the time between a read that brought records and the next, in
 	// which more may gather.
 	Pause time.Duration
+	// Publish takes each batch that was read.
+	Publish func(u Update)
 	// Apply takes new records. Whole says that they are the newest record of
 	// every key.
 	Apply func(records []platform.Record, whole bool)
 
+	// applying is held while records are applied. It is taken before mu.
+	applying sync.Mutex
 	mu       sync.Mutex
 	next     int64
+	// proven is a time at which another host knew of nothing more.
+	proven   time.Time
 	fresh    time.Time
 	failing  time.Time
 	lost     bool
@@ -56,7 +62,7 @@
 
 // NewFollower returns a follower of a topic.
 func NewFollower(topic string, c clock.Clock) *Follower {
-	return &Follower{Topic: topic, Clock: c, next: -1, done: make(chan struct{})}
+	return &Follower{Topic: topic, Clock: c, next: -1, done: make(chan struct{}), Publish: func(Update) {}}
 }
 
 // Done is closed when Run has returned.
@@ -82,6 +88,7 @@
 func (f *Follower) Run(ctx context.Context, store Reader) {
 	defer close(f.done)
 	for ctx.Err() == nil {
+		f.awaitUncovered(ctx)
 		n, err := f.step(ctx, store)
 		switch {
 		case ctx.Err() != nil:
@@ -103,6 +110,8 @@
 		if err != nil {
 			return 0, err
 		}
+		f.applying.Lock()
+		defer f.applying.Unlock()
 		f.Apply(records, true)
 		f.read(end, sent)
 		return len(records), nil
@@ -116,9 +125,14 @@
 	if err != nil {
 		return 0, err
 	}
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	if len(records) > 0 {
 		f.Apply(records, false)
 	}
+	if after > next {
+		f.Publish(Update{Topic: f.Topic, From: next, Next: after, Records: records})
+	}
 	f.read(after, sent)
 	return int(after - next), nil
 }
@@ -132,13 +146,8 @@
 func (f *Follower) read(next int64, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.next, f.fresh = next, sent
-	f.failing = time.Time{}
-	if f.lost {
-		f.lost = false
-		f.regained = f.Clock.Now()
-		klog.InfoS("Store is reachable again", "topic", f.Topic, "offset", next)
-	}
+	f.next, f.fresh = max(next, f.next), sent
+	f.back()
 }
 
 func (f *Follower) failed(err error) {
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -233,7 +233,7 @@
 	switch {
 	case s.leader != nil:
 		s.lead(ctx, next, s.freshest(fresh), now)
-	case s.isChosen() && s.keyed():
+	case s.isChosen():
 		s.takeOver(ctx, next, now)
 	}
 }
@@ -247,9 +247,6 @@
 	return s.fresh
 }
 
-// keyed reports whether any service divides its keys.
-func (s *Steward) keyed() bool { return len(s.keyedServices()) > 0 }
-
 func (s *Steward) keyedServices() []string {
 	table := s.catalog.Table()
 	if table == nil {
