--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -11,11 +11,16 @@
 
 	"pineturn/core/attempt"
 	"pineturn/core/placement"
+	"pineturn/io/listener"
 	"pineturn/platform"
 )
 
 // serve carries a request to a target, more than once where that is allowed.
 func (e *Entry) serve(ctx context.Context, q *request) (*answer, error) {
+	// A request that waited to be read may be one whose caller has left.
+	if listener.CallerLeft(ctx) {
+		return nil, q.fail(http.StatusBadGateway, reasonCallerHas, nil)
+	}
 	for {
 		owner, err := e.owner(ctx, q)
 		if err != nil {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"pineturn/core/placement"
 	"pineturn/io/entry"
 	"pineturn/io/hostlink"
+	"pineturn/io/listener"
 	"pineturn/io/metastore"
 	"pineturn/io/steward"
 	"pineturn/platform"
@@ -159,7 +160,7 @@
 	// leaderWait is how long the leader's reads wait: each proves again that it
 	// leads, and that the other hosts need not read themselves.
 	leaderWait = 600 * time.Millisecond
-	hostWait   = 3 * time.Second
+	hostWait   = 1500 * time.Millisecond
 )
 
 func (g *Gateway) readWait() time.Duration {
@@ -171,7 +172,7 @@
 
 // Run serves until the context ends, then stops without cutting a request off.
 func (g *Gateway) Run(ctx context.Context, reload <-chan struct{}) error {
-	front, err := net.Listen("tcp", g.settings.CallerAddress)
+	callers, err := net.Listen("tcp", g.settings.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
@@ -193,22 +194,23 @@
 	go g.sweep(work)
 	go g.reporter.Run(work)
 	g.front = &http.Server{
-		Handler: g.entry.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: g.stop.closing(g.entry.Handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
 	g.ready = &http.Server{Handler: g.readiness(), ReadHeaderTimeout: headerTimeout}
 	linked := &http.Server{Handler: g.links.Handler(), ReadHeaderTimeout: headerTimeout}
-	gate := newGate(front)
+	front := listener.New(callers)
+	front.Attach(g.front)
 	failed := make(chan error, 3)
 	go func() { failed <- linked.Serve(peers) }()
-	go func() { failed <- g.front.Serve(gate) }()
+	go func() { failed <- g.front.Serve(front) }()
 	go func() { failed <- g.ready.Serve(ready) }()
 	select {
 	case <-ctx.Done():
 	case err := <-failed:
 		return errors.Wrap(err, "serve")
 	}
-	g.shutDown(gate)
+	g.shutDown(front)
 	cancel()
 	if err := linked.Close(); err != nil {
 		klog.ErrorS(err, "Closing the links of hosts")
--- a/io/metastore/follower.go
+++ b/io/metastore/follower.go
@@ -19,7 +19,7 @@
 const (
 	// retryPause is the pause after a call to the store that failed, lengthened
 	// at random by up to half.
-	retryPause = 600 * time.Millisecond
+	retryPause = 500 * time.Millisecond
 	// impairedAfter is the time without an answer after which the store counts
 	// as lost.
 	impairedAfter = 1500 * time.Millisecond
@@ -116,7 +116,7 @@
 		f.read(end, sent)
 		return len(records), nil
 	}
-	records, after, err := store.Read(ctx, f.Topic, next, f.Wait())
+	records, after, err := store.Read(ctx, f.Topic, next, f.patience())
 	if errors.Is(err, platform.ErrExpired) {
 		klog.InfoS("History of a topic has expired, reading the newest records", "topic", f.Topic, "from", next)
 		f.reset()
@@ -137,6 +137,17 @@
 	return int(after - next), nil
 }
 
+// patience returns how long a read waits for a record. While the store is lost
+// it doesn't, so that its return is noticed soon.
+func (f *Follower) patience() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.failing.IsZero() {
+		return 0
+	}
+	return f.Wait()
+}
+
 func (f *Follower) reset() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
