--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -17,6 +17,12 @@
 	// FreshFor is how long a host goes on renewing leases after it last proved
 	// that it leads. It covers outages of the store.
 	FreshFor = 12 * time.Second
+	// SureFor is the age of the last proof of leading up to which a host starts
+	// leases. Past it, the host renews leases on open connections only: another
+	// life of a target may have begun, with nothing left of the fencing tokens.
+	SureFor = 1500 * time.Millisecond
+	// orderTime bounds how long an order is on its way.
+	orderTime = time.Second
 	// lapse is the time after which a lease has ended by every clock: targets'
 	// clocks run up to 2% slow, and an order may wait on its way.
 	lapse = Hold + Hold/50 + 400*time.Millisecond
@@ -61,7 +67,9 @@
 	Done   bool
 	Fenced bool
 	// Unsent says that nothing has reached the target.
-	Unsent   bool
+	Unsent bool
+	// Gone says that another target has the address, so that this one ended.
+	Gone     bool
 	Handover string
 }
 
@@ -79,8 +87,11 @@
 	written bool
 	// inherited says that a leader before may have granted it to the owner.
 	inherited bool
-	// sent is when a grant may last have reached the owner.
+	// sent is when a grant may last have reached the owner, opened when one may
+	// have that opened a connection, so that another life may have taken it.
 	sent     time.Time
+	opened   time.Time
+	ended    bool
 	answered time.Time
 	tried    time.Time
 	failing  time.Time
@@ -93,11 +104,13 @@
 type formerHolder struct {
 	holder Holder
 	fence  int64
-	// free is when its lease has ended at the latest.
-	free  time.Time
-	tried time.Time
-	busy  bool
-	done  bool
+	// free is when its lease has ended at the latest. Another life that has
+	// begun is proof that it ended from the time provable on.
+	free     time.Time
+	provable time.Time
+	tried    time.Time
+	busy     bool
+	done     bool
 }
 
 // Target is what the leader knows of a target.
@@ -113,8 +126,9 @@
 type Leader struct {
 	record   *Assignment
 	services map[string][]*lease
-	// guard is when every lease that a leader before may have renewed has
-	// ended.
+	// quiet is when every lease that a leader before may start has been
+	// started, guard when all that it may renew have ended.
+	quiet time.Time
 	guard time.Time
 	// alone says that the process that led before is proved to have ended.
 	alone  bool
@@ -126,7 +140,10 @@
 // Lead starts a leader from the record that made it one. The record before it
 // may be nil. Now is when the store had acknowledged the record.
 func Lead(record *Assignment, now time.Time) *Leader {
-	l := &Leader{record: record, services: make(map[string][]*lease), guard: now.Add(FreshFor + lapse)}
+	l := &Leader{
+		record: record, services: make(map[string][]*lease),
+		quiet: now.Add(SureFor + orderTime), guard: now.Add(FreshFor + orderTime + lapse),
+	}
 	for service, ranges := range record.Services {
 		for _, r := range ranges {
 			l.services[service] = append(l.services[service], l.inherit(r))
@@ -138,7 +155,7 @@
 func (l *Leader) inherit(r Range) *lease {
 	p := &lease{first: r.First, last: r.Last, owner: r.Owner, fence: l.nextFence(), inherited: true, written: true}
 	for _, h := range r.Former {
-		p.former = append(p.former, &formerHolder{holder: h, fence: l.nextFence(), free: l.guard})
+		p.former = append(p.former, &formerHolder{holder: h, fence: l.nextFence(), free: l.guard, provable: l.guard})
 	}
 	return p
 }
@@ -158,7 +175,10 @@
 // before a moment: leases of it end by themselves one lapse later.
 func (l *Leader) PredecessorEnded(at time.Time) {
 	l.alone = true
-	free := at.Add(lapse)
+	free := at.Add(orderTime + lapse)
+	if at.Before(l.quiet) {
+		l.quiet = at
+	}
 	if !free.Before(l.guard) {
 		return
 	}
@@ -167,25 +187,51 @@
 		for _, p := range leases {
 			for _, f := range p.former {
 				if f.free.After(free) && p.inherited {
-					f.free = free
+					f.free, f.provable = free, free
 				}
 			}
 		}
 	}
 }
 
+// provableAt returns from when on another life of the owner proves that no life
+// of it holds the range.
+func (l *Leader) provableAt(p *lease) time.Time {
+	var at time.Time
+	if !p.opened.IsZero() {
+		at = p.opened.Add(lapse)
+	}
+	if p.inherited {
+		at = latest(at, l.quiet.Add(lapse))
+	}
+	return at
+}
+
 // freeAt returns when the owner's hold on a range has ended at the latest.
 func (l *Leader) freeAt(p *lease) time.Time {
 	var free time.Time
 	if !p.sent.IsZero() {
 		free = p.sent.Add(lapse)
 	}
-	if p.inherited && !p.granted && l.guard.After(free) {
-		free = l.guard
+	switch {
+	case p.inherited && !p.granted:
+		// A leader before may still renew the lease.
+		free = latest(free, l.guard)
+	case p.inherited:
+		// The owner refuses renewals of a leader before, but a life that began
+		// since may have taken a lease of it.
+		free = latest(free, l.quiet.Add(lapse))
 	}
 	return free
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Settle drops former owners that no longer hold anything, and reports whether
 // the record has to be written.
 func (l *Leader) Settle(targets map[string]Target, now time.Time) bool {
@@ -193,7 +239,7 @@
 		for _, p := range leases {
 			n := len(p.former)
 			p.former = slices.DeleteFunc(p.former, func(f *formerHolder) bool {
-				return f.done || !now.Before(f.free) || ended(f.holder, targets)
+				return f.done || !now.Before(f.free) || !now.Before(f.provable) && ended(f.holder, targets)
 			})
 			if len(p.former) != n {
 				l.dirty = true
@@ -246,14 +292,14 @@
 func (l *Leader) Dirty() bool { return l.dirty }
 
 // Orders returns the orders that are due for ranges that the store's record
-// has. It is called only while the host is proved to lead; each order's outcome
-// goes to Ended.
-func (l *Leader) Orders(targets map[string]Target, now time.Time) []Order {
+// has. It is called only within FreshFor of the last proof that the host leads,
+// sure says that it is within SureFor. Each order's outcome goes to Ended.
+func (l *Leader) Orders(targets map[string]Target, sure bool, now time.Time) []Order {
 	var orders []Order
 	for _, service := range slices.Sorted(maps.Keys(l.services)) {
 		for _, p := range l.services[service] {
 			orders = append(orders, l.releases(service, p, targets, now)...)
-			if order, ok := l.grant(service, p, targets, now); ok {
+			if order, ok := l.grant(service, p, targets, sure, now); ok {
 				orders = append(orders, order)
 			}
 		}
@@ -265,7 +311,7 @@
 	var orders []Order
 	for _, f := range p.former {
 		_, known := targets[f.holder.Target]
-		if f.busy || f.done || !p.written || !known || now.Sub(f.tried) < retryAfter || !l.mayRelease(p) {
+		if f.busy || f.done || !p.written || !known || now.Sub(f.tried) < retryAfter || !l.mayRelease(p, now) {
 			continue
 		}
 		f.busy, f.tried = true, now
@@ -277,12 +323,14 @@
 }
 
 // mayRelease reports whether an answered release proves that a range is free:
-// not while a leader before might still renew the lease.
-func (l *Leader) mayRelease(p *lease) bool { return l.alone || !p.inherited }
+// not while a leader before might still start or renew a lease there.
+func (l *Leader) mayRelease(p *lease, now time.Time) bool {
+	return l.alone || !p.inherited && !now.Before(l.quiet)
+}
 
-func (l *Leader) grant(service string, p *lease, targets map[string]Target, now time.Time) (Order, bool) {
+func (l *Leader) grant(service string, p *lease, targets map[string]Target, sure bool, now time.Time) (Order, bool) {
 	t, known := targets[p.owner.Target]
-	if p.busy || !p.written || !known || t.Leaving || len(p.former) > 0 || t.Born != p.owner.Born {
+	if p.busy || !p.written || !p.renewable && !sure || !known || t.Leaving || len(p.former) > 0 || t.Born != p.owner.Born {
 		return Order{}, false
 	}
 	if now.Sub(p.tried) < retryAfter || (p.granted && now.Sub(p.answered) < renewAfter) {
@@ -310,7 +358,13 @@
 	if !out.Unsent {
 		p.sent = now
 	}
+	if !out.Unsent && !o.Renewal {
+		p.opened = now
+	}
 	switch {
+	case out.Gone && o.Target == p.owner:
+		p.ended = true
+		p.failing = now.Add(-unreachableAfter - time.Nanosecond)
 	case out.Done && o.Fence == p.fence && o.Target == p.owner:
 		p.granted, p.renewable, p.answered, p.failing, p.handover = true, true, now, time.Time{}, ""
 	case out.Fenced:
@@ -331,7 +385,7 @@
 
 func (l *Leader) releaseEnded(o Order, out Outcome) {
 	o.former.busy = false
-	if !out.Done {
+	if !out.Done && !out.Gone {
 		return
 	}
 	o.former.done = true
@@ -361,8 +415,8 @@
 }
 
 func (l *Leader) hand(p *lease, to Holder) {
-	former := &formerHolder{holder: p.owner, fence: p.fence, free: l.freeAt(p)}
-	never := p.sent.IsZero() && !p.inherited
+	former := &formerHolder{holder: p.owner, fence: p.fence, free: l.freeAt(p), provable: l.provableAt(p)}
+	never := p.sent.IsZero() && !p.inherited || p.ended
 	wasInherited := p.inherited && !p.granted
 	*p = lease{first: p.first, last: p.last, owner: to, fence: l.nextFence(), inherited: wasInherited}
 	if !never {
--- a/io/steward/sender.go
+++ b/io/steward/sender.go
@@ -91,7 +91,8 @@
 
 func outcome(err error, handover string) owner.Outcome {
 	return owner.Outcome{
-		Done: err == nil, Fenced: errors.Is(err, platform.ErrFenced), Unsent: unsent(err), Handover: handover,
+		Done: err == nil, Fenced: errors.Is(err, platform.ErrFenced), Unsent: unsent(err),
+		Gone: errors.Is(err, platform.ErrOtherTarget), Handover: handover,
 	}
 }
 
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -334,7 +334,7 @@
 	if now.Sub(fresh) >= owner.FreshFor || s.isStopping() && !calm {
 		return
 	}
-	s.send(ctx, targets, now)
+	s.send(ctx, targets, now.Sub(fresh) < owner.SureFor, now)
 }
 
 func (s *Steward) change(targets map[string]owner.Target, now time.Time) {
@@ -418,8 +418,8 @@
 	}
 }
 
-func (s *Steward) send(ctx context.Context, targets map[string]owner.Target, now time.Time) {
-	for _, order := range s.leader.Orders(targets, now) {
+func (s *Steward) send(ctx context.Context, targets map[string]owner.Target, sure bool, now time.Time) {
+	for _, order := range s.leader.Orders(targets, sure, now) {
 		address := s.entries[order.Target.Target].Address
 		go func() {
 			outcome := s.orders.send(ctx, address, order)
