Log through a bounded sink, serve metrics and a state dump

Cause: an engineer on call had no metrics or dump of a host on the platform, and a blocked standard output would have held requests up.

Change: io/logsink queues lines and drops them, counted, when the output is slow; lines on failures have their own, larger limit. /metrics and /state on the admin port; 'pineturnd platform check FILE'. The collector's limit is half of the host's memory.

--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -120,12 +121,7 @@
 			entries = append(entries, t.entry)
 		}
 	}
-	slices.SortFunc(entries, func(a, b Entry) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return entries
 }
 
@@ -140,6 +136,37 @@
 	return t.entry, true
 }
 
+// State is what a host believes of a target, for dumps.
+type State struct {
+	Entry
+	InFlight int     `json:"in_flight"`
+	Others   float64 `json:"others_work"`
+	// ReportAgeS is the age of the last report in seconds.
+	ReportAgeS float64 `json:"report_age_s"`
+	Pace       float64 `json:"pace"`
+	Trouble    float64 `json:"trouble"`
+	Paused     bool    `json:"paused"`
+}
+
+// States returns what is believed of all targets, in the order of their ids.
+func (s *Set) States(now time.Time) []State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	states := make([]State, 0, len(s.targets))
+	for _, t := range s.targets {
+		state := State{
+			Entry: t.entry, InFlight: t.inFlight, Others: t.others, Pace: t.pace,
+			Trouble: t.troubleNow(now), Paused: now.Before(t.closedUntil),
+		}
+		if !t.reported.IsZero() {
+			state.ReportAgeS = now.Sub(t.reported).Seconds()
+		}
+		states = append(states, state)
+	}
+	slices.SortFunc(states, func(a, b State) int { return cmp.Compare(a.ID, b.ID) })
+	return states
+}
+
 // Demand is what is asked of a target.
 type Demand struct {
 	Service string
--- /dev/null
+++ b/io/gateway/dump.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"pineturn/core/owner"
+	"pineturn/core/placement"
+	"pineturn/core/routing"
+)
+
+// Dump is a process's state, for the person on call.
+type Dump struct {
+	Host     string  `json:"host"`
+	Process  string  `json:"process"`
+	UptimeS  float64 `json:"uptime_s"`
+	Ready    bool    `json:"ready"`
+	Stopping bool    `json:"stopping"`
+	Leading  bool    `json:"leading"`
+	// AgesS are the ages of the beliefs in seconds.
+	AgesS    map[string]float64     `json:"ages_s"`
+	Version  int64                  `json:"config_version"`
+	Routes   []routing.Route        `json:"routes"`
+	Targets  []placement.State      `json:"targets"`
+	Leader   string                 `json:"leader"`
+	Epoch    int64                  `json:"epoch"`
+	Keys     map[string][]RangeDump `json:"keys"`
+	Requests map[string]int         `json:"requests_in_flight"`
+}
+
+// RangeDump is a range of keys and its owner.
+type RangeDump struct {
+	First  uint16   `json:"first"`
+	Last   uint16   `json:"last"`
+	Owner  string   `json:"owner"`
+	Former []string `json:"former,omitempty"`
+}
+
+// dump returns the process's state.
+func (g *Gateway) dump() Dump {
+	now := g.clock.Now()
+	d := Dump{
+		Host: g.settings.Name, Process: g.process, UptimeS: now.Sub(g.started).Seconds(),
+		Ready: g.catalog.Ready(), Stopping: g.stop.stopping(), Leading: g.steward.Leading(),
+		AgesS: make(map[string]float64), Targets: g.targets.States(now), Keys: make(map[string][]RangeDump),
+		Requests: make(map[string]int),
+	}
+	for topic, name := range ageNames {
+		d.AgesS[name] = g.catalog.Age(topic).Seconds()
+	}
+	if table := g.catalog.Table(); table != nil {
+		d.Version, d.Routes = table.Config().Version, table.Config().Routes
+	}
+	for _, t := range d.Targets {
+		d.Requests[t.Service] += t.InFlight
+	}
+	if a := g.catalog.Assignment(); a != nil {
+		d.Leader, d.Epoch = a.Leader, a.Epoch
+		for service, ranges := range a.Services {
+			d.Keys[service] = dumpRanges(ranges)
+		}
+	}
+	return d
+}
+
+func dumpRanges(ranges []owner.Range) []RangeDump {
+	dumped := make([]RangeDump, len(ranges))
+	for i, r := range ranges {
+		dumped[i] = RangeDump{First: r.First, Last: r.Last, Owner: r.Owner.Target}
+		for _, f := range r.Former {
+			dumped[i].Former = append(dumped[i].Former, f.Target)
+		}
+	}
+	return dumped
+}
+
+// moving returns the number of ranges on their way to another owner.
+func (g *Gateway) moving() int {
+	a := g.catalog.Assignment()
+	if a == nil {
+		return 0
+	}
+	n := 0
+	for _, ranges := range a.Services {
+		for _, r := range ranges {
+			if len(r.Former) > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// admin serves the metrics and the state.
+func (g *Gateway) admin() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", g.metrics.handler())
+	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(g.dump()); err != nil {
+			klog.ErrorS(err, "Writing the state")
+		}
+	})
+	return mux
+}
+
+// lineCountInterval is the time between two lines on dropped lines.
+const lineCountInterval = 10 * time.Second
+
+// countLines logs how many log lines were dropped, while more are.
+func (g *Gateway) countLines(done <-chan struct{}) {
+	tick := time.NewTicker(lineCountInterval)
+	defer tick.Stop()
+	var last int64
+	for {
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+		}
+		failures, successes, slow := g.metrics.failures.Dropped(), g.metrics.successes.Dropped(), g.logs.Dropped()
+		if all := failures + successes + slow; all != last {
+			last = all
+			klog.InfoS("Log lines were dropped", "failures", failures, "successes", successes, "outputSlow", slow)
+		}
+	}
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -21,14 +21,13 @@
 	"pineturn/io/entry"
 	"pineturn/io/hostlink"
 	"pineturn/io/listener"
+	"pineturn/io/logsink"
 	"pineturn/io/metastore"
 	"pineturn/io/steward"
 	"pineturn/platform"
 )
 
 const (
-	// heapTarget is the heap at which the collector works hardest, in bytes.
-	heapTarget = 12 << 20
 	// gcPercent is the growth of the heap between collections.
 	gcPercent = 40
 	// bytesBeforeBody bounds the time that a caller's header may take.
@@ -65,10 +64,13 @@
 	links    *hostlink.Server
 	reporter *hostlink.Reporter
 	stop     *stopper
+	logs     *logsink.Sink
+	admins   string
 }
 
-// New returns a host's process with the settings at a path.
-func New(path string) (*Gateway, error) {
+// New returns a host's process with the settings at a path. Metrics and dumps
+// are served at a port of its address; zero stands for any free one.
+func New(path string, logs *logsink.Sink, adminPort int) (*Gateway, error) {
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "start")
@@ -78,8 +80,9 @@
 		return nil, err
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(heapTarget)
-	g := &Gateway{path: path, settings: settings, clock: clock.Boot{}, process: process, metrics: newMetrics()}
+	debug.SetMemoryLimit(settings.Memory / 2)
+	g := &Gateway{path: path, settings: settings, clock: clock.Boot{}, process: process, metrics: newMetrics(), logs: logs}
+	g.admins = net.JoinHostPort(settings.Address, strconv.Itoa(adminPort))
 	g.started = g.clock.Now()
 	g.store = platform.NewStore(settings.StoreAddress)
 	g.store.Observe = g.metrics.storeCall
@@ -103,6 +106,7 @@
 	g.reporter.Take = g.steward.Add
 	g.reporter.Relay = g.catalog.Relay
 	g.stop = newStopper(settings.StopTimeout)
+	g.metrics.observe(g)
 	return g, nil
 }
 
@@ -184,8 +188,12 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for hosts")
 	}
+	admins, err := net.Listen("tcp", g.admins)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
 	klog.InfoS("Host starts", "host", g.settings.Name, "domain", g.settings.Domain, "process", g.process,
-		"callers", g.settings.CallerAddress, "store", g.settings.StoreAddress)
+		"callers", g.settings.CallerAddress, "operators", admins.Addr(), "store", g.settings.StoreAddress)
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go g.catalog.Run(work, g.store)
@@ -193,6 +201,7 @@
 	go g.watchSettings(work, reload)
 	go g.sweep(work)
 	go g.reporter.Run(work)
+	go g.countLines(work.Done())
 	g.front = &http.Server{
 		Handler: g.stop.closing(g.entry.Handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
@@ -201,7 +210,9 @@
 	linked := &http.Server{Handler: g.links.Handler(), ReadHeaderTimeout: headerTimeout}
 	front := listener.New(callers)
 	front.Attach(g.front)
-	failed := make(chan error, 3)
+	operators := &http.Server{Handler: g.admin(), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 4)
+	go func() { failed <- operators.Serve(admins) }()
 	go func() { failed <- linked.Serve(peers) }()
 	go func() { failed <- g.front.Serve(front) }()
 	go func() { failed <- g.ready.Serve(ready) }()
@@ -212,8 +223,10 @@
 	}
 	g.shutDown(front)
 	cancel()
-	if err := linked.Close(); err != nil {
-		klog.ErrorS(err, "Closing the links of hosts")
+	for _, server := range []*http.Server{linked, operators} {
+		if err := server.Close(); err != nil {
+			klog.ErrorS(err, "Closing a server")
+		}
 	}
 	<-g.catalog.Done()
 	<-g.steward.Done()
--- a/io/gateway/main.go
+++ b/io/gateway/main.go
@@ -2,26 +2,69 @@
 
 import (
 	"context"
+	"flag"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
 
+	"pineturn/io/logsink"
 	"pineturn/platform"
 )
 
+// defaultAdminPort is the port for metrics and dumps.
+const defaultAdminPort = 9464
+
 // Command returns the command that runs a host on the users' platform.
 func Command() *cli.Command {
 	return &cli.Command{
-		Name:   "platform",
-		Usage:  "run a host on the platform, with the settings file that the platform names",
-		Action: func(ctx context.Context, _ *cli.Command) error { return run(ctx) },
+		Name:  "platform",
+		Usage: "run a host on the platform, with the settings file that the platform names",
+		Flags: []cli.Flag{&cli.IntFlag{
+			Name: "admin-port", Value: defaultAdminPort, Sources: cli.EnvVars("PINETURN_ADMIN_PORT"),
+			Usage: "port of the host's address for metrics and dumps",
+		}},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			return run(ctx, command.Int("admin-port"))
+		},
+		Commands: []*cli.Command{{
+			Name: "check", Usage: "check a settings file of the platform, and start nothing", ArgsUsage: "FILE",
+			Action: func(_ context.Context, command *cli.Command) error { return check(command.Args().First()) },
+		}},
+	}
+}
+
+func check(path string) error {
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("settings of host %s in failure domain %s are right\n", settings.Name, settings.Domain)
+	return nil
+}
+
+// logTo sends all log lines through a sink to the standard output.
+func logTo(sink *logsink.Sink) {
+	levels := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(levels)
+	for name, value := range map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL", "one_output": "true"} {
+		if err := levels.Set(name, value); err != nil {
+			klog.ErrorS(err, "Setting the log", "flag", name)
+		}
 	}
+	klog.SetOutput(sink)
+	klog.CopyStandardLogTo("INFO")
 }
 
-func run(ctx context.Context) error {
+func run(ctx context.Context, adminPort int) error {
+	sink := logsink.New(os.Stdout)
+	logTo(sink)
+	defer sink.Close()
+	defer klog.Flush()
 	path, err := platform.SettingsPath()
 	if err != nil {
 		return errors.Wrap(err, "start")
@@ -30,7 +73,7 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	g, err := New(path)
+	g, err := New(path, sink, adminPort)
 	if err != nil {
 		return err
 	}
--- a/io/gateway/rig_test.go
+++ b/io/gateway/rig_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"pineturn/io/logsink"
 	"pineturn/io/standin/keyholder"
 	"pineturn/io/standin/platformstore"
 	"pineturn/platform"
@@ -192,7 +193,9 @@
 	if err := os.WriteFile(h.path, []byte(settings), 0o600); err != nil {
 		r.t.Fatal(err)
 	}
-	gateway, err := New(h.path)
+	sink := logsink.New(io.Discard)
+	r.t.Cleanup(sink.Close)
+	gateway, err := New(h.path, sink, 0)
 	if err != nil {
 		r.t.Fatal(err)
 	}
--- a/io/metastore/relay.go
+++ b/io/metastore/relay.go
@@ -112,6 +112,28 @@
 	return marks
 }
 
+// Age returns the age of the last proof that nothing of a topic was missed.
+func (k *Catalog) Age(topic string) time.Duration {
+	for _, f := range k.followers() {
+		if f.Topic == topic {
+			return f.age()
+		}
+	}
+	return 0
+}
+
+// age returns the time since nothing was missed, here or at the host that
+// relays.
+func (f *Follower) age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newest := f.fresh
+	if f.proven.After(newest) {
+		newest = f.proven
+	}
+	return f.Clock.Now().Sub(newest)
+}
+
 // Relay takes what another host has read.
 func (k *Catalog) Relay(updates []Update, marks []Mark) {
 	for _, f := range k.followers() {
