Keep the former owner's lease until a change of owner is written

Cause: TestStoreDown failed: keys that began to move just as the store went down had no owner for the whole outage: the leader had stopped renewing the former owner's lease, and entries knew of no other.

Change: a former owner's lease is renewed until the store's record of the change is read back; a request whose key is on its way longer than it may wait goes to the new owner, which refuses it unless it has its grant.

--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -104,15 +104,12 @@
 
 // formerHolder is an owner that may still hold a range.
 type formerHolder struct {
-	holder Holder
-	fence  int64
-	// free is when its lease has ended at the latest. Another life that has
-	// begun is proof that it ended from the time provable on.
-	free     time.Time
-	provable time.Time
-	tried    time.Time
-	busy     bool
-	done     bool
+	// lease is what this leader knows of its grants. It is renewed until the
+	// store has the record of the change.
+	lease *lease
+	tried time.Time
+	busy  bool
+	done  bool
 }
 
 // Target is what the leader knows of a target.
@@ -158,7 +155,8 @@
 func (l *Leader) inherit(r Range) *lease {
 	p := &lease{first: r.First, last: r.Last, owner: r.Owner, fence: l.nextFence(), inherited: true, written: true}
 	for _, h := range r.Former {
-		p.former = append(p.former, &formerHolder{holder: h, fence: l.nextFence(), free: l.guard, provable: l.guard})
+		former := &lease{first: r.First, last: r.Last, owner: h, fence: l.nextFence(), inherited: true, written: true}
+		p.former = append(p.former, &formerHolder{lease: former})
 	}
 	return p
 }
@@ -178,22 +176,11 @@
 // before a moment: leases of it end by themselves one lapse later.
 func (l *Leader) PredecessorEnded(at time.Time) {
 	l.alone = true
-	free := at.Add(orderTime + lapse)
 	if at.Before(l.quiet) {
 		l.quiet = at
 	}
-	if !free.Before(l.guard) {
-		return
-	}
-	l.guard = free
-	for _, leases := range l.services {
-		for _, p := range leases {
-			for _, f := range p.former {
-				if f.free.After(free) && p.inherited {
-					f.free, f.provable = free, free
-				}
-			}
-		}
+	if free := at.Add(orderTime + lapse); free.Before(l.guard) {
+		l.guard = free
 	}
 }
 
@@ -241,9 +228,10 @@
 	for _, leases := range l.services {
 		for _, p := range leases {
 			n := len(p.former)
-			p.former = slices.DeleteFunc(p.former, func(f *formerHolder) bool {
-				return f.done || !now.Before(f.free) || !now.Before(f.provable) && ended(f.holder, targets)
-			})
+			if !p.written {
+				continue
+			}
+			p.former = slices.DeleteFunc(p.former, func(f *formerHolder) bool { return l.isFree(f, targets, now) })
 			if len(p.former) != n {
 				l.dirty = true
 			}
@@ -252,6 +240,15 @@
 	return l.dirty
 }
 
+// isFree reports whether a former owner holds its range no more.
+func (l *Leader) isFree(f *formerHolder, targets map[string]Target, now time.Time) bool {
+	if f.lease.busy {
+		return false
+	}
+	return f.done || !now.Before(l.freeAt(f.lease)) ||
+		!now.Before(l.provableAt(f.lease)) && ended(f.lease.owner, targets)
+}
+
 // ended reports whether a life of a target is over, as another one has begun.
 func ended(h Holder, targets map[string]Target) bool {
 	t, ok := targets[h.Target]
@@ -266,7 +263,7 @@
 		for _, p := range leases {
 			r := Range{First: p.first, Last: p.last, Owner: p.owner}
 			for _, f := range p.former {
-				r.Former = append(r.Former, f.holder)
+				r.Former = append(r.Former, f.lease.owner)
 			}
 			a.Services[service] = append(a.Services[service], r)
 		}
@@ -301,6 +298,7 @@
 	var orders []Order
 	for _, service := range slices.Sorted(maps.Keys(l.services)) {
 		for _, p := range l.services[service] {
+			orders = append(orders, l.renewals(service, p, targets, now)...)
 			orders = append(orders, l.releases(service, p, targets, now)...)
 			if order, ok := l.grant(service, p, targets, sure, now); ok {
 				orders = append(orders, order)
@@ -310,16 +308,34 @@
 	return orders
 }
 
+// renewals keep the former owner's lease while the record of the change is not
+// written: until then no one else may take over.
+func (l *Leader) renewals(service string, p *lease, targets map[string]Target, now time.Time) []Order {
+	if p.written {
+		return nil
+	}
+	var orders []Order
+	for _, f := range p.former {
+		if !f.lease.renewable {
+			continue
+		}
+		if order, ok := l.grant(service, f.lease, targets, false, now); ok {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
 func (l *Leader) releases(service string, p *lease, targets map[string]Target, now time.Time) []Order {
 	var orders []Order
 	for _, f := range p.former {
-		_, known := targets[f.holder.Target]
-		if f.busy || f.done || !p.written || !known || now.Sub(f.tried) < retryAfter || !l.mayRelease(p, now) {
+		_, known := targets[f.lease.owner.Target]
+		if f.busy || f.done || f.lease.busy || !p.written || !known || now.Sub(f.tried) < retryAfter || !l.mayRelease(p, now) {
 			continue
 		}
 		f.busy, f.tried = true, now
 		orders = append(orders, Order{
-			Kind: Release, Service: service, First: p.first, Last: p.last, Target: f.holder, Fence: f.fence, lease: p, former: f,
+			Kind: Release, Service: service, First: p.first, Last: p.last, Target: f.lease.owner, Fence: f.lease.fence, lease: p, former: f,
 		})
 	}
 	return orders
@@ -422,12 +438,11 @@
 }
 
 func (l *Leader) hand(p *lease, to Holder) {
-	former := &formerHolder{holder: p.owner, fence: p.fence, free: l.freeAt(p), provable: l.provableAt(p)}
+	prior := *p
 	never := p.sent.IsZero() && !p.inherited || p.ended
-	wasInherited := p.inherited && !p.granted
-	*p = lease{first: p.first, last: p.last, owner: to, fence: l.nextFence(), inherited: wasInherited}
+	*p = lease{first: p.first, last: p.last, owner: to, fence: l.nextFence(), inherited: p.inherited && !p.granted}
 	if !never {
-		p.former = []*formerHolder{former}
+		p.former = []*formerHolder{{lease: &prior}}
 	}
 	l.dirty = true
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -98,6 +98,11 @@
 			return target, nil
 		}
 		wait := min(end.Sub(e.clock.Now()), ownerPoll)
+		if wait <= 0 && reason == reasonMoving {
+			// The new owner may have its grant while the store is down and the
+			// record of it is not written. It refuses the request otherwise.
+			return target, nil
+		}
 		if wait <= 0 || !pause(ctx, changed, wait) {
 			return "", q.giveUp(reason, q.match.Route.Objective/2, ctx.Err())
 		}
@@ -114,7 +119,7 @@
 	case !ok:
 		return "", reasonNoOwner
 	case len(r.Former) > 0:
-		return "", reasonMoving
+		return r.Owner.Target, reasonMoving
 	}
 	return r.Owner.Target, ""
 }
