--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"pineturn/core/lease"
 	"pineturn/core/record"
 	"pineturn/io/hostlist"
+	"pineturn/io/listener"
 	"pineturn/io/logservice"
 	"pineturn/io/peer"
 	"pineturn/io/security"
@@ -50,9 +51,9 @@
 	parts     []*part
 	stopping  []*part
 
-	callers *listener
-	others  *listener
-	admin   *listener
+	callers *httpListener
+	others  *httpListener
+	admin   *httpListener
 	leaving chan struct{}
 }
 
@@ -266,40 +267,46 @@
 	}
 }
 
-// listener serves HTTP at one address.
-type listener struct {
+// httpListener serves HTTP at one address.
+type httpListener struct {
 	server *http.Server
+	conns  *listener.Listener
 	done   chan struct{}
 }
 
 // listen serves handler at an IP:port, over TLS unless secure is nil.
-func listen(address string, handler http.Handler, maxHeader int, secure *tls.Config) (*listener, error) {
-	socket, err := net.Listen("tcp", address)
+func listen(address string, handler http.Handler, maxHeader int, secure *tls.Config) (*httpListener, error) {
+	plain, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	if secure != nil {
-		socket = tls.NewListener(socket, secure)
-	}
-	l := &listener{
+	l := &httpListener{
 		server: &http.Server{Handler: handler, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		conns:  listener.New(plain),
 		done:   make(chan struct{}),
 	}
+	l.conns.Attach(l.server)
+	var socket net.Listener = l.conns
+	if secure != nil {
+		socket = tls.NewListener(socket, secure)
+	}
 	go func() {
 		defer close(l.done)
-		if err := l.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+		if err := l.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			klog.ErrorS(err, "Listener failed", "address", address)
 		}
 	}()
 	return l, nil
 }
 
-// shutdown refuses new connections and waits for requests in flight.
-func (l *listener) shutdown(ctx context.Context) error {
-	err := l.server.Shutdown(ctx)
-	if err != nil {
-		err = errors.CombineErrors(err, l.server.Close())
-	}
+// shutdown refuses new connections and waits for requests in flight. No
+// connection that waits to be accepted, or whose request was read, is closed.
+func (l *httpListener) shutdown(ctx context.Context) error {
+	err := l.conns.Drain()
 	<-l.done
+	if open := l.conns.CloseIdle(ctx); open > 0 {
+		err = errors.CombineErrors(err, errors.Newf("%d connections still had a request", open))
+	}
+	err = errors.CombineErrors(err, l.server.Close())
 	return errors.Wrap(err, "close listener")
 }
--- a/io/gateway/stop.go
+++ b/io/gateway/stop.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"pineturn/io/listener"
@@ -45,7 +47,7 @@
 		klog.InfoS("Requests were cut off at the end of the time to stop", "connections", open)
 	}
 	for _, server := range []*http.Server{g.front, g.ready} {
-		if err := server.Close(); err != nil {
+		if err := server.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 			klog.ErrorS(err, "Closing a server")
 		}
 	}
--- a/io/listener/listener.go
+++ b/io/listener/listener.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -21,6 +22,8 @@
 	// freshFor is how long a new connection may take to send its request before
 	// it counts as idle.
 	freshFor = 500 * time.Millisecond
+	// requestTime is how long the first request may take to be read whole.
+	requestTime = 5 * time.Second
 	// closePoll is the time between looks for connections that have become idle.
 	closePoll = 10 * time.Millisecond
 )
@@ -44,8 +47,12 @@
 // lets handlers find the connection of a request.
 func (l *Listener) Attach(server *http.Server) {
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
-		if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+		c, ok := tracked(conn)
+		switch {
+		case ok && state == http.StateIdle:
 			c.rest()
+		case ok && state == http.StateActive:
+			c.begin()
 		}
 	}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
@@ -53,12 +60,25 @@
 	}
 }
 
+// tracked returns the listener's connection, also below TLS.
+func tracked(conn net.Conn) (*Conn, bool) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	c, ok := conn.(*Conn)
+	return c, ok
+}
+
 type connKey struct{}
 
 // CallerLeft reports whether the caller whose request has the context has
 // closed its connection.
 func CallerLeft(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(*Conn)
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
+		return false
+	}
+	c, ok := tracked(conn)
 	return ok && c.left()
 }
 
@@ -145,7 +165,9 @@
 	mu sync.Mutex
 	// served says that a request was answered on the connection.
 	served bool
-	// busy says that bytes were read since then.
+	// active says that a request is being handled.
+	active bool
+	// busy says that bytes were read since the last one was answered.
 	busy   bool
 	closed bool
 }
@@ -174,7 +196,14 @@
 func (c *Conn) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.served, c.busy = true, false
+	c.served, c.active, c.busy = true, false, false
+}
+
+// begin notes that a request is being handled.
+func (c *Conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active = true
 }
 
 // closeIdle closes the connection unless bytes of a request were read, and
@@ -192,7 +221,13 @@
 func (c *Conn) stopReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || (!c.served && time.Since(c.opened) < freshFor) {
+	age := time.Since(c.opened)
+	switch {
+	case c.active:
+		return false
+	case !c.served && age >= requestTime:
+		// No whole request has come, as on a connection after a handshake only.
+	case c.busy || !c.served && age < freshFor:
 		return false
 	}
 	c.closed = true
--- /dev/null
+++ b/io/listener/listener_test.go
@@ -0,0 +1,150 @@
+package listener
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// serve runs a server behind a listener, whose handler waits until told.
+func serve(t *testing.T, proceed <-chan struct{}) (*Listener, *http.Server) {
+	t.Helper()
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := New(plain)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-proceed
+		_, _ = fmt.Fprint(w, CallerLeft(r.Context()))
+	})}
+	l.Attach(server)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l, server
+}
+
+func dial(t *testing.T, l *Listener) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func send(t *testing.T, conn net.Conn) {
+	t.Helper()
+	if _, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func wantAnswer(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Errorf("answer: got error %v, want one", err)
+		return
+	}
+	_ = resp.Body.Close()
+}
+
+func TestDrainAnswersWhatWaits(t *testing.T) {
+	proceed := make(chan struct{})
+	close(proceed)
+	for range 50 {
+		l, _ := serve(t, proceed)
+		var conns []net.Conn
+		for range 5 {
+			conn := dial(t, l)
+			send(t, conn)
+			conns = append(conns, conn)
+		}
+		if err := l.Drain(); err != nil {
+			t.Fatal(err)
+		}
+		for _, conn := range conns {
+			wantAnswer(t, conn)
+		}
+	}
+}
+
+func TestCloseIdle(t *testing.T) {
+	t.Run("a request that was read is answered", func(t *testing.T) {
+		proceed := make(chan struct{})
+		l, _ := serve(t, proceed)
+		conn := dial(t, l)
+		send(t, conn)
+		time.Sleep(20 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		if got := l.CloseIdle(ctx); got != 1 {
+			t.Errorf("connections still open: got %d, want 1", got)
+		}
+		close(proceed)
+		wantAnswer(t, conn)
+	})
+	t.Run("requests race with the close", func(t *testing.T) {
+		proceed := make(chan struct{})
+		close(proceed)
+		l, _ := serve(t, proceed)
+		for range 200 {
+			conn := dial(t, l)
+			send(t, conn)
+			wantAnswer(t, conn)
+			go l.closeIdleOnce()
+			send(t, conn)
+			// Either the request is answered, or its connection is closed.
+			_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil {
+				_ = resp.Body.Close()
+				continue
+			}
+			var failure net.Error
+			if ok := asNetError(err, &failure); ok && failure.Timeout() {
+				t.Fatal("request beside a close: got neither an answer nor a close, want one")
+			}
+		}
+	})
+}
+
+func asNetError(err error, into *net.Error) bool {
+	failure, ok := err.(net.Error)
+	if ok {
+		*into = failure
+	}
+	return ok
+}
+
+func TestCallerLeft(t *testing.T) {
+	proceed := make(chan struct{})
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := New(plain)
+	got := make(chan bool, 1)
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		<-proceed
+		got <- CallerLeft(r.Context())
+	})}
+	l.Attach(server)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn := dial(t, l)
+	send(t, conn)
+	_ = conn.Close()
+	time.Sleep(20 * time.Millisecond)
+	close(proceed)
+	if left := <-got; !left {
+		t.Errorf("caller that has closed its connection: got left %v, want true", left)
+	}
+}
