Bound ranges with many targets, calmer joins, feeds that carry what their marks count

Marks could overtake the update that they count, which had hosts read themselves. Estimates of an owner's work fell back to the mean of its service.

Change: 64 ranges in all at first, one a target beyond; members that hear of a leader join each second; a feed holds all that its marks count; a target's usual work is remembered for 1.5 s; an owner is not paused after a failure.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -39,6 +39,9 @@
 	Unknown
 )
 
+// NotRun reports whether the target surely did not run the request.
+func (r Result) NotRun() bool { return r == NotRun || r == WrongTarget || r == Unsent }
+
 // Step is what to do next.
 type Step int
 
--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -8,10 +8,13 @@
 )
 
 const (
-	// slicesATarget is the number of ranges that each target gets at first:
-	// busy keys lie side by side, so that one range a target would leave most
-	// of the work to one.
-	slicesATarget = 4
+	// mostSlices is the number of ranges that each target gets at first: busy
+	// keys lie side by side, so that one range a target would leave most of the
+	// work to one.
+	mostSlices = 4
+	// slicesInAll bounds the ranges of a service at first, beyond one a target:
+	// the leader renews each of them by itself.
+	slicesInAll = 64
 	// overload is the load of a target, over the mean, from which keys are moved
 	// off it.
 	overload = 1.25
@@ -22,12 +25,6 @@
 	mostMoves = 6
 )
 
-// Share is a range and its load.
-type share struct {
-	lease *lease
-	load  float64
-}
-
 // Assign gives keys that have no owner, or one that leaves, ended or can't be
 // reached, to other targets, and a newcomer its part. It answers targets that
 // crash, are replaced one by one, or are added without work.
@@ -92,7 +89,7 @@
 
 // deal divides all keys for the first time, in ranges that take turns.
 func (l *Leader) deal(service string, live []Target) {
-	n := len(live) * slicesATarget
+	n := len(live) * min(max(slicesInAll/len(live), 1), mostSlices)
 	for i := range n {
 		first, last := i*Keys/n, (i+1)*Keys/n-1
 		l.services[service] = append(l.services[service], &lease{
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -265,7 +265,7 @@
 	if t.entry.Draining && (d.Owner == "" || now.Sub(t.drainSeen) > ownerDrain) {
 		return false
 	}
-	if slices.Contains(d.Skip, t.entry.ID) || now.Before(t.closedUntil) {
+	if slices.Contains(d.Skip, t.entry.ID) || d.Owner == "" && now.Before(t.closedUntil) {
 		return false
 	}
 	return d.Owner == "" || t.entry.ID == d.Owner
@@ -343,6 +343,9 @@
 const (
 	// shedPause is how long a target that refused a request gets none.
 	shedPause = 60 * time.Millisecond
+	// failedPause is the same for one that broke off or spoiled an answer, as a
+	// full one may.
+	failedPause = 100 * time.Millisecond
 	// unreachablePause is the same for one that could not be connected to.
 	unreachablePause = 500 * time.Millisecond
 )
@@ -357,8 +360,7 @@
 	g := s.group(t.entry.Service)
 	defer g.wake()
 	if report != nil {
-		t.others = max(0, float64(report.Running+report.Waiting-t.inFlight))
-		t.reported = now
+		t.report(max(0, float64(report.Running+report.Waiting-t.inFlight)), now)
 	}
 	took := now.Sub(c.sent)
 	switch result {
@@ -371,6 +373,7 @@
 		t.closedUntil = now.Add(shedPause)
 	case Failed:
 		t.addTrouble(now, 1)
+		t.closedUntil = now.Add(failedPause)
 	case Unreachable:
 		t.addTrouble(now, 2)
 		t.closedUntil = now.Add(unreachablePause)
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -9,6 +9,10 @@
 	// reportHalfLife is the time after which half of a target's reported work
 	// for other hosts is taken to be done.
 	reportHalfLife = 250 * time.Millisecond
+	// usualHalfLife is the time in which the target's usual work gives way to
+	// the mean of its service, and usualWeight the weight of one report in it.
+	usualHalfLife = 1500 * time.Millisecond
+	usualWeight   = 0.3
 	// speedWeight is the weight of one answer in a target's learned time.
 	speedWeight = 0.12
 	// coldFactor is how much longer work takes at a target that has just
@@ -34,6 +38,8 @@
 	// others is the work for other hosts at the time of the last report.
 	others   float64
 	reported time.Time
+	// usual is the mean of the last reports.
+	usual float64
 	// pace is the learned time of a request over the mean of its service.
 	pace float64
 	// trouble counts recent failures, halved by time.
@@ -48,14 +54,27 @@
 // Entry returns what the target last said of itself.
 func (t *Target) Entry() Entry { return t.entry }
 
-// othersNow estimates the work that other hosts have at the target, from its
-// last report and, as that ages, from the mean of its service.
+// othersNow estimates the work that other hosts have at the target: its last
+// report, then as that ages what it has reported lately, and at last the mean of
+// its service. A target with a busy key goes on having more than the others.
 func (t *Target) othersNow(now time.Time, mean float64) float64 {
 	if t.reported.IsZero() {
 		return mean
 	}
-	keep := halving(now.Sub(t.reported), reportHalfLife)
-	return t.others*keep + mean*(1-keep)
+	age := now.Sub(t.reported)
+	usual := halving(age, usualHalfLife)
+	base := t.usual*usual + mean*(1-usual)
+	keep := halving(age, reportHalfLife)
+	return t.others*keep + base*(1-keep)
+}
+
+// report notes the work that other hosts have at the target.
+func (t *Target) report(others float64, now time.Time) {
+	if t.reported.IsZero() {
+		t.usual = others
+	}
+	t.usual += usualWeight * (others - t.usual)
+	t.others, t.reported = others, now
 }
 
 func (t *Target) troubleNow(now time.Time) float64 {
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -55,7 +55,7 @@
 }
 
 func (a *answer) check(q *request) error {
-	if a.said.ID != q.ID && !(a.said.NotRun && a.said.ID == "") {
+	if a.said.ID != q.ID && (a.said.ID != "" || !a.said.NotRun) {
 		return errors.Wrapf(errOtherRequest, "id %q", a.said.ID)
 	}
 	if a.said.Encoded {
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -14,7 +14,7 @@
 	// shorter than targets keep theirs, so that none is closed under a request.
 	idleTimeout = 6 * time.Second
 	// maxIdle bounds the idle connections to a target.
-	maxIdle = 16
+	maxIdle = 3
 	// bufferSize is the size of a connection's buffers in bytes.
 	bufferSize = 2 << 10
 	// silenceTimeout is how long sent bytes may stay unacknowledged.
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -74,8 +74,8 @@
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return q.fail(http.StatusBadGateway, reasonCallerHas, ctx.Err())
 	}
-	if (sent.result == attempt.NotRun || sent.result == attempt.WrongTarget) && !q.progress.MayHaveRun() {
-		return q.refuse(reasonNotRun, 0)
+	if sent.result.NotRun() && !q.progress.MayHaveRun() {
+		return q.refuse(reasonTimeout, 0)
 	}
 	return q.fail(http.StatusGatewayTimeout, reasonTimeout, sent.err)
 }
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -120,25 +120,25 @@
 	}
 	eventually(t, "version 1", 3*time.Second, inForce(1))
 	t.Run("a new version", func(t *testing.T) {
-		r.configure(2, time.Second)
+		r.configure(2)
 		eventually(t, "version 2", 2*time.Second, inForce(2))
 	})
 	t.Run("an older version comes late", func(t *testing.T) {
-		r.configure(1, time.Second)
+		r.configure(1)
 		time.Sleep(300 * time.Millisecond)
 		if !inForce(2)() {
 			t.Error("version 2: got an older one in force, want none")
 		}
 	})
 	t.Run("history expired", func(t *testing.T) {
-		r.configure(3, time.Second)
+		r.configure(3)
 		r.store.Expire("keyed.op")
 		eventually(t, "version 3", 2*time.Second, inForce(3))
 	})
 	t.Run("after the store was silent", func(t *testing.T) {
 		r.store.SetFault(platformstore.Fault{Mode: "silent"})
 		time.Sleep(3 * time.Second)
-		r.configure(4, time.Second)
+		r.configure(4)
 		r.store.SetFault(platformstore.Fault{})
 		eventually(t, "version 4", 2*time.Second, inForce(4))
 	})
@@ -146,7 +146,7 @@
 		ip, _, _ := strings.Cut(hosts[0].front, ":")
 		r.store.SetFault(platformstore.Fault{Mode: "silent", Hosts: []string{ip}})
 		time.Sleep(500 * time.Millisecond)
-		r.configure(5, time.Second)
+		r.configure(5)
 		eventually(t, "version 5 at the other host", 2*time.Second, func() bool {
 			return r.call(client, hosts[1], "GET", "/v5/", -1, "").status == http.StatusOK
 		})
--- a/io/gateway/rig_test.go
+++ b/io/gateway/rig_test.go
@@ -60,7 +60,7 @@
 	t.Helper()
 	r := &rig{t: t, store: platformstore.New(), audit: &keyholder.Audit{}, targets: make(map[string]*target)}
 	r.addr = r.serve(r.store.Handler(), "127.0.0.1")
-	r.configure(1, time.Second)
+	r.configure(1)
 	t.Cleanup(r.close)
 	return r
 }
@@ -87,7 +87,10 @@
 	}
 	for _, h := range hosts {
 		select {
-		case <-h.ended:
+		case err := <-h.ended:
+			if err != nil {
+				r.t.Errorf("host: got error %v at its end, want none", err)
+			}
 		case <-time.After(10 * time.Second):
 			r.t.Error("host: got no end of its stop, want one")
 		}
@@ -100,11 +103,11 @@
 }
 
 // configure publishes a version of the operator's configuration.
-func (r *rig) configure(version int, timeout time.Duration) {
+func (r *rig) configure(version int) {
 	route := func(prefix, kind, service string) map[string]any {
 		return map[string]any{
 			"name": prefix, "host": siteHost, "path_prefix": "/" + prefix + "/", "kind": kind, "service": service,
-			"timeout_s": timeout.Seconds(), "target_latency_s": timeout.Seconds() / 2, "max_attempts": 2,
+			"timeout_s": 1, "target_latency_s": 0.5, "max_attempts": 2,
 		}
 	}
 	config := map[string]any{
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -127,7 +127,9 @@
 			message.Updates = append(message.Updates, u)
 		case <-tick.C:
 		}
+		// What the marks count must be in this feed or an earlier one.
 		message.Marks = marks()
+		message.Updates = append(message.Updates, waiting(updates)...)
 		if len(message.Marks) == 0 && len(message.Updates) == 0 {
 			continue
 		}
@@ -137,6 +139,22 @@
 	}
 }
 
+// waiting returns the updates that wait already.
+func waiting(updates <-chan metastore.Update) []metastore.Update {
+	var all []metastore.Update
+	for {
+		select {
+		case u, ok := <-updates:
+			if !ok {
+				return all
+			}
+			all = append(all, u)
+		default:
+			return all
+		}
+	}
+}
+
 // Link is an open link to another host.
 type Link struct {
 	conn  *websocket.Conn
--- a/io/listener/listener_test.go
+++ b/io/listener/listener_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,7 +12,7 @@
 )
 
 // serve runs a server behind a listener, whose handler waits until told.
-func serve(t *testing.T, proceed <-chan struct{}) (*Listener, *http.Server) {
+func serve(t *testing.T, proceed <-chan struct{}) *Listener {
 	t.Helper()
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -25,7 +26,7 @@
 	l.Attach(server)
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return l, server
+	return l
 }
 
 func dial(t *testing.T, l *Listener) net.Conn {
@@ -60,7 +61,7 @@
 	proceed := make(chan struct{})
 	close(proceed)
 	for range 50 {
-		l, _ := serve(t, proceed)
+		l := serve(t, proceed)
 		var conns []net.Conn
 		for range 5 {
 			conn := dial(t, l)
@@ -79,7 +80,7 @@
 func TestCloseIdle(t *testing.T) {
 	t.Run("a request that was read is answered", func(t *testing.T) {
 		proceed := make(chan struct{})
-		l, _ := serve(t, proceed)
+		l := serve(t, proceed)
 		conn := dial(t, l)
 		send(t, conn)
 		time.Sleep(20 * time.Millisecond)
@@ -94,7 +95,7 @@
 	t.Run("requests race with the close", func(t *testing.T) {
 		proceed := make(chan struct{})
 		close(proceed)
-		l, _ := serve(t, proceed)
+		l := serve(t, proceed)
 		for range 200 {
 			conn := dial(t, l)
 			send(t, conn)
@@ -109,21 +110,13 @@
 				continue
 			}
 			var failure net.Error
-			if ok := asNetError(err, &failure); ok && failure.Timeout() {
+			if errors.As(err, &failure) && failure.Timeout() {
 				t.Fatal("request beside a close: got neither an answer nor a close, want one")
 			}
 		}
 	})
 }
 
-func asNetError(err error, into *net.Error) bool {
-	failure, ok := err.(net.Error)
-	if ok {
-		*into = failure
-	}
-	return ok
-}
-
 func TestCallerLeft(t *testing.T) {
 	proceed := make(chan struct{})
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
--- a/io/metastore/relay.go
+++ b/io/metastore/relay.go
@@ -23,7 +23,7 @@
 
 // largeBatch is the size in bytes from which a read of the store costs less
 // than passing the batch on between failure domains.
-const largeBatch = 4 << 10
+const largeBatch = 6 << 10
 
 // trim leaves out the records of a large batch.
 func (u Update) trim() Update {
@@ -217,6 +217,9 @@
 	klog.InfoS("Store is reachable again", "topic", f.Topic, "offset", f.next)
 }
 
+// Covered reports whether the host that leads tells this one of all changes.
+func (k *Catalog) Covered() bool { return k.ownerFollower.covered() }
+
 // awaitUncovered waits while another host reads for this one.
 func (f *Follower) awaitUncovered(ctx context.Context) {
 	for ctx.Err() == nil && f.covered() {
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -19,11 +19,17 @@
 )
 
 const (
-	// joinInterval is the time between calls that keep this host among those
-	// that may lead.
-	joinInterval = 600 * time.Millisecond
-	// memberTTL is the silence after which another host is chosen.
-	memberTTL = 1700 * time.Millisecond
+	// joinInterval is the time between calls of the chosen host, and of all
+	// while none is heard of, and memberTTL the silence after which another host
+	// is chosen.
+	joinInterval = 500 * time.Millisecond
+	memberTTL    = 1600 * time.Millisecond
+	// calmInterval and calmTTL are the same for a host that is not chosen while
+	// it hears of the one that leads.
+	calmInterval = time.Second
+	calmTTL      = 2300 * time.Millisecond
+	// joinPoll is the time between looks whether a call is due.
+	joinPoll = 100 * time.Millisecond
 	// tickInterval is the time between looks at what is due.
 	tickInterval = 50 * time.Millisecond
 	// balanceInterval is the time between two rounds of moves for balance.
@@ -55,6 +61,7 @@
 	Assignment() *owner.Assignment
 	Departed() []placement.Entry
 	Position() (next int64, fresh time.Time)
+	Covered() bool
 }
 
 // Self is what other hosts are told of this one.
@@ -169,6 +176,7 @@
 
 func (s *Steward) stayMember(ctx context.Context) {
 	var generation int64
+	var joined time.Time
 	for ctx.Err() == nil {
 		if s.isStopping() {
 			if err := s.store.Leave(ctx, s.self.Name, generation); err != nil {
@@ -177,18 +185,31 @@
 			s.setChosen(false)
 			return
 		}
-		membership, err := s.store.Join(ctx, s.self.Name, generation, memberTTL)
+		interval, ttl := s.joinTimes()
+		if time.Since(joined) < interval {
+			wait(ctx, joinPoll)
+			continue
+		}
+		joined = time.Now()
+		membership, err := s.store.Join(ctx, s.self.Name, generation, ttl)
 		if err != nil {
 			s.setChosen(false)
-			wait(ctx, joinInterval)
 			continue
 		}
 		generation = membership.Generation
 		s.setChosen(membership.Chosen)
-		wait(ctx, joinInterval)
 	}
 }
 
+// joinTimes returns the time between two calls to join, and the silence after
+// which this host counts as gone.
+func (s *Steward) joinTimes() (interval, ttl time.Duration) {
+	if !s.isChosen() && s.catalog.Covered() {
+		return calmInterval, calmTTL
+	}
+	return joinInterval, memberTTL
+}
+
 func (s *Steward) isStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
