Read the store less: proof from whole waits, links to a new leader at once

Cause: a read's proof counted from when it was sent, so that marks were up to 1.2 s old and hosts read themselves; 78 hosts that start made 2,422 calls before they had a link to the leader.

Change: a read without news proves the end of 0.9 of its wait; hosts link to a new leader at once and gather changes of targets for 0.4 s meanwhile.

--- /dev/null
+++ b/core/owner/size_test.go
@@ -0,0 +1,27 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestRecordSize bounds the record that every host gets at each change.
+func TestRecordSize(t *testing.T) {
+	const targets, mostBytes = 112, 4 << 10
+	l := Lead(&Assignment{Epoch: 1}, time.Unix(0, 0))
+	live := make(map[string]Target)
+	for i := range targets {
+		id := fmt.Sprintf("i-%010x", i*7919)
+		live[id] = Target{Holder: Holder{Target: id}, Service: "records", Slots: 2}
+	}
+	l.Assign("records", live, NewLoads(time.Unix(0, 0)), time.Unix(0, 0))
+	data, err := l.Record().Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := len(data); got > mostBytes {
+		t.Errorf("record of %d targets: got %d bytes, want at most %d", targets, got, mostBytes)
+	}
+	t.Logf("%d targets take %d bytes", targets, len(data))
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -95,7 +95,7 @@
 	self := steward.Self{Name: settings.Name, Process: process, Address: peerAddress(settings)}
 	g.steward = steward.New(self, g.store, g.catalog, g.targets, g.clock)
 	g.steward.PredecessorEnded = g.predecessorEnded
-	g.catalog.SetWait(g.readWait)
+	g.catalog.SetTimes(g.readWait, g.gatherTime)
 	g.links = hostlink.NewServer(process, g.clock)
 	g.links.Take = g.steward.Add
 	g.links.Feed = g.feed
@@ -163,10 +163,21 @@
 const (
 	// leaderWait is how long the leader's reads wait: each proves again that it
 	// leads, and that the other hosts need not read themselves.
-	leaderWait = 600 * time.Millisecond
+	leaderWait = 700 * time.Millisecond
 	hostWait   = 1500 * time.Millisecond
+	// leaderGather and hostGather are the times in which changes of targets
+	// gather between two reads.
+	leaderGather = 100 * time.Millisecond
+	hostGather   = 400 * time.Millisecond
 )
 
+func (g *Gateway) gatherTime() time.Duration {
+	if g.steward.Leading() {
+		return leaderGather
+	}
+	return hostGather
+}
+
 func (g *Gateway) readWait() time.Duration {
 	if g.steward.Leading() {
 		return leaderWait
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -16,6 +16,8 @@
 	// quietInterval is the longest time without a report, within which the
 	// other host keeps the link.
 	quietInterval = 5 * time.Second
+	// linkPoll is the time between looks whether there is a host to link to.
+	linkPoll = 150 * time.Millisecond
 	// dialPause is the pause after a link that failed.
 	dialPause = 1500 * time.Millisecond
 )
@@ -49,7 +51,7 @@
 // Run reports until the context ends.
 func (r *Reporter) Run(ctx context.Context) {
 	defer close(r.done)
-	tick := time.NewTicker(reportInterval)
+	tick := time.NewTicker(linkPoll)
 	defer tick.Stop()
 	for {
 		select {
@@ -63,20 +65,23 @@
 }
 
 func (r *Reporter) report(ctx context.Context) {
-	counts := r.Counts()
-	if r.Here() {
+	address, process, ok := r.Leader()
+	if r.link != nil && (r.Here() || !ok || r.link.Process() != process) {
 		r.drop()
-		r.Take(counts)
+	}
+	if !r.Here() && (!ok || r.link == nil && !r.dial(ctx, address, process)) {
 		return
 	}
-	address, process, ok := r.Leader()
-	if !ok || (len(counts) == 0 && time.Since(r.sent) < quietInterval) {
+	if time.Since(r.sent) < reportInterval {
 		return
 	}
-	if r.link != nil && r.link.Process() != process {
-		r.drop()
+	counts := r.Counts()
+	if r.Here() {
+		r.sent = time.Now()
+		r.Take(counts)
+		return
 	}
-	if r.link == nil && !r.dial(ctx, address, process) {
+	if len(counts) == 0 && time.Since(r.sent) < quietInterval {
 		return
 	}
 	r.sent = time.Now()
@@ -101,6 +106,7 @@
 		return false
 	}
 	r.link = link
+	r.dialed = time.Time{}
 	go r.receive(ctx, link)
 	return true
 }
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -79,7 +79,7 @@
 	}
 	k.configFollower.Apply = k.applyConfig
 	k.targetFollower.Apply = k.applyTargets
-	k.targetFollower.Pause = gatherTime
+	k.targetFollower.Pause = func() time.Duration { return gatherTime }
 	k.ownerFollower.Apply = k.applyOwners
 	return k
 }
@@ -88,11 +88,13 @@
 // read was sent that proved it to be the newest.
 func (k *Catalog) Position() (next int64, fresh time.Time) { return k.ownerFollower.Position() }
 
-// SetWait sets how long reads wait for a change. It is called before Run.
-func (k *Catalog) SetWait(wait func() time.Duration) {
+// SetTimes sets how long reads wait for a change, and how long changes of
+// targets gather between two reads. It is called before Run.
+func (k *Catalog) SetTimes(wait, gather func() time.Duration) {
 	for _, f := range k.followers() {
 		f.Wait = wait
 	}
+	k.targetFollower.Pause = gather
 }
 
 func (k *Catalog) followers() []*Follower {
--- a/io/metastore/follower.go
+++ b/io/metastore/follower.go
@@ -20,6 +20,9 @@
 	// retryPause is the pause after a call to the store that failed, lengthened
 	// at random by up to half.
 	retryPause = 500 * time.Millisecond
+	// waitTrust is the part of a read's wait that the store is sure to have kept
+	// by its own clock.
+	waitTrust = 0.9
 	// impairedAfter is the time without an answer after which the store counts
 	// as lost.
 	impairedAfter = 1500 * time.Millisecond
@@ -38,9 +41,9 @@
 	Clock clock.Clock
 	// Wait returns how long a read waits for a record.
 	Wait func() time.Duration
-	// Pause is the time between a read that brought records and the next, in
-	// which more may gather.
-	Pause time.Duration
+	// Pause returns the time between a read that brought records and the next,
+	// in which more may gather.
+	Pause func() time.Duration
 	// Publish takes each batch that was read.
 	Publish func(u Update)
 	// Apply takes new records. Whole says that they are the newest record of
@@ -62,7 +65,7 @@
 
 // NewFollower returns a follower of a topic.
 func NewFollower(topic string, c clock.Clock) *Follower {
-	return &Follower{Topic: topic, Clock: c, next: -1, done: make(chan struct{}), Publish: func(Update) {}}
+	return &Follower{Topic: topic, Clock: c, next: -1, done: make(chan struct{}), Publish: func(Update) {}, Pause: func() time.Duration { return 0 }}
 }
 
 // Done is closed when Run has returned.
@@ -96,8 +99,8 @@
 		case err != nil:
 			f.failed(err)
 			sleep(ctx, retryPause+rand.N(retryPause/2))
-		case n > 0 && f.Pause > 0:
-			sleep(ctx, f.Pause)
+		case n > 0:
+			sleep(ctx, f.Pause())
 		}
 	}
 }
@@ -116,7 +119,8 @@
 		f.read(end, sent)
 		return len(records), nil
 	}
-	records, after, err := store.Read(ctx, f.Topic, next, f.patience())
+	patience := f.patience()
+	records, after, err := store.Read(ctx, f.Topic, next, patience)
 	if errors.Is(err, platform.ErrExpired) {
 		klog.InfoS("History of a topic has expired, reading the newest records", "topic", f.Topic, "from", next)
 		f.reset()
@@ -133,10 +137,19 @@
 	if after > next {
 		f.Publish(Update{Topic: f.Topic, From: next, Next: after, Records: records})
 	}
-	f.read(after, sent)
+	f.read(after, f.endedAt(sent, patience, after > next))
 	return int(after - next), nil
 }
 
+// endedAt returns a time at which the topic had no further record. A read
+// without news was answered after its whole wait, with all there was by then.
+func (f *Follower) endedAt(sent time.Time, patience time.Duration, news bool) time.Time {
+	if news || f.Clock.Now().Sub(sent) < patience {
+		return sent
+	}
+	return sent.Add(time.Duration(waitTrust * float64(patience)))
+}
+
 // patience returns how long a read waits for a record. While the store is lost
 // it doesn't, so that its return is noticed soon.
 func (f *Follower) patience() time.Duration {
