--- /dev/null
+++ b/core/budget/budget_test.go
@@ -0,0 +1,56 @@
+package budget
+
+import (
+	"testing"
+	"time"
+)
+
+// TestStorm replays hosts whose every request fails: in no window do all hosts
+// together repeat more than the operator's share and extra.
+func TestStorm(t *testing.T) {
+	const (
+		hosts  = 9
+		ratio  = 0.2
+		extra  = 58.0
+		window = 10 * time.Second
+		rate   = 20
+	)
+	repeats := make([]int, 0, 40)
+	budgets := make([]*Budget, hosts)
+	for i := range budgets {
+		budgets[i] = New(ratio, extra/16, window)
+	}
+	start := time.Unix(1000, 0)
+	for second := range 40 {
+		n := 0
+		for _, b := range budgets {
+			for i := range rate {
+				now := start.Add(time.Duration(second)*time.Second + time.Duration(i)*time.Second/rate)
+				b.Request("s", now)
+				if b.Spend("s", now) {
+					n++
+				}
+			}
+		}
+		repeats = append(repeats, n)
+	}
+	for from := 0; from+10 <= len(repeats); from++ {
+		sum := 0
+		for _, n := range repeats[from : from+10] {
+			sum += n
+		}
+		if most := ratio*hosts*rate*10 + extra; float64(sum) > most {
+			t.Errorf("repeats in 10 s from second %d: got %d, want at most %.0f", from, sum, most)
+		}
+	}
+}
+
+func TestServicesAreApart(t *testing.T) {
+	b := New(0.2, 3, 10*time.Second)
+	now := time.Unix(1000, 0)
+	for b.Spend("a", now) {
+	}
+	if !b.Spend("b", now) {
+		t.Error("repeat for another service: got none, want one")
+	}
+}
--- /dev/null
+++ b/core/owner/main_test.go
@@ -0,0 +1,23 @@
+package owner
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// modelChecks is the number of cases that the model plays where the command
+// line names none.
+const modelChecks = "3000"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.checks" })
+	if !given {
+		if err := flag.Set("rapid.checks", modelChecks); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
