--- a/io/metastore/follower_test.go
+++ b/io/metastore/follower_test.go
@@ -103,7 +103,9 @@
 
 // TestRelay replays what a host hears from the one that leads.
 func TestRelay(t *testing.T) {
-	record := func(offset int64) platform.Record { return platform.Record{Key: "k", Value: []byte("v"), Offset: offset} }
+	record := func(offset int64) platform.Record {
+		return platform.Record{Key: "k", Value: []byte("v"), Offset: offset}
+	}
 	store := &script{}
 	var applied []int64
 	var mu sync.Mutex
