--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -46,12 +46,15 @@
 	Version int64
 	Keyed   bool
 	Key     uint16
-	Target  string
-	Sends   int
-	Status  int
-	Reason  string
-	Took    time.Duration
-	Cause   error
+	// Target is the last one that the request was sent to, and Expected the time
+	// that its answer should have taken.
+	Target   string
+	Expected time.Duration
+	Sends    int
+	Status   int
+	Reason   string
+	Took     time.Duration
+	Cause    error
 }
 
 // New returns an entry.
@@ -84,7 +87,9 @@
 	patience time.Time
 	progress attempt.Progress
 	skip     []string
+	// last is the target of the last send, expected what it should have taken.
 	last     string
+	expected time.Duration
 }
 
 func (q *request) rules() attempt.Request {
@@ -175,7 +180,7 @@
 
 func (q *request) trace(status int, reason string, cause error, now time.Time) Trace {
 	t := Trace{
-		ID: q.ID, Version: q.version, Keyed: q.HasKey, Key: q.Key, Target: q.last, Sends: q.progress.Sends(),
+		ID: q.ID, Version: q.version, Keyed: q.keyed(), Key: q.Key, Target: q.last, Expected: q.expected, Sends: q.progress.Sends(),
 		Status: status, Reason: reason, Took: now.Sub(q.began), Cause: cause, Service: q.match.Service.Name,
 	}
 	if q.match.Route != nil {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -31,12 +31,12 @@
 			return nil, err
 		}
 		sent := e.exchange(ctx, q, choice)
+		q.last, q.expected = sent.target, sent.expected
 		if ctx.Err() != nil && sent.result != attempt.Whole {
 			return nil, e.expired(ctx, q, sent)
 		}
 		switch q.progress.After(q.rules(), sent.result, q.left(e.clock.Now()), func() bool { return e.again(q) }) {
 		case attempt.Deliver:
-			q.last = sent.target
 			return sent.answer, nil
 		case attempt.Again:
 			if owner == "" {
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -144,7 +144,7 @@
 		return
 	}
 	klog.InfoS("Request ended", "id", t.ID, "service", t.Service, "route", t.Route, "version", t.Version,
-		"keyed", t.Keyed, "key", t.Key, "target", t.Target, "sends", t.Sends, "status", t.Status,
+		"keyed", t.Keyed, "key", t.Key, "target", t.Target, "expected", t.Expected, "sends", t.Sends, "status", t.Status,
 		"reason", t.Reason, "took", t.Took, "targetsAge", g.catalog.Age(platform.TopicTargets),
 		"ownersAge", g.catalog.Age(platform.TopicOwners), "err", t.Cause)
 }
