Share the extra of the retry budget by the number of hosts

Change: the leader tells how many hosts are linked, 100 are taken before; a key's request is sent again after a 421 only within 1 s of a change of owners.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -13,6 +13,8 @@
 	steps = 10
 	// safety is the part of the bound that is used.
 	safety = 0.7
+	// unknownHosts is the number of hosts that is taken before one is told.
+	unknownHosts = 100
 )
 
 // Budget counts requests and repeated sends of each service.
@@ -20,6 +22,7 @@
 	mu     sync.Mutex
 	ratio  float64
 	extra  float64
+	hosts  int
 	window time.Duration
 	tables map[string]*counts
 }
@@ -33,7 +36,14 @@
 // New returns a budget of ratio times the requests in a window plus this
 // host's part of the extra that all hosts share.
 func New(ratio, extra float64, window time.Duration) *Budget {
-	return &Budget{ratio: ratio, extra: extra, window: window, tables: make(map[string]*counts)}
+	return &Budget{ratio: ratio, extra: extra, hosts: unknownHosts, window: window, tables: make(map[string]*counts)}
+}
+
+// SetHosts tells how many hosts share the extra.
+func (b *Budget) SetHosts(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hosts = max(n, 1)
 }
 
 func (b *Budget) at(service string, now time.Time) *counts {
@@ -69,7 +79,7 @@
 		requests += c.requests[i]
 		repeats += c.repeats[i]
 	}
-	if repeats+1 > safety*(b.ratio*requests+b.extra) {
+	if repeats+1 > safety*(b.ratio*requests+b.extra/float64(b.hosts)) {
 		return false
 	}
 	c.repeats[c.step%steps]++
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -8,8 +9,15 @@
 // TestStorm replays hosts whose every request fails: in no window do all hosts
 // together repeat more than the operator's share and extra.
 func TestStorm(t *testing.T) {
+	for _, hosts := range []int{1, 9, 78, 300} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) { storm(t, hosts, true) })
+	}
+	t.Run("hosts that don't know how many there are", func(t *testing.T) { storm(t, 78, false) })
+}
+
+func storm(t *testing.T, hosts int, told bool) {
+	t.Helper()
 	const (
-		hosts  = 9
 		ratio  = 0.2
 		extra  = 58.0
 		window = 10 * time.Second
@@ -18,7 +26,10 @@
 	repeats := make([]int, 0, 40)
 	budgets := make([]*Budget, hosts)
 	for i := range budgets {
-		budgets[i] = New(ratio, extra/16, window)
+		budgets[i] = New(ratio, extra, window)
+		if told {
+			budgets[i].SetHosts(hosts)
+		}
 	}
 	start := time.Unix(1000, 0)
 	for second := range 40 {
@@ -39,7 +50,7 @@
 		for _, n := range repeats[from : from+10] {
 			sum += n
 		}
-		if most := ratio*hosts*rate*10 + extra; float64(sum) > most {
+		if most := ratio*float64(hosts)*rate*10 + extra; float64(sum) > most {
 			t.Errorf("repeats in 10 s from second %d: got %d, want at most %.0f", from, sum, most)
 		}
 	}
@@ -47,6 +58,7 @@
 
 func TestServicesAreApart(t *testing.T) {
 	b := New(0.2, 3, 10*time.Second)
+	b.SetHosts(1)
 	now := time.Unix(1000, 0)
 	for b.Spend("a", now) {
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -24,6 +24,8 @@
 	Table() *routing.Table
 	Assignment() *owner.Assignment
 	Changed() <-chan struct{}
+	// ChangedAt is when the owners were last read to have changed.
+	ChangedAt() time.Time
 }
 
 // Entry takes requests. Its function fields are set before use.
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -54,9 +54,16 @@
 
 func (q *request) left(now time.Time) time.Duration { return q.deadline.Sub(now) }
 
+// recentChange is the age of the newest change of owners up to which a target
+// that lacks a key may be about to get it.
+const recentChange = time.Second
+
 // again reports whether a request may be sent once more: its body is still at
-// hand, and the budget allows it.
+// hand, a key's owner may have it soon, and the budget allows it.
 func (e *Entry) again(q *request) bool {
+	if q.keyed() && e.clock.Now().Sub(e.beliefs.ChangedAt()) > recentChange {
+		return false
+	}
 	return q.body.replayable() && e.budget.Spend(q.match.Service.Name, e.clock.Now())
 }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"pineturn/core/budget"
 	"pineturn/core/clock"
+	"pineturn/core/owner"
 	"pineturn/core/placement"
 	"pineturn/io/entry"
 	"pineturn/io/hostlink"
@@ -40,9 +41,7 @@
 	// sweepInterval is the time between looks for connections to targets that
 	// are gone.
 	sweepInterval = 2 * time.Second
-	// budgetHosts is the number of hosts that the extra sends are divided among.
-	budgetHosts  = 16
-	processBytes = 8
+	processBytes  = 8
 )
 
 // Gateway is a host's process.
@@ -89,7 +88,7 @@
 	g.targets = placement.NewSet(settings.Domain)
 	g.catalog = metastore.NewCatalog(g.clock, g.targets)
 	g.pool = entry.NewPool()
-	b := budget.New(settings.RetryRatio, settings.RetryExtra/budgetHosts, settings.RetryWindow)
+	b := budget.New(settings.RetryRatio, settings.RetryExtra, settings.RetryWindow)
 	g.entry = entry.New(g.catalog, g.targets, b, g.pool, g.clock)
 	g.entry.Ended = g.ended
 	self := steward.Self{Name: settings.Name, Process: process, Address: peerAddress(settings)}
@@ -103,8 +102,14 @@
 	g.reporter.Leader = g.leader
 	g.reporter.Counts = g.entry.Counts
 	g.reporter.Here = g.steward.Leading
-	g.reporter.Take = g.steward.Add
-	g.reporter.Relay = g.catalog.Relay
+	g.reporter.Take = func(counts []owner.KeyCount) {
+		b.SetHosts(g.links.Hosts())
+		g.steward.Add(counts)
+	}
+	g.reporter.Relay = func(news hostlink.News) {
+		b.SetHosts(news.Hosts)
+		g.catalog.Relay(news.Updates, news.Marks)
+	}
 	g.stop = newStopper(settings.StopTimeout)
 	g.metrics.observe(g)
 	return g, nil
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,8 @@
 type feed struct {
 	Updates []metastore.Update `cbor:"1,keyasint,omitempty"`
 	Marks   []metastore.Mark   `cbor:"2,keyasint,omitempty"`
+	// Hosts is the number of hosts that are linked, the sender included.
+	Hosts int `cbor:"3,keyasint,omitempty"`
 }
 
 // Server takes links of other hosts.
@@ -59,6 +62,7 @@
 	process string
 	clock   clock.Clock
 	started time.Time
+	links   atomic.Int64
 	// Take is told of each report. It is set before use.
 	Take func(counts []owner.KeyCount)
 	// Feed returns what this host reads from now on, and a function that tells
@@ -90,6 +94,8 @@
 		klog.InfoS("Link was lost", "from", r.RemoteAddr, "err", err)
 		return
 	}
+	s.links.Add(1)
+	defer s.links.Add(-1)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	fed := make(chan struct{})
@@ -133,12 +139,16 @@
 		if len(message.Marks) == 0 && len(message.Updates) == 0 {
 			continue
 		}
+		message.Hosts = s.Hosts()
 		if err := write(ctx, conn, message); err != nil {
 			return
 		}
 	}
 }
 
+// Hosts returns the number of hosts that are linked, this one included.
+func (s *Server) Hosts() int { return int(s.links.Load()) + 1 }
+
 // waiting returns the updates that wait already.
 func waiting(updates <-chan metastore.Update) []metastore.Update {
 	var all []metastore.Update
@@ -200,14 +210,17 @@
 }
 
 // Receive waits for the other host's next feed.
-func (l *Link) Receive(ctx context.Context) ([]metastore.Update, []metastore.Mark, error) {
+func (l *Link) Receive(ctx context.Context) (News, error) {
 	var message feed
 	if err := read(ctx, l.conn, silence, &message); err != nil {
-		return nil, nil, err
+		return News{}, err
 	}
-	return message.Updates, message.Marks, nil
+	return News(message), nil
 }
 
+// News is what the host that leads tells the others.
+type News feed
+
 // Close ends the link.
 func (l *Link) Close() { _ = l.conn.CloseNow() }
 
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -7,7 +7,6 @@
 	"k8s.io/klog/v2"
 
 	"pineturn/core/owner"
-	"pineturn/io/metastore"
 )
 
 const (
@@ -33,8 +32,8 @@
 	// Here takes the counts where this host leads itself.
 	Here func() bool
 	Take func([]owner.KeyCount)
-	// Relay takes what the host that leads has read of the platform's store.
-	Relay func([]metastore.Update, []metastore.Mark)
+	// Relay takes what the host that leads tells.
+	Relay func(News)
 
 	link   *Link
 	sent   time.Time
@@ -114,11 +113,11 @@
 // receive passes feeds on until the link ends.
 func (r *Reporter) receive(ctx context.Context, link *Link) {
 	for {
-		updates, marks, err := link.Receive(ctx)
+		news, err := link.Receive(ctx)
 		if err != nil {
 			return
 		}
-		r.Relay(updates, marks)
+		r.Relay(news)
 	}
 }
 
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -50,8 +50,10 @@
 	offsets map[string]int64
 	seen    bool
 	changed chan struct{}
-	hub     *hub
-	done    chan struct{}
+	// changedAt is when owners last changed.
+	changedAt time.Time
+	hub       *hub
+	done      chan struct{}
 }
 
 type departure struct {
@@ -124,6 +126,13 @@
 	return k.changed
 }
 
+// ChangedAt returns when the owners were last read to have changed.
+func (k *Catalog) ChangedAt() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.changedAt
+}
+
 // Run follows the store until the context ends.
 func (k *Catalog) Run(ctx context.Context, store Reader) {
 	defer close(k.done)
@@ -288,6 +297,7 @@
 			klog.InfoS("Host leads", "leader", a.Leader, "epoch", a.Epoch, "offset", r.Offset)
 		}
 		k.owners.Store(a)
+		k.changedAt = k.clock.Now()
 		close(k.changed)
 		k.changed = make(chan struct{})
 	}
