Leave it to hosts with processor time to lead

Change: hosts under 0.25 cores join the group only when no leader is heard of for 2.5 s; with many links feeds and reports are fewer.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -91,7 +91,7 @@
 	b := budget.New(settings.RetryRatio, settings.RetryExtra, settings.RetryWindow)
 	g.entry = entry.New(g.catalog, g.targets, b, g.pool, g.clock)
 	g.entry.Ended = g.ended
-	self := steward.Self{Name: settings.Name, Process: process, Address: peerAddress(settings)}
+	self := steward.Self{Name: settings.Name, Process: process, Address: peerAddress(settings), Cores: settings.Cores}
 	g.steward = steward.New(self, g.store, g.catalog, g.targets, g.clock)
 	g.steward.PredecessorEnded = g.predecessorEnded
 	g.catalog.SetTimes(g.readWait, g.gatherTime)
@@ -168,7 +168,7 @@
 const (
 	// leaderWait is how long the leader's reads wait: each proves again that it
 	// leads, and that the other hosts need not read themselves.
-	leaderWait = 700 * time.Millisecond
+	leaderWait = 500 * time.Millisecond
 	hostWait   = 1500 * time.Millisecond
 	// leaderGather and hostGather are the times in which changes of targets
 	// gather between two reads.
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -31,8 +31,12 @@
 	maxReport = 256 << 10
 	// maxFeed is the largest feed in bytes.
 	maxFeed = 16 << 20
-	// feedInterval is the time between two feeds without news.
+	// feedInterval is the time between two feeds without news, feedSpread what
+	// each link adds to it, and feedMost its bound: a host is told within the
+	// age of marks up to which it reads nothing itself.
 	feedInterval = 300 * time.Millisecond
+	feedSpread   = 4 * time.Millisecond
+	feedMost     = 600 * time.Millisecond
 	bufferSize   = 2 << 10
 )
 
@@ -118,7 +122,7 @@
 func (s *Server) feedLink(ctx context.Context, conn *websocket.Conn) {
 	updates, cancel, marks := s.Feed()
 	defer cancel()
-	tick := time.NewTicker(feedInterval)
+	tick := time.NewTimer(feedInterval)
 	defer tick.Stop()
 	for {
 		var message feed
@@ -133,6 +137,7 @@
 			message.Updates = append(message.Updates, u)
 		case <-tick.C:
 		}
+		tick.Reset(min(feedInterval+time.Duration(s.links.Load())*feedSpread, feedMost))
 		// What the marks count must be in this feed or an earlier one.
 		message.Marks = marks()
 		message.Updates = append(message.Updates, waiting(updates)...)
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -12,6 +13,10 @@
 const (
 	// reportInterval is the time between two reports.
 	reportInterval = 700 * time.Millisecond
+	// reportSpread is what each linked host adds to the interval, reportMost its
+	// bound.
+	reportSpread = 10 * time.Millisecond
+	reportMost   = 1500 * time.Millisecond
 	// quietInterval is the longest time without a report, within which the
 	// other host keeps the link.
 	quietInterval = 5 * time.Second
@@ -35,6 +40,8 @@
 	// Relay takes what the host that leads tells.
 	Relay func(News)
 
+	// hosts is the number of linked hosts.
+	hosts  atomic.Int64
 	link   *Link
 	sent   time.Time
 	dialed time.Time
@@ -71,7 +78,8 @@
 	if !r.Here() && (!ok || r.link == nil && !r.dial(ctx, address, process)) {
 		return
 	}
-	if time.Since(r.sent) < reportInterval {
+	interval := min(reportInterval+time.Duration(r.hosts.Load())*reportSpread, reportMost)
+	if time.Since(r.sent) < interval {
 		return
 	}
 	counts := r.Counts()
@@ -117,6 +125,7 @@
 		if err != nil {
 			return
 		}
+		r.hosts.Store(int64(news.Hosts))
 		r.Relay(news)
 	}
 }
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -28,6 +28,11 @@
 	// it hears of the one that leads.
 	calmInterval = time.Second
 	calmTTL      = 2300 * time.Millisecond
+	// reluctance is how long a host with little processor time leaves it to the
+	// others to lead, while none is heard of.
+	reluctance = 2500 * time.Millisecond
+	// leaderCores is the share of processor cores that leading many hosts takes.
+	leaderCores = 0.25
 	// joinPoll is the time between looks whether a call is due.
 	joinPoll = 100 * time.Millisecond
 	// tickInterval is the time between looks at what is due.
@@ -69,6 +74,8 @@
 	// Name is the host's name, Process its incarnation, and Address where
 	// other hosts reach it.
 	Name, Process, Address string
+	// Cores is its share of processor cores.
+	Cores float64
 }
 
 // Steward runs the leader's decisions while this host leads.
@@ -177,6 +184,7 @@
 func (s *Steward) stayMember(ctx context.Context) {
 	var generation int64
 	var joined time.Time
+	heard := time.Now()
 	for ctx.Err() == nil {
 		if s.isStopping() {
 			if err := s.store.Leave(ctx, s.self.Name, generation); err != nil {
@@ -185,8 +193,12 @@
 			s.setChosen(false)
 			return
 		}
+		if s.isChosen() || s.catalog.Covered() {
+			heard = time.Now()
+		}
 		interval, ttl := s.joinTimes()
-		if time.Since(joined) < interval {
+		reluctant := s.self.Cores < leaderCores && !s.isChosen() && time.Since(heard) < reluctance
+		if reluctant || time.Since(joined) < interval {
 			wait(ctx, joinPoll)
 			continue
 		}
