Split large files, one copy of sleeping and of socket options

Change: orders, choices, membership and audits have files of their own; clock.Sleep and io/socket serve old and new code; alerts on the platform's metrics are in PLATFORM.md, checked by a test. Nothing behaves differently.

Measured: tests of the packages touched pass.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -248,7 +248,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
 	defer cancel()
 	for ctx.Err() == nil && d.host.Successors(d.now()) && d.host.Leads() > 0 {
-		pause(ctx, leavePoll)
+		clock.Sleep(ctx, leavePoll)
 	}
 }
 
--- a/io/daemon/part.go
+++ b/io/daemon/part.go
@@ -44,16 +44,6 @@
 	}
 }
 
-// pause waits for d, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // signal wakes the receiver of a channel with room for one signal.
 func signal(wake chan<- struct{}) {
 	select {
--- a/io/daemon/reader.go
+++ b/io/daemon/reader.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"pineturn/core/clock"
 	"pineturn/core/host"
 	"pineturn/core/message"
 	"pineturn/core/record"
@@ -87,7 +88,7 @@
 		r.setUp(false)
 		r.log.Reset()
 	}
-	pause(ctx, readPause)
+	clock.Sleep(ctx, readPause)
 }
 
 // fallBehind restores a snapshot. It logs the first attempt only, as each
--- a/io/daemon/snapshots.go
+++ b/io/daemon/snapshots.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
+	"pineturn/core/clock"
 	"pineturn/core/host"
 	"pineturn/core/record"
 	"pineturn/io/logservice"
@@ -87,7 +88,7 @@
 		if len(lost) == 0 {
 			return nil
 		}
-		if pause(ctx, appendSettle); ctx.Err() != nil {
+		if clock.Sleep(ctx, appendSettle); ctx.Err() != nil {
 			return errors.Wrap(fault, "append snapshot")
 		}
 		parts = lost
--- a/io/entry/pool.go
+++ b/io/entry/pool.go
@@ -4,7 +4,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
+
+	"pineturn/io/socket"
 )
 
 const (
@@ -62,7 +65,9 @@
 	dialer := &net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
-		ControlContext:  limitSilence,
+		Control: func(_, _ string, conn syscall.RawConn) error {
+			return socket.LimitSilence(conn, silenceTimeout)
+		},
 	}
 	return &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleTimeout,
--- /dev/null
+++ b/io/gateway/page_test.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"os"
+	"regexp"
+	"testing"
+)
+
+// TestPageMetrics checks that the page on the platform names metrics that
+// there are.
+func TestPageMetrics(t *testing.T) {
+	page, err := os.ReadFile("../../docs/PLATFORM.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := newRig(t).addHost("host-1")
+	h.gateway.metrics.storeCall("/v1/log-read", 0, nil)
+	h.gateway.metrics.requests.WithLabelValues("s", "200", "answered").Inc()
+	families, err := h.gateway.metrics.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	there := make(map[string]bool)
+	for _, family := range families {
+		there[family.GetName()] = true
+	}
+	named := regexp.MustCompile("`(pineturn_[a-z_]+)`").FindAllSubmatch(page, -1)
+	if len(named) == 0 {
+		t.Error("metrics on the page: got none, want some")
+	}
+	for _, name := range named {
+		if !there[string(name[1])] {
+			t.Errorf("%s: got it on the page, want it among the metrics too", name[1])
+		}
+	}
+}
--- a/io/metastore/follower.go
+++ b/io/metastore/follower.go
@@ -98,9 +98,9 @@
 			return
 		case err != nil:
 			f.failed(err)
-			sleep(ctx, retryPause+rand.N(retryPause/2))
+			clock.Sleep(ctx, retryPause+rand.N(retryPause/2))
 		case n > 0:
-			sleep(ctx, f.Pause())
+			clock.Sleep(ctx, f.Pause())
 		}
 	}
 }
@@ -187,10 +187,3 @@
 	f.lost = true
 	klog.InfoS("Store is lost", "topic", f.Topic, "offset", f.next, "lastRead", f.fresh, "err", err)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/io/metastore/follower_test.go
+++ b/io/metastore/follower_test.go
@@ -47,7 +47,7 @@
 	records := s.records[min(from, int64(len(s.records))):]
 	s.mu.Unlock()
 	if len(records) == 0 {
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 	}
 	return records, from + int64(len(records)), nil
 }
--- a/io/metastore/relay.go
+++ b/io/metastore/relay.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"pineturn/core/clock"
 	"pineturn/platform"
 )
 
@@ -223,6 +224,6 @@
 // awaitUncovered waits while another host reads for this one.
 func (f *Follower) awaitUncovered(ctx context.Context) {
 	for ctx.Err() == nil && f.covered() {
-		sleep(ctx, coverPoll)
+		clock.Sleep(ctx, coverPoll)
 	}
 }
--- /dev/null
+++ b/io/standin/keyholder/audit.go
@@ -0,0 +1,102 @@
+package keyholder
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Run is a request that a target began to run.
+type Run struct {
+	ID     string
+	Target string
+	Method string
+	Path   string
+	Body   string
+	Key    int
+	At     time.Time
+}
+
+// tenure is a target's lease on a key.
+type tenure struct {
+	target string
+	fence  int64
+	until  time.Time
+}
+
+// Audit collects what all targets of a service did, and notes where two had
+// the same key. Its zero value is ready for use.
+type Audit struct {
+	mu      sync.Mutex
+	runs    []Run
+	tenures map[int]tenure
+	faults  []string
+}
+
+// Runs returns all runs so far.
+func (a *Audit) Runs() []Run {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]Run(nil), a.runs...)
+}
+
+// Faults returns where two targets had the same key, or a fencing token did
+// not rise.
+func (a *Audit) Faults() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]string(nil), a.faults...)
+}
+
+// Holders returns the targets that have keys now.
+func (a *Audit) Holders() map[string]bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	holders := make(map[string]bool)
+	now := time.Now()
+	for _, held := range a.tenures {
+		if now.Before(held.until) {
+			holders[held.target] = true
+		}
+	}
+	return holders
+}
+
+// Ended notes that a target is gone, with all its leases.
+func (a *Audit) Ended(target string) { a.release(target, order{From: 0, To: maxKey}) }
+
+const maxKey = 1<<16 - 1
+
+func (a *Audit) ran(run Run) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.runs = append(a.runs, run)
+}
+
+func (a *Audit) grant(target string, o order, now, until time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.tenures == nil {
+		a.tenures = make(map[int]tenure)
+	}
+	for key := o.From; key <= o.To; key++ {
+		held, ok := a.tenures[key]
+		if other := ok && held.target != target; other && (now.Before(held.until) || held.fence >= o.Fence) {
+			a.faults = append(a.faults, fmt.Sprintf("key %d: %s with fencing token %d while %s had %d until %v later",
+				key, target, o.Fence, held.target, held.fence, held.until.Sub(now)))
+			return
+		}
+		a.tenures[key] = tenure{target: target, fence: o.Fence, until: until}
+	}
+}
+
+func (a *Audit) release(target string, o order) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for key := o.From; key <= o.To; key++ {
+		if held, ok := a.tenures[key]; ok && held.target == target {
+			held.until = time.Time{}
+			a.tenures[key] = held
+		}
+	}
+}
--- /dev/null
+++ b/io/steward/member.go
@@ -0,0 +1,72 @@
+package steward
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"pineturn/core/clock"
+)
+
+func (s *Steward) stayMember(ctx context.Context) {
+	var generation int64
+	var joined time.Time
+	heard := time.Now()
+	for ctx.Err() == nil {
+		if s.isStopping() {
+			if err := s.store.Leave(ctx, s.self.Name, generation); err != nil {
+				klog.InfoS("Leaving the group of hosts failed", "err", err)
+			}
+			s.setChosen(false)
+			return
+		}
+		if s.isChosen() || s.catalog.Covered() {
+			heard = time.Now()
+		}
+		interval, ttl := s.joinTimes()
+		reluctant := s.self.Cores < leaderCores && !s.isChosen() && time.Since(heard) < reluctance
+		if reluctant || time.Since(joined) < interval {
+			clock.Sleep(ctx, joinPoll)
+			continue
+		}
+		joined = time.Now()
+		membership, err := s.store.Join(ctx, s.self.Name, generation, ttl)
+		if err != nil {
+			s.setChosen(false)
+			continue
+		}
+		generation = membership.Generation
+		s.setChosen(membership.Chosen)
+	}
+}
+
+// joinTimes returns the time between two calls to join, and the silence after
+// which this host counts as gone.
+func (s *Steward) joinTimes() (interval, ttl time.Duration) {
+	if !s.isChosen() && s.catalog.Covered() {
+		return calmInterval, calmTTL
+	}
+	return joinInterval, memberTTL
+}
+
+func (s *Steward) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+func (s *Steward) setChosen(chosen bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.chosen != chosen {
+		klog.InfoS("Choice of the leader", "chosen", chosen)
+	}
+	s.chosen = chosen
+}
+
+func (s *Steward) isChosen() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chosen
+}
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"pineturn/core/clock"
+	"pineturn/io/socket"
 )
 
 // Client sends orders and requests to any number of targets. Requests and
@@ -54,7 +55,7 @@
 			Count:    keepAliveProbes,
 		},
 		Control: func(_, _ string, conn syscall.RawConn) error {
-			return limitUnacknowledged(conn, (keepAliveProbes+1)*options.KeepAlive)
+			return socket.LimitSilence(conn, (keepAliveProbes+1)*options.KeepAlive)
 		},
 	}
 }
