Split the start of a host, name its sockets

Cause: Gateway.Run did all of listening, starting, serving and stopping. Change: listen and start stand apart; nothing behaves differently.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -31,7 +31,7 @@
 const (
 	// gcPercent is the growth of the heap between collections.
 	gcPercent = 40
-	// bytesBeforeBody bounds the time that a caller's header may take.
+	// headerTimeout bounds the time that a header may take.
 	headerTimeout = 15 * time.Second
 	// callerIdleTimeout is longer than any that the operator sets, as callers
 	// use connections for up to that time.
@@ -41,7 +41,10 @@
 	// sweepInterval is the time between looks for connections to targets that
 	// are gone.
 	sweepInterval = 2 * time.Second
-	processBytes  = 8
+	// processBytes is the length of an incarnation.
+	processBytes = 8
+	// maxHeaderBytes bounds a caller's header.
+	maxHeaderBytes = 64 << 10
 )
 
 // Gateway is a host's process.
@@ -58,13 +61,16 @@
 	metrics  *metrics
 	process  string
 	started  time.Time
-	front    *http.Server
-	ready    *http.Server
-	links    *hostlink.Server
-	reporter *hostlink.Reporter
-	stop     *stopper
-	logs     *logsink.Sink
-	admins   string
+	// front serves callers, ready the balancer, linked other hosts.
+	front     *http.Server
+	ready     *http.Server
+	linked    *http.Server
+	operators *http.Server
+	links     *hostlink.Server
+	reporter  *hostlink.Reporter
+	stop      *stopper
+	logs      *logsink.Sink
+	admins    string
 }
 
 // New returns a host's process with the settings at a path. Metrics and dumps
@@ -190,48 +196,49 @@
 	return hostWait
 }
 
+// sockets are what a host listens at.
+type sockets struct {
+	callers, balancer, hosts, operators net.Listener
+}
+
+func (g *Gateway) listen() (*sockets, error) {
+	s := &sockets{}
+	for _, socket := range []struct {
+		into    *net.Listener
+		address string
+		who     string
+	}{
+		{&s.callers, g.settings.CallerAddress, "callers"}, {&s.balancer, g.settings.ReadyAddress, "the balancer"},
+		{&s.hosts, peerAddress(g.settings), "hosts"}, {&s.operators, g.admins, "operators"},
+	} {
+		l, err := net.Listen("tcp", socket.address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen for %s", socket.who)
+		}
+		*socket.into = l
+	}
+	return s, nil
+}
+
 // Run serves until the context ends, then stops without cutting a request off.
 func (g *Gateway) Run(ctx context.Context, reload <-chan struct{}) error {
-	callers, err := net.Listen("tcp", g.settings.CallerAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	ready, err := net.Listen("tcp", g.settings.ReadyAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for the balancer")
-	}
-	peers, err := net.Listen("tcp", peerAddress(g.settings))
-	if err != nil {
-		return errors.Wrap(err, "listen for hosts")
-	}
-	admins, err := net.Listen("tcp", g.admins)
+	open, err := g.listen()
 	if err != nil {
-		return errors.Wrap(err, "listen for operators")
+		return err
 	}
 	klog.InfoS("Host starts", "host", g.settings.Name, "domain", g.settings.Domain, "process", g.process,
-		"callers", g.settings.CallerAddress, "operators", admins.Addr(), "store", g.settings.StoreAddress)
+		"callers", g.settings.CallerAddress, "operators", open.operators.Addr(), "store", g.settings.StoreAddress)
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go g.catalog.Run(work, g.store)
-	go g.steward.Run(work)
-	go g.watchSettings(work, reload)
-	go g.sweep(work)
-	go g.reporter.Run(work)
-	go g.countLines(work.Done())
-	g.front = &http.Server{
-		Handler: g.stop.closing(g.entry.Handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-	}
-	g.ready = &http.Server{Handler: g.readiness(), ReadHeaderTimeout: headerTimeout}
-	linked := &http.Server{Handler: g.links.Handler(), ReadHeaderTimeout: headerTimeout}
-	front := listener.New(callers)
+	g.start(work, reload)
+	front := listener.New(open.callers)
 	front.Attach(g.front)
-	operators := &http.Server{Handler: g.admin(), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 4)
-	go func() { failed <- operators.Serve(admins) }()
-	go func() { failed <- linked.Serve(peers) }()
-	go func() { failed <- g.front.Serve(front) }()
-	go func() { failed <- g.ready.Serve(ready) }()
+	for server, socket := range map[*http.Server]net.Listener{
+		g.front: front, g.ready: open.balancer, g.linked: open.hosts, g.operators: open.operators,
+	} {
+		go func() { failed <- server.Serve(socket) }()
+	}
 	select {
 	case <-ctx.Done():
 	case err := <-failed:
@@ -239,7 +246,7 @@
 	}
 	g.shutDown(front)
 	cancel()
-	for _, server := range []*http.Server{linked, operators} {
+	for _, server := range []*http.Server{g.linked, g.operators} {
 		if err := server.Close(); err != nil {
 			klog.ErrorS(err, "Closing a server")
 		}
@@ -251,8 +258,22 @@
 	return nil
 }
 
-// maxHeaderBytes bounds a caller's header.
-const maxHeaderBytes = 64 << 10
+// start runs the parts of a host and makes its servers.
+func (g *Gateway) start(ctx context.Context, reload <-chan struct{}) {
+	go g.catalog.Run(ctx, g.store)
+	go g.steward.Run(ctx)
+	go g.reporter.Run(ctx)
+	go g.watchSettings(ctx, reload)
+	go g.sweep(ctx)
+	go g.countLines(ctx.Done())
+	g.front = &http.Server{
+		Handler: g.stop.closing(g.entry.Handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+	g.ready = &http.Server{Handler: g.readiness(), ReadHeaderTimeout: headerTimeout}
+	g.linked = &http.Server{Handler: g.links.Handler(), ReadHeaderTimeout: headerTimeout}
+	g.operators = &http.Server{Handler: g.admin(), ReadHeaderTimeout: headerTimeout}
+}
 
 func (g *Gateway) readiness() http.Handler {
 	mux := http.NewServeMux()
--- a/io/steward/member.go
+++ b/io/steward/member.go
@@ -9,6 +9,9 @@
 	"pineturn/core/clock"
 )
 
+// stayMember keeps this host among those that may lead until the context ends or
+// the host stops. A host with little processor time joins late, when no other
+// leads.
 func (s *Steward) stayMember(ctx context.Context) {
 	var generation int64
 	var joined time.Time
