--- a/io/steward/lead.go
+++ b/io/steward/lead.go
@@ -49,7 +49,8 @@
 // lead does what is due while this host leads.
 func (s *Steward) lead(ctx context.Context, next int64, fresh, now time.Time) {
 	if s.leader.Fenced() {
-		klog.InfoS("A target has seen a later leader", "epoch", s.leader.Epoch())
+		s.noteFenced()
+		return
 	}
 	targets := s.targetsNow()
 	s.askPredecessor(ctx, now)
@@ -66,6 +67,16 @@
 	s.send(ctx, targets, now.Sub(fresh) < owner.SureFor, now)
 }
 
+// noteFenced notes, once, that a target has seen a later leader. That one grants
+// all keys from now on.
+func (s *Steward) noteFenced() {
+	if s.fenced == s.leader.Epoch() {
+		return
+	}
+	s.fenced = s.leader.Epoch()
+	klog.InfoS("A target has seen a later leader, sending no more grants", "epoch", s.fenced)
+}
+
 func (s *Steward) change(targets map[string]owner.Target, now time.Time) {
 	balance := now.Sub(s.balanced) >= balanceInterval && !s.leader.Dirty()
 	s.mu.Lock()
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -99,10 +99,12 @@
 	proofs   chan time.Time
 
 	// The fields below belong to the goroutine of Run.
-	leader    *owner.Leader
-	balanced  time.Time
-	wrote     time.Time
-	wroteAt   int64
+	leader   *owner.Leader
+	balanced time.Time
+	wrote    time.Time
+	wroteAt  int64
+	// fenced is the epoch in which this host was last found to lead no more.
+	fenced    int64
 	firstSeen time.Time
 	asked     time.Time
 	former    owner.Assignment
