Keep leases within what targets grant

Cause: the leader asked for leases of 4 s whatever the settings name as the longest. Targets that grant less answer 400, and no key would have an owner. Change: a leader's leases last the shorter of 4 s and that bound, and are renewed after 45% of it. What a leader before may have granted is still taken to last as long as the longest, as its settings may have been others.

--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -7,10 +7,10 @@
 
 // Times of leases.
 const (
-	// Hold is how long a lease lasts.
+	// Hold is how long a lease lasts, where targets accept as much.
 	Hold = 4 * time.Second
-	// renewAfter is the time after which a lease is renewed.
-	renewAfter = 1800 * time.Millisecond
+	// renewShare is the share of a lease's time after which it is renewed.
+	renewShare = 0.45
 	// retryAfter is the time between tries of an order without an answer.
 	retryAfter = 300 * time.Millisecond
 	// FreshFor is how long a host goes on renewing leases after it last proved
@@ -22,8 +22,8 @@
 	SureFor = 1500 * time.Millisecond
 	// orderTime bounds how long an order is on its way.
 	orderTime = time.Second
-	// lapse is the time after which a lease has ended by every clock: targets'
-	// clocks run up to 2% slow, and an order may wait on its way.
+	// lapse is the time after which a lease of any leader has ended by every
+	// clock: targets' clocks run up to 2% slow, and an order may wait on its way.
 	lapse = Hold + Hold/50 + 400*time.Millisecond
 	// unreachableAfter is how long a target's renewals fail before its keys are
 	// moved elsewhere.
@@ -82,7 +82,9 @@
 
 // Leader decides for the host that leads. It is not safe for concurrent use.
 type Leader struct {
-	record   *Assignment
+	record *Assignment
+	// hold is how long this leader's leases last.
+	hold     time.Duration
 	services map[string][]*lease
 	// quiet is when every lease that a leader before may start has been
 	// started, guard when all that it may renew have ended.
@@ -96,10 +98,11 @@
 }
 
 // Lead starts a leader from the record that made it one. The record before it
-// may be nil. Now is when the store had acknowledged the record.
-func Lead(record *Assignment, now time.Time) *Leader {
+// may be nil. Targets grant leases of up to longest. Now is when the store had
+// acknowledged the record.
+func Lead(record *Assignment, longest time.Duration, now time.Time) *Leader {
 	l := &Leader{
-		record: record, services: make(map[string][]*lease),
+		record: record, hold: min(Hold, longest), services: make(map[string][]*lease),
 		quiet: now.Add(SureFor + orderTime), guard: now.Add(FreshFor + orderTime + lapse),
 		alone: record.Epoch == firstEpoch,
 	}
--- a/core/owner/model_test.go
+++ b/core/owner/model_test.go
@@ -81,7 +81,7 @@
 	a := *m.record
 	a.Epoch++
 	m.record = &a
-	m.leaders = append(m.leaders, &modelLeader{Leader: Lead(&a, m.now), fresh: m.now})
+	m.leaders = append(m.leaders, &modelLeader{Leader: Lead(&a, Hold, m.now), fresh: m.now})
 }
 
 func (m *model) newest() *modelLeader { return m.leaders[len(m.leaders)-1] }
--- a/core/owner/orders.go
+++ b/core/owner/orders.go
@@ -25,6 +25,8 @@
 	Last     uint16
 	Target   Holder
 	Fence    int64
+	// Hold is how long a granted lease lasts from its arrival.
+	Hold     time.Duration
 	Handover string
 	// Renewal orders are sent only on a connection that was open before, as
 	// another life of the target must not take them.
@@ -107,12 +109,12 @@
 	if p.busy || !p.written || !p.renewable && !sure || !known || t.Leaving && !p.renewable || len(p.former) > 0 || t.Born != p.owner.Born {
 		return Order{}, false
 	}
-	if now.Sub(p.tried) < retryAfter || (p.granted && now.Sub(p.answered) < renewAfter) {
+	if now.Sub(p.tried) < retryAfter || (p.granted && now.Sub(p.answered) < l.renewAfter()) {
 		return Order{}, false
 	}
 	p.busy, p.tried = true, now
 	order := Order{
-		Kind: Grant, Service: service, First: p.first, Last: p.last, Target: p.owner, Fence: p.fence,
+		Kind: Grant, Service: service, First: p.first, Last: p.last, Target: p.owner, Fence: p.fence, Hold: l.hold,
 		Renewal: p.renewable, lease: p,
 	}
 	if !p.granted {
@@ -121,6 +123,11 @@
 	return order, true
 }
 
+// renewAfter is the time after which a lease is renewed.
+func (l *Leader) renewAfter() time.Duration {
+	return time.Duration(renewShare * float64(l.hold))
+}
+
 // Ended notes the outcome of an order that ended now.
 func (l *Leader) Ended(o Order, out Outcome, now time.Time) {
 	if o.Kind == Release {
--- a/core/owner/plan_test.go
+++ b/core/owner/plan_test.go
@@ -21,7 +21,7 @@
 		targets[id] = Target{Holder: Holder{Target: id}, Service: planService, Slots: 2}
 	}
 	loads := NewLoads(planStart)
-	l := Lead(&Assignment{Epoch: firstEpoch}, planStart)
+	l := Lead(&Assignment{Epoch: firstEpoch}, Hold, planStart)
 	l.Assign(planService, targets, loads, planStart)
 	l.Written(l.Record())
 	grantAll(t, l, targets, planStart)
@@ -158,7 +158,7 @@
 	})
 	t.Run("most can't be reached, so none moves", func(t *testing.T) {
 		l, view, loads := site(t, 4)
-		now := planStart.Add(renewAfter)
+		now := planStart.Add(l.renewAfter())
 		for range 4 {
 			for _, o := range l.Orders(view, true, now) {
 				l.Ended(o, Outcome{Unsent: true}, now)
@@ -198,7 +198,7 @@
 	first, view, _ := site(t, 4)
 	record := first.Record()
 	record.Epoch++
-	l := Lead(record, planStart)
+	l := Lead(record, Hold, planStart)
 	orders := l.Orders(view, true, planStart)
 	if got, want := len(orders), len(record.Services[planService]); got != want {
 		t.Errorf("grants at once: got %d, want %d", got, want)
--- a/core/owner/size_test.go
+++ b/core/owner/size_test.go
@@ -9,7 +9,7 @@
 // TestRecordSize bounds the record that every host gets at each change.
 func TestRecordSize(t *testing.T) {
 	const targets, mostBytes = 112, 4 << 10
-	l := Lead(&Assignment{Epoch: 1}, time.Unix(0, 0))
+	l := Lead(&Assignment{Epoch: 1}, Hold, time.Unix(0, 0))
 	live := make(map[string]Target)
 	for i := range targets {
 		id := fmt.Sprintf("i-%010x", i*7919)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -98,7 +98,7 @@
 	g.entry = entry.New(g.catalog, g.targets, b, g.pool, g.clock)
 	g.entry.Ended = g.ended
 	self := steward.Self{Name: settings.Name, Process: process, Address: peerAddress(settings), Cores: settings.Cores}
-	g.steward = steward.New(self, g.store, g.catalog, g.targets, g.clock)
+	g.steward = steward.New(self, settings.GrantMax, g.store, g.catalog, g.targets, g.clock)
 	g.steward.PredecessorEnded = g.predecessorEnded
 	g.catalog.SetTimes(g.readWait, g.gatherTime)
 	g.links = hostlink.NewServer(process, g.clock)
--- a/io/steward/sender.go
+++ b/io/steward/sender.go
@@ -72,7 +72,7 @@
 
 // send carries an order out and says how it ended.
 func (s *sender) send(ctx context.Context, address string, o owner.Order) owner.Outcome {
-	grant := platform.Grant{First: o.First, Last: o.Last, Fence: o.Fence, Hold: owner.Hold, Handover: o.Handover}
+	grant := platform.Grant{First: o.First, Last: o.Last, Fence: o.Fence, Hold: o.Hold, Handover: o.Handover}
 	if o.Kind == owner.Release {
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -79,6 +79,8 @@
 // Steward runs the leader's decisions while this host leads.
 type Steward struct {
 	self    Self
+	// longestLease is the longest lease that targets grant.
+	longestLease time.Duration
 	store   Store
 	catalog Catalog
 	targets *placement.Set
@@ -116,10 +118,10 @@
 	outcome owner.Outcome
 }
 
-// New returns a steward.
-func New(self Self, store Store, catalog Catalog, targets *placement.Set, c clock.Clock) *Steward {
+// New returns a steward. Targets grant leases of up to longestLease.
+func New(self Self, longestLease time.Duration, store Store, catalog Catalog, targets *placement.Set, c clock.Clock) *Steward {
 	return &Steward{
-		self: self, store: store, catalog: catalog, targets: targets, clock: c,
+		self: self, longestLease: longestLease, store: store, catalog: catalog, targets: targets, clock: c,
 		orders: newSender(), loads: owner.NewLoads(c.Now()),
 		done: make(chan struct{}), results: make(chan result, mostOrders), proofs: make(chan time.Time, 1),
 		PredecessorEnded: func(context.Context, string, string) (time.Time, bool) { return time.Time{}, false },
@@ -235,7 +237,7 @@
 	mine := a.Process == s.self.Process
 	switch {
 	case s.leader == nil && mine && !s.isStopping():
-		s.leader = owner.Lead(a, now)
+		s.leader = owner.Lead(a, s.longestLease, now)
 		s.balanced = now
 		s.setLeading(true)
 		klog.InfoS("This host leads", "epoch", a.Epoch)
