Give slow targets fewer keys

Cause: keys were divided by requests a second alone, while targets of a service differ in speed by two and more, so that the slow ones queued. Change: each host also tells the leader how many requests each owner answered and what they took, without their time in its queue; the leader levels load times pace over slots. standin call names the first request of a run whose outcome is unknown.

--- a/cmd/standin/call.go
+++ b/cmd/standin/call.go
@@ -97,6 +97,9 @@
 	totals, err := client.Run(ctx, plan, out)
 	fmt.Fprintf(command.Root().Writer, "done %d, not run %d, unknown %d, attempts %d\n",
 		totals.Done, totals.NotRun, totals.Unknown, totals.Attempts)
+	if totals.FirstUnknown != "" {
+		fmt.Fprintln(command.Root().ErrWriter, "unknown:", totals.FirstUnknown)
+	}
 	if err == nil && totals.Done < command.Int("min-done") {
 		err = fmt.Errorf("got %d done, want %d or more", totals.Done, command.Int("min-done"))
 	}
--- a/core/owner/loads.go
+++ b/core/owner/loads.go
@@ -31,23 +31,34 @@
 	load float64
 }
 
-// Loads are the loads of keys, learned from all hosts' counts.
+// Report is what a host tells the one that leads of its callers' requests.
+type Report struct {
+	Counts []KeyCount `cbor:"1,keyasint,omitempty"`
+	Work   []Work     `cbor:"2,keyasint,omitempty"`
+}
+
+// Loads are the loads of keys and the paces of targets, learned from all hosts'
+// reports.
 type Loads struct {
 	services map[string]map[uint16]float64
+	paces    paces
 	aged     time.Time
 }
 
 // NewLoads returns loads of nothing.
 func NewLoads(now time.Time) *Loads {
-	return &Loads{services: make(map[string]map[uint16]float64), aged: now}
+	return &Loads{services: make(map[string]map[uint16]float64), paces: make(paces), aged: now}
 }
 
-// Add counts requests. The load of a steady rate r settles at r.
-func (l *Loads) Add(counts []KeyCount) {
+// Add takes a report in. The load of a steady rate r settles at r.
+func (l *Loads) Add(report Report) {
+	for _, w := range report.Work {
+		l.paces.add(w)
+	}
 	// A request that ages by halves contributes its count times the half-life
 	// over ln 2 to the sum over time.
 	scale := math.Ln2 / loadHalfLife.Seconds()
-	for _, c := range counts {
+	for _, c := range report.Counts {
 		keys := l.services[c.Service]
 		if keys == nil {
 			keys = make(map[uint16]float64)
@@ -61,6 +72,7 @@
 
 // Age lets old counts fade.
 func (l *Loads) Age(now time.Time) {
+	l.paces.age(now.Sub(l.aged))
 	keep := math.Exp2(-now.Sub(l.aged).Seconds() / loadHalfLife.Seconds())
 	l.aged = now
 	for _, keys := range l.services {
--- a/core/owner/orders.go
+++ b/core/owner/orders.go
@@ -19,12 +19,12 @@
 
 // Order is what a target is to be told.
 type Order struct {
-	Kind     Kind
-	Service  string
-	First    uint16
-	Last     uint16
-	Target   Holder
-	Fence    int64
+	Kind    Kind
+	Service string
+	First   uint16
+	Last    uint16
+	Target  Holder
+	Fence   int64
 	// Hold is how long a granted lease lasts from its arrival.
 	Hold     time.Duration
 	Handover string
--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -18,6 +18,8 @@
 	// overload is the load of a target, over the mean, from which keys are moved
 	// off it.
 	overload = 1.25
+	// spareShare is the share of a target's load that a newcomer gets at most.
+	spareShare = 0.75
 	// leastExcess is the load in requests a second over the mean that is worth a
 	// move.
 	leastExcess = 0.6
@@ -99,42 +101,66 @@
 	l.dirty = true
 }
 
-// tally returns the load of each live target by its slots.
-func (l *Leader) tally(service string, live []Target, loads *Loads) map[Holder]float64 {
-	tally := make(map[Holder]float64, len(live))
-	slots := make(map[Holder]float64, len(live))
-	for _, t := range live {
-		tally[t.Holder] = 0
-		slots[t.Holder] = float64(max(t.Slots, 1))
+// tally is how much the live targets of a service have to do.
+type tally struct {
+	// used is the load of each target by what it can run.
+	used map[Holder]float64
+	// cost is what a request a second adds to it.
+	cost map[Holder]float64
+}
+
+func (l *Leader) tally(service string, live []Target, loads *Loads) tally {
+	t := tally{used: make(map[Holder]float64, len(live)), cost: make(map[Holder]float64, len(live))}
+	for _, target := range live {
+		t.used[target.Holder] = 0
+		t.cost[target.Holder] = loads.Pace(service, target.Target) / float64(max(target.Slots, 1))
 	}
 	for _, p := range l.services[service] {
-		if _, ok := tally[p.owner]; ok {
-			tally[p.owner] += loads.Range(service, p.first, p.last) / slots[p.owner]
-		}
+		t.add(p.owner, loads.Range(service, p.first, p.last))
 	}
-	return tally
+	return t
 }
 
-// least returns the live target with the least load.
-func least(live []Target, tally map[Holder]float64) Target {
-	return slices.MinFunc(live, func(a, b Target) int { return cmp.Compare(tally[a.Holder], tally[b.Holder]) })
+// add gives a target load, or takes it where that is negative.
+func (t tally) add(h Holder, load float64) {
+	if _, live := t.used[h]; live {
+		t.used[h] += load * t.cost[h]
+	}
 }
 
-func (l *Leader) rehome(service string, p *lease, targets map[string]Target, live []Target, tally map[Holder]float64, loads *Loads, now time.Time) {
+func (t tally) mean() float64 {
+	sum := 0.0
+	for _, used := range t.used {
+		sum += used
+	}
+	return sum / float64(len(t.used))
+}
+
+// least returns the live target that is used least.
+func (t tally) least(live []Target) Target {
+	return slices.MinFunc(live, func(a, b Target) int { return cmp.Compare(t.used[a.Holder], t.used[b.Holder]) })
+}
+
+// most returns the live target that is used most.
+func (t tally) most(live []Target) Target {
+	return slices.MaxFunc(live, func(a, b Target) int { return cmp.Compare(t.used[a.Holder], t.used[b.Holder]) })
+}
+
+func (l *Leader) rehome(service string, p *lease, targets map[string]Target, live []Target, tally tally, loads *Loads, now time.Time) {
 	if slices.ContainsFunc(live, func(t Target) bool { return t.Holder == p.owner }) {
 		return
 	}
-	to := least(live, tally)
+	to := tally.least(live)
 	if t, ok := targets[p.owner.Target]; ok && !t.Leaving && t.Born > p.owner.Born {
 		to = t
 	}
 	if l.Move(service, p.first, p.last, to.Holder, now) {
-		tally[to.Holder] += loads.Range(service, p.first, p.last) / float64(max(to.Slots, 1))
+		tally.add(to.Holder, loads.Range(service, p.first, p.last))
 	}
 }
 
 // welcome gives targets that own nothing a range of the busiest one.
-func (l *Leader) welcome(service string, live []Target, tally map[Holder]float64, loads *Loads, now time.Time) {
+func (l *Leader) welcome(service string, live []Target, tally tally, loads *Loads, now time.Time) {
 	owns := make(map[Holder]int)
 	for _, p := range l.services[service] {
 		owns[p.owner]++
@@ -152,20 +178,20 @@
 		if l.Move(service, p.first, p.last, t.Holder, now) {
 			owns[t.Holder]++
 			owns[from]--
-			tally[from] -= load
-			tally[t.Holder] += load
+			tally.add(from, -load)
+			tally.add(t.Holder, load)
 		}
 	}
 }
 
 // spare returns the range, of a target that has others, with the most load that
 // does not make its new owner the busiest.
-func (l *Leader) spare(service string, owns map[Holder]int, tally map[Holder]float64, loads *Loads) *lease {
+func (l *Leader) spare(service string, owns map[Holder]int, tally tally, loads *Loads) *lease {
 	var best *lease
 	bestLoad := -1.0
 	for _, p := range l.services[service] {
 		load := loads.Range(service, p.first, p.last)
-		if owns[p.owner] > 1 && !p.busy && len(p.former) == 0 && load <= tally[p.owner]*0.75 && load > bestLoad {
+		if owns[p.owner] > 1 && !p.busy && len(p.former) == 0 && load*tally.cost[p.owner] <= tally.used[p.owner]*spareShare && load > bestLoad {
 			best, bestLoad = p, load
 		}
 	}
@@ -180,31 +206,26 @@
 		return 0
 	}
 	tally := l.tally(service, live, loads)
-	mean := 0.0
-	for _, load := range tally {
-		mean += load / float64(len(tally))
-	}
 	moves := 0
-	for moves < mostMoves && l.balanceOnce(service, live, tally, mean, loads, now) {
+	for moves < mostMoves && l.balanceOnce(service, live, tally, loads, now) {
 		moves++
 	}
 	return moves
 }
 
-func (l *Leader) balanceOnce(service string, live []Target, tally map[Holder]float64, mean float64, loads *Loads, now time.Time) bool {
-	from := slices.MaxFunc(live, func(a, b Target) int { return cmp.Compare(tally[a.Holder], tally[b.Holder]) })
-	to := least(live, tally)
-	excess := tally[from.Holder] - mean
-	if tally[from.Holder] < mean*overload || excess*float64(from.Slots) < leastExcess {
+func (l *Leader) balanceOnce(service string, live []Target, tally tally, loads *Loads, now time.Time) bool {
+	from, to, mean := tally.most(live).Holder, tally.least(live).Holder, tally.mean()
+	excess := (tally.used[from] - mean) / tally.cost[from]
+	if tally.used[from] < mean*overload || excess < leastExcess {
 		return false
 	}
-	room := min(excess, mean-tally[to.Holder])
-	w, ok := l.window(service, from.Holder, room*float64(from.Slots), loads)
-	if !ok || !l.Move(service, w.first, w.last, to.Holder, now) {
+	room := min(excess, (mean-tally.used[to])/tally.cost[to])
+	w, ok := l.window(service, from, room, loads)
+	if !ok || !l.Move(service, w.first, w.last, to, now) {
 		return false
 	}
-	tally[from.Holder] -= w.load / float64(max(from.Slots, 1))
-	tally[to.Holder] += w.load / float64(max(to.Slots, 1))
+	tally.add(from, -w.load)
+	tally.add(to, w.load)
 	return true
 }
 
--- a/core/owner/plan_test.go
+++ b/core/owner/plan_test.go
@@ -65,7 +65,7 @@
 		for i := range 200 {
 			counts = append(counts, KeyCount{Service: planService, Key: uint16(20000 + i*3), Count: 3 * math.Pow(float64(i+1), -0.7)})
 		}
-		loads.Add(counts)
+		loads.Add(Report{Counts: counts})
 		now = now.Add(time.Second)
 		loads.Age(now)
 	}
@@ -98,7 +98,7 @@
 func TestSingleHotKey(t *testing.T) {
 	l, view, loads := site(t, 4)
 	for range 10 {
-		loads.Add([]KeyCount{{planService, 100, 40}, {planService, 110, 4}, {planService, 120, 4}})
+		loads.Add(Report{Counts: []KeyCount{{planService, 100, 40}, {planService, 110, 4}, {planService, 120, 4}}})
 	}
 	owner, _ := l.Record().Find(planService, 100)
 	now := planStart
--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -39,6 +39,8 @@
 	Expected time.Duration
 	set      *Set
 	target   *Target
+	// owned says that only this target may run the request.
+	owned bool
 	// depth is the work at the target, this request included, by its slots.
 	depth float64
 	sent  time.Time
@@ -90,6 +92,7 @@
 		return nil, verdict
 	}
 	best.target.inFlight++
+	best.owned = d.Owner != ""
 	return best, Chosen
 }
 
@@ -201,6 +204,10 @@
 func (c *Choice) learn(g *group, t *Target, took time.Duration) {
 	work := float64(took) / max(1, c.depth)
 	g.work += time.Duration(speedWeight / 4 * (work - float64(g.work)))
+	if c.owned {
+		t.owned.answers++
+		t.owned.took += time.Duration(work)
+	}
 	pace := work / max(float64(g.work), float64(time.Millisecond))
 	t.pace += speedWeight * (min(max(pace, minPace), maxPace) - t.pace)
 }
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -166,6 +166,29 @@
 	return states
 }
 
+// Work is what requests for a target's keys took.
+type Work struct {
+	Service string
+	Target  string
+	Answers int
+	// Took leaves out the time in the target's queue.
+	Took time.Duration
+}
+
+// TakeWork returns the work of targets that own keys since the call before.
+func (s *Set) TakeWork() []Work {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []Work
+	for id, t := range s.targets {
+		if t.owned.answers > 0 {
+			all = append(all, Work{Service: t.entry.Service, Target: id, Answers: t.owned.answers, Took: t.owned.took})
+			t.owned = work{}
+		}
+	}
+	return all
+}
+
 func (g *group) meanOthers() float64 {
 	if len(g.targets) == 0 {
 		return 0
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -49,6 +49,14 @@
 	drainSeen time.Time
 	// closedUntil is the time until which the target is not tried.
 	closedUntil time.Time
+	// owned is what requests for its keys took since it was last asked for.
+	owned work
+}
+
+// work is a number of answers and the time that they took.
+type work struct {
+	answers int
+	took    time.Duration
 }
 
 // Entry returns what the target last said of itself.
--- a/io/entry/counts.go
+++ b/io/entry/counts.go
@@ -32,8 +32,19 @@
 	}
 }
 
-// Counts returns the requests for each key since the call before.
-func (e *Entry) Counts() []owner.KeyCount {
+// Report returns the requests for each key and the work of each key's target
+// since the call before.
+func (e *Entry) Report() owner.Report {
+	report := owner.Report{Counts: e.countsNow()}
+	for _, w := range e.targets.TakeWork() {
+		report.Work = append(report.Work, owner.Work{
+			Service: w.Service, Target: w.Target, Answers: float64(w.Answers), Seconds: w.Took.Seconds(),
+		})
+	}
+	return report
+}
+
+func (e *Entry) countsNow() []owner.KeyCount {
 	e.counts.mu.Lock()
 	defer e.counts.mu.Unlock()
 	var counted []owner.KeyCount
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -106,11 +106,11 @@
 	g.links.Feed = g.feed
 	g.reporter = hostlink.NewReporter()
 	g.reporter.Leader = g.leader
-	g.reporter.Counts = g.entry.Counts
+	g.reporter.Report = g.entry.Report
 	g.reporter.Here = g.steward.Leading
-	g.reporter.Take = func(counts []owner.KeyCount) {
+	g.reporter.Take = func(report owner.Report) {
 		b.SetHosts(g.links.Hosts())
-		g.steward.Add(counts)
+		g.steward.Add(report)
 	}
 	g.reporter.Relay = func(news hostlink.News) {
 		b.SetHosts(news.Hosts)
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -48,11 +48,6 @@
 	Age time.Duration `cbor:"2,keyasint"`
 }
 
-// report is what a host's callers asked for since its last report.
-type report struct {
-	Counts []owner.KeyCount `cbor:"1,keyasint"`
-}
-
 // feed is what a host has read of the platform's store since its last feed.
 type feed struct {
 	Updates []metastore.Update `cbor:"1,keyasint,omitempty"`
@@ -68,7 +63,7 @@
 	started time.Time
 	links   atomic.Int64
 	// Take is told of each report. It is set before use.
-	Take func(counts []owner.KeyCount)
+	Take func(owner.Report)
 	// Feed returns what this host reads from now on, and a function that tells
 	// how far it has read. It is set before use.
 	Feed func() (updates <-chan metastore.Update, cancel func(), marks func() []metastore.Mark)
@@ -76,7 +71,7 @@
 
 // NewServer returns a server for a process.
 func NewServer(process string, c clock.Clock) *Server {
-	return &Server{process: process, clock: c, started: c.Now(), Take: func([]owner.KeyCount) {}}
+	return &Server{process: process, clock: c, started: c.Now(), Take: func(owner.Report) {}}
 }
 
 // Handler returns the handler of links.
@@ -108,11 +103,11 @@
 		s.feedLink(ctx, conn)
 	}()
 	for {
-		var message report
+		var message owner.Report
 		if err := read(ctx, conn, silence, &message); err != nil {
 			break
 		}
-		s.Take(message.Counts)
+		s.Take(message)
 	}
 	cancel()
 	<-fed
@@ -209,9 +204,9 @@
 // Age returns how long the other host's process had run when it took the link.
 func (l *Link) Age() time.Duration { return l.hello.Age }
 
-// Report sends what this host's callers asked for.
-func (l *Link) Report(ctx context.Context, counts []owner.KeyCount) error {
-	return write(ctx, l.conn, report{Counts: counts})
+// Report sends what this host saw of its callers' requests.
+func (l *Link) Report(ctx context.Context, report owner.Report) error {
+	return write(ctx, l.conn, report)
 }
 
 // Receive waits for the other host's next feed.
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -32,11 +32,12 @@
 	// Leader returns the address and the process of the host that leads, or
 	// false where there is none.
 	Leader func() (address, process string, ok bool)
-	// Counts returns what callers asked for since the call before.
-	Counts func() []owner.KeyCount
-	// Here takes the counts where this host leads itself.
+	// Report returns what this host saw of its callers' requests since the call
+	// before.
+	Report func() owner.Report
+	// Here says whether this host leads itself, where Take takes the report.
 	Here func() bool
-	Take func([]owner.KeyCount)
+	Take func(owner.Report)
 	// Relay takes what the host that leads tells.
 	Relay func(News)
 
@@ -82,17 +83,17 @@
 	if time.Since(r.sent) < interval {
 		return
 	}
-	counts := r.Counts()
+	report := r.Report()
 	if r.Here() {
 		r.sent = time.Now()
-		r.Take(counts)
+		r.Take(report)
 		return
 	}
-	if len(counts) == 0 && time.Since(r.sent) < quietInterval {
+	if len(report.Counts) == 0 && len(report.Work) == 0 && time.Since(r.sent) < quietInterval {
 		return
 	}
 	r.sent = time.Now()
-	if err := r.link.Report(ctx, counts); err != nil {
+	if err := r.link.Report(ctx, report); err != nil {
 		klog.InfoS("Link to the host that leads is lost", "address", address, "err", err)
 		r.drop()
 	}
--- a/io/standin/call/run.go
+++ b/io/standin/call/run.go
@@ -35,6 +35,8 @@
 	NotRun   int `json:"not_run"`
 	Unknown  int `json:"unknown"`
 	Attempts int `json:"attempts"`
+	// FirstUnknown says what came of the first request whose outcome is unknown.
+	FirstUnknown string `json:"first_unknown,omitempty"`
 }
 
 // recorder writes records as JSON lines and counts them.
@@ -94,7 +96,7 @@
 		request.Host = plan.Hosts[(first+number-1)%len(plan.Hosts)]
 		result := c.Do(ctx, request)
 		last := result.Record.Outcome != outcome.NotRun.String() || number >= plan.Attempts
-		written.write(result.Record, last)
+		written.write(request.Host, result, last)
 		if last || !wait(ctx, plan.Pause) {
 			return
 		}
@@ -113,9 +115,10 @@
 	return nil
 }
 
-func (r *recorder) write(record audit.Record, last bool) {
+func (r *recorder) write(host string, result Result, last bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	record := result.Record
 	if err := Write(r.out, record); err != nil && r.err == nil {
 		r.err = err
 	}
@@ -130,6 +133,9 @@
 		r.totals.NotRun++
 	default:
 		r.totals.Unknown++
+		if r.totals.FirstUnknown == "" {
+			r.totals.FirstUnknown = fmt.Sprintf("%s at %s: %s: %v", record.ID, host, record.Reason, result.Err)
+		}
 	}
 }
 
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -78,14 +78,14 @@
 
 // Steward runs the leader's decisions while this host leads.
 type Steward struct {
-	self    Self
+	self Self
 	// longestLease is the longest lease that targets grant.
 	longestLease time.Duration
-	store   Store
-	catalog Catalog
-	targets *placement.Set
-	clock   clock.Clock
-	orders  *sender
+	store        Store
+	catalog      Catalog
+	targets      *placement.Set
+	clock        clock.Clock
+	orders       *sender
 	// PredecessorEnded asks another host whether its process that led before
 	// has ended, and since when. It is set before Run.
 	PredecessorEnded func(ctx context.Context, address, process string) (time.Time, bool)
@@ -138,11 +138,11 @@
 	return s.leading
 }
 
-// Add takes requests for keys into account that some host has counted.
-func (s *Steward) Add(counts []owner.KeyCount) {
+// Add takes a host's report into account.
+func (s *Steward) Add(report owner.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loads.Add(counts)
+	s.loads.Add(report)
 }
 
 // Resign has another host lead.
