Free the ids of payouts that were certainly not run

Three ways: a host that forwarded to two leaseholders in turn named the id to the second, though nothing was left of the first; a witness whose answer was late was never told that the request was not run; and the question that clears a doubt about one id joined one that had been asked for another, before. Ruled out: the target and the caller, as the record says duplicate for an id that is sent once. Change: a forward that ended not run leaves no trace, one that this host itself sent does; every witness that was asked is told; the question for one id is asked after its attempt began.

--- a/core/dispatch/cluster_test.go
+++ b/core/dispatch/cluster_test.go
@@ -33,6 +33,10 @@
 	lost    map[record.Incarnation]bool
 	// silent lists hosts that no other reaches.
 	silent map[record.Incarnation]bool
+	// mute lists hosts whose answers to a witness call are lost.
+	mute map[record.Incarnation]bool
+	// recalled is called, if set, before a host's answer to a recall is passed on.
+	recalled func(from record.Member)
 	// runs and sends count by request id.
 	runs, sends map[string]int
 	// target answers a request; nil answers ok.
@@ -52,6 +56,7 @@
 		changed: make(chan struct{}),
 		lost:    make(map[record.Incarnation]bool),
 		silent:  make(map[record.Incarnation]bool),
+		mute:    make(map[record.Incarnation]bool),
 		runs:    make(map[string]int),
 		sends:   make(map[string]int),
 	}
@@ -83,7 +88,11 @@
 			if !c.reachable(to.Incarnation) {
 				return message.Recalled{}, errDown
 			}
-			return c.host(to).holder.Memory.Recall(member.Incarnation, ask), nil
+			recalled := c.host(to).holder.Memory.Recall(member.Incarnation, ask)
+			if c.recalled != nil {
+				c.recalled(to)
+			}
+			return recalled, nil
 		},
 	}
 	entry := &Entry{
@@ -181,12 +190,18 @@
 		return message.Witnessed{}, errDown
 	}
 	answer, ok := c.host(to).holder.Memory.Witness(ask)
-	if !ok {
+	if !ok || c.isMute(to.Incarnation) {
 		return answer, errDown
 	}
 	return answer, nil
 }
 
+func (c *cluster) isMute(incarnation record.Incarnation) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.mute[incarnation]
+}
+
 func (c *cluster) send(ctx context.Context, _ route.Permit, _ *config.Target, req *message.Request, _ bool) (*message.Answer, *outcome.Error) {
 	c.mutex.Lock()
 	c.sends[req.ID]++
@@ -257,6 +272,13 @@
 	return string(body), nil
 }
 
+// forward has host i remember that it passes a request on to host to.
+func (c *cluster) forward(i int, req *message.Request, to int) *once.Claim {
+	way, _ := c.route()
+	req.Key = "seller-1"
+	return c.hosts[i].entry.Memory.Forward(onceRequest(way, req), c.hosts[to].member.Incarnation)
+}
+
 func (c *cluster) checkRuns(t *testing.T, want int) {
 	t.Helper()
 	c.mutex.Lock()
--- a/core/dispatch/once.go
+++ b/core/dispatch/once.go
@@ -25,7 +25,7 @@
 	if failure := r.allow(); failure != nil || memory.Ready(r.req.Shard, r.permit.Epoch, r.permit.Term) {
 		return nil, failure
 	}
-	return nil, r.collect(ctx)
+	return nil, r.collect(ctx, "")
 }
 
 // begin claims the id of a request that must not be repeated, and makes sure
@@ -33,11 +33,15 @@
 // before, so no earlier leaseholder can send the request any more.
 func (r *run) begin(ctx context.Context) (*once.Answer, *outcome.Error) {
 	memory, req := r.holder.Memory, digested(r.way, &r.req)
-	if !memory.Ready(r.req.Shard, r.permit.Epoch, r.permit.Term) || memory.Collected(req.Service, req.ID) {
-		if failure := r.collect(ctx); failure != nil {
+	if !memory.Ready(r.req.Shard, r.permit.Epoch, r.permit.Term) {
+		if failure := r.collectAgain(ctx, ""); failure != nil {
 			return nil, failure
 		}
-		if failure := r.allow(); failure != nil {
+	}
+	if memory.Collected(req.Service, req.ID) {
+		// The other hosts may have been asked before this attempt, while an
+		// earlier one was still under way.
+		if failure := r.collectAgain(ctx, req.ID); failure != nil {
 			return nil, failure
 		}
 	}
@@ -61,11 +65,21 @@
 	return named
 }
 
+// collectAgain collects with the permit at hand, and gets one that holds after
+// that.
+func (r *run) collectAgain(ctx context.Context, forID string) *outcome.Error {
+	if failure := r.collect(ctx, forID); failure != nil {
+		return failure
+	}
+	return r.allow()
+}
+
 // collect asks the other hosts for the ids of the shard, once for all
-// requests that need it at the moment. The run has a permit.
-func (r *run) collect(ctx context.Context) *outcome.Error {
+// requests that need it at the moment, or for one id alone, so that they are
+// asked after the call. The run has a permit.
+func (r *run) collect(ctx context.Context, forID string) *outcome.Error {
 	id, epoch, term := r.req.Shard, r.permit.Epoch, r.permit.Term
-	flight := fmt.Sprintf("%s@%d.%d", id, epoch, term)
+	flight := fmt.Sprintf("%s@%d.%d/%s", id, epoch, term, forID)
 	way := r.way
 	result := r.holder.collecting.DoChan(flight, func() (any, error) {
 		return nil, r.holder.collect(way, epoch, term)
--- a/core/dispatch/once_test.go
+++ b/core/dispatch/once_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"pineturn/core/message"
+	"pineturn/core/once"
 	"pineturn/core/outcome"
 	"pineturn/core/record"
 )
@@ -51,6 +53,54 @@
 			c.checkRuns(t, 1)
 		})
 	}
+	t.Run("witnesses told without an answer, then another leaseholder", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		c.mute[c.hosts[1].member.Incarnation] = true
+		c.mute[c.hosts[2].member.Incarnation] = true
+		_, failure := c.handle(0, payout("r1"))
+		checkFailure(t, failure, outcome.NotRun, outcome.HostUnreachable)
+		c.hosts[0].holder.background.Wait()
+		c.assign(1, 1, 2)
+		body, failure := c.handle(2, payout("r1"))
+		checkOK(t, body, failure)
+		c.checkRuns(t, 1)
+	})
+	t.Run("hosts asked for another id while an attempt elsewhere was under way", func(t *testing.T) {
+		c := newCluster(t, 3, 3)
+		c.assign(2, 1, 2)
+		// Both requests have a slot at the same time.
+		c.way.Target, _ = limited(t).Target("p1")
+		ids := []string{"r0", "r1"}
+		elsewhere := make([]*once.Claim, len(ids))
+		for i, id := range ids {
+			elsewhere[i] = c.forward(1, payout(id), 0)
+		}
+		body, failure := c.handle(2, payout("first"))
+		checkOK(t, body, failure)
+		told, free := make(chan struct{}), make(chan struct{})
+		var asked sync.Once
+		c.recalled = func(from record.Member) {
+			if from.Incarnation == c.hosts[1].member.Incarnation {
+				asked.Do(func() { close(told) })
+			}
+			<-free
+		}
+		elsewhere[0].Finish(outcome.NotRun, nil)
+		first := make(chan *outcome.Error, 1)
+		go func() {
+			_, failure := c.handle(1, payout(ids[0]))
+			first <- failure
+		}()
+		<-told
+		elsewhere[1].Finish(outcome.NotRun, nil)
+		time.AfterFunc(50*time.Millisecond, func() { close(free) })
+		body, failure = c.handle(1, payout(ids[1]))
+		checkOK(t, body, failure)
+		if failure := <-first; failure != nil {
+			t.Errorf("got %v, want an answer", failure)
+		}
+		c.checkRuns(t, 1)
+	})
 	t.Run("entry stops in order, then the leaseholder is lost", func(t *testing.T) {
 		c := newCluster(t, 4, 4)
 		c.target = c.answerLost
--- a/core/dispatch/witness.go
+++ b/core/dispatch/witness.go
@@ -32,13 +32,18 @@
 		Window:  req.Window,
 		Hash:    shard.Hash(req.Key),
 	}
+	// A host that did not answer may have been told all the same.
+	var told []record.Member
+	r.takeBack = func() {
+		ask.Window = 0
+		for _, candidate := range told {
+			h.ask(context.Background(), candidate, ask)
+		}
+	}
 	for _, candidate := range candidates[:min(len(candidates), maxWitnesses)] {
+		told = append(told, candidate)
 		if h.ask(ctx, candidate, ask) {
 			r.claim.Copied(candidate.Incarnation)
-			r.takeBack = func() {
-				ask.Window = 0
-				h.ask(context.Background(), candidate, ask)
-			}
 			return nil
 		}
 	}
--- a/core/once/change.go
+++ b/core/once/change.go
@@ -55,6 +55,9 @@
 			return nil
 		}
 		known.holder, known.copy = holder, holder
+	case known.attempts == 0 && !known.kept:
+		// What was forwarded before was not run.
+		known.holder, known.mixed = holder, false
 	case known.holder != holder:
 		known.mixed = true
 	}
@@ -83,7 +86,7 @@
 		return nil, answer, failure
 	}
 	m.extend(known, req.Window)
-	known.sending, known.digest = true, req.Digest
+	known.sending, known.begun, known.digest = true, true, req.Digest
 	return &Claim{memory: m, entry: known, send: true}, nil, nil
 }
 
@@ -120,6 +123,7 @@
 	known := c.entry
 	if c.send {
 		known.sending = false
+		known.begun = result != outcome.NotRun
 	} else {
 		known.attempts--
 	}
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -62,6 +62,8 @@
 	kept bool
 	// sending is set while this host, as the leaseholder, handles it.
 	sending bool
+	// begun is set while this host itself may have had the request run.
+	begun bool
 	// digest is the content of the request that was begun here.
 	digest Digest
 	// witness is set when another leaseholder asked to remember the id.
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -139,6 +139,29 @@
 		m.Forward(request("r1"), third)
 		checkRecalled(t, m, other, 1)
 	})
+	t.Run("not run there, then to the asker, as a witness taken back", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		ask := message.Witness{Target: record.Target{Service: "payoutledger"}, Request: "r1", Window: window}
+		first := m.Forward(request("r1"), third)
+		m.Witness(ask)
+		first.Finish(outcome.NotRun, nil)
+		m.Forward(request("r1"), other)
+		ask.Window = 0
+		m.Witness(ask)
+		checkRecalled(t, m, other, 0)
+		checkRecalled(t, m, third, 1)
+	})
+	t.Run("not run there, then run here", func(t *testing.T) {
+		m, _ := newMemory(Options{})
+		ask := message.Witness{Target: record.Target{Service: "payoutledger"}, Request: "r1", Window: window}
+		first := m.Forward(request("r1"), other)
+		m.Witness(ask)
+		first.Finish(outcome.NotRun, nil)
+		begin(t, m, "r1").Finish(outcome.Done, nil)
+		ask.Window = 0
+		m.Witness(ask)
+		checkRecalled(t, m, other, 1)
+	})
 	t.Run("to this host itself", func(t *testing.T) {
 		m, _ := newMemory(Options{})
 		m.Forward(request("r1"), self)
--- a/io/standin/call/call.go
+++ b/io/standin/call/call.go
@@ -126,6 +126,17 @@
 	r.Record.Outcome, r.Record.Reason, r.Err = fate.String(), reason, err
 }
 
+// detail returns what the host says of a request that it did not have done.
+func (r *Result) detail() error {
+	var told struct {
+		Detail string `json:"detail"`
+	}
+	if err := json.Unmarshal(r.Body, &told); err != nil {
+		return fmt.Errorf("decode refusal: %w", err)
+	}
+	return errors.New(told.Detail)
+}
+
 // failSend judges a request without an answer: it certainly did not run only
 // when no connection was made.
 func (r *Result) failSend(err error) {
@@ -144,6 +155,7 @@
 	r.Record.Reason = r.Header.Get("Pineturn-Reason")
 	switch r.Record.Outcome {
 	case outcome.NotRun.String(), outcome.Unknown.String():
+		r.Err = r.detail()
 		return
 	case outcome.Done.String():
 	default:
