Lead again at once after a restart

Cause: after a restart of all hosts the one whose earlier process led was chosen 1.0 s after its start, as members are dealt partitions one call after another; until then no key has a lease. Test: io/steward, both parts failed first.

--- a/io/steward/lead.go
+++ b/io/steward/lead.go
@@ -13,6 +13,14 @@
 	"pineturn/platform"
 )
 
+// succeeds reports whether an earlier process of this host led last. That one
+// has ended, so that this one need not wait until it is chosen. It answers the
+// restart of all hosts at once.
+func (s *Steward) succeeds() bool {
+	a := s.catalog.Assignment()
+	return a != nil && a.Leader == s.self.Name && a.Process != s.self.Process && !s.isStopping()
+}
+
 // takeOver writes the record that makes this host the leader.
 func (s *Steward) takeOver(ctx context.Context, next int64, now time.Time) {
 	if now.Sub(s.wrote) < writeRetry {
--- a/io/steward/member.go
+++ b/io/steward/member.go
@@ -47,10 +47,13 @@
 // joinTimes returns the time between two calls to join, and the silence after
 // which this host counts as gone.
 func (s *Steward) joinTimes() (interval, ttl time.Duration) {
-	if !s.isChosen() && s.catalog.Covered() {
+	switch {
+	case s.isChosen():
+		return joinInterval, memberTTL
+	case s.catalog.Covered():
 		return calmInterval, calmTTL
 	}
-	return joinInterval, memberTTL
+	return searchInterval, memberTTL
 }
 
 func (s *Steward) isStopping() bool {
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -17,11 +17,12 @@
 )
 
 const (
-	// joinInterval is the time between calls of the chosen host, and of all
-	// while none is heard of, and memberTTL the silence after which another host
-	// is chosen.
-	joinInterval = 500 * time.Millisecond
-	memberTTL    = 1600 * time.Millisecond
+	// joinInterval is the time between calls of the chosen host, searchInterval
+	// that of all while none is heard of, and memberTTL the silence after which
+	// another host is chosen.
+	joinInterval   = 500 * time.Millisecond
+	searchInterval = 200 * time.Millisecond
+	memberTTL      = 1600 * time.Millisecond
 	// calmInterval and calmTTL are the same for a host that is not chosen while
 	// it hears of the one that leads.
 	calmInterval = time.Second
@@ -199,7 +200,7 @@
 	switch {
 	case s.leader != nil:
 		s.lead(ctx, next, s.freshest(fresh), now)
-	case s.isChosen():
+	case s.isChosen() || s.succeeds():
 		s.takeOver(ctx, next, now)
 	}
 }
--- /dev/null
+++ b/io/steward/steward_test.go
@@ -0,0 +1,111 @@
+package steward
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"pineturn/core/clock"
+	"pineturn/core/owner"
+	"pineturn/core/placement"
+	"pineturn/core/routing"
+	"pineturn/platform"
+)
+
+// fakeStore deals the choice to no one, and notes what is written.
+type fakeStore struct {
+	mu      sync.Mutex
+	joins   int
+	written []*owner.Assignment
+}
+
+func (s *fakeStore) Join(context.Context, string, int64, time.Duration) (platform.Membership, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.joins++
+	return platform.Membership{}, nil
+}
+
+func (s *fakeStore) Leave(context.Context, string, int64) error { return nil }
+
+func (s *fakeStore) AppendAt(_ context.Context, _, _ string, value []byte, _ int64) error {
+	a, err := owner.Decode(value)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written = append(s.written, a)
+	return nil
+}
+
+func (s *fakeStore) count() (joins int, written []*owner.Assignment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.joins, s.written
+}
+
+// fakeCatalog believes in one assignment.
+type fakeCatalog struct {
+	assignment *owner.Assignment
+	covered    bool
+}
+
+func (c *fakeCatalog) Table() *routing.Table         { return nil }
+func (c *fakeCatalog) Assignment() *owner.Assignment { return c.assignment }
+func (c *fakeCatalog) Departed() []placement.Entry   { return nil }
+func (c *fakeCatalog) Position() (int64, time.Time)  { return 1, time.Now() }
+func (c *fakeCatalog) Covered() bool                 { return c.covered }
+
+// run has a host named host-1 run for a while.
+func run(t *testing.T, catalog *fakeCatalog, forHow time.Duration) *fakeStore {
+	t.Helper()
+	store := &fakeStore{}
+	self := Self{Name: "host-1", Process: "new", Address: "127.0.0.1:1", Cores: 1}
+	s := New(self, owner.Hold, store, catalog, placement.NewSet("a"), clock.Boot{})
+	ctx, cancel := context.WithTimeout(t.Context(), forHow)
+	defer cancel()
+	go s.Run(ctx)
+	<-s.Done()
+	return store
+}
+
+func TestSuccession(t *testing.T) {
+	const enough = 300 * time.Millisecond
+	t.Run("a new process of the host that led leads at once", func(t *testing.T) {
+		catalog := &fakeCatalog{assignment: &owner.Assignment{Epoch: 4, Leader: "host-1", Process: "old"}}
+		_, written := run(t, catalog, enough).count()
+		if len(written) == 0 {
+			t.Fatal("records: got none, want one")
+		}
+		if got := written[0]; got.Epoch != 5 || got.Process != "new" {
+			t.Errorf("record: got epoch %d of process %s, want 5 of new", got.Epoch, got.Process)
+		}
+	})
+	t.Run("another host waits until it is chosen", func(t *testing.T) {
+		catalog := &fakeCatalog{assignment: &owner.Assignment{Epoch: 4, Leader: "host-2", Process: "old"}}
+		if _, written := run(t, catalog, enough).count(); len(written) > 0 {
+			t.Errorf("records: got %d, want none", len(written))
+		}
+	})
+}
+
+func TestJoins(t *testing.T) {
+	const forHow = 900 * time.Millisecond
+	for _, c := range []struct {
+		name        string
+		covered     bool
+		least, most int
+	}{
+		{name: "no leader is heard of", covered: false, least: 2, most: 5},
+		{name: "a leader is heard of", covered: true, least: 1, most: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			joins, _ := run(t, &fakeCatalog{covered: c.covered}, forHow).count()
+			if joins < c.least || joins > c.most {
+				t.Errorf("calls: got %d, want %d to %d", joins, c.least, c.most)
+			}
+		})
+	}
+}
