Tell a new leader what each host remembers of loads

Cause: a host that begins to lead knew no load and no pace, so that for seconds it divided keys by nothing; leaders change often when the store turns hosts away. Change: each host remembers the loads and paces that it reported, and tells a new leader all of them at first; a host that leads no more forgets what it learned from the others.

--- a/core/owner/loads.go
+++ b/core/owner/loads.go
@@ -13,6 +13,9 @@
 	mostKeys = 8192
 	// leastLoad is the load in requests a second at which a key is forgotten.
 	leastLoad = 0.01
+	// leastTold is the load of a key in requests a second that a new leader is
+	// told of.
+	leastTold = 0.05
 	// evenLoad is the load in requests a second that all keys of a service are
 	// taken to have together beyond what was seen of each.
 	evenLoad = 1.0
@@ -55,9 +58,6 @@
 	for _, w := range report.Work {
 		l.paces.add(w)
 	}
-	// A request that ages by halves contributes its count times the half-life
-	// over ln 2 to the sum over time.
-	scale := math.Ln2 / loadHalfLife.Seconds()
 	for _, c := range report.Counts {
 		keys := l.services[c.Service]
 		if keys == nil {
@@ -65,11 +65,33 @@
 			l.services[c.Service] = keys
 		}
 		if _, known := keys[c.Key]; known || len(keys) < mostKeys {
-			keys[c.Key] += c.Count * scale
+			keys[c.Key] += c.Count * countScale
 		}
 	}
 }
 
+// countScale is what one request adds to a load: as it fades by halves, a steady
+// rate r adds up to r.
+const countScale = math.Ln2 / (float64(loadHalfLife) / float64(time.Second))
+
+// Report returns what would have a leader that knows nothing learn the same.
+func (l *Loads) Report() Report {
+	var report Report
+	for service, keys := range l.services {
+		for key, load := range keys {
+			if load >= leastTold {
+				report.Counts = append(report.Counts, KeyCount{Service: service, Key: key, Count: load / countScale})
+			}
+		}
+	}
+	for service, targets := range l.paces {
+		for target, w := range targets {
+			report.Work = append(report.Work, Work{Service: service, Target: target, Answers: w.answers, Seconds: w.seconds})
+		}
+	}
+	return report
+}
+
 // Age lets old counts fade.
 func (l *Loads) Age(now time.Time) {
 	l.paces.age(now.Sub(l.aged))
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -36,6 +36,8 @@
 	pool    *Pool
 	clock   clock.Clock
 	counts  counts
+	// history belongs to the goroutine that calls Report.
+	history *owner.Loads
 	// Ended is told of each request that has its final answer.
 	Ended func(Trace)
 }
@@ -61,7 +63,7 @@
 
 // New returns an entry.
 func New(beliefs Beliefs, targets *placement.Set, b *budget.Budget, pool *Pool, c clock.Clock) *Entry {
-	return &Entry{beliefs: beliefs, targets: targets, budget: b, pool: pool, clock: c, Ended: func(Trace) {}}
+	return &Entry{beliefs: beliefs, targets: targets, budget: b, pool: pool, clock: c, history: owner.NewLoads(c.Now()), Ended: func(Trace) {}}
 }
 
 // Handler returns the handler of callers' requests.
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -28,7 +28,7 @@
 	// silence is the time without a report after which a link is closed.
 	silence = 10 * time.Second
 	// maxReport is the largest report in bytes.
-	maxReport = 256 << 10
+	maxReport = 1 << 20
 	// maxFeed is the largest feed in bytes.
 	maxFeed = 16 << 20
 	// feedInterval is the time between two feeds without news, feedSpread what
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -33,8 +33,8 @@
 	// false where there is none.
 	Leader func() (address, process string, ok bool)
 	// Report returns what this host saw of its callers' requests since the call
-	// before.
-	Report func() owner.Report
+	// before, or with all set what it remembers of them.
+	Report func(all bool) owner.Report
 	// Here says whether this host leads itself, where Take takes the report.
 	Here func() bool
 	Take func(owner.Report)
@@ -42,8 +42,12 @@
 	Relay func(News)
 
 	// hosts is the number of linked hosts.
-	hosts  atomic.Int64
-	link   *Link
+	hosts atomic.Int64
+	link  *Link
+	// told says that the host that leads was told what is remembered here.
+	told bool
+	// here is whether this host led at the last look.
+	here   bool
 	sent   time.Time
 	dialed time.Time
 	done   chan struct{}
@@ -73,18 +77,21 @@
 
 func (r *Reporter) report(ctx context.Context) {
 	address, process, ok := r.Leader()
-	if r.link != nil && (r.Here() || !ok || r.link.Process() != process) {
+	here := r.Here()
+	if r.link != nil && (here || !ok || r.link.Process() != process) || r.here != here {
 		r.drop()
 	}
-	if !r.Here() && (!ok || r.link == nil && !r.dial(ctx, address, process)) {
+	r.here = here
+	if !here && (!ok || r.link == nil && !r.dial(ctx, address, process)) {
 		return
 	}
 	interval := min(reportInterval+time.Duration(r.hosts.Load())*reportSpread, reportMost)
 	if time.Since(r.sent) < interval {
 		return
 	}
-	report := r.Report()
-	if r.Here() {
+	report := r.Report(!r.told)
+	r.told = true
+	if here {
 		r.sent = time.Now()
 		r.Take(report)
 		return
@@ -132,6 +139,7 @@
 }
 
 func (r *Reporter) drop() {
+	r.told = false
 	if r.link != nil {
 		r.link.Close()
 		r.link = nil
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -184,6 +184,14 @@
 	s.orders.close()
 }
 
+// forgetLoads has this host learn loads anew when it leads again: each host then
+// tells all that it remembers.
+func (s *Steward) forgetLoads(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads = owner.NewLoads(now)
+}
+
 func (s *Steward) setLeading(leading bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -246,6 +254,7 @@
 		klog.InfoS("Another host leads", "leader", a.Leader, "epoch", a.Epoch, "epochHere", s.leader.Epoch())
 		s.leader = nil
 		s.setLeading(false)
+		s.forgetLoads(now)
 	case s.leader == nil && !mine:
 		s.former = *a
 	}
