Take back what witnesses of a payout that was not run remember

Cause, traced in all-restarted: a host that forwards a payout to a leaseholder that is no member any more has other hosts remember its id (repair), and those hand it on in turn. When the forward then ends not run nobody told them, and the next leaseholder took the request for a retry. Before, a host that was asked again while its take-back was under way forgot the id. Change: the memory of ids knows which hosts were asked for each, by a numbered ask; once an id is free all of them are told, and forget only asks up to that number. Tests: core/dispatch 'id handed on by repair, then not run' and core/once TestWitnessAskedAgain, each failed first.

--- a/core/dispatch/cluster_test.go
+++ b/core/dispatch/cluster_test.go
@@ -95,6 +95,7 @@
 			return recalled, nil
 		},
 	}
+	memory.TakeBack = holder.TakeBack
 	entry := &Entry{
 		Self: member, Clock: clock.System{}, Memory: memory, Budget: retry.New(clock.System{}),
 		Route:   func(string, string) (route.Route, *outcome.Error) { return c.route() },
--- a/core/dispatch/once_test.go
+++ b/core/dispatch/once_test.go
@@ -65,6 +65,19 @@
 		checkOK(t, body, failure)
 		c.checkRuns(t, 1)
 	})
+	t.Run("id handed on by repair, then not run", func(t *testing.T) {
+		c := newCluster(t, 4, 4)
+		forwarded := c.forward(1, payout("r1"), 3)
+		c.lose(3)
+		if got := c.hosts[1].holder.Repair(context.Background()); got != 0 {
+			t.Errorf("got %d ids not repaired, want 0", got)
+		}
+		forwarded.Finish(outcome.NotRun, nil)
+		c.hosts[1].holder.background.Wait()
+		body, failure := c.handle(1, payout("r1"))
+		checkOK(t, body, failure)
+		c.checkRuns(t, 1)
+	})
 	t.Run("hosts asked for another id while an attempt elsewhere was under way", func(t *testing.T) {
 		c := newCluster(t, 3, 3)
 		c.assign(2, 1, 2)
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -33,9 +33,7 @@
 	slot   *admit.Slot
 	permit route.Permit
 	done   func()
-	// takeBack tells the witness that the request was not run.
-	takeBack func()
-	finish   sync.Once
+	finish sync.Once
 }
 
 // serve takes a slot, a permit and the id in this order, and sends.
@@ -147,9 +145,6 @@
 		if r.claim != nil {
 			r.claim.Finish(fateAtHolder(failure), kept)
 		}
-		if r.takeBack != nil && fateAtHolder(failure) == outcome.NotRun {
-			r.holder.background.Go(r.takeBack)
-		}
 		slotWait, permitWait := r.linger(failure)
 		if r.slot != nil {
 			after(slotWait, func() { r.slot.Release(result(failure)) })
--- a/core/dispatch/witness.go
+++ b/core/dispatch/witness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,16 +33,9 @@
 		Window:  req.Window,
 		Hash:    shard.Hash(req.Key),
 	}
-	// A host that did not answer may have been told all the same.
-	var told []record.Member
-	r.takeBack = func() {
-		ask.Window = 0
-		for _, candidate := range told {
-			h.ask(context.Background(), candidate, ask)
-		}
-	}
 	for _, candidate := range candidates[:min(len(candidates), maxWitnesses)] {
-		told = append(told, candidate)
+		// A host that does not answer may have been told all the same.
+		ask.Number = r.claim.Asking(candidate.Incarnation)
 		if h.ask(ctx, candidate, ask) {
 			r.claim.Copied(candidate.Incarnation)
 			return nil
@@ -58,6 +52,19 @@
 	return err == nil
 }
 
+// TakeBack tells hosts that a request need not be remembered any more, as it was
+// not run.
+func (h *Holder) TakeBack(ask message.Witness, asked []record.Incarnation) {
+	ask.Window = 0
+	h.background.Go(func() {
+		for _, member := range h.Members() {
+			if slices.Contains(asked, member.Incarnation) {
+				h.ask(context.Background(), member, ask)
+			}
+		}
+	})
+}
+
 // witnesses lists the members in other domains than self, starting at a place
 // that depends on the request. Without any it lists the other members.
 func witnesses(members []record.Member, self record.Member, id string) []record.Member {
@@ -124,9 +131,21 @@
 		if len(domains) == count {
 			break
 		}
-		if !domains[candidate.Domain] && h.ask(ctx, candidate, ask) {
-			h.Memory.Copied(ask, candidate.Incarnation)
-			domains[candidate.Domain] = true
+		if domains[candidate.Domain] {
+			continue
+		}
+		number, remembered := h.Memory.Asking(ask, candidate.Incarnation)
+		if !remembered {
+			return true
+		}
+		ask.Number = number
+		if !h.ask(ctx, candidate, ask) {
+			continue
+		}
+		domains[candidate.Domain] = true
+		if !h.Memory.Copied(ask, candidate.Incarnation) {
+			h.TakeBack(ask, []record.Incarnation{candidate.Incarnation})
+			return true
 		}
 	}
 	return len(domains) == count
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -129,6 +129,8 @@
 	Hash uint64 `cbor:"4,keyasint"`
 	// Asker is the host that remembers the id too.
 	Asker record.Incarnation `cbor:"5,keyasint"`
+	// Number counts what the asker asks: only asks up to it are taken back.
+	Number uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Witnessed says whether the id is now remembered; Known when it was before.
--- a/core/once/change.go
+++ b/core/once/change.go
@@ -97,6 +97,20 @@
 	c.entry.copy = other
 }
 
+// Asking notes that another host is asked to remember the id, and returns the
+// number of the ask.
+func (c *Claim) Asking(other record.Incarnation) uint64 {
+	c.memory.mutex.Lock()
+	defer c.memory.mutex.Unlock()
+	return c.memory.asking(c.entry, other)
+}
+
+func (m *Memory) asking(known *entry, other record.Incarnation) uint64 {
+	known.asked = append(known.asked, other)
+	m.asks++
+	return m.asks
+}
+
 // duplicate answers a retry of an id that is in flight or may have run. It
 // returns nothing for an id that this host has only forwarded.
 func (e *entry) duplicate(digest Digest) (*Answer, *outcome.Error) {
@@ -145,7 +159,7 @@
 	m.answers += len(answer.Body)
 }
 
-// Witness remembers an id for a leaseholder, before that sends the request,
+// Witness remembers an id for a host that asks, before that sends the request,
 // or takes that back when the window is zero. ok is false when the memory is
 // full.
 func (m *Memory) Witness(ask message.Witness) (answer message.Witnessed, ok bool) {
@@ -157,7 +171,7 @@
 	answer.Known = known != nil
 	if ask.Window <= 0 {
 		if known != nil {
-			known.witness = false
+			known.takeBack(ask)
 			m.free(known)
 		}
 		return answer, true
@@ -168,7 +182,10 @@
 	if known == nil {
 		return answer, false
 	}
-	known.witness = true
+	if known.askers == nil {
+		known.askers = make(map[record.Incarnation]uint64, 1)
+	}
+	known.askers[ask.Asker] = max(known.askers[ask.Asker], ask.Number)
 	if known.copy == (record.Incarnation{}) {
 		known.copy = ask.Asker
 	}
@@ -176,6 +193,13 @@
 	return answer, true
 }
 
+// takeBack forgets a host's ask, unless it has asked again since.
+func (e *entry) takeBack(ask message.Witness) {
+	if e.askers[ask.Asker] <= ask.Number {
+		delete(e.askers, ask.Asker)
+	}
+}
+
 // Collect takes over what other hosts remember of a shard's keys, and states
 // that it is complete for the shard's epoch under a leaseholder's term. The
 // questions must have been sent after no earlier leaseholder could send any
@@ -211,7 +235,7 @@
 	var listed []message.Remembered
 	for _, known := range m.expiry {
 		elsewhere := known.attempts > 0 && (known.mixed || known.holder != self)
-		if known.within(ask) && (elsewhere || known.witness) {
+		if known.within(ask) && (elsewhere || len(known.askers) > 0) {
 			listed = append(listed, message.Remembered{Request: known.name.id, Hash: known.hash, Left: known.until.Sub(now)})
 		}
 	}
--- a/core/once/copies.go
+++ b/core/once/copies.go
@@ -24,21 +24,31 @@
 		if !all && present[known.copy] {
 			continue
 		}
-		asks = append(asks, message.Witness{
-			Target:  record.Target{Service: known.name.service},
-			Request: known.name.id,
-			Window:  known.until.Sub(now),
-			Hash:    known.hash,
-		})
+		asks = append(asks, m.ask(known, known.until.Sub(now)))
 	}
 	return asks
 }
 
-// Copied notes that another host now remembers an id of Copies.
-func (m *Memory) Copied(ask message.Witness, other record.Incarnation) {
+// Asking notes that another host is asked to remember an id of Copies, and
+// returns the number of the ask, or false when the id is free again.
+func (m *Memory) Asking(ask message.Witness, other record.Incarnation) (uint64, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if known := m.ids[name{ask.Target.Service, ask.Request}]; known != nil {
+	known := m.ids[name{ask.Target.Service, ask.Request}]
+	if known == nil {
+		return 0, false
+	}
+	return m.asking(known, other), true
+}
+
+// Copied notes that another host now remembers an id of Copies. It returns
+// false when the id is free again, so that the other host is to be told.
+func (m *Memory) Copied(ask message.Witness, other record.Incarnation) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	known := m.ids[name{ask.Target.Service, ask.Request}]
+	if known != nil {
 		known.copy = other
 	}
+	return known != nil
 }
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"pineturn/core/clock"
+	"pineturn/core/message"
 	"pineturn/core/record"
 	"pineturn/core/shard"
 )
@@ -22,6 +23,10 @@
 // Memory holds ids by service. It is bounded: when it is full of ids whose
 // window has not passed, it takes no new ones.
 type Memory struct {
+	// TakeBack, if set before use, is told of each id that is free again and of
+	// the hosts that were asked to remember it. It must not block.
+	TakeBack func(ask message.Witness, asked []record.Incarnation)
+
 	clock   clock.Clock
 	options Options
 
@@ -32,6 +37,8 @@
 	ready map[shard.ID]tenure
 	// expiry orders all ids by the end of their window.
 	expiry expiryHeap
+	// asks numbers what other hosts are asked to remember.
+	asks uint64
 	// answers is the size of all kept answers, in bytes.
 	answers int
 }
@@ -66,8 +73,10 @@
 	begun bool
 	// digest is the content of the request that was begun here.
 	digest Digest
-	// witness is set when another leaseholder asked to remember the id.
-	witness bool
+	// askers are the hosts that asked this one to remember the id, with the
+	// number of their last ask, asked those that this one asked.
+	askers map[record.Incarnation]uint64
+	asked  []record.Incarnation
 	// copy is another host that remembers the id, if it is known here.
 	copy record.Incarnation
 	// sources lists the hosts that remembered the id when it was collected.
@@ -75,6 +84,14 @@
 	answer  *Answer
 }
 
+// ask has another host remember an id for a while, or no more.
+func (m *Memory) ask(known *entry, window time.Duration) message.Witness {
+	return message.Witness{
+		Target: record.Target{Service: known.name.service}, Request: known.name.id, Window: window, Hash: known.hash,
+		Number: m.asks,
+	}
+}
+
 // Answer is a small whole answer, kept for a retry of its request.
 type Answer struct {
 	Status int
@@ -114,9 +131,13 @@
 
 // free forgets an id that nothing here needs any more.
 func (m *Memory) free(known *entry) {
-	needed := known.kept || known.sending || known.witness || known.attempts > 0 || len(known.sources) > 0
-	if !needed {
-		m.remove(known)
+	needed := known.kept || known.sending || len(known.askers) > 0 || known.attempts > 0 || len(known.sources) > 0
+	if needed {
+		return
+	}
+	m.remove(known)
+	if len(known.asked) > 0 && m.TakeBack != nil {
+		m.TakeBack(m.ask(known, 0), known.asked)
 	}
 }
 
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -189,6 +189,23 @@
 	checkRecalled(t, m, other, 0)
 }
 
+// TestWitnessAskedAgain replays a take-back that is overtaken by a new ask for
+// the same id.
+func TestWitnessAskedAgain(t *testing.T) {
+	m, _ := newMemory(Options{})
+	ask := message.Witness{Target: record.Target{Service: "payoutledger"}, Request: "r1", Window: window, Asker: third, Number: 1}
+	m.Witness(ask)
+	again := ask
+	again.Number = 2
+	m.Witness(again)
+	ask.Window = 0
+	m.Witness(ask)
+	checkRecalled(t, m, other, 1)
+	again.Window = 0
+	m.Witness(again)
+	checkRecalled(t, m, other, 0)
+}
+
 func TestCollect(t *testing.T) {
 	listed := []message.Remembered{{Request: "r1", Left: window}}
 	t.Run("learns", func(t *testing.T) {
--- a/core/once/query.go
+++ b/core/once/query.go
@@ -77,5 +77,5 @@
 
 // onlyTo reports whether the id is known here only from forwards to holder.
 func (e *entry) onlyTo(holder record.Incarnation) bool {
-	return !e.mixed && !e.begun && !e.witness && len(e.sources) == 0 && e.holder == holder
+	return !e.mixed && !e.begun && len(e.askers) == 0 && len(e.sources) == 0 && e.holder == holder
 }
--- a/io/daemon/requests.go
+++ b/io/daemon/requests.go
@@ -44,6 +44,7 @@
 		Self: d.host.Self(), Clock: d.clock, Memory: r.memory,
 		Find: r.find, Permit: r.permit, Send: d.targets.Send, Members: r.members, Witness: r.witness, Recall: r.recall,
 	}
+	r.memory.TakeBack = r.holder.TakeBack
 	r.entry = &dispatch.Entry{
 		Self: d.host.Self(), Clock: d.clock, Memory: r.memory, Budget: retry.New(d.clock),
 		Route: d.host.Route, Changed: d.host.Changed, Local: r.holder.Serve, Forward: d.peers.Request,
