Take late answers about ids for what they are

Change: answers to an earlier question than the last one heard of a host are left out; a repair is about the use of an id that it was listed for.

--- a/core/dispatch/once.go
+++ b/core/dispatch/once.go
@@ -101,13 +101,13 @@
 func (h *Holder) collect(way route.Route, epoch, term uint64) error {
 	ctx, cancel := context.WithTimeout(context.Background(), recallTimeout)
 	defer cancel()
-	ask := recallOf(way)
+	ask := h.Memory.Question(recallOf(way))
 	pending := make(map[record.Incarnation]record.Member)
 	results := make(chan recallResult)
 	for _, member := range h.Members() {
 		if member.Incarnation != h.Self.Incarnation {
 			pending[member.Incarnation] = member
-			go h.recall(ctx, member, ask, results)
+			go h.recall(ctx, member, ask.Recall, results)
 		}
 	}
 	answers := make(map[record.Incarnation][]message.Remembered, len(pending))
--- a/core/once/change.go
+++ b/core/once/change.go
@@ -57,7 +57,7 @@
 		known.holder, known.copy = holder, holder
 	case known.attempts == 0 && !known.kept:
 		// What was forwarded before was not run.
-		known.holder, known.mixed = holder, false
+		known.holder, known.mixed, known.copy = holder, false, holder
 	case known.holder != holder:
 		known.mixed = true
 	}
@@ -200,20 +200,58 @@
 	}
 }
 
+// Question is what other hosts are asked about the ids of some keys.
+type Question struct {
+	message.Recall
+	// number tells it from earlier ones.
+	number uint64
+}
+
+// Question starts to ask the other hosts about the ids of some keys.
+func (m *Memory) Question(ask message.Recall) Question {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.asks++
+	return Question{Recall: ask, number: m.asks}
+}
+
+// heard is a host's answers to questions about some keys.
+type heard struct {
+	ask    message.Recall
+	source record.Incarnation
+}
+
+// isNews reports whether a host's answer is to a later question than all that
+// were heard of it before.
+func (m *Memory) isNews(question Question, source record.Incarnation) bool {
+	from := heard{ask: question.Recall, source: source}
+	if m.heard[from] > question.number {
+		return false
+	}
+	if len(m.heard) >= maxReady {
+		clear(m.heard)
+	}
+	m.heard[from] = question.number
+	return true
+}
+
 // Collect takes over what other hosts remember of a shard's keys, and states
 // that it is complete for the shard's epoch under a leaseholder's term. The
 // questions must have been sent after no earlier leaseholder could send any
 // more. An id that an earlier Collect brought is free again when every host
 // that remembered it then answers that it does not now. Collect returns false
 // when there is no room for all ids; the shard then is not ready.
-func (m *Memory) Collect(self record.Incarnation, id shard.ID, epoch, term uint64, ask message.Recall, answers map[record.Incarnation][]message.Remembered) bool {
+func (m *Memory) Collect(self record.Incarnation, id shard.ID, epoch, term uint64, ask Question, answers map[record.Incarnation][]message.Remembered) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.expire()
 	delete(m.ready, id)
-	answers[self] = m.forwarded(self, ask)
+	answers[self] = m.forwarded(self, ask.Recall)
 	for source, remembered := range answers {
-		m.forget(source, ask, remembered)
+		if source != self && !m.isNews(ask, source) {
+			continue
+		}
+		m.forget(source, ask.Recall, remembered)
 		for _, request := range remembered {
 			if !m.learn(source, ask.Service, request) {
 				return false
--- a/core/once/copies.go
+++ b/core/once/copies.go
@@ -30,23 +30,32 @@
 }
 
 // Asking notes that another host is asked to remember an id of Copies, and
-// returns the number of the ask, or false when the id is free again.
+// returns the number of the ask, or false when that use of the id is over.
 func (m *Memory) Asking(ask message.Witness, other record.Incarnation) (uint64, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	known := m.ids[name{ask.Target.Service, ask.Request}]
+	known := m.stillIn(ask)
 	if known == nil {
 		return 0, false
 	}
 	return m.asking(known, other), true
 }
 
+// stillIn returns the id of an ask, unless it was freed since.
+func (m *Memory) stillIn(ask message.Witness) *entry {
+	known := m.ids[name{ask.Target.Service, ask.Request}]
+	if known == nil || known.number > ask.Number {
+		return nil
+	}
+	return known
+}
+
 // Copied notes that another host now remembers an id of Copies. It returns
-// false when the id is free again, so that the other host is to be told.
+// false when that use of the id is over, so that the other host is to be told.
 func (m *Memory) Copied(ask message.Witness, other record.Incarnation) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	known := m.ids[name{ask.Target.Service, ask.Request}]
+	known := m.stillIn(ask)
 	if known != nil {
 		known.copy = other
 	}
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -35,9 +35,11 @@
 	ids   map[name]*entry
 	// ready holds, by shard, the tenure for which ids were collected.
 	ready map[shard.ID]tenure
+	// heard is, by host, the last question whose answer was taken over.
+	heard map[heard]uint64
 	// expiry orders all ids by the end of their window.
 	expiry expiryHeap
-	// asks numbers what other hosts are asked to remember.
+	// asks numbers the ids and what other hosts are asked to remember.
 	asks uint64
 	// answers is the size of all kept answers, in bytes.
 	answers int
@@ -55,10 +57,12 @@
 
 // entry is one remembered id.
 type entry struct {
-	name  name
-	hash  uint64
-	until time.Time
-	index int
+	name name
+	hash uint64
+	// number tells the id from an earlier use of it.
+	number uint64
+	until  time.Time
+	index  int
 
 	// attempts counts the forwards in flight that may yet turn out not run.
 	attempts int
@@ -106,6 +110,7 @@
 		options: options.withDefaults(),
 		ids:     make(map[name]*entry),
 		ready:   make(map[shard.ID]tenure),
+		heard:   make(map[heard]uint64),
 	}
 }
 
@@ -114,7 +119,8 @@
 	if len(m.expiry) >= m.options.Most {
 		return nil
 	}
-	added := &entry{name: key, hash: hash, until: m.clock.Now().Add(window)}
+	m.asks++
+	added := &entry{name: key, hash: hash, until: m.clock.Now().Add(window), number: m.asks}
 	m.ids[key] = added
 	heap.Push(&m.expiry, added)
 	return added
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -31,7 +31,7 @@
 func newMemory(options Options) (*Memory, *clock.Fake) {
 	source := clock.NewFake(time.Unix(1_000_000, 0))
 	memory := New(source, options)
-	memory.Collect(self, part, 1, 1, whole, answers{})
+	memory.Collect(self, part, 1, 1, memory.Question(whole), answers{})
 	return memory, source
 }
 
@@ -170,7 +170,7 @@
 	t.Run("elsewhere, then here", func(t *testing.T) {
 		m, _ := newMemory(Options{})
 		m.Forward(request("r1"), other)
-		m.Collect(self, part, 1, 1, whole, answers{})
+		m.Collect(self, part, 1, 1, m.Question(whole), answers{})
 		checkRefused(t, m, "r1", outcome.Unknown, outcome.Duplicate)
 	})
 }
@@ -206,11 +206,33 @@
 	checkRecalled(t, m, other, 0)
 }
 
+// TestRepairOfAnEarlierUse replays a repair that is overtaken by the next
+// attempt of the same request: it is about the earlier use of the id.
+func TestRepairOfAnEarlierUse(t *testing.T) {
+	m, _ := newMemory(Options{})
+	first := m.Forward(request("r1"), other)
+	asks := m.Copies(nil, false)
+	if len(asks) != 1 {
+		t.Fatalf("ids to copy: got %d, want 1", len(asks))
+	}
+	if _, ok := m.Asking(asks[0], third); !ok {
+		t.Error("ask before the end of the attempt: got none, want one")
+	}
+	first.Finish(outcome.NotRun, nil)
+	m.Forward(request("r1"), third)
+	if _, ok := m.Asking(asks[0], third); ok {
+		t.Error("ask for the earlier use: got one, want none")
+	}
+	if m.Copied(asks[0], third) {
+		t.Error("copy of the earlier use: got it kept, want it taken back")
+	}
+}
+
 func TestCollect(t *testing.T) {
 	listed := []message.Remembered{{Request: "r1", Left: window}}
 	t.Run("learns", func(t *testing.T) {
 		m, _ := newMemory(Options{})
-		m.Collect(self, part, 1, 1, whole, answers{other: listed})
+		m.Collect(self, part, 1, 1, m.Question(whole), answers{other: listed})
 		checkRefused(t, m, "r1", outcome.Unknown, outcome.Duplicate)
 		if !m.Collected("payoutledger", "r1") {
 			t.Error("got not collected, want collected")
@@ -218,20 +240,20 @@
 	})
 	t.Run("frees what its source no longer remembers", func(t *testing.T) {
 		m, _ := newMemory(Options{})
-		m.Collect(self, part, 1, 1, whole, answers{other: listed})
-		m.Collect(self, part, 1, 1, whole, answers{other: nil})
+		m.Collect(self, part, 1, 1, m.Question(whole), answers{other: listed})
+		m.Collect(self, part, 1, 1, m.Question(whole), answers{other: nil})
 		begin(t, m, "r1")
 	})
 	t.Run("keeps what a lost source remembered", func(t *testing.T) {
 		m, _ := newMemory(Options{})
-		m.Collect(self, part, 1, 1, whole, answers{other: listed})
-		m.Collect(self, part, 1, 1, whole, answers{third: nil})
+		m.Collect(self, part, 1, 1, m.Question(whole), answers{other: listed})
+		m.Collect(self, part, 1, 1, m.Question(whole), answers{third: nil})
 		checkRefused(t, m, "r1", outcome.Unknown, outcome.Duplicate)
 	})
 	t.Run("full", func(t *testing.T) {
 		m, _ := newMemory(Options{Most: 1})
 		begin(t, m, "r0").Finish(outcome.Done, nil)
-		if m.Collect(self, part, 1, 1, whole, answers{other: listed}) {
+		if m.Collect(self, part, 1, 1, m.Question(whole), answers{other: listed}) {
 			t.Error("got complete, want not")
 		}
 		checkRefused(t, m, "r0", outcome.NotRun, outcome.NotReady)
@@ -247,6 +269,16 @@
 	})
 }
 
+// TestLateAnswers replays answers to an earlier question that arrive after those
+// to a later one.
+func TestLateAnswers(t *testing.T) {
+	m, _ := newMemory(Options{})
+	earlier, later := m.Question(whole), m.Question(whole)
+	m.Collect(self, part, 1, 1, later, answers{other: nil})
+	m.Collect(self, part, 1, 1, earlier, answers{other: {{Request: "r1", Left: window}}})
+	begin(t, m, "r1")
+}
+
 func BenchmarkBegin(b *testing.B) {
 	m, _ := newMemory(Options{Most: 1 << 20})
 	b.ReportAllocs()
