Move up to 16 ranges a round

Cause: after a change of the leader or of the busy keys the six moves of a round took several rounds to level the targets. Change: 16 moves at most.

--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -24,7 +24,7 @@
 	// move.
 	leastExcess = 0.6
 	// mostMoves bounds the moves of one round.
-	mostMoves = 6
+	mostMoves = 16
 )
 
 // Assign gives keys that have no owner, or one that leaves, ended or can't be
