Answer all requests before a stopping host ends

Cause: targets of some services never answer a request that they can't queue. Change: in the last sixth of the time to stop, 300 ms before the exit, every request under way gets its final answer: not run where that is certain, 502 otherwise. An answer that has begun is passed on. Test: io/gateway TestStopWithSilentTarget failed first.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -36,6 +36,9 @@
 	pool    *Pool
 	clock   clock.Clock
 	counts  counts
+	// ending has ended once all requests are to have their final answers.
+	ending context.Context
+	giveUp context.CancelFunc
 	// history belongs to the goroutine that calls Report.
 	history *owner.Loads
 	// Ended is told of each request that has its final answer.
@@ -63,9 +66,15 @@
 
 // New returns an entry.
 func New(beliefs Beliefs, targets *placement.Set, b *budget.Budget, pool *Pool, c clock.Clock) *Entry {
-	return &Entry{beliefs: beliefs, targets: targets, budget: b, pool: pool, clock: c, history: owner.NewLoads(c.Now()), Ended: func(Trace) {}}
+	e := &Entry{beliefs: beliefs, targets: targets, budget: b, pool: pool, clock: c, history: owner.NewLoads(c.Now()), Ended: func(Trace) {}}
+	e.ending, e.giveUp = context.WithCancel(context.Background())
+	return e
 }
 
+// GiveUp has all requests get their final answers at once, as the host ends. A
+// target that never answers would otherwise leave its caller without one.
+func (e *Entry) GiveUp() { e.giveUp() }
+
 // Handler returns the handler of callers' requests.
 func (e *Entry) Handler() http.Handler {
 	return kithttp.NewServer(e.endpoint(), e.decode, e.encode, kithttp.ServerErrorEncoder(e.encodeError))
@@ -145,7 +154,10 @@
 	return func(ctx context.Context, message any) (any, error) {
 		q := message.(*request)
 		ctx, cancel := context.WithTimeout(ctx, q.deadline.Sub(e.clock.Now()))
+		keep := context.AfterFunc(e.ending, cancel)
 		answer, err := e.serve(ctx, q)
+		// An answer that has begun is passed on to its end.
+		keep()
 		if err != nil {
 			cancel()
 			return nil, err
--- a/io/entry/failure.go
+++ b/io/entry/failure.go
@@ -27,6 +27,7 @@
 	reasonTooLarge  = "body-too-large"
 	reasonBadBody   = "body-cut-off"
 	reasonCallerHas = "caller-left"
+	reasonStopping  = "host-stops"
 )
 
 // restartPause is how long a host takes to learn the configuration.
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -78,12 +78,15 @@
 
 // expired ends a request whose time has run out or whose caller has left.
 func (e *Entry) expired(ctx context.Context, q *request, sent sent) error {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return q.fail(http.StatusBadGateway, reasonCallerHas, ctx.Err())
-	}
 	if sent.result.NotRun() && !q.progress.MayHaveRun() {
 		return q.refuse(reasonTimeout, 0)
 	}
+	if e.ending.Err() != nil {
+		return q.fail(http.StatusBadGateway, reasonStopping, sent.err)
+	}
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return q.fail(http.StatusBadGateway, reasonCallerHas, ctx.Err())
+	}
 	return q.fail(http.StatusGatewayTimeout, reasonTimeout, sent.err)
 }
 
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -266,6 +266,25 @@
 	wantOneOwner(t, r.audit)
 }
 
+// TestStopWithSilentTarget replays a request that its target never answers while
+// the host stops: it gets an answer before the host ends.
+func TestStopWithSilentTarget(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.patience = 20 * time.Second
+	silent := r.addTarget("c1", plainService)
+	h := r.addHost("host-1")
+	client := newClient(t)
+	client.Timeout = r.patience
+	eventually(t, "target is known", 3*time.Second, func() bool { return r.call(client, h, "GET", "/cover/x", -1, "").status == 200 })
+	silent.Misbehave(keyholder.Misbehaviour{Silent: true})
+	answers := make(chan reply, 1)
+	go func() { answers <- r.call(client, h, "GET", "/"+slowRoute+"/x", -1, "") }()
+	time.Sleep(100 * time.Millisecond)
+	h.stop()
+	wantStatus(t, <-answers, http.StatusBadGateway)
+}
+
 func TestStopUnderLoad(t *testing.T) {
 	t.Parallel()
 	r := newRig(t)
--- a/io/gateway/rig_test.go
+++ b/io/gateway/rig_test.go
@@ -25,6 +25,8 @@
 	orderService = "payouts"
 	keyedService = "records"
 	siteHost     = "site.example"
+	// slowRoute has a long timeout.
+	slowRoute = "slow"
 )
 
 // rig is a site of stand-ins and hosts on loopback addresses.
@@ -38,6 +40,8 @@
 	targets map[string]*target
 	hosts   []*host
 	asked   int
+	// patience is what callers say that they wait.
+	patience time.Duration
 }
 
 type target struct {
@@ -58,7 +62,7 @@
 
 func newRig(t *testing.T) *rig {
 	t.Helper()
-	r := &rig{t: t, store: platformstore.New(), audit: &keyholder.Audit{}, targets: make(map[string]*target)}
+	r := &rig{t: t, store: platformstore.New(), audit: &keyholder.Audit{}, targets: make(map[string]*target), patience: 2 * time.Second}
 	r.addr = r.serve(r.store.Handler(), "127.0.0.1")
 	r.configure(1)
 	t.Cleanup(r.close)
@@ -105,16 +109,20 @@
 // configure publishes a version of the operator's configuration.
 func (r *rig) configure(version int) {
 	route := func(prefix, kind, service string) map[string]any {
+		timeout := 1
+		if prefix == slowRoute {
+			timeout = 20
+		}
 		return map[string]any{
 			"name": prefix, "host": siteHost, "path_prefix": "/" + prefix + "/", "kind": kind, "service": service,
-			"timeout_s": 1, "target_latency_s": 0.5, "max_attempts": 2,
+			"timeout_s": timeout, "target_latency_s": 0.5, "max_attempts": 2,
 		}
 	}
 	config := map[string]any{
 		"version": version,
 		"routes": []any{
 			route("cover", "safe", plainService), route("payout", "unsafe", orderService), route("records", "safe", keyedService),
-			route(fmt.Sprint("v", version), "safe", plainService),
+			route(fmt.Sprint("v", version), "safe", plainService), route(slowRoute, "safe", plainService),
 		},
 		"services": []any{
 			map[string]any{"name": plainService}, map[string]any{"name": orderService},
@@ -266,7 +274,7 @@
 	}
 	req.Host = siteHost
 	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", "2000")
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(r.patience.Milliseconds()))
 	if key >= 0 {
 		req.Header.Set("X-Shard-Key", fmt.Sprint(key))
 	}
--- a/io/gateway/stop.go
+++ b/io/gateway/stop.go
@@ -19,6 +19,10 @@
 	outOfRotation = 2600 * time.Millisecond
 	// exitMargin is the part of the time to stop that is left for the exit.
 	exitMargin = 400 * time.Millisecond
+	// answerTime is how long before the exit all requests under way get their
+	// final answers, lastPart the part of the time to stop in which that is done.
+	answerTime = 300 * time.Millisecond
+	lastPart   = 6
 )
 
 // stopper knows whether the host is to stop.
@@ -39,6 +43,8 @@
 	defer cancel()
 	g.stop.flag.Store(true)
 	g.steward.Resign()
+	lastAnswers := time.AfterFunc(answerAfter(g.stop.timeout), g.entry.GiveUp)
+	defer lastAnswers.Stop()
 	time.Sleep(min(outOfRotation, g.stop.timeout/2))
 	if err := front.Drain(); err != nil {
 		klog.ErrorS(err, "Closing the listener for callers")
@@ -53,6 +59,13 @@
 	}
 }
 
+// answerAfter returns how long after the start of a stop requests still get
+// their targets' answers.
+func answerAfter(timeout time.Duration) time.Duration {
+	exit := timeout - exitMargin
+	return min(max(exit-answerTime, timeout-timeout/lastPart), exit-answerTime/2)
+}
+
 // closing has each answer of a host that stops end its connection, so that the
 // caller's next request goes to another host.
 func (s *stopper) closing(next http.Handler) http.Handler {
