Know the load of as many keys as a grown site has

Cause: a leader remembered 8,192 keys of a service, while 680 requests a second leave about 11,000 behind, so that keys that turned hot later were not seen; and twenty times a second it went through all of them for each range. Change: half of all keys are remembered; sums over them are made once after a change, and nothing is summed while every range has a live owner.

--- a/core/owner/loads.go
+++ b/core/owner/loads.go
@@ -10,7 +10,7 @@
 	// loadHalfLife is the time in which the memory of a key's load halves.
 	loadHalfLife = 4 * time.Second
 	// mostKeys bounds the keys remembered of one service.
-	mostKeys = 8192
+	mostKeys = Keys / 2
 	// leastLoad is the load in requests a second at which a key is forgotten.
 	leastLoad = 0.01
 	// leastTold is the load of a key in requests a second that a new leader is
@@ -44,17 +44,21 @@
 // reports.
 type Loads struct {
 	services map[string]map[uint16]float64
-	paces    paces
-	aged     time.Time
+	// sums are, by service, the loads of all keys below each key. They are made
+	// when they are first asked for after a change.
+	sums  map[string][]float32
+	paces paces
+	aged  time.Time
 }
 
 // NewLoads returns loads of nothing.
 func NewLoads(now time.Time) *Loads {
-	return &Loads{services: make(map[string]map[uint16]float64), paces: make(paces), aged: now}
+	return &Loads{services: make(map[string]map[uint16]float64), sums: make(map[string][]float32), paces: make(paces), aged: now}
 }
 
 // Add takes a report in. The load of a steady rate r settles at r.
 func (l *Loads) Add(report Report) {
+	clear(l.sums)
 	for _, w := range report.Work {
 		l.paces.add(w)
 	}
@@ -94,6 +98,7 @@
 
 // Age lets old counts fade.
 func (l *Loads) Age(now time.Time) {
+	clear(l.sums)
 	l.paces.age(now.Sub(l.aged))
 	keep := math.Exp2(-now.Sub(l.aged).Seconds() / loadHalfLife.Seconds())
 	l.aged = now
@@ -110,13 +115,24 @@
 
 // Range returns the load of a range of keys.
 func (l *Loads) Range(service string, first, last uint16) float64 {
-	load := evenLoad * (float64(last) - float64(first) + 1) / Keys
-	for key, n := range l.services[service] {
-		if key >= first && key <= last {
-			load += n
-		}
+	sums := l.sumsOf(service)
+	seen := float64(sums[int(last)+1] - sums[first])
+	return seen + evenLoad*(float64(last)-float64(first)+1)/Keys
+}
+
+func (l *Loads) sumsOf(service string) []float32 {
+	if sums := l.sums[service]; sums != nil {
+		return sums
+	}
+	sums := make([]float32, Keys+1)
+	for key, load := range l.services[service] {
+		sums[int(key)+1] = float32(load)
+	}
+	for i := range Keys {
+		sums[i+1] += sums[i]
 	}
-	return load
+	l.sums[service] = sums
+	return sums
 }
 
 // busy returns the keys of a range that have load, in their order.
--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -42,6 +42,9 @@
 	if !l.calm(now) && !l.lostOwners(service, targets) {
 		return
 	}
+	if l.settled(service, live) {
+		return
+	}
 	tally := l.tally(service, live, loads)
 	for _, p := range slices.Clone(l.services[service]) {
 		l.rehome(service, p, targets, live, tally, loads, now)
@@ -51,6 +54,27 @@
 	}
 }
 
+// settled reports whether each live target owns something, and nothing has
+// another owner.
+func (l *Leader) settled(service string, live []Target) bool {
+	owns := make(map[Holder]bool, len(live))
+	for _, t := range live {
+		owns[t.Holder] = false
+	}
+	for _, p := range l.services[service] {
+		if _, ok := owns[p.owner]; !ok {
+			return false
+		}
+		owns[p.owner] = true
+	}
+	for _, ok := range owns {
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // lostOwners reports whether some range has an owner that is not known.
 func (l *Leader) lostOwners(service string, targets map[string]Target) bool {
 	return slices.ContainsFunc(l.services[service], func(p *lease) bool {
