Leave a full owner of keys alone for a while

Change: after a shed or a broken connection a host pauses, twice as long after each in a row, then tries one request; the others wait for room or are refused as not run, with a time to come back. Answers that say that a request failed don't count. The unused time left of a demand goes. Tests: core/placement TestFullOwner failed first; TestFailingOwner.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -15,8 +15,6 @@
 	Skip []string
 	// Fragile requests may be lost where the target is full.
 	Fragile bool
-	// Left is the time until the request is given up.
-	Left time.Duration
 }
 
 // Verdict says why there is no choice.
@@ -76,7 +74,7 @@
 			verdict = NoRoom
 		}
 		c := s.weigh(g, t, now, mean)
-		if c.depth > maxDepth(d) {
+		if c.depth > maxDepth(d) || d.Owner != "" && t.full(now) {
 			continue
 		}
 		cost := float64(c.Expected) * (1 + jitter*rand.Float64())
@@ -132,8 +130,11 @@
 	Shed
 	// Misrouted says that the target is another one or lacks the key.
 	Misrouted
-	// Failed says that the target failed or answered badly.
+	// Failed says that the target answered that it failed.
 	Failed
+	// BrokenOff says that the connection ended without a good answer, as that of
+	// a full target may.
+	BrokenOff
 	// Unreachable says that no connection was made.
 	Unreachable
 	// Abandoned says that the caller left or time ran out.
@@ -170,17 +171,21 @@
 		t.report(max(0, float64(report.Running+report.Waiting-t.inFlight)), now)
 	}
 	took := now.Sub(c.sent)
+	if c.owned && (result == Shed || result == BrokenOff) {
+		t.refused(now)
+	}
 	switch result {
 	case Answered:
 		c.learn(g, t, took)
 		t.trouble = t.troubleNow(now) * 0.5
 		t.troubleAt = now
+		t.refusals = 0
 	case Shed:
 		t.addTrouble(now, 0.5)
-		t.closedUntil = now.Add(shedPause)
-	case Failed:
+		t.closedUntil = later(t.closedUntil, now.Add(shedPause))
+	case Failed, BrokenOff:
 		t.addTrouble(now, 1)
-		t.closedUntil = now.Add(failedPause)
+		t.closedUntil = later(t.closedUntil, now.Add(failedPause))
 	case Unreachable:
 		t.addTrouble(now, 2)
 		t.closedUntil = now.Add(unreachablePause)
@@ -193,6 +198,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Bounds of a target's learned time over the mean of its service.
 const (
 	minPace = 0.2
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -227,3 +227,32 @@
 		t.Errorf("targets chosen by 100 hosts: got %d, want 3 or more", len(sent))
 	}
 }
+
+// TestFullOwner replays a hot key whose owner breaks connections off: it is left
+// alone, then tried with one request, and used as before once that is answered.
+func TestFullOwner(t *testing.T) {
+	s := newSet("t1")
+	now := time.Unix(100, 0)
+	demand := Demand{Service: "svc", Owner: "t1"}
+	choose(t, s, demand, now).End(BrokenOff, nil, now)
+	wantVerdict(t, s, demand, now.Add(10*time.Millisecond), NoRoom)
+	now = now.Add(time.Second)
+	probe := choose(t, s, demand, now)
+	wantVerdict(t, s, demand, now, NoRoom)
+	probe.End(BrokenOff, nil, now)
+	wantVerdict(t, s, demand, now.Add(50*time.Millisecond), NoRoom)
+	now = now.Add(time.Second)
+	choose(t, s, demand, now).End(Answered, nil, now)
+	choose(t, s, demand, now)
+	choose(t, s, demand, now)
+}
+
+// TestFailingOwner replays an owner that answers part of its requests with an
+// error: it is the only one that can run the others.
+func TestFailingOwner(t *testing.T) {
+	s := newSet("t1")
+	now := time.Unix(100, 0)
+	demand := Demand{Service: "svc", Owner: "t1"}
+	choose(t, s, demand, now).End(Failed, nil, now)
+	choose(t, s, demand, now)
+}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 )
 
@@ -25,6 +26,10 @@
 	// ownerDrain is how long a leaving target still gets requests for keys that
 	// it owns, which no other target can run until they have moved.
 	ownerDrain = 600 * time.Millisecond
+	// ownerPause is how long an owner of keys is left alone after its first
+	// refusal; each further one in a row doubles it, up to mostRefusals.
+	ownerPause   = 40 * time.Millisecond
+	mostRefusals = 5
 	// meanWork is taken for the work of a request before any was answered.
 	meanWork = 200 * time.Millisecond
 )
@@ -49,6 +54,9 @@
 	drainSeen time.Time
 	// closedUntil is the time until which the target is not tried.
 	closedUntil time.Time
+	// refusals counts the requests in a row that the target, as the owner of
+	// their keys, has refused or broken off.
+	refusals int
 	// owned is what requests for its keys took since it was last asked for.
 	owned work
 }
@@ -103,6 +111,20 @@
 	return pace
 }
 
+// full reports whether the owner of keys has lately refused: it is left alone for
+// a while, then tried with one request at a time. It answers hot keys, whose
+// owner would otherwise reset the connections of many hosts.
+func (t *Target) full(now time.Time) bool {
+	return t.refusals > 0 && (now.Before(t.closedUntil) || t.inFlight > 0)
+}
+
+// refused notes that the owner of keys had no room.
+func (t *Target) refused(now time.Time) {
+	t.refusals = min(t.refusals+1, mostRefusals)
+	pause := float64(ownerPause<<(t.refusals-1)) * (0.75 + rand.Float64()/2)
+	t.closedUntil = now.Add(time.Duration(pause))
+}
+
 func halving(age, halfLife time.Duration) float64 {
 	if age <= 0 {
 		return 1
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -176,7 +176,7 @@
 func (e *Entry) demand(q *request, owner string) placement.Demand {
 	return placement.Demand{
 		Service: q.match.Service.Name, Owner: owner, Skip: q.skip,
-		Fragile: !q.match.Route.Idempotent, Left: q.left(e.clock.Now()),
+		Fragile: !q.match.Route.Idempotent,
 	}
 }
 
@@ -353,5 +353,8 @@
 	case s.result == attempt.Unsent:
 		return placement.Unreachable
 	}
+	if s.result == attempt.Unknown {
+		return placement.BrokenOff
+	}
 	return placement.Failed
 }
