Link to a new leader at once; drop what nothing uses

Cause: after a link that failed a host waited 1.5 s before it dialed any leader, the next one too; until then it read the store itself. Change: the pause is about the process that failed.

--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -22,7 +22,7 @@
 	quietInterval = 5 * time.Second
 	// linkPoll is the time between looks whether there is a host to link to.
 	linkPoll = 150 * time.Millisecond
-	// dialPause is the pause after a link that failed.
+	// dialPause is the pause after a link to the same process that failed.
 	dialPause = 1500 * time.Millisecond
 )
 
@@ -50,7 +50,9 @@
 	here   bool
 	sent   time.Time
 	dialed time.Time
-	done   chan struct{}
+	// tried is the process that was last dialed.
+	tried string
+	done  chan struct{}
 }
 
 // NewReporter returns a reporter.
@@ -107,10 +109,10 @@
 }
 
 func (r *Reporter) dial(ctx context.Context, address, process string) bool {
-	if time.Since(r.dialed) < dialPause {
+	if r.tried == process && time.Since(r.dialed) < dialPause {
 		return false
 	}
-	r.dialed = time.Now()
+	r.dialed, r.tried = time.Now(), process
 	link, err := Dial(ctx, address)
 	if err != nil {
 		klog.InfoS("No link to the host that leads", "address", address, "err", err)
--- /dev/null
+++ b/io/hostlink/reporter_test.go
@@ -0,0 +1,68 @@
+package hostlink
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pineturn/core/clock"
+	"pineturn/core/owner"
+	"pineturn/io/metastore"
+)
+
+// newLeader serves links of a process that leads, and counts its reports.
+func newLeader(t *testing.T, process string) (address string, reports *atomic.Int64) {
+	t.Helper()
+	reports = new(atomic.Int64)
+	s := NewServer(process, clock.Boot{})
+	s.Take = func(owner.Report) { reports.Add(1) }
+	s.Feed = func() (<-chan metastore.Update, func(), func() []metastore.Mark) {
+		return make(chan metastore.Update), func() {}, func() []metastore.Mark { return nil }
+	}
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.CloseClientConnections)
+	return server.Listener.Addr().String(), reports
+}
+
+// deadAddress returns an address at which nobody listens.
+func deadAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// TestNewLeaderIsLinkedAtOnce replays a leader that is lost: the next one is
+// dialed without the pause that the lost one has earned.
+func TestNewLeaderIsLinkedAtOnce(t *testing.T) {
+	address, reports := newLeader(t, "new")
+	type leader struct{ address, process string }
+	var leads atomic.Pointer[leader]
+	leads.Store(&leader{address: deadAddress(t), process: "old"})
+	r := NewReporter()
+	r.Leader = func() (string, string, bool) { return leads.Load().address, leads.Load().process, true }
+	r.Here = func() bool { return false }
+	r.Report = func(bool) owner.Report { return owner.Report{Counts: []owner.KeyCount{{Service: "records", Count: 1}}} }
+	r.Relay = func(News) {}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer func() {
+		cancel()
+		<-r.Done()
+	}()
+	go r.Run(ctx)
+	time.Sleep(2 * linkPoll)
+	leads.Store(&leader{address: address, process: "new"})
+	changed := time.Now()
+	for reports.Load() == 0 && time.Since(changed) < dialPause {
+		time.Sleep(linkPoll / 10)
+	}
+	if got := time.Since(changed); got >= dialPause/2 {
+		t.Errorf("first report to the new leader: got it after %v, want it within %v", got, dialPause/2)
+	}
+}
--- a/io/steward/lead.go
+++ b/io/steward/lead.go
@@ -92,6 +92,7 @@
 	if balance {
 		s.balanced = now
 		s.loads.Age(now)
+		s.orders.keep(livesOf(targets))
 	}
 	for _, service := range s.keyedServices() {
 		if !s.leader.Assigned(service) && !s.gathered(targets, service, now) {
@@ -106,6 +107,14 @@
 	}
 }
 
+func livesOf(targets map[string]owner.Target) map[owner.Holder]bool {
+	lives := make(map[owner.Holder]bool, len(targets))
+	for _, t := range targets {
+		lives[t.Holder] = true
+	}
+	return lives
+}
+
 // gathered reports whether targets had time to appear before keys are divided
 // for the first time.
 func (s *Steward) gathered(targets map[string]owner.Target, service string, now time.Time) bool {
--- a/io/steward/sender.go
+++ b/io/steward/sender.go
@@ -61,6 +61,18 @@
 	return t
 }
 
+// keep drops the connections to the lives of targets that are gone.
+func (s *sender) keep(lives map[owner.Holder]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for life, t := range s.grants {
+		if !lives[life] {
+			t.CloseIdleConnections()
+			delete(s.grants, life)
+		}
+	}
+}
+
 func (s *sender) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
