Show a platform host's state with pinectl; page on the soak

Cause: the state of a host on the platform was to be read as raw JSON only. Test: io/pinectl TestPlatform.

--- a/io/gateway/dump.go
+++ b/io/gateway/dump.go
@@ -7,45 +7,17 @@
 
 	"k8s.io/klog/v2"
 
+	"pineturn/core/dump"
 	"pineturn/core/owner"
-	"pineturn/core/placement"
-	"pineturn/core/routing"
 )
 
-// Dump is a process's state, for the person on call.
-type Dump struct {
-	Host     string  `json:"host"`
-	Process  string  `json:"process"`
-	UptimeS  float64 `json:"uptime_s"`
-	Ready    bool    `json:"ready"`
-	Stopping bool    `json:"stopping"`
-	Leading  bool    `json:"leading"`
-	// AgesS are the ages of the beliefs in seconds.
-	AgesS    map[string]float64     `json:"ages_s"`
-	Version  int64                  `json:"config_version"`
-	Routes   []routing.Route        `json:"routes"`
-	Targets  []placement.State      `json:"targets"`
-	Leader   string                 `json:"leader"`
-	Epoch    int64                  `json:"epoch"`
-	Keys     map[string][]RangeDump `json:"keys"`
-	Requests map[string]int         `json:"requests_in_flight"`
-}
-
-// RangeDump is a range of keys and its owner.
-type RangeDump struct {
-	First  uint16   `json:"first"`
-	Last   uint16   `json:"last"`
-	Owner  string   `json:"owner"`
-	Former []string `json:"former,omitempty"`
-}
-
 // dump returns the process's state.
-func (g *Gateway) dump() Dump {
+func (g *Gateway) dump() dump.State {
 	now := g.clock.Now()
-	d := Dump{
+	d := dump.State{
 		Host: g.settings.Name, Process: g.process, UptimeS: now.Sub(g.started).Seconds(),
 		Ready: g.catalog.Ready(), Stopping: g.stop.stopping(), Leading: g.steward.Leading(),
-		AgesS: make(map[string]float64), Targets: g.targets.States(now), Keys: make(map[string][]RangeDump),
+		AgesS: make(map[string]float64), Targets: g.targets.States(now), Keys: make(map[string][]dump.Range),
 		Requests: make(map[string]int),
 	}
 	for topic, name := range ageNames {
@@ -66,10 +38,10 @@
 	return d
 }
 
-func dumpRanges(ranges []owner.Range) []RangeDump {
-	dumped := make([]RangeDump, len(ranges))
+func dumpRanges(ranges []owner.Range) []dump.Range {
+	dumped := make([]dump.Range, len(ranges))
 	for i, r := range ranges {
-		dumped[i] = RangeDump{First: r.First, Last: r.Last, Owner: r.Owner.Target}
+		dumped[i] = dump.Range{First: r.First, Last: r.Last, Owner: r.Owner.Target}
 		for _, f := range r.Former {
 			dumped[i].Former = append(dumped[i].Former, f.Target)
 		}
--- a/io/pinectl/pinectl.go
+++ b/io/pinectl/pinectl.go
@@ -53,7 +53,7 @@
 		OnUsageError:   onUsageError,
 		Before:         t.prepare,
 		Action:         unknownCommand,
-		Commands:       slices.Concat(t.configurationCommands(), t.stateCommands(), t.orderCommands()),
+		Commands:       slices.Concat(t.configurationCommands(), t.stateCommands(), t.orderCommands(), t.platformCommands()),
 	}
 	return command
 }
