--- a/core/owner/loads.go
+++ b/core/owner/loads.go
@@ -21,6 +21,10 @@
 	evenLoad = 1.0
 )
 
+// countScale is what one request adds to a load: as it fades by halves, a steady
+// rate r adds up to r.
+const countScale = math.Ln2 / (float64(loadHalfLife) / float64(time.Second))
+
 // KeyCount is the number of requests for a key of a service.
 type KeyCount struct {
 	Service string  `cbor:"1,keyasint"`
@@ -74,10 +78,6 @@
 	}
 }
 
-// countScale is what one request adds to a load: as it fades by halves, a steady
-// rate r adds up to r.
-const countScale = math.Ln2 / (float64(loadHalfLife) / float64(time.Second))
-
 // Report returns what would have a leader that knows nothing learn the same.
 func (l *Loads) Report() Report {
 	var report Report
--- a/io/soak/judge.go
+++ b/io/soak/judge.go
@@ -64,21 +64,6 @@
 	From, To time.Time
 }
 
-// held is a lease as a target has taken it.
-type held struct {
-	keyholder.Event
-	ended time.Time
-	// late says that its order may have been held up on its way.
-	late bool
-}
-
-func (h *held) end() time.Time {
-	if !h.ended.IsZero() && h.ended.Before(h.Until) {
-		return h.ended
-	}
-	return h.Until
-}
-
 // Judge checks the promises from what callers and targets saw.
 type Judge struct {
 	mu       sync.Mutex
@@ -169,15 +154,6 @@
 	})
 }
 
-// thawing reports whether an order that arrives at a moment may have been held
-// up on its way.
-func (j *Judge) thawing(at time.Time) bool {
-	return slices.ContainsFunc(j.troubles, func(t Trouble) bool {
-		held := t.Kind == HostPause || t.Kind == TargetPause
-		return held && !at.Before(t.From) && at.Before(t.To.Add(thawTime))
-	})
-}
-
 // Event takes what a target did. The events of each target come in their order.
 func (j *Judge) Event(e keyholder.Event) {
 	j.mu.Lock()
@@ -201,92 +177,6 @@
 	}
 }
 
-// granted compares a lease with those of other targets.
-func (j *Judge) granted(e keyholder.Event) {
-	mine := &held{Event: e, late: j.thawing(e.At)}
-	j.leases = slices.DeleteFunc(j.leases, func(h *held) bool {
-		return h.Target == e.Target && h.First == e.First && h.Last == e.Last && h.Fence == e.Fence
-	})
-	j.leases = append(j.leases, mine)
-}
-
-// released ends a target's leases on keys, as far as they are released.
-func (j *Judge) released(e keyholder.Event) {
-	var rest []*held
-	for _, h := range j.leases {
-		if h.Target != e.Target || h.Last < e.First || h.First > e.Last || !h.ended.IsZero() || e.At.Before(h.At) {
-			continue
-		}
-		if h.First < e.First {
-			left := *h
-			left.Last = e.First - 1
-			rest = append(rest, &left)
-		}
-		if h.Last > e.Last {
-			right := *h
-			right.First = e.Last + 1
-			rest = append(rest, &right)
-		}
-		h.First, h.Last, h.ended = max(h.First, e.First), min(h.Last, e.Last), e.At
-	}
-	j.leases = append(j.leases, rest...)
-}
-
-// Settle checks leases against each other, and forgets those that ended before
-// a moment up to which all events were told.
-func (j *Judge) Settle(until time.Time) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	for i, a := range j.leases {
-		for _, b := range j.leases[i+1:] {
-			j.compare(a, b, until)
-		}
-	}
-	j.leases = slices.DeleteFunc(j.leases, func(h *held) bool { return h.end().Before(until.Add(-calmTime)) })
-}
-
-func (j *Judge) compare(a, b *held, until time.Time) {
-	if a.Target == b.Target || a.late || b.late || a.Last < b.First || a.First > b.Last {
-		return
-	}
-	from, to := later(a.At, b.At), earlier(earlier(a.end(), b.end()), until)
-	if !from.Before(to) {
-		return
-	}
-	first, last := max(a.First, b.First), min(a.Last, b.Last)
-	if to.Sub(from) > shareTime || j.bothRan(a.Target, b.Target, first, last, from, to) {
-		j.breaks("targets %s (fencing token %d) and %s (%d) had keys %d to %d for %v", a.Target, a.Fence, b.Target, b.Fence, first, last, to.Sub(from))
-		a.late, b.late = true, true
-	}
-}
-
-// bothRan reports whether two targets began requests for some keys in a time.
-func (j *Judge) bothRan(a, b string, first, last int, from, to time.Time) bool {
-	ran := make(map[string]bool)
-	for _, runs := range j.runs {
-		for _, r := range runs {
-			if r.Key >= first && r.Key <= last && !r.At.Before(from) && r.At.Before(to) {
-				ran[r.Target] = true
-			}
-		}
-	}
-	return ran[a] && ran[b]
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // Answer takes what a caller saw.
 func (j *Judge) Answer(a Answer) {
 	j.mu.Lock()
