End the grace for lapsed entries with the store's return

Change: the grace of 2 s begins with the store's return. Test: io/metastore TestLapsedEntries failed first.

--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -238,8 +238,8 @@
 		return
 	}
 	if _, ok := k.doubted[id]; !ok {
-		k.doubted[id] = now.Add(returnGrace)
-		klog.InfoS("Target's entry lapsed while the store was lost", "target", id, "grace", returnGrace)
+		k.doubted[id] = k.targetFollower.GraceEnd(returnGrace)
+		klog.InfoS("Target's entry lapsed while the store was lost", "target", id, "grace", k.doubted[id].Sub(now))
 	}
 }
 
--- a/io/metastore/follower.go
+++ b/io/metastore/follower.go
@@ -87,6 +87,17 @@
 	return f.lost || (!f.regained.IsZero() && f.Clock.Now().Sub(f.regained) < within)
 }
 
+// GraceEnd returns when a grace after the store's return ends, at the earliest
+// where the store is lost.
+func (f *Follower) GraceEnd(grace time.Duration) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost || f.regained.IsZero() {
+		return f.Clock.Now().Add(grace)
+	}
+	return f.regained.Add(grace)
+}
+
 // Run follows the topic until the context ends.
 func (f *Follower) Run(ctx context.Context, store Reader) {
 	defer close(f.done)
--- a/io/metastore/follower_test.go
+++ b/io/metastore/follower_test.go
@@ -190,6 +190,17 @@
 		k.expire()
 		wantTargets(t, targets, 1)
 	})
+	t.Run("one that lapses some time after the outage is gone when the grace ends", func(t *testing.T) {
+		k, targets := newCatalog()
+		k.targetFollower.lost = true
+		k.targetFollower.back()
+		fake.Advance(returnGrace / 4)
+		k.applyTargets([]platform.Record{gone}, false)
+		wantTargets(t, targets, 1)
+		fake.Advance(returnGrace * 3 / 4)
+		k.expire()
+		wantTargets(t, targets, 0)
+	})
 	t.Run("one that stays away is gone", func(t *testing.T) {
 		k, targets := newCatalog()
 		k.targetFollower.lost = true
