--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -29,3 +29,19 @@
 
 // Advance moves the clock forward by d.
 func (f *Fake) Advance(d time.Duration) { f.now = f.now.Add(d) }
+
+// Later returns the later of two times.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Earlier returns the earlier of two times.
+func Earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/core/dispatch/entry.go
+++ b/core/dispatch/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"pineturn/core/clock"
 	"pineturn/core/config"
 	"pineturn/core/message"
 	"pineturn/core/once"
@@ -31,7 +32,7 @@
 		req:      *req,
 		start:    start,
 		deadline: deadline,
-		waitEnd:  earlier(deadline, start.Add(orDefault(e.Wait, DefaultWait))),
+		waitEnd:  clock.Earlier(deadline, start.Add(orDefault(e.Wait, DefaultWait))),
 		pause:    newBackoff(),
 	}
 	journey.req.Key = key
@@ -101,7 +102,7 @@
 	e := j.entry
 	// The service's own limit was not known while no route was.
 	limit := j.start.Add(timeLimit(way.Service, j.req.Left))
-	left := earlier(limit, j.deadline).Sub(e.Clock.Now())
+	left := clock.Earlier(limit, j.deadline).Sub(e.Clock.Now())
 	if left <= 0 {
 		return nil, outcome.Refuse(outcome.DeadlineExceeded, "the deadline has passed", 0)
 	}
@@ -322,13 +323,6 @@
 	return failure
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 func orDefault[T time.Duration | int](value, other T) T {
 	if value <= 0 {
 		return other
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pineturn/core/admit"
+	"pineturn/core/clock"
 	"pineturn/core/header"
 	"pineturn/core/message"
 	"pineturn/core/once"
@@ -164,7 +165,7 @@
 	}
 	stop := r.deadline
 	if !r.way.Service.LongRunning() {
-		stop = earlier(stop, r.permit.Until)
+		stop = clock.Earlier(stop, r.permit.Until)
 	}
 	left := max(stop.Sub(r.holder.Clock.Now()), 0)
 	slot = min(left, cancelLinger)
--- a/core/once/change.go
+++ b/core/once/change.go
@@ -107,8 +107,8 @@
 
 func (m *Memory) asking(known *entry, other record.Incarnation) uint64 {
 	known.asked = append(known.asked, other)
-	m.asks++
-	return m.asks
+	m.sequence++
+	return m.sequence
 }
 
 // duplicate answers a retry of an id that is in flight or may have run. It
@@ -211,20 +211,20 @@
 func (m *Memory) Question(ask message.Recall) Question {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.asks++
-	return Question{Recall: ask, number: m.asks}
+	m.sequence++
+	return Question{Recall: ask, number: m.sequence}
 }
 
-// heard is a host's answers to questions about some keys.
-type heard struct {
-	ask    message.Recall
-	source record.Incarnation
+// respondent is a host that is asked about the ids of some keys.
+type respondent struct {
+	keys message.Recall
+	host record.Incarnation
 }
 
 // isNews reports whether a host's answer is to a later question than all that
 // were heard of it before.
 func (m *Memory) isNews(question Question, source record.Incarnation) bool {
-	from := heard{ask: question.Recall, source: source}
+	from := respondent{keys: question.Recall, host: source}
 	if m.heard[from] > question.number {
 		return false
 	}
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -35,12 +35,12 @@
 	ids   map[name]*entry
 	// ready holds, by shard, the tenure for which ids were collected.
 	ready map[shard.ID]tenure
-	// heard is, by host, the last question whose answer was taken over.
-	heard map[heard]uint64
+	// heard is, by host and keys, the last question whose answer was taken over.
+	heard map[respondent]uint64
 	// expiry orders all ids by the end of their window.
 	expiry expiryHeap
-	// asks numbers the ids and what other hosts are asked to remember.
-	asks uint64
+	// sequence numbers the uses of ids and the asks and questions to other hosts.
+	sequence uint64
 	// answers is the size of all kept answers, in bytes.
 	answers int
 }
@@ -92,7 +92,7 @@
 func (m *Memory) ask(known *entry, window time.Duration) message.Witness {
 	return message.Witness{
 		Target: record.Target{Service: known.name.service}, Request: known.name.id, Window: window, Hash: known.hash,
-		Number: m.asks,
+		Number: m.sequence,
 	}
 }
 
@@ -110,7 +110,7 @@
 		options: options.withDefaults(),
 		ids:     make(map[name]*entry),
 		ready:   make(map[shard.ID]tenure),
-		heard:   make(map[heard]uint64),
+		heard:   make(map[respondent]uint64),
 	}
 }
 
@@ -119,8 +119,8 @@
 	if len(m.expiry) >= m.options.Most {
 		return nil
 	}
-	m.asks++
-	added := &entry{name: key, hash: hash, until: m.clock.Now().Add(window), number: m.asks}
+	m.sequence++
+	added := &entry{name: key, hash: hash, until: m.clock.Now().Add(window), number: m.sequence}
 	m.ids[key] = added
 	heap.Push(&m.expiry, added)
 	return added
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -28,6 +28,11 @@
 	return Request{Service: "payoutledger", Key: "seller-1", ID: id, Window: window}
 }
 
+// newAsk asks a host to remember an id.
+func newAsk() message.Witness {
+	return message.Witness{Target: record.Target{Service: "payoutledger"}, Request: "r1", Window: window}
+}
+
 func newMemory(options Options) (*Memory, *clock.Fake) {
 	source := clock.NewFake(time.Unix(1_000_000, 0))
 	memory := New(source, options)
@@ -141,7 +146,7 @@
 	})
 	t.Run("not run there, then to the asker, as a witness taken back", func(t *testing.T) {
 		m, _ := newMemory(Options{})
-		ask := message.Witness{Target: record.Target{Service: "payoutledger"}, Request: "r1", Window: window}
+		ask := newAsk()
 		first := m.Forward(request("r1"), third)
 		m.Witness(ask)
 		first.Finish(outcome.NotRun, nil)
@@ -153,7 +158,7 @@
 	})
 	t.Run("not run there, then run here", func(t *testing.T) {
 		m, _ := newMemory(Options{})
-		ask := message.Witness{Target: record.Target{Service: "payoutledger"}, Request: "r1", Window: window}
+		ask := newAsk()
 		first := m.Forward(request("r1"), other)
 		m.Witness(ask)
 		first.Finish(outcome.NotRun, nil)
@@ -177,7 +182,7 @@
 
 func TestWitness(t *testing.T) {
 	m, _ := newMemory(Options{})
-	ask := message.Witness{Target: record.Target{Service: "payoutledger"}, Request: "r1", Window: window}
+	ask := newAsk()
 	for _, want := range []bool{false, true} {
 		if got, ok := m.Witness(ask); !ok || got.Known != want {
 			t.Errorf("got %v, %v, want known %v", got, ok, want)
@@ -193,7 +198,8 @@
 // the same id.
 func TestWitnessAskedAgain(t *testing.T) {
 	m, _ := newMemory(Options{})
-	ask := message.Witness{Target: record.Target{Service: "payoutledger"}, Request: "r1", Window: window, Asker: third, Number: 1}
+	ask := newAsk()
+	ask.Asker, ask.Number = third, 1
 	m.Witness(ask)
 	again := ask
 	again.Number = 2
--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pineturn/core/clock"
 )
 
 // Times of leases.
@@ -154,7 +156,7 @@
 		at = p.opened.Add(lapse)
 	}
 	if p.inherited {
-		at = latest(at, l.quiet.Add(lapse))
+		at = clock.Later(at, l.quiet.Add(lapse))
 	}
 	return at
 }
@@ -168,22 +170,15 @@
 	switch {
 	case p.inherited && !p.granted:
 		// A leader before may still renew the lease.
-		free = latest(free, l.guard)
+		free = clock.Later(free, l.guard)
 	case p.inherited:
 		// The owner refuses renewals of a leader before, but a life that began
 		// since may have taken a lease of it.
-		free = latest(free, l.quiet.Add(lapse))
+		free = clock.Later(free, l.quiet.Add(lapse))
 	}
 	return free
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Settle drops former owners that no longer hold anything, and reports whether
 // the record has to be written.
 func (l *Leader) Settle(targets map[string]Target, now time.Time) bool {
--- a/core/owner/loads.go
+++ b/core/owner/loads.go
@@ -88,9 +88,9 @@
 			}
 		}
 	}
-	for service, targets := range l.paces {
-		for target, w := range targets {
-			report.Work = append(report.Work, Work{Service: service, Target: target, Answers: w.answers, Seconds: w.seconds})
+	for _, targets := range l.paces {
+		for _, w := range targets {
+			report.Work = append(report.Work, *w)
 		}
 	}
 	return report
--- a/core/owner/pace.go
+++ b/core/owner/pace.go
@@ -29,30 +29,21 @@
 	Seconds float64 `cbor:"4,keyasint"`
 }
 
-// work is the remembered answers of a target or of a service.
-type work struct {
-	answers float64
-	seconds float64
-}
-
-func (w *work) add(o work) {
-	w.answers += o.answers
-	w.seconds += o.seconds
-}
-
-// paces are the times of targets' answers, by service.
-type paces map[string]map[string]*work
+// paces are the remembered answers of targets, by service and target.
+type paces map[string]map[string]*Work
 
 func (p paces) add(w Work) {
 	targets := p[w.Service]
 	if targets == nil {
-		targets = make(map[string]*work)
+		targets = make(map[string]*Work)
 		p[w.Service] = targets
 	}
-	if targets[w.Target] == nil {
-		targets[w.Target] = &work{}
+	if known := targets[w.Target]; known != nil {
+		known.Answers += w.Answers
+		known.Seconds += w.Seconds
+		return
 	}
-	targets[w.Target].add(work{answers: w.Answers, seconds: w.Seconds})
+	targets[w.Target] = &w
 }
 
 // age lets old answers fade.
@@ -60,9 +51,9 @@
 	keep := math.Exp2(-elapsed.Seconds() / paceHalfLife.Seconds())
 	for _, targets := range p {
 		for id, w := range targets {
-			w.answers *= keep
-			w.seconds *= keep
-			if w.answers < leastAnswers {
+			w.Answers *= keep
+			w.Seconds *= keep
+			if w.Answers < leastAnswers {
 				delete(targets, id)
 			}
 		}
@@ -73,15 +64,16 @@
 // service. It answers targets that differ in speed or turn slow: they get fewer
 // keys.
 func (l *Loads) Pace(service, target string) float64 {
-	var all work
+	var all Work
 	for _, w := range l.paces[service] {
-		all.add(*w)
+		all.Answers += w.Answers
+		all.Seconds += w.Seconds
 	}
 	here := l.paces[service][target]
-	if here == nil || all.seconds <= 0 {
+	if here == nil || all.Seconds <= 0 {
 		return 1
 	}
-	mean := all.seconds / all.answers
-	pace := (here.seconds + usualAnswers*mean) / (here.answers + usualAnswers) / mean
+	mean := all.Seconds / all.Answers
+	pace := (here.Seconds + usualAnswers*mean) / (here.Answers + usualAnswers) / mean
 	return min(max(pace, leastPace), mostPace)
 }
--- a/core/owner/plan_test.go
+++ b/core/owner/plan_test.go
@@ -15,6 +15,13 @@
 // them and granted all.
 func site(t *testing.T, n int) (*Leader, map[string]Target, *Loads) {
 	t.Helper()
+	l, targets, loads := ungranted(n)
+	grantAll(t, l, targets, planStart)
+	return l, targets, loads
+}
+
+// ungranted is a site whose leader has granted nothing yet.
+func ungranted(n int) (*Leader, map[string]Target, *Loads) {
 	targets := make(map[string]Target)
 	for i := range n {
 		id := fmt.Sprintf("t%02d", i)
@@ -24,7 +31,6 @@
 	l := Lead(&Assignment{Epoch: firstEpoch}, Hold, planStart)
 	l.Assign(planService, targets, loads, planStart)
 	l.Written(l.Record())
-	grantAll(t, l, targets, planStart)
 	return l, targets, loads
 }
 
--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"pineturn/core/clock"
 )
 
 // Demand is what is asked of a target.
@@ -182,10 +184,10 @@
 		t.refusals = 0
 	case Shed:
 		t.addTrouble(now, 0.5)
-		t.closedUntil = later(t.closedUntil, now.Add(shedPause))
+		t.closedUntil = clock.Later(t.closedUntil, now.Add(shedPause))
 	case Failed, BrokenOff:
 		t.addTrouble(now, 1)
-		t.closedUntil = later(t.closedUntil, now.Add(failedPause))
+		t.closedUntil = clock.Later(t.closedUntil, now.Add(failedPause))
 	case Unreachable:
 		t.addTrouble(now, 2)
 		t.closedUntil = now.Add(unreachablePause)
@@ -198,13 +200,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Bounds of a target's learned time over the mean of its service.
 const (
 	minPace = 0.2
@@ -217,8 +212,8 @@
 	work := float64(took) / max(1, c.depth)
 	g.work += time.Duration(speedWeight / 4 * (work - float64(g.work)))
 	if c.owned {
-		t.owned.answers++
-		t.owned.took += time.Duration(work)
+		t.owned.Answers++
+		t.owned.Seconds += time.Duration(work).Seconds()
 	}
 	pace := work / max(float64(g.work), float64(time.Millisecond))
 	t.pace += speedWeight * (min(max(pace, minPace), maxPace) - t.pace)
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"pineturn/core/owner"
 )
 
 // Set is the table of all targets. It is safe for concurrent use; its lock is
@@ -166,24 +168,16 @@
 	return states
 }
 
-// Work is what requests for a target's keys took.
-type Work struct {
-	Service string
-	Target  string
-	Answers int
-	// Took leaves out the time in the target's queue.
-	Took time.Duration
-}
-
 // TakeWork returns the work of targets that own keys since the call before.
-func (s *Set) TakeWork() []Work {
+func (s *Set) TakeWork() []owner.Work {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var all []Work
+	var all []owner.Work
 	for id, t := range s.targets {
-		if t.owned.answers > 0 {
-			all = append(all, Work{Service: t.entry.Service, Target: id, Answers: t.owned.answers, Took: t.owned.took})
-			t.owned = work{}
+		if t.owned.Answers > 0 {
+			t.owned.Service, t.owned.Target = t.entry.Service, id
+			all = append(all, t.owned)
+			t.owned = owner.Work{}
 		}
 	}
 	return all
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"pineturn/core/owner"
 )
 
 const (
@@ -58,13 +60,7 @@
 	// their keys, has refused or broken off.
 	refusals int
 	// owned is what requests for its keys took since it was last asked for.
-	owned work
-}
-
-// work is a number of answers and the time that they took.
-type work struct {
-	answers int
-	took    time.Duration
+	owned owner.Work
 }
 
 // Entry returns what the target last said of itself.
--- a/io/entry/counts.go
+++ b/io/entry/counts.go
@@ -35,12 +35,7 @@
 // Report returns the requests for each key and the work of each key's target
 // since the call before, or with all set what is remembered of them.
 func (e *Entry) Report(all bool) owner.Report {
-	report := owner.Report{Counts: e.countsNow()}
-	for _, w := range e.targets.TakeWork() {
-		report.Work = append(report.Work, owner.Work{
-			Service: w.Service, Target: w.Target, Answers: float64(w.Answers), Seconds: w.Took.Seconds(),
-		})
-	}
+	report := owner.Report{Counts: e.countsNow(), Work: e.targets.TakeWork()}
 	e.history.Add(report)
 	e.history.Age(e.clock.Now())
 	if all {
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -132,7 +132,7 @@
 	})
 	t.Run("history expired", func(t *testing.T) {
 		r.configure(3)
-		r.store.Expire("keyed.op")
+		r.store.ExpireAll()
 		eventually(t, "version 3", 2*time.Second, inForce(3))
 	})
 	t.Run("after the store was silent", func(t *testing.T) {
@@ -163,7 +163,7 @@
 		`{"address":"127.0.0.1:1","info":{"service":"coverdesk","zone":"a","capacity":2},"status":{"state":"asleep","sequence":1,"warmup_left_s":0}}`,
 		`{"address":"127.0.0.1:1","born":1.5,"info":{"service":"coverdesk","zone":"a","capacity":2},"status":{"state":"ready","sequence":1,"warmup_left_s":0}}`,
 	} {
-		r.store.Put("keyed.servers", fmt.Sprint("foreign", i), []byte(entry))
+		r.store.PutTarget(fmt.Sprint("foreign", i), []byte(entry))
 	}
 	r.addTarget("c1", plainService)
 	h := r.addHost("host-1")
@@ -211,7 +211,7 @@
 	t.Parallel()
 	r, hosts, served := keyedSite(t)
 	t.Run("target leaves", func(t *testing.T) {
-		r.store.Put("keyed.servers", "k0", r.targets["k0"].Entry(2, true))
+		r.store.PutTarget("k0", r.targets["k0"].Entry(2, true))
 		left := time.Now()
 		eventually(t, "all keys are served", 4*time.Second, func() bool { return served(hosts[0]) && served(hosts[1]) })
 		time.Sleep(2 * time.Second)
@@ -224,7 +224,7 @@
 	t.Run("target ends", func(t *testing.T) {
 		r.targets["k1"].end()
 		r.audit.Ended("k1")
-		r.store.Put("keyed.servers", "k1", nil)
+		r.store.PutTarget("k1", nil)
 		eventually(t, "all keys are served", 8*time.Second, func() bool { return served(hosts[2]) })
 	})
 	t.Run("target is added", func(t *testing.T) {
--- a/io/gateway/rig_test.go
+++ b/io/gateway/rig_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -108,33 +107,20 @@
 
 // configure publishes a version of the operator's configuration.
 func (r *rig) configure(version int) {
-	route := func(prefix, kind, service string) map[string]any {
-		timeout := 1
-		if prefix == slowRoute {
-			timeout = 20
-		}
-		return map[string]any{
-			"name": prefix, "host": siteHost, "path_prefix": "/" + prefix + "/", "kind": kind, "service": service,
-			"timeout_s": timeout, "target_latency_s": 0.5, "max_attempts": 2,
-		}
-	}
-	config := map[string]any{
-		"version": version,
-		"routes": []any{
-			route("cover", "safe", plainService), route("payout", "unsafe", orderService), route("records", "safe", keyedService),
-			route(fmt.Sprint("v", version), "safe", plainService), route(slowRoute, "safe", plainService),
+	config := platformstore.Config{
+		Version: version, HostName: siteHost,
+		Routes: []platformstore.Route{
+			{Name: "cover", Service: plainService, Idempotent: true, Timeout: time.Second},
+			{Name: "payout", Service: orderService, Timeout: time.Second},
+			{Name: "records", Service: keyedService, Idempotent: true, Timeout: time.Second},
+			{Name: fmt.Sprint("v", version), Service: plainService, Idempotent: true, Timeout: time.Second},
+			{Name: slowRoute, Service: plainService, Idempotent: true, Timeout: 20 * time.Second},
 		},
-		"services": []any{
-			map[string]any{"name": plainService}, map[string]any{"name": orderService},
-			map[string]any{"name": keyedService, "sharding": true},
-		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_s": 3, "idle_timeout_s": 15},
+		Services: []platformstore.Service{{Name: plainService}, {Name: orderService}, {Name: keyedService, Keyed: true}},
 	}
-	data, err := json.Marshal(config)
-	if err != nil {
+	if err := r.store.Configure(config); err != nil {
 		r.t.Fatal(err)
 	}
-	r.store.Put("keyed.op", "config", data)
 }
 
 // addTarget starts a target and keeps its entry alive.
@@ -151,7 +137,7 @@
 	}, r.audit)
 	x.server = &http.Server{Handler: x.Handler()}
 	go func() { _ = x.server.Serve(l) }()
-	r.store.Put("keyed.servers", id, x.Entry(1, false))
+	r.store.PutTarget(id, x.Entry(1, false))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.targets[id] = x
@@ -197,11 +183,10 @@
 		front: fmt.Sprintf("%s:%d", ip, freePort(r.t, ip)), ready: fmt.Sprintf("%s:%d", ip, freePort(r.t, ip)),
 		path: filepath.Join(r.t.TempDir(), "settings.toml"), ended: make(chan error, 1),
 	}
-	port := freePort(r.t, ip)
-	settings := fmt.Sprintf("node = %q\nzone = \"a\"\nip = %q\ninternal_ports = [%d, %d]\n"+
-		"[listen]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[bounds]\nretry_budget_ratio = 0.2\nretry_budget_extra = 160\n",
-		name, ip, port, port, h.front, h.ready, r.addr)
-	if err := os.WriteFile(h.path, []byte(settings), 0o600); err != nil {
+	settings := platformstore.Host{
+		Name: name, IP: ip, Port: freePort(r.t, ip), Callers: h.front, Ready: h.ready, Store: r.addr, RetryExtra: 160,
+	}
+	if err := os.WriteFile(h.path, settings.Settings(), 0o600); err != nil {
 		r.t.Fatal(err)
 	}
 	sink := logsink.New(io.Discard)
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -233,13 +233,14 @@
 	if _, known := k.targets.Entry(id); !known {
 		return
 	}
-	if !k.targetFollower.Impaired(returnGrace) {
+	end := k.targetFollower.GraceEnd(returnGrace)
+	if !now.Before(end) {
 		k.gone(id, now)
 		return
 	}
 	if _, ok := k.doubted[id]; !ok {
-		k.doubted[id] = k.targetFollower.GraceEnd(returnGrace)
-		klog.InfoS("Target's entry lapsed while the store was lost", "target", id, "grace", k.doubted[id].Sub(now))
+		k.doubted[id] = end
+		klog.InfoS("Target's entry lapsed while the store was lost", "target", id, "grace", end.Sub(now))
 	}
 }
 
--- a/io/metastore/follower.go
+++ b/io/metastore/follower.go
@@ -82,17 +82,15 @@
 
 // Impaired reports whether the store was lost within a time before now.
 func (f *Follower) Impaired(within time.Duration) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.lost || (!f.regained.IsZero() && f.Clock.Now().Sub(f.regained) < within)
+	return f.Clock.Now().Before(f.GraceEnd(within))
 }
 
-// GraceEnd returns when a grace after the store's return ends, at the earliest
-// where the store is lost.
+// GraceEnd returns when a grace after the store's return ends. While the store
+// is lost it is taken to return now.
 func (f *Follower) GraceEnd(grace time.Duration) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lost || f.regained.IsZero() {
+	if f.lost {
 		return f.Clock.Now().Add(grace)
 	}
 	return f.regained.Add(grace)
--- a/io/soak/callers.go
+++ b/io/soak/callers.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"pineturn/core/clock"
 	"pineturn/io/standin/keyholder"
 )
 
@@ -46,7 +47,7 @@
 			c := newCaller(s, i)
 			for ctx.Err() == nil {
 				c.call(c.random.IntN(len(s.hosts)))
-				sleep(ctx, time.Duration(c.random.Int64N(int64(2*callPause))))
+				clock.Sleep(ctx, time.Duration(c.random.Int64N(int64(2*callPause))))
 			}
 			c.client.CloseIdleConnections()
 		})
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"pineturn/core/clock"
 	"pineturn/io/standin/link"
 	"pineturn/io/standin/platformstore"
 )
@@ -15,7 +16,7 @@
 	ended := make(chan error, len(steps))
 	for _, step := range steps {
 		go func() {
-			sleep(ctx, time.Until(start.Add(step.At)))
+			clock.Sleep(ctx, time.Until(start.Add(step.At)))
 			ended <- s.do(ctx, step)
 		}()
 	}
@@ -28,31 +29,21 @@
 	return first
 }
 
-// sleep waits for a time or the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
-// during notes a trouble around what is done.
-func (s *site) during(t Trouble, longest time.Duration, do func() error) error {
-	t.From = time.Now()
-	t.To = t.From.Add(longest)
-	s.judge.Trouble(t)
+// during notes a window around what is done.
+func (s *site) during(w Window, longest time.Duration, do func() error) error {
+	w.From = time.Now()
+	w.To = w.From.Add(longest)
+	s.judge.Under(w)
 	err := do()
-	t.To = time.Now()
-	s.judge.Trouble(t)
+	w.To = time.Now()
+	s.judge.Under(w)
 	return err
 }
 
 func (s *site) do(ctx context.Context, step Step) error {
 	h := s.hosts[step.Which%len(s.hosts)]
-	onHost := Trouble{Kind: step.Kind, Host: h.number}
-	everywhere := Trouble{Kind: step.Kind, Host: -1}
+	onHost := Window{Kind: step.Kind, Host: h.number}
+	everywhere := Window{Kind: step.Kind, Host: -1}
 	longest := step.For + startWithin + graceTime
 	switch step.Kind {
 	case HostStop, HostKill:
@@ -62,24 +53,26 @@
 	case HostPause:
 		return s.during(onHost, longest, func() error {
 			h.signal(syscall.SIGSTOP)
-			sleep(ctx, step.For)
+			clock.Sleep(ctx, step.For)
 			h.signal(syscall.SIGCONT)
 			return nil
 		})
 	case HostReload:
 		h.signal(syscall.SIGHUP)
 	case Configure:
-		s.configure()
+		return s.configure()
 	case TargetDrain, TargetKill, TargetPause:
 		return s.doTarget(ctx, step, longest)
 	case LinkCut, LinkSilent, LinkStall, LinkSlow:
 		return s.during(onHost, longest, func() error { return harm(ctx, h.link, step) })
-	case StoreExpire, StoreDeal:
-		return s.during(everywhere, 0, func() error { s.disturb(step.Kind); return nil })
+	case StoreExpire:
+		return s.during(everywhere, 0, func() error { s.store.ExpireAll(); return nil })
+	case StoreDeal:
+		return s.during(everywhere, 0, func() error { s.store.DealAnew(); return nil })
 	default:
 		return s.during(everywhere, longest, func() error {
 			s.store.SetFault(storeFaults[step.Kind])
-			sleep(ctx, step.For)
+			clock.Sleep(ctx, step.For)
 			s.store.SetFault(platformstore.Fault{})
 			return nil
 		})
@@ -87,18 +80,6 @@
 	return nil
 }
 
-// disturb has the store forget its history, or deal the choice of the host that
-// leads anew.
-func (s *site) disturb(kind Kind) {
-	if kind == StoreDeal {
-		s.store.Deal("pineturn")
-		return
-	}
-	for _, topic := range []string{"keyed.op", "keyed.servers", "keyed.pineturn"} {
-		s.store.Expire(topic)
-	}
-}
-
 var storeFaults = map[Kind]platformstore.Fault{
 	StoreBusy:   {Mode: "busy"},
 	StoreReset:  {Mode: "reset"},
@@ -122,7 +103,7 @@
 	} else {
 		p.kill()
 	}
-	sleep(ctx, step.For)
+	clock.Sleep(ctx, step.For)
 	return s.startHost(h, p)
 }
 
@@ -156,7 +137,7 @@
 	if err := l.Set(mode, delay); err != nil {
 		return err
 	}
-	sleep(ctx, step.For)
+	clock.Sleep(ctx, step.For)
 	return l.Set(link.Up, 0)
 }
 
@@ -169,8 +150,8 @@
 	if t.leaving {
 		return nil
 	}
-	trouble := Trouble{Kind: step.Kind, Host: -1, Target: t.lifeName()}
-	return s.during(trouble, longest, func() error {
+	window := Window{Kind: step.Kind, Host: -1, Target: t.lifeName()}
+	return s.during(window, longest, func() error {
 		switch step.Kind {
 		case TargetDrain:
 			return s.drain(ctx, t)
@@ -178,14 +159,14 @@
 			return s.killTarget(ctx, t, step)
 		}
 		t.process.signal(syscall.SIGSTOP)
-		sleep(ctx, step.For)
+		clock.Sleep(ctx, step.For)
 		if step.For > lapseTime {
 			// The silent target's entry lapses, and comes back with it.
-			s.store.Put("keyed.servers", t.id, nil)
+			s.store.PutTarget(t.id, nil)
 		}
 		t.process.signal(syscall.SIGCONT)
 		if step.For > lapseTime {
-			s.store.Put("keyed.servers", t.id, t.entry(false))
+			s.store.PutTarget(t.id, t.entry(false))
 		}
 		return nil
 	})
@@ -198,10 +179,10 @@
 	if err := s.addTarget(t.service); err != nil {
 		return err
 	}
-	s.store.Put("keyed.servers", t.id, t.entry(true))
+	s.store.PutTarget(t.id, t.entry(true))
 	s.judge.Drained(t.lifeName(), time.Now())
-	sleep(ctx, serving)
-	s.store.Put("keyed.servers", t.id, nil)
+	clock.Sleep(ctx, serving)
+	s.store.PutTarget(t.id, nil)
 	s.endTarget(t)
 	return nil
 }
@@ -215,11 +196,11 @@
 func (s *site) killTarget(ctx context.Context, t *target, step Step) error {
 	s.endTarget(t)
 	if step.For > lapseTime {
-		sleep(ctx, lapseTime)
-		s.store.Put("keyed.servers", t.id, nil)
-		sleep(ctx, step.For-lapseTime)
+		clock.Sleep(ctx, lapseTime)
+		s.store.PutTarget(t.id, nil)
+		clock.Sleep(ctx, step.For-lapseTime)
 	} else {
-		sleep(ctx, step.For)
+		clock.Sleep(ctx, step.For)
 	}
 	return s.begin(t)
 }
--- a/io/soak/judge.go
+++ b/io/soak/judge.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,9 +22,9 @@
 	// shareTime is how long two targets may have the same keys when neither
 	// runs a request for them.
 	shareTime = 500 * time.Millisecond
-	// thawTime is the time after a pause or a cut in which orders that were held
-	// up on their way arrive.
-	thawTime = 300 * time.Millisecond
+	// resumeTime is the time after a pause in which orders that were held up on
+	// their way arrive.
+	resumeTime = 300 * time.Millisecond
 )
 
 // Answer is what a caller saw of one request.
@@ -54,8 +55,8 @@
 	}, a.Status)
 }
 
-// Trouble is a time in which something was wrong or planned work was done.
-type Trouble struct {
+// Window is a time in which a fault or planned work was under way.
+type Window struct {
 	Kind Kind
 	// Host is the number of the host that it concerns, or -1.
 	Host int
@@ -66,16 +67,16 @@
 
 // Judge checks the promises from what callers and targets saw.
 type Judge struct {
-	mu       sync.Mutex
-	runs     map[string][]keyholder.Run
-	answers  map[string]Answer
-	leases   []*held
-	troubles []Trouble
-	acked    map[int]time.Time
-	drained  map[string]time.Time
-	newest   map[[2]int]int
-	broken   []string
-	counts   map[string]int
+	mu      sync.Mutex
+	runs    map[string][]keyholder.Run
+	answers map[string]Answer
+	leases  []*held
+	windows []Window
+	acked   map[int]time.Time
+	drained map[string]time.Time
+	newest  map[[2]int]int
+	broken  []string
+	counts  map[string]int
 }
 
 // NewJudge returns a judge that has seen nothing.
@@ -86,18 +87,18 @@
 	}
 }
 
-// Trouble notes a time of trouble. It is told before the trouble begins, and
-// again once its end is known.
-func (j *Judge) Trouble(t Trouble) {
+// Under notes a window. It is told before the window begins, and again once its
+// end is known.
+func (j *Judge) Under(w Window) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for i, known := range j.troubles {
-		if known.Kind == t.Kind && known.Host == t.Host && known.Target == t.Target && known.From.Equal(t.From) {
-			j.troubles[i] = t
+	for i, known := range j.windows {
+		if known.Kind == w.Kind && known.Host == w.Host && known.Target == w.Target && known.From.Equal(w.From) {
+			j.windows[i] = w
 			return
 		}
 	}
-	j.troubles = append(j.troubles, t)
+	j.windows = append(j.windows, w)
 }
 
 // Acked notes that the store has a version of the configuration.
@@ -149,8 +150,8 @@
 
 // calm reports whether no fault was there in a time and for calmTime before it.
 func (j *Judge) calm(from, to time.Time) bool {
-	return !slices.ContainsFunc(j.troubles, func(t Trouble) bool {
-		return !t.Kind.Planned() && t.From.Before(to) && t.To.After(from.Add(-calmTime))
+	return !slices.ContainsFunc(j.windows, func(w Window) bool {
+		return !w.Kind.Planned() && w.From.Before(to) && w.To.After(from.Add(-calmTime))
 	})
 }
 
@@ -199,13 +200,11 @@
 		j.breaks("request %s got the answer of %s, signed %q", a.ID, a.EchoedID, a.Signature)
 		return
 	}
-	if !endsWith(a.Body, keyholder.Body("", a.ID)) {
+	if !strings.HasSuffix(a.Body, keyholder.Body("", a.ID)) {
 		j.breaks("request %s got the body %q", a.ID, a.Body)
 	}
 }
 
-func endsWith(s, end string) bool { return len(s) >= len(end) && s[len(s)-len(end):] == end }
-
 func (j *Judge) checkInForce(a Answer) {
 	if a.Version <= j.newest[[2]int{a.Host, a.Life}] {
 		j.breaks("host %d went back before version %d, as request %s found no route %s", a.Host, a.Version, a.ID, a.Route)
@@ -220,8 +219,8 @@
 // restarted reports whether a request's host was started or stopped shortly
 // before.
 func (j *Judge) restarted(a Answer) bool {
-	return slices.ContainsFunc(j.troubles, func(t Trouble) bool {
-		return t.Kind == HostStop && t.Host == a.Host && t.From.Before(a.Ended) && t.To.After(a.Sent.Add(-calmTime))
+	return slices.ContainsFunc(j.windows, func(w Window) bool {
+		return w.Kind == HostStop && w.Host == a.Host && w.From.Before(a.Ended) && w.To.After(a.Sent.Add(-calmTime))
 	})
 }
 
@@ -247,16 +246,16 @@
 // it was under way, and nothing else was wrong with it and its targets.
 func (j *Judge) onlyStopped(a Answer, runs []keyholder.Run) bool {
 	stopped := false
-	for _, t := range j.troubles {
-		if !t.From.Before(a.Ended) || !t.To.After(a.Sent.Add(-calmTime)) {
+	for _, w := range j.windows {
+		if !w.From.Before(a.Ended) || !w.To.After(a.Sent.Add(-calmTime)) {
 			continue
 		}
-		concerned := t.Host == a.Host || t.Kind == AllHostsKill ||
-			slices.ContainsFunc(runs, func(r keyholder.Run) bool { return r.Target == t.Target })
+		concerned := w.Host == a.Host || w.Kind == AllHostsKill ||
+			slices.ContainsFunc(runs, func(r keyholder.Run) bool { return r.Target == w.Target })
 		switch {
-		case t.Kind == HostStop && t.Host == a.Host:
+		case w.Kind == HostStop && w.Host == a.Host:
 			stopped = true
-		case concerned && !t.Kind.Planned():
+		case concerned && !w.Kind.Planned():
 			return false
 		}
 	}
--- a/io/soak/judge_test.go
+++ b/io/soak/judge_test.go
@@ -70,6 +70,14 @@
 			ran(j, "r1", "t1", 55, 3.95)
 			ran(j, "r2", "t2", 55, 3.96)
 		}, "had keys 50 to 60"},
+		{"two owners that both renew", func(j *Judge) {
+			for i := range 10 {
+				granted(j, "t1", 0, 99, 1, float64(i), float64(i)+4)
+				granted(j, "t2", 0, 99, 2, float64(i)+0.1, float64(i)+4)
+				j.Settle(at(float64(i) - 2))
+			}
+			j.Ended("t1", at(9.2))
+		}, "had keys 0 to 99"},
 		{"owner after a release", func(j *Judge) {
 			granted(j, "t1", 0, 99, 1, 0, 4)
 			j.Event(keyholder.Event{Kind: keyholder.Released, Target: "t1", First: 50, Last: 60, At: at(1)})
@@ -86,7 +94,7 @@
 			granted(j, "t2", 0, 99, 2, 1.5, 5)
 		}, ""},
 		{"grant held up by a pause", func(j *Judge) {
-			j.Trouble(Trouble{Kind: HostPause, Host: 1, From: at(1), To: at(3)})
+			j.Under(Window{Kind: HostPause, Host: 1, From: at(1), To: at(3)})
 			granted(j, "t1", 0, 99, 1, 0, 4)
 			granted(j, "t2", 0, 99, 2, 3.1, 5)
 		}, ""},
@@ -95,7 +103,7 @@
 			ran(j, "r1", "t1", -1, 2.5)
 		}, "known to leave"},
 		{"leaving target beside a fault", func(j *Judge) {
-			j.Trouble(Trouble{Kind: LinkCut, Host: 0, From: at(-1), To: at(0.5)})
+			j.Under(Window{Kind: LinkCut, Host: 0, From: at(-1), To: at(0.5)})
 			j.Drained("t1", at(0))
 			ran(j, "r1", "t1", -1, 2.5)
 		}, ""},
@@ -116,13 +124,13 @@
 			j.Answer(Answer{ID: "r2", Life: 1, Status: http.StatusNotFound, Version: 3, Sent: at(0), Ended: at(0)})
 		}, ""},
 		{"cut by a planned stop", func(j *Judge) {
-			j.Trouble(Trouble{Kind: HostStop, Host: 2, From: at(0.5), To: at(3)})
+			j.Under(Window{Kind: HostStop, Host: 2, From: at(0.5), To: at(3)})
 			j.Answer(Answer{ID: "r1", Host: 2, Sent: at(0), Ended: at(1)})
 			ran(j, "r1", "t1", -1, 0.1)
 		}, "cut by the planned stop"},
 		{"cut by a kill", func(j *Judge) {
-			j.Trouble(Trouble{Kind: HostStop, Host: 2, From: at(0.5), To: at(3)})
-			j.Trouble(Trouble{Kind: HostKill, Host: 2, From: at(0.8), To: at(0.9)})
+			j.Under(Window{Kind: HostStop, Host: 2, From: at(0.5), To: at(3)})
+			j.Under(Window{Kind: HostKill, Host: 2, From: at(0.8), To: at(0.9)})
 			j.Answer(Answer{ID: "r1", Host: 2, Sent: at(0), Ended: at(1)})
 			ran(j, "r1", "t1", -1, 0.1)
 		}, ""},
--- a/io/soak/leases.go
+++ b/io/soak/leases.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"pineturn/core/clock"
 	"pineturn/io/standin/keyholder"
 )
 
@@ -22,22 +23,26 @@
 	return h.Until
 }
 
-// thawing reports whether an order that arrives at a moment may have been held
+// resuming reports whether an order that arrives at a moment may have been held
 // up on its way.
-func (j *Judge) thawing(at time.Time) bool {
-	return slices.ContainsFunc(j.troubles, func(t Trouble) bool {
-		held := t.Kind == HostPause || t.Kind == TargetPause
-		return held && !at.Before(t.From) && at.Before(t.To.Add(thawTime))
+func (j *Judge) resuming(at time.Time) bool {
+	return slices.ContainsFunc(j.windows, func(w Window) bool {
+		held := w.Kind == HostPause || w.Kind == TargetPause
+		return held && !at.Before(w.From) && at.Before(w.To.Add(resumeTime))
 	})
 }
 
-// granted notes a lease, in place of the one that it renews.
+// granted notes a lease, or makes the one that it renews longer.
 func (j *Judge) granted(e keyholder.Event) {
-	mine := &held{Event: e, late: j.thawing(e.At)}
-	j.leases = slices.DeleteFunc(j.leases, func(h *held) bool {
-		return h.Target == e.Target && h.First == e.First && h.Last == e.Last && h.Fence == e.Fence
-	})
-	j.leases = append(j.leases, mine)
+	late := j.resuming(e.At)
+	for _, h := range j.leases {
+		same := h.Target == e.Target && h.First == e.First && h.Last == e.Last && h.Fence == e.Fence
+		if same && h.late == late && e.At.Before(h.end()) {
+			h.Until = clock.Later(h.Until, e.Until)
+			return
+		}
+	}
+	j.leases = append(j.leases, &held{Event: e, late: late})
 }
 
 // released ends a target's leases on keys, as far as they are released.
@@ -79,7 +84,7 @@
 	if a.Target == b.Target || a.late || b.late || a.Last < b.First || a.First > b.Last {
 		return
 	}
-	from, to := later(a.At, b.At), earlier(earlier(a.end(), b.end()), until)
+	from, to := clock.Later(a.At, b.At), clock.Earlier(clock.Earlier(a.end(), b.end()), until)
 	if !from.Before(to) {
 		return
 	}
@@ -102,17 +107,3 @@
 	}
 	return ran[a] && ran[b]
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/io/soak/site.go
+++ b/io/soak/site.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
 	"pineturn/io/standin/keyholder"
 	"pineturn/io/standin/link"
@@ -31,7 +32,8 @@
 const spoiled = "0.005"
 
 const (
-	// startWithin bounds the start of a program, graceTime the stop of a host.
+	// startWithin bounds the start of a program, graceTime the stop of a host where the
+	// settings don't say.
 	startWithin = 10 * time.Second
 	graceTime   = 6 * time.Second
 	// lapseTime is the silence after which the store drops a target's entry.
@@ -94,7 +96,9 @@
 	s.address = listener.Addr().String()
 	s.server = &http.Server{Handler: s.store.Handler(), ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(listener) }()
-	s.configure()
+	if err := s.configure(); err != nil {
+		return s, err
+	}
 	services := []string{plainService, onceService, keyedService}
 	for i := range options.Targets {
 		if err := s.addTarget(services[i%len(services)]); err != nil {
@@ -134,36 +138,31 @@
 }
 
 // configure publishes a version with one more route.
-func (s *site) configure() {
+func (s *site) configure() error {
 	s.mu.Lock()
 	s.version++
 	version := s.version
 	s.mu.Unlock()
-	route := func(prefix, kind, service string) map[string]any {
-		return map[string]any{
-			"name": prefix, "host": siteHost, "path_prefix": "/" + prefix + "/", "kind": kind, "service": service,
-			"timeout_s": 2, "target_latency_s": 0.5, "max_attempts": 2,
-		}
-	}
-	routes := []any{
-		route("cover", "safe", plainService), route("payout", "unsafe", onceService), route("records", "safe", keyedService),
+	const timeout = 2 * time.Second
+	config := platformstore.Config{
+		Version: version, HostName: siteHost,
+		Routes: []platformstore.Route{
+			{Name: "cover", Service: plainService, Idempotent: true, Timeout: timeout},
+			{Name: "payout", Service: onceService, Timeout: timeout},
+			{Name: "records", Service: keyedService, Idempotent: true, Timeout: timeout},
+		},
+		Services: []platformstore.Service{{Name: plainService}, {Name: onceService}, {Name: keyedService, Keyed: true}},
 	}
 	for v := 1; v <= version; v++ {
-		routes = append(routes, route(versionRoute(v), "safe", plainService))
+		config.Routes = append(config.Routes, platformstore.Route{
+			Name: versionRoute(v), Service: plainService, Idempotent: true, Timeout: timeout,
+		})
 	}
-	data, err := json.Marshal(map[string]any{
-		"version": version, "routes": routes,
-		"services": []any{
-			map[string]any{"name": plainService}, map[string]any{"name": onceService},
-			map[string]any{"name": keyedService, "sharding": true},
-		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_s": 3, "idle_timeout_s": 15},
-	})
-	if err != nil {
-		panic(err)
+	if err := s.store.Configure(config); err != nil {
+		return err
 	}
-	s.store.Put("keyed.op", "config", data)
 	s.judge.Acked(version, time.Now())
+	return nil
 }
 
 func versionRoute(version int) string { return fmt.Sprint("v", version) }
@@ -238,7 +237,7 @@
 	case <-p.done:
 		return errors.Newf("target %s ended at its start", t.id)
 	}
-	s.store.Put("keyed.servers", t.id, t.entry(false))
+	s.store.PutTarget(t.id, t.entry(false))
 	return nil
 }
 
@@ -250,6 +249,7 @@
 		return
 	}
 	if err := json.Unmarshal(line, &e); err != nil {
+		klog.ErrorS(err, "Event of a target can't be decoded", "target", life)
 		return
 	}
 	e.Target = life
@@ -286,10 +286,10 @@
 		log:  filepath.Join(s.folder, fmt.Sprintf("host-%d.log", number)), link: l,
 	}
 	s.hosts = append(s.hosts, h)
-	settings := fmt.Sprintf("node = \"host-%d\"\nzone = \"a\"\nip = %q\ninternal_ports = [%d, %d]\n"+
-		"[listen]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[bounds]\ngrace_s = %v\nretry_budget_ratio = 0.2\nretry_budget_extra = 50\n",
-		number, ip, ports[2], ports[2], h.front, h.ready, l.Address(), graceTime.Seconds())
-	if err := os.WriteFile(h.path, []byte(settings), 0o600); err != nil {
+	settings := platformstore.Host{
+		Name: fmt.Sprint("host-", number), IP: ip, Port: ports[2], Callers: h.front, Ready: h.ready, Store: l.Address(), RetryExtra: 50,
+	}
+	if err := os.WriteFile(h.path, settings.Settings(), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
 	return s.startHost(h, nil)
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"pineturn/core/clock"
 )
 
 // Options are the size of a run.
@@ -68,7 +70,7 @@
 	defer cancel()
 	running := s.callers(ctx)
 	go s.settle(ctx)
-	sleep(ctx, warmTime)
+	clock.Sleep(ctx, warmTime)
 	if err := s.play(ctx, steps); err != nil {
 		return report, errors.Wrapf(err, "play seed %d", options.Seed)
 	}
@@ -93,7 +95,7 @@
 // settle has leases checked while all runs.
 func (s *site) settle(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, settleTime)
+		clock.Sleep(ctx, settleTime)
 		s.judge.Settle(time.Now().Add(-settleTime))
 	}
 }
--- a/io/standin/platformstore/group.go
+++ b/io/standin/platformstore/group.go
@@ -74,15 +74,16 @@
 	reply(w, http.StatusOK, map[string]any{"generation": g.generation})
 }
 
-// Deal hands all partitions of a group to other members.
-func (s *Store) Deal(name string) {
+// DealAnew hands the partitions of all groups to other members.
+func (s *Store) DealAnew() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	g := s.group(name)
-	if len(g.members) > 1 {
-		g.members = append(g.members[1:], g.members[0])
+	for _, g := range s.groups {
+		if len(g.members) > 1 {
+			g.members = append(g.members[1:], g.members[0])
+		}
+		g.generation++
 	}
-	g.generation++
 }
 
 func (s *Store) group(name string) *group {
--- a/io/standin/platformstore/store.go
+++ b/io/standin/platformstore/store.go
@@ -93,15 +93,6 @@
 	return s.topic(name).newest[key].value
 }
 
-// Expire deletes the history of a topic; the newest records stay.
-func (s *Store) Expire(name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.topic(name)
-	t.first, t.records = t.end(), nil
-	s.wake()
-}
-
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
--- a/io/steward/lead.go
+++ b/io/steward/lead.go
@@ -13,10 +13,10 @@
 	"pineturn/platform"
 )
 
-// succeeds reports whether an earlier process of this host led last. That one
+// isSuccessor reports whether an earlier process of this host led last. That one
 // has ended, so that this one need not wait until it is chosen. It answers the
 // restart of all hosts at once.
-func (s *Steward) succeeds() bool {
+func (s *Steward) isSuccessor() bool {
 	a := s.catalog.Assignment()
 	return a != nil && a.Leader == s.self.Name && a.Process != s.self.Process && !s.isStopping()
 }
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -208,7 +208,7 @@
 	switch {
 	case s.leader != nil:
 		s.lead(ctx, next, s.freshest(fresh), now)
-	case s.isChosen() || s.succeeds():
+	case s.isChosen() || s.isSuccessor():
 		s.takeOver(ctx, next, now)
 	}
 }
