Read all topics at once after a cut, and bound the age of relayed watermarks

Cause: after its link to the store and the leader had been cut for 12 s, a host received feeds that were sent before and during the cut. Their watermarks stated the age at which they were sent, so the host counted its targets as recent and did not read the store for 1.4 s more; then it deferred removals for 2 s, as after an outage of the store.

Change: a feed returns the time of the last report, from which the receiver adds to each age the longest time that the message can have been on its way. A link without a feed for 1.5 s is replaced. The consumers of a host share one view of the store: one of them retries after a call without a response, the first success makes all read. Removals are not deferred if the leader has read the store without an outage. On another link to the same leader a host no longer sends again all that it remembers.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -106,7 +106,7 @@
 	g.links = hostlink.NewServer(incarnation, g.clock)
 	g.links.HandleReport = g.coordinator.AddReport
 	g.links.Subscribe = g.feed
-	g.reporter = hostlink.NewReporter()
+	g.reporter = hostlink.NewReporter(g.clock)
 	g.reporter.Leader = g.leader
 	g.reporter.Report = g.proxy.Report
 	g.reporter.Leading = g.coordinator.Leading
@@ -136,14 +136,14 @@
 	return net.JoinHostPort(s.Address, strconv.Itoa(s.PeerPorts[0]))
 }
 
-// leader returns the peer address and the incarnation of the leader. ok is false
-// if no leader is known or this host is the leader.
-func (g *Gateway) leader() (address, incarnation string, ok bool) {
+// leader returns the leader. remote is false if it is this host, or if no leader is
+// known.
+func (g *Gateway) leader() (leader hostlink.Leader, remote bool) {
 	a := g.catalog.Assignment()
-	if a == nil || a.LeaderIncarnation == g.incarnation {
-		return "", "", false
+	if a == nil {
+		return hostlink.Leader{}, false
 	}
-	return a.Address, a.LeaderIncarnation, true
+	return hostlink.Leader{Address: a.Address, Incarnation: a.LeaderIncarnation, Epoch: a.Epoch}, a.LeaderIncarnation != g.incarnation
 }
 
 // feed subscribes another host to the updates that this host reads from the
@@ -166,7 +166,7 @@
 	if address == peerAddress(g.settings) {
 		return g.started, true
 	}
-	link, err := hostlink.Dial(ctx, address)
+	link, err := hostlink.Dial(ctx, address, g.clock)
 	if err != nil {
 		return time.Time{}, false
 	}
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,12 +26,15 @@
 	path = "/link"
 	// dialTimeout bounds the dialing of a link together with the read of the hello
 	// message.
-	dialTimeout = time.Second
+	dialTimeout = 500 * time.Millisecond
 	// writeTimeout bounds the write of one message.
 	writeTimeout = time.Second
-	// readTimeout is the time without a message from the other host after which
-	// a link is closed.
-	readTimeout = 10 * time.Second
+	// reportTimeout is the time without a report after which a link is closed.
+	reportTimeout = 10 * time.Second
+	// feedTimeout is the time without a feed message after which a link is closed. A
+	// link that a network partition has cut may deliver nothing for long after the
+	// partition has ended, while a new link works.
+	feedTimeout = 2*maxFeedInterval + 300*time.Millisecond
 	// maxReportBytes is the largest encoded report, in bytes.
 	maxReportBytes = 1 << 20
 	// maxFeedBytes is the largest encoded feed message, in bytes.
@@ -55,15 +59,54 @@
 	Age time.Duration `cbor:"2,keyasint"`
 }
 
-// feedMessage is what the sender has read from the store since its last feed.
-// Watermarks are set only if the sender is the leader.
-type feedMessage struct {
-	Updates    []metastore.Update    `cbor:"1,keyasint,omitempty"`
+// Feed is what the sender has read from the store since its last feed.
+type Feed struct {
+	Updates []metastore.Update `cbor:"1,keyasint,omitempty"`
+	// Watermarks are set only if the sender is the leader.
 	Watermarks []metastore.Watermark `cbor:"2,keyasint,omitempty"`
 	// Hosts is the number of linked hosts, including the sender.
 	Hosts int `cbor:"3,keyasint,omitempty"`
 }
 
+// feedMessage is a feed with what the receiver needs to tell how long the message
+// was on its way.
+type feedMessage struct {
+	Feed
+	// Echo is the SentAt of the last report received, and EchoAge the time from its
+	// receipt to the reading of the watermarks. Both are zero before the first one.
+	Echo    time.Duration `cbor:"4,keyasint,omitempty"`
+	EchoAge time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// reportMessage is a report with the time at which it was sent, by the sender's
+// clock since the link was dialed.
+type reportMessage struct {
+	owner.Report
+	SentAt time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// echo is the time of the last report received on a link.
+type echo struct {
+	mu         sync.Mutex
+	sentAt     time.Duration
+	receivedAt time.Time
+}
+
+func (e *echo) set(sentAt time.Duration, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sentAt, e.receivedAt = sentAt, now
+}
+
+func (e *echo) get(now time.Time) (sentAt, age time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.sentAt == 0 {
+		return 0, 0
+	}
+	return e.sentAt, now.Sub(e.receivedAt)
+}
+
 // Server accepts links of other hosts.
 type Server struct {
 	incarnation string
@@ -107,23 +150,26 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	feedsDone := make(chan struct{})
+	last := &echo{}
 	go func() {
 		defer close(feedsDone)
-		s.sendFeeds(ctx, conn)
+		s.sendFeeds(ctx, conn, last)
 	}()
 	for {
-		var message owner.Report
-		if err := read(ctx, conn, readTimeout, &message); err != nil {
+		var message reportMessage
+		if err := read(ctx, conn, reportTimeout, &message); err != nil {
 			break
 		}
-		s.HandleReport(message)
+		last.set(message.SentAt, s.clock.Now())
+		s.HandleReport(message.Report)
 	}
 	cancel()
 	<-feedsDone
 }
 
-// sendFeeds relays what this host reads until the link ends.
-func (s *Server) sendFeeds(ctx context.Context, conn *websocket.Conn) {
+// sendFeeds relays what this host reads until the link ends. It sends feeds without
+// content as well, from which the other host sees that the link works.
+func (s *Server) sendFeeds(ctx context.Context, conn *websocket.Conn, last *echo) {
 	updates, cancel, watermarks := s.Subscribe()
 	defer cancel()
 	tick := time.NewTimer(feedInterval)
@@ -144,11 +190,9 @@
 		tick.Reset(min(feedInterval+time.Duration(s.links.Load())*feedIntervalPerLink, maxFeedInterval))
 		// Records up to the watermarks must be in this message or an earlier one,
 		// so the watermarks are taken before the queued updates.
+		message.Echo, message.EchoAge = last.get(s.clock.Now())
 		message.Watermarks = watermarks()
 		message.Updates = append(message.Updates, queuedUpdates(updates)...)
-		if len(message.Watermarks) == 0 && len(message.Updates) == 0 {
-			continue
-		}
 		message.Hosts = s.Hosts()
 		if err := write(ctx, conn, message); err != nil {
 			return
@@ -178,11 +222,15 @@
 // Link is an open link to another host.
 type Link struct {
 	conn  *websocket.Conn
-	hello hello
+	clock clock.Clock
+	// dialedAt is the time before the link was dialed.
+	dialedAt time.Time
+	hello    hello
 }
 
 // Dial opens a link to the host at an address.
-func Dial(ctx context.Context, address string) (*Link, error) {
+func Dial(ctx context.Context, address string, clk clock.Clock) (*Link, error) {
+	l := &Link{clock: clk, dialedAt: clk.Now()}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, _, err := websocket.Dial(ctx, "ws://"+address+path, &websocket.DialOptions{
@@ -193,7 +241,7 @@
 		return nil, errors.Wrapf(err, "dial host at %s", address)
 	}
 	conn.SetReadLimit(maxFeedBytes)
-	l := &Link{conn: conn}
+	l.conn = conn
 	if err := read(ctx, conn, dialTimeout, &l.hello); err != nil {
 		_ = conn.CloseNow()
 		return nil, errors.Wrapf(err, "read hello from host at %s", address)
@@ -216,22 +264,24 @@
 
 // Report sends a report of this host to the other host.
 func (l *Link) Report(ctx context.Context, report owner.Report) error {
-	return write(ctx, l.conn, report)
+	return write(ctx, l.conn, reportMessage{Report: report, SentAt: l.clock.Now().Sub(l.dialedAt)})
 }
 
-// Receive waits for the other host's next feed message.
+// Receive waits for the other host's next feed. It adds to the ages of the
+// watermarks the longest time that the message can have been on its way: a cut or
+// a paused host may hold messages up for seconds.
 func (l *Link) Receive(ctx context.Context) (Feed, error) {
 	var message feedMessage
-	if err := read(ctx, l.conn, readTimeout, &message); err != nil {
+	if err := read(ctx, l.conn, feedTimeout, &message); err != nil {
 		return Feed{}, err
 	}
-	return Feed(message), nil
+	delay := l.clock.Now().Sub(l.dialedAt) - message.Echo - message.EchoAge
+	for i := range message.Watermarks {
+		message.Watermarks[i].Age += max(delay, 0)
+	}
+	return message.Feed, nil
 }
 
-// Feed is what the sender has read from the store since its last feed. Watermarks are
-// set only if the sender is the leader.
-type Feed feedMessage
-
 // Close ends the link.
 func (l *Link) Close() { _ = l.conn.CloseNow() }
 
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"pineturn/core/clock"
 	"pineturn/core/owner"
 )
 
@@ -26,15 +27,23 @@
 	linkPollInterval = 150 * time.Millisecond
 	// redialDelay is the time after a failed dial before the same incarnation is
 	// dialed again.
-	redialDelay = 1500 * time.Millisecond
+	redialDelay = 600 * time.Millisecond
 )
 
+// Leader is the leading host.
+type Leader struct {
+	// Address is where the host accepts links, Incarnation that of its process.
+	Address, Incarnation string
+	// Epoch is the epoch of its leadership.
+	Epoch int64
+}
+
 // Reporter keeps a link to the leader and reports to it. Its function fields are
 // set before Run.
 type Reporter struct {
-	// Leader returns the address and the incarnation of the leader. ok is false if
-	// no other host is the leader.
-	Leader func() (address, incarnation string, ok bool)
+	// Leader returns the leader. remote is false if it is this host, or if no
+	// leader is known.
+	Leader func() (leader Leader, remote bool)
 	// Report returns what this host has observed of its callers' requests since
 	// the previous call, or all that it remembers if all is set.
 	Report func(all bool) owner.Report
@@ -47,10 +56,13 @@
 
 	// hosts is the number of linked hosts.
 	hosts atomic.Int64
+	clock clock.Clock
 	link  *Link
-	// fullReportSent reports whether the current leader has received a report of all
-	// that this host remembers.
-	fullReportSent bool
+	// linkDone is closed when the link has ended.
+	linkDone chan struct{}
+	// informed is the leader that has received a report of all that this host
+	// remembers. After another link to it, it receives only what is new.
+	informed Leader
 	// leading reports whether this host was the leader at the last check.
 	leading  bool
 	sentAt   time.Time
@@ -61,7 +73,7 @@
 }
 
 // NewReporter returns a reporter.
-func NewReporter() *Reporter { return &Reporter{done: make(chan struct{})} }
+func NewReporter(clk clock.Clock) *Reporter { return &Reporter{clock: clk, done: make(chan struct{})} }
 
 // Done is closed when Run has returned.
 func (r *Reporter) Done() <-chan struct{} { return r.done }
@@ -83,58 +95,60 @@
 }
 
 func (r *Reporter) report(ctx context.Context) {
-	address, incarnation, ok := r.Leader()
+	leader, remote := r.Leader()
 	leading := r.Leading()
-	if r.link != nil && (leading || !ok || r.link.Incarnation() != incarnation) || r.leading != leading {
+	if r.link != nil && (leading || !remote || r.link.Incarnation() != leader.Incarnation || r.linkEnded()) || r.leading != leading {
 		r.closeLink()
 	}
 	r.leading = leading
-	if !leading && (!ok || r.link == nil && !r.dial(ctx, address, incarnation)) {
+	if !leading && (!remote || r.link == nil && !r.dial(ctx, leader)) {
 		return
 	}
 	interval := min(reportInterval+time.Duration(r.hosts.Load())*reportIntervalPerHost, maxReportInterval)
-	if time.Since(r.sentAt) < interval {
+	now := r.clock.Now()
+	if now.Sub(r.sentAt) < interval {
 		return
 	}
-	report := r.Report(!r.fullReportSent)
-	r.fullReportSent = true
+	report := r.Report(r.informed != leader)
+	r.informed = leader
 	if leading {
-		r.sentAt = time.Now()
+		r.sentAt = now
 		r.HandleReport(report)
 		return
 	}
-	if len(report.Counts) == 0 && len(report.Processing) == 0 && time.Since(r.sentAt) < idleReportInterval {
+	if len(report.Counts) == 0 && len(report.Processing) == 0 && now.Sub(r.sentAt) < idleReportInterval {
 		return
 	}
-	r.sentAt = time.Now()
+	r.sentAt = now
 	if err := r.link.Report(ctx, report); err != nil {
-		klog.InfoS("Failed to send a report to the leader", "address", address, "err", err)
+		klog.InfoS("Failed to send a report to the leader", "address", leader.Address, "err", err)
 		r.closeLink()
 	}
 }
 
-func (r *Reporter) dial(ctx context.Context, address, incarnation string) bool {
-	if r.dialedIncarnation == incarnation && time.Since(r.dialedAt) < redialDelay {
+func (r *Reporter) dial(ctx context.Context, leader Leader) bool {
+	if r.dialedIncarnation == leader.Incarnation && r.clock.Now().Sub(r.dialedAt) < redialDelay {
 		return false
 	}
-	r.dialedAt, r.dialedIncarnation = time.Now(), incarnation
-	link, err := Dial(ctx, address)
+	r.dialedAt, r.dialedIncarnation = r.clock.Now(), leader.Incarnation
+	link, err := Dial(ctx, leader.Address, r.clock)
 	if err != nil {
-		klog.InfoS("Failed to dial the leader", "address", address, "err", err)
+		klog.InfoS("Failed to dial the leader", "address", leader.Address, "err", err)
 		return false
 	}
-	if link.Incarnation() != incarnation {
+	if link.Incarnation() != leader.Incarnation {
 		link.Close()
 		return false
 	}
-	r.link = link
+	r.link, r.linkDone = link, make(chan struct{})
 	r.dialedAt = time.Time{}
-	go r.receive(ctx, link)
+	go r.receive(ctx, link, r.linkDone)
 	return true
 }
 
-// receive passes feeds to HandleFeed until the link ends.
-func (r *Reporter) receive(ctx context.Context, link *Link) {
+// receive passes feeds to HandleFeed until the link ends, then closes done.
+func (r *Reporter) receive(ctx context.Context, link *Link, done chan<- struct{}) {
+	defer close(done)
 	for {
 		feed, err := link.Receive(ctx)
 		if err != nil {
@@ -145,8 +159,17 @@
 	}
 }
 
+// linkEnded reports whether no more feeds can arrive on the link.
+func (r *Reporter) linkEnded() bool {
+	select {
+	case <-r.linkDone:
+		return true
+	default:
+		return false
+	}
+}
+
 func (r *Reporter) closeLink() {
-	r.fullReportSent = false
 	if r.link != nil {
 		r.link.Close()
 		r.link = nil
--- a/io/hostlink/reporter_test.go
+++ b/io/hostlink/reporter_test.go
@@ -43,11 +43,10 @@
 // next one.
 func TestNewLeaderIsLinkedAtOnce(t *testing.T) {
 	address, reports := newLeader(t, "new")
-	type leader struct{ address, incarnation string }
-	var current atomic.Pointer[leader]
-	current.Store(&leader{address: unusedAddress(t), incarnation: "old"})
-	r := NewReporter()
-	r.Leader = func() (string, string, bool) { return current.Load().address, current.Load().incarnation, true }
+	var current atomic.Pointer[Leader]
+	current.Store(&Leader{Address: unusedAddress(t), Incarnation: "old"})
+	r := NewReporter(clock.Boot{})
+	r.Leader = func() (Leader, bool) { return *current.Load(), true }
 	r.Leading = func() bool { return false }
 	r.Report = func(bool) owner.Report { return owner.Report{Counts: []owner.KeyCount{{Service: "records", Count: 1}}} }
 	r.HandleFeed = func(Feed) {}
@@ -58,7 +57,7 @@
 	}()
 	go r.Run(ctx)
 	time.Sleep(2 * linkPollInterval)
-	current.Store(&leader{address: address, incarnation: "new"})
+	current.Store(&Leader{Address: address, Incarnation: "new"})
 	changed := time.Now()
 	for reports.Load() == 0 && time.Since(changed) < redialDelay {
 		time.Sleep(linkPollInterval / 10)
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -39,6 +39,7 @@
 	table   atomic.Pointer[routing.Table]
 	owners  atomic.Pointer[owner.Assignment]
 
+	store          *reachability
 	configConsumer *Consumer
 	targetConsumer *Consumer
 	ownerConsumer  *Consumer
@@ -66,11 +67,12 @@
 
 // NewCatalog returns an empty catalog that keeps targets up to date.
 func NewCatalog(clk clock.Clock, targets *placement.Set) *Catalog {
+	store := newReachability(clk)
 	catalog := &Catalog{
-		clock: clk, targets: targets,
-		configConsumer: NewConsumer(platform.TopicConfig, clk),
-		targetConsumer: NewConsumer(platform.TopicTargets, clk),
-		ownerConsumer:  NewConsumer(platform.TopicOwners, clk),
+		clock: clk, targets: targets, store: store,
+		configConsumer: NewConsumer(platform.TopicConfig, store),
+		targetConsumer: NewConsumer(platform.TopicTargets, store),
+		ownerConsumer:  NewConsumer(platform.TopicOwners, store),
 		removed:        make(map[string]removal),
 		unconfirmed:    make(map[string]time.Time),
 		offsets:        make(map[string]int64),
@@ -240,7 +242,7 @@
 	if _, found := c.targets.Entry(id); !found {
 		return
 	}
-	end := c.targetConsumer.GraceEnd(recoveryGrace)
+	end := c.store.graceEnd(recoveryGrace)
 	if !now.Before(end) {
 		c.remove(id, now)
 		return
@@ -266,8 +268,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
+	graceEnd := c.store.graceEnd(recoveryGrace)
 	for id, at := range c.unconfirmed {
-		if !now.Before(at) {
+		if !now.Before(at) || !now.Before(graceEnd) {
 			c.remove(id, now)
 		}
 	}
--- a/io/metastore/consumer.go
+++ b/io/metastore/consumer.go
@@ -17,15 +17,15 @@
 )
 
 const (
-	// retryPause is the pause after a failed call to the store. Random jitter of
+	// retryPause is the pause after a call that the store refused. Random jitter of
 	// up to half of it is added.
 	retryPause = 500 * time.Millisecond
+	// silentRetryPause is the same after a call without a response. It is shorter,
+	// as such a call has taken its whole timeout.
+	silentRetryPause = 150 * time.Millisecond
 	// minWaitShare is the share of a read's wait that the store has certainly
 	// waited, with an allowance for the difference between the clocks.
 	minWaitShare = 0.9
-	// unreachableAfter is the time for which calls must have failed before the
-	// store counts as unreachable. After platform.ErrStatus it does so at once.
-	unreachableAfter = 1500 * time.Millisecond
 )
 
 // Reader is the part of the store's client that a Consumer uses.
@@ -60,16 +60,19 @@
 	relayProvenAt time.Time
 	// provenAt is the time of the last proof, by a read of this host, that no
 	// record was missing.
-	provenAt     time.Time
-	failingSince time.Time
-	unreachable  bool
-	recoveredAt  time.Time
-	done         chan struct{}
+	provenAt time.Time
+	// store is shared by the consumers of a host.
+	store *reachability
+	done  chan struct{}
 }
 
-// NewConsumer returns a consumer of a topic.
-func NewConsumer(topic string, clk clock.Clock) *Consumer {
-	return &Consumer{Topic: topic, Clock: clk, next: -1, done: make(chan struct{}), Publish: func(Update) {}, BatchDelay: func() time.Duration { return 0 }}
+// NewConsumer returns a consumer of a topic. store is shared by the consumers of a
+// host.
+func NewConsumer(topic string, store *reachability) *Consumer {
+	return &Consumer{
+		Topic: topic, Clock: store.clock, next: -1, store: store, done: make(chan struct{}),
+		Publish: func(Update) {}, BatchDelay: func() time.Duration { return 0 },
+	}
 }
 
 // Done is closed when Run has returned.
@@ -84,23 +87,6 @@
 	return c.next, c.provenAt
 }
 
-// RecentlyUnreachable reports whether the store is unreachable, or was within the
-// given time before now.
-func (c *Consumer) RecentlyUnreachable(within time.Duration) bool {
-	return c.Clock.Now().Before(c.GraceEnd(within))
-}
-
-// GraceEnd returns the end of a grace period that starts when the store becomes
-// reachable again. While the store is unreachable, the period starts now.
-func (c *Consumer) GraceEnd(grace time.Duration) time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.unreachable {
-		return c.Clock.Now().Add(grace)
-	}
-	return c.recoveredAt.Add(grace)
-}
-
 // Run reads the topic until the context ends.
 func (c *Consumer) Run(ctx context.Context, store Reader) {
 	defer close(c.done)
@@ -111,14 +97,23 @@
 		case ctx.Err() != nil:
 			return
 		case err != nil:
-			c.recordFailure(err)
-			clock.Sleep(ctx, retryPause+rand.N(retryPause/2))
+			c.store.recordFailure(c, err)
+			pause := pauseAfter(err)
+			c.store.awaitRetry(ctx, c, pause+rand.N(pause/2))
 		case n > 0:
 			clock.Sleep(ctx, c.BatchDelay())
 		}
 	}
 }
 
+// pauseAfter returns the time between a failed call and the next one.
+func pauseAfter(err error) time.Duration {
+	if errors.Is(err, platform.ErrStatus) {
+		return retryPause
+	}
+	return silentRetryPause
+}
+
 func (c *Consumer) step(ctx context.Context, store Reader) (int, error) {
 	sent := c.Clock.Now()
 	next, _ := c.Position()
@@ -169,9 +164,7 @@
 // readWait returns how long a read waits for a record. After a failed call reads
 // don't wait, so that the recovery of the store is detected early.
 func (c *Consumer) readWait() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.failingSince.IsZero() {
+	if c.store.failing() {
 		return 0
 	}
 	return c.Wait()
@@ -187,19 +180,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next, c.provenAt = max(next, c.next), provenAt
-	c.recordSuccess()
-}
-
-func (c *Consumer) recordFailure(err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.Clock.Now()
-	if c.failingSince.IsZero() {
-		c.failingSince = now
-	}
-	if c.unreachable || now.Sub(c.failingSince) < unreachableAfter && !errors.Is(err, platform.ErrStatus) {
-		return
-	}
-	c.unreachable = true
-	klog.InfoS("Store is unreachable", "topic", c.Topic, "offset", c.next, "lastRead", c.provenAt, "err", err)
+	c.store.recordSuccess()
 }
--- a/io/metastore/consumer_test.go
+++ b/io/metastore/consumer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,7 +64,7 @@
 }
 
 func newConsumer() *Consumer {
-	c := NewConsumer("topic", clock.System{})
+	c := NewConsumer("topic", newReachability(clock.System{}))
 	c.Wait = func() time.Duration { return 50 * time.Millisecond }
 	c.Apply = func([]platform.Record, bool) {}
 	return c
@@ -87,7 +88,7 @@
 	run(t, c, store)
 	waitFor(t, "the first read", func() bool { next, _ := c.Position(); return next == 0 })
 	store.set(func(s *fakeStore) { s.fail = true })
-	waitFor(t, "the store is unreachable", func() bool { return c.RecentlyUnreachable(0) })
+	waitFor(t, "the store is unreachable", func() bool { return !c.store.readableFor(0) })
 	store.set(func(s *fakeStore) { s.waits = nil })
 	time.Sleep(1500 * time.Millisecond)
 	store.set(func(s *fakeStore) {
@@ -98,7 +99,7 @@
 		}
 		s.fail = false
 	})
-	waitFor(t, "the store is reachable again", func() bool { return !c.RecentlyUnreachable(0) })
+	waitFor(t, "the store is reachable again", func() bool { return c.store.readableFor(0) })
 }
 
 // TestRelay checks how a host applies the updates and watermarks that the leader
@@ -184,7 +185,7 @@
 	})
 	t.Run("after an outage, the target may renew its entry", func(t *testing.T) {
 		catalog, targets := newCatalog()
-		catalog.targetConsumer.unreachable = true
+		catalog.store.unreachable = true
 		catalog.applyTargets([]platform.Record{deletion}, false)
 		wantTargets(t, targets, 1)
 		catalog.applyTargets([]platform.Record{{Key: "t1", Value: targetEntry("2"), Offset: 2}}, false)
@@ -194,8 +195,8 @@
 	})
 	t.Run("an entry that lapses after the outage is removed when the grace period ends", func(t *testing.T) {
 		catalog, targets := newCatalog()
-		catalog.targetConsumer.unreachable = true
-		catalog.targetConsumer.recordSuccess()
+		catalog.store.unreachable = true
+		catalog.store.recordSuccess()
 		fake.Advance(recoveryGrace / 4)
 		catalog.applyTargets([]platform.Record{deletion}, false)
 		wantTargets(t, targets, 1)
@@ -203,9 +204,37 @@
 		catalog.expire()
 		wantTargets(t, targets, 0)
 	})
+	t.Run("after an outage of this host alone, the target is removed at once", func(t *testing.T) {
+		catalog, targets := newCatalog()
+		catalog.targetConsumer.next = 1
+		catalog.store.unreachable = true
+		catalog.applyTargets([]platform.Record{deletion}, false)
+		wantTargets(t, targets, 1)
+		catalog.ApplyRelayed(nil, []Watermark{{Topic: platform.TopicTargets, Next: 1, Settled: true}})
+		catalog.expire()
+		wantTargets(t, targets, 0)
+	})
+	t.Run("a leader that was cut off as well proves nothing", func(t *testing.T) {
+		catalog, targets := newCatalog()
+		catalog.targetConsumer.next = 1
+		catalog.store.unreachable = true
+		catalog.applyTargets([]platform.Record{deletion}, false)
+		catalog.ApplyRelayed(nil, []Watermark{{Topic: platform.TopicTargets, Next: 1}})
+		catalog.expire()
+		wantTargets(t, targets, 1)
+	})
+	t.Run("a host vouches for removals only some time after its outage", func(t *testing.T) {
+		catalog, _ := newCatalog()
+		catalog.targetConsumer.next = 1
+		catalog.store.unreachable = true
+		catalog.store.recordSuccess()
+		wantSettled(t, catalog, false)
+		fake.Advance(recoveryGrace)
+		wantSettled(t, catalog, true)
+	})
 	t.Run("a target that does not renew its entry is removed", func(t *testing.T) {
 		catalog, targets := newCatalog()
-		catalog.targetConsumer.unreachable = true
+		catalog.store.unreachable = true
 		catalog.applyTargets([]platform.Record{deletion}, false)
 		fake.Advance(recoveryGrace)
 		catalog.expire()
@@ -216,6 +245,84 @@
 	})
 }
 
+func wantSettled(t *testing.T, catalog *Catalog, want bool) {
+	t.Helper()
+	for _, w := range catalog.Watermarks() {
+		if w.Settled != want {
+			t.Errorf("settled watermark of %s: got %t, want %t", w.Topic, w.Settled, want)
+		}
+	}
+}
+
+// TestTopicsAfterSilence guards against a host that uses targets which have left: after
+// it was cut off from the store without a reset, it must read all topics within a
+// second.
+func TestTopicsAfterSilence(t *testing.T) {
+	const (
+		callTimeout = 500 * time.Millisecond
+		limit       = time.Second
+	)
+	catalog := NewCatalog(clock.System{}, placement.NewSet("a"))
+	store := &silentStore{timeout: callTimeout}
+	ctx, cancel := context.WithCancel(context.Background())
+	go catalog.Run(ctx, store)
+	defer func() {
+		cancel()
+		<-catalog.Done()
+	}()
+	waitFor(t, "the first read of all topics", func() bool { return len(catalog.Watermarks()) == 3 })
+	store.silent.Store(true)
+	waitFor(t, "the store is unreachable", func() bool { return !catalog.store.readableFor(0) })
+	time.Sleep(callTimeout)
+	store.calls.Store(0)
+	time.Sleep(3 * time.Second)
+	if got, want := int(store.calls.Load()), 2*int(3*time.Second/callTimeout); got > want {
+		t.Errorf("calls in 3 s of silence: got %d, want at most %d", got, want)
+	}
+	store.silent.Store(false)
+	healed := time.Now()
+	waitFor(t, "a read of all topics", func() bool {
+		for _, consumer := range catalog.consumers() {
+			if _, provenAt := consumer.Position(); provenAt.Before(healed) {
+				return false
+			}
+		}
+		return true
+	})
+	if got := time.Since(healed); got > limit {
+		t.Errorf("time to read all topics after the silence: got %v, want at most %v", got, limit)
+	}
+}
+
+// silentStore is a store without records. While it is silent, calls end without a
+// response after a timeout.
+type silentStore struct {
+	timeout time.Duration
+	silent  atomic.Bool
+	calls   atomic.Int64
+}
+
+func (s *silentStore) Newest(ctx context.Context, _ string) ([]platform.Record, int64, error) {
+	return nil, 0, s.respond(ctx)
+}
+
+func (s *silentStore) Read(ctx context.Context, _ string, from int64, wait time.Duration) ([]platform.Record, int64, error) {
+	err := s.respond(ctx)
+	if err == nil {
+		clock.Sleep(ctx, min(wait, 100*time.Millisecond))
+	}
+	return nil, from, err
+}
+
+func (s *silentStore) respond(ctx context.Context) error {
+	s.calls.Add(1)
+	if !s.silent.Load() {
+		return nil
+	}
+	clock.Sleep(ctx, s.timeout)
+	return errors.New("no response")
+}
+
 func wantTargets(t *testing.T, targets *placement.Set, want int) {
 	t.Helper()
 	if got := len(targets.Entries("")); got != want {
--- a/io/metastore/relay.go
+++ b/io/metastore/relay.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"pineturn/core/clock"
 	"pineturn/platform"
 )
@@ -45,6 +43,9 @@
 	Topic string        `cbor:"1,keyasint"`
 	Next  int64         `cbor:"2,keyasint"`
 	Age   time.Duration `cbor:"3,keyasint"`
+	// Settled reports that the sender has read the store for at least recoveryGrace
+	// without an outage, so that targets whose entries are missing have gone.
+	Settled bool `cbor:"4,keyasint,omitempty"`
 }
 
 const (
@@ -110,9 +111,10 @@
 func (c *Catalog) Watermarks() []Watermark {
 	var watermarks []Watermark
 	now := c.clock.Now()
+	settled := c.store.readableFor(recoveryGrace)
 	for _, consumer := range c.consumers() {
 		if next, provenAt := consumer.Position(); next >= 0 {
-			watermarks = append(watermarks, Watermark{Topic: consumer.Topic, Next: next, Age: now.Sub(provenAt)})
+			watermarks = append(watermarks, Watermark{Topic: consumer.Topic, Next: next, Age: now.Sub(provenAt), Settled: settled})
 		}
 	}
 	return watermarks
@@ -198,7 +200,10 @@
 	relayProvenAt := c.Clock.Now().Add(-w.Age)
 	if w.Age < maxWatermarkAge && relayProvenAt.After(c.relayProvenAt) {
 		c.relayProvenAt = relayProvenAt
-		c.recordSuccess()
+		c.store.recordSuccess()
+		if w.Settled {
+			c.store.recordSettled()
+		}
 	}
 }
 
@@ -218,18 +223,6 @@
 	c.relayProvenAt = time.Time{}
 }
 
-// recordSuccess records that the store can be read, by this host or by the
-// leader. The caller holds mu.
-func (c *Consumer) recordSuccess() {
-	c.failingSince = time.Time{}
-	if !c.unreachable {
-		return
-	}
-	c.unreachable = false
-	c.recoveredAt = c.Clock.Now()
-	klog.InfoS("Store is reachable again", "topic", c.Topic, "offset", c.next)
-}
-
 // RelayActive reports whether the leader relays all changes of owners to this
 // host.
 func (c *Catalog) RelayActive() bool { return c.ownerConsumer.relayActive() }
