Retry at the owner of a key that refuses or loses requests though it has capacity

Change: the load report of the response, or else the estimate at the choice, tells whether the owner is full. Only a full owner starts a backoff. An owner that is not full receives the request again within the retry budget, as another target would. The test that a lost response of an owner ends the request is replaced: an idempotent request is retried there, a payout and a full owner are not.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -45,6 +45,13 @@
 // NotRun reports whether it is certain that the target did not run the request.
 func (r Result) NotRun() bool { return r == NotRun || r == WrongTarget || r == Unsent }
 
+// Outcome is the outcome of a send.
+type Outcome struct {
+	Result Result
+	// TargetFull reports that the target had no free capacity for the request.
+	TargetFull bool
+}
+
 // Step is the step that follows a send.
 type Step int
 
@@ -83,12 +90,12 @@
 // RecordSend records a send. It precedes the call of After for that send.
 func (p *Progress) RecordSend() { p.sends++ }
 
-// After returns the step that follows a send with the given result; left is the
+// After returns the step that follows a send with the given outcome; left is the
 // remaining time of the request. After calls spend, which takes one retry from the
 // retry budget and reports whether there was one, only if every other condition
 // allows a retry. Retries of unsent requests don't use the budget.
-func (p *Progress) After(req Request, result Result, left time.Duration, spend func() bool) Step {
-	switch result {
+func (p *Progress) After(req Request, outcome Outcome, left time.Duration, spend func() bool) Step {
+	switch outcome.Result {
 	case Complete:
 		return Deliver
 	case Unsent:
@@ -100,10 +107,10 @@
 		return p.failureStep()
 	case Unknown, Failed:
 		p.mayHaveRun = true
-		if req.Idempotent && !req.OneTarget && p.canRetry(req, left) && spend() {
+		if req.Idempotent && mayRepeat(req, outcome) && p.canRetry(req, left) && spend() {
 			return Retry
 		}
-		if result == Failed {
+		if outcome.Result == Failed {
 			return Deliver
 		}
 		return ReportUnknown
@@ -113,13 +120,18 @@
 		}
 		return p.failureStep()
 	default:
-		if !req.OneTarget && p.canRetry(req, left) && spend() {
+		if mayRepeat(req, outcome) && p.canRetry(req, left) && spend() {
 			return Retry
 		}
 		return p.failureStep()
 	}
 }
 
+// mayRepeat reports whether a further send may end better. The owner of a key
+// receives the same request again only if it had capacity: one that refuses or loses
+// part of its requests may run it, while a full one would refuse it again.
+func mayRepeat(req Request, outcome Outcome) bool { return !req.OneTarget || !outcome.TargetFull }
+
 func (p *Progress) canRetry(req Request, left time.Duration) bool {
 	return p.sends < req.MaxAttempts && left > minTimeForRetry
 }
--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -174,6 +174,20 @@
 	unreachableBackoff = 500 * time.Millisecond
 )
 
+// fullDepth is the number of running and waiting requests per slot from which a
+// target that refuses a request, or closes its connection, is taken to be full.
+const fullDepth = 2.0
+
+// TargetFull reports whether the target had no free capacity, according to the load
+// report that came with its response, or to the estimate at the choice if there is
+// none.
+func (c *Choice) TargetFull(report *Report) bool {
+	if report == nil {
+		return c.depth >= fullDepth
+	}
+	return float64(report.Running+report.Waiting) >= fullDepth*float64(c.Entry.Slots)
+}
+
 // End records the result of the send and the load report that came with it, nil
 // if there was none.
 func (c *Choice) End(result Result, report *Report, now time.Time) {
@@ -188,7 +202,7 @@
 		t.report(max(0, float64(report.Running+report.Waiting-t.inFlight)), now)
 	}
 	took := now.Sub(c.sent)
-	if c.toOwner && (result == Shed || result == ConnectionLost) {
+	if c.toOwner && (result == Shed || result == ConnectionLost) && c.TargetFull(report) {
 		t.recordOwnerShed(now)
 	}
 	switch result {
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -71,7 +71,7 @@
 	// backoffUntil is the end of the current backoff.
 	backoffUntil time.Time
 	// consecutiveSheds is the number of consecutive requests that the target, as the
-	// owner of their keys, refused or ended by closing the connection. It does
+	// full owner of their keys, refused or ended by closing the connection. It does
 	// not exceed maxConsecutiveSheds.
 	consecutiveSheds int
 	// ownerStats covers the responses to requests for the target's own keys since
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -141,7 +141,9 @@
 		return false
 	}
 	r.link, r.linkDone = link, make(chan struct{})
-	r.dialedAt = time.Time{}
+	// A report is due at once: the ages of watermarks are bounded closely only
+	// after the other host has echoed one.
+	r.dialedAt, r.sentAt = time.Time{}, time.Time{}
 	go r.receive(ctx, link, r.linkDone)
 	return true
 }
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -35,13 +35,15 @@
 		if ctx.Err() != nil && sent.result != attempt.Complete {
 			return nil, p.interrupted(ctx, q, sent)
 		}
-		switch q.progress.After(q.attemptRequest(), sent.result, q.timeLeft(p.clock.Now()), func() bool { return p.mayRetry(q) }) {
+		outcome := attempt.Outcome{Result: sent.result, TargetFull: sent.targetFull}
+		switch q.progress.After(q.attemptRequest(), outcome, q.timeLeft(p.clock.Now()), func() bool { return p.mayRetry(q, sent.result) }) {
 		case attempt.Deliver:
 			return sent.response, nil
 		case attempt.Retry:
-			if owner == "" {
+			switch {
+			case owner == "":
 				q.excluded = append(q.excluded, sent.target)
-			} else {
+			case sent.result == attempt.WrongTarget:
 				waitFor(ctx, p.catalog.Changed(), grantDelay)
 			}
 		case attempt.Refuse:
@@ -58,11 +60,11 @@
 // that refused a key may still be about to receive it.
 const recentOwnerChange = time.Second
 
-// mayRetry reports whether a request may be sent again: the whole body is
-// buffered, the owners have changed recently if the request has a key, and the
-// retry budget allows it.
-func (p *Proxy) mayRetry(q *request) bool {
-	if q.keyed() && p.clock.Now().Sub(p.catalog.ChangedAt()) > recentOwnerChange {
+// mayRetry reports whether a request may be sent again after a send with the given
+// result: the whole body is buffered, the owners have changed recently if the target
+// does not own the request's key, and the retry budget allows it.
+func (p *Proxy) mayRetry(q *request, last attempt.Result) bool {
+	if q.keyed() && last == attempt.WrongTarget && p.clock.Now().Sub(p.catalog.ChangedAt()) > recentOwnerChange {
 		return false
 	}
 	return q.body.replayable() && p.budget.Spend(q.match.Service.Name, p.clock.Now())
@@ -192,6 +194,7 @@
 // sendResult is the result of one send.
 type sendResult struct {
 	result          attempt.Result
+	targetFull      bool
 	response        *response
 	target          string
 	expectedLatency time.Duration
@@ -279,6 +282,7 @@
 	if err != nil {
 		s.err = errors.Wrapf(err, "send to target %s", choice.Entry.ID)
 		s.result = classifySendError(err)
+		s.targetFull = choice.TargetFull(nil)
 		p.endChoice(ctx, choice, s, nil)
 		return s
 	}
@@ -289,6 +293,7 @@
 		s.err = errors.Wrapf(err, "response of target %s", choice.Entry.ID)
 		s.result = attempt.Unknown
 		p.discardConnections(choice.Entry.ID, resp)
+		s.targetFull = choice.TargetFull(nil)
 		p.endChoice(ctx, choice, s, nil)
 		return s
 	}
@@ -297,7 +302,9 @@
 	}
 	s.response = r
 	s.result = classifyResponse(r)
-	p.endChoice(ctx, choice, s, r.info.Load)
+	report := loadReport(r.info.Load)
+	s.targetFull = choice.TargetFull(report)
+	p.endChoice(ctx, choice, s, report)
 	return s
 }
 
@@ -345,14 +352,18 @@
 
 // endChoice releases the capacity that was reserved for a send and reports the
 // result to the target set.
-func (p *Proxy) endChoice(ctx context.Context, choice *placement.Choice, s sendResult, load *platform.Load) {
-	var report *placement.Report
-	if load != nil {
-		report = &placement.Report{Running: load.Running, Waiting: load.Waiting}
-	}
+func (p *Proxy) endChoice(ctx context.Context, choice *placement.Choice, s sendResult, report *placement.Report) {
 	choice.End(placementResult(ctx, s), report, p.clock.Now())
 }
 
+// loadReport converts a target's load report, nil if it sent none.
+func loadReport(load *platform.Load) *placement.Report {
+	if load == nil {
+		return nil
+	}
+	return &placement.Report{Running: load.Running, Waiting: load.Waiting}
+}
+
 func placementResult(ctx context.Context, s sendResult) placement.Result {
 	switch {
 	case s.result == attempt.Complete:
