Go on with an earlier leader's moves once it is known to send no more grants

Cause: a move that an earlier leader had begun waited until all leases which that leader could renew had expired: 17.5 s after each change of leader, unless its process had ended.

Change: a new leader sends the record that names it to the hosts of earlier leaders, which may be cut off from the store. One that has read it and awaits no response to a grant says so when it accepts a link; then the new leader counts it as ended. The record names all earlier leaders that may still send grants, as proof about the last one alone says nothing of those before it: a leader that is cut off may renew through two changes. The model plays leaders that step down; a test of three leaders fails without the list.

--- a/core/owner/assignment.go
+++ b/core/owner/assignment.go
@@ -67,10 +67,36 @@
 	LeaderIncarnation string
 	// Address is the address at which other hosts reach the leading host.
 	Address string
+	// Earlier lists the leaders before this one that may still send grants, the
+	// latest first.
+	Earlier []LeaderProcess
 	// Services lists the ranges of each service in key order.
 	Services map[string][]Range
 }
 
+// LeaderProcess is a host's process that is or was the leader.
+type LeaderProcess struct {
+	_           struct{} `cbor:",toarray"`
+	Incarnation string
+	// Address is the address at which other hosts reach the process.
+	Address string
+}
+
+// NextLeader returns the record that makes a process of the named host the leader
+// in place of the present one.
+func (a *Assignment) NextLeader(name string, process LeaderProcess) *Assignment {
+	next := *a
+	next.Epoch++
+	next.Leader, next.LeaderIncarnation, next.Address = name, process.Incarnation, process.Address
+	next.Earlier = nil
+	for _, earlier := range append([]LeaderProcess{{Incarnation: a.LeaderIncarnation, Address: a.Address}}, a.Earlier...) {
+		if earlier.Incarnation != "" && earlier.Incarnation != process.Incarnation && !slices.Contains(next.Earlier, earlier) {
+			next.Earlier = append(next.Earlier, earlier)
+		}
+	}
+	return &next
+}
+
 // wireRange is the stored form of a Range. It ends before the first key of the
 // next one. Owner and Former are indexes into wireAssignment.Targets.
 type wireRange struct {
@@ -88,6 +114,7 @@
 	Address  string                 `cbor:"4,keyasint"`
 	Services map[string][]wireRange `cbor:"5,keyasint"`
 	Targets  []Incarnation          `cbor:"6,keyasint"`
+	Earlier  []LeaderProcess        `cbor:"7,keyasint,omitempty"`
 }
 
 // encoding returns a deterministic encoder: equal records have equal bytes.
@@ -111,7 +138,7 @@
 
 func (a *Assignment) wire() *wireAssignment {
 	w := &wireAssignment{
-		Epoch: a.Epoch, Leader: a.Leader, Process: a.LeaderIncarnation, Address: a.Address,
+		Epoch: a.Epoch, Leader: a.Leader, Process: a.LeaderIncarnation, Address: a.Address, Earlier: a.Earlier,
 		Services: make(map[string][]wireRange, len(a.Services)),
 	}
 	indexes := make(map[Incarnation]uint16)
@@ -145,7 +172,7 @@
 		return nil, fmt.Errorf("decode assignment: %w", err)
 	}
 	a := &Assignment{
-		Epoch: w.Epoch, Leader: w.Leader, LeaderIncarnation: w.Process, Address: w.Address,
+		Epoch: w.Epoch, Leader: w.Leader, LeaderIncarnation: w.Process, Address: w.Address, Earlier: w.Earlier,
 		Services: make(map[string][]Range, len(w.Services)),
 	}
 	for service, stored := range w.Services {
--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -107,8 +107,12 @@
 	// that an earlier leader can renew have expired.
 	predecessorNewLeasesUntil time.Time
 	predecessorLeasesUntil    time.Time
-	// noPredecessor reports that there was no earlier leader, or that its
-	// process is proved to have ended.
+	// predecessors are the earlier leaders that are not proved to have ended.
+	// lastEnded is the latest time at which one of the others may have ended.
+	predecessors []LeaderProcess
+	lastEnded    time.Time
+	// noPredecessor reports that there was no earlier leader, or that all are
+	// proved to have ended.
 	noPredecessor bool
 	tokensIssued  int64
 	fenced        bool
@@ -125,6 +129,7 @@
 		predecessorNewLeasesUntil: now.Add(MaxProofAgeForNewLease + orderTimeout),
 		predecessorLeasesUntil:    now.Add(MaxProofAgeForRenewal + orderTimeout + leaseExpiryBound),
 		noPredecessor:             record.Epoch == firstEpoch,
+		predecessors:              slices.Clone(record.Earlier),
 	}
 	for service, ranges := range record.Services {
 		for _, r := range ranges {
@@ -154,15 +159,34 @@
 // Fenced reports whether a target has accepted an order of a later leader.
 func (l *Leader) Fenced() bool { return l.fenced }
 
-// PredecessorEnded records that the previous leader's process sent its last
-// grant before the given time. The leases of that process expire by themselves,
-// orderTimeout plus leaseExpiryBound after that time at the latest.
-func (l *Leader) PredecessorEnded(at time.Time) {
+// Predecessors returns the earlier leaders that may still send grants.
+func (l *Leader) Predecessors(now time.Time) []LeaderProcess {
+	if !now.Before(l.predecessorLeasesUntil) {
+		return nil
+	}
+	return l.predecessors
+}
+
+// PredecessorEnded records that an earlier leader sent its last grant before the
+// given time: its process has ended, or it has read the record of a later leader and
+// awaits no response to a grant. Once that is known of all earlier leaders, none can
+// renew a lease any more, and their leases expire by themselves, orderTimeout plus
+// leaseExpiryBound after the last of these times at the latest.
+func (l *Leader) PredecessorEnded(incarnation string, at time.Time) {
+	known := len(l.predecessors)
+	l.predecessors = slices.DeleteFunc(l.predecessors, func(p LeaderProcess) bool { return p.Incarnation == incarnation })
+	if len(l.predecessors) == known {
+		return
+	}
+	l.lastEnded = clock.Later(l.lastEnded, at)
+	if len(l.predecessors) > 0 {
+		return
+	}
 	l.noPredecessor = true
-	if at.Before(l.predecessorNewLeasesUntil) {
-		l.predecessorNewLeasesUntil = at
+	if l.lastEnded.Before(l.predecessorNewLeasesUntil) {
+		l.predecessorNewLeasesUntil = l.lastEnded
 	}
-	if expiry := at.Add(orderTimeout + leaseExpiryBound); expiry.Before(l.predecessorLeasesUntil) {
+	if expiry := l.lastEnded.Add(orderTimeout + leaseExpiryBound); expiry.Before(l.predecessorLeasesUntil) {
 		l.predecessorLeasesUntil = expiry
 	}
 }
@@ -203,6 +227,9 @@
 // DropFormerOwners removes former owners that no longer hold any keys. It
 // reports whether the record has to be written.
 func (l *Leader) DropFormerOwners(targets map[string]Target, now time.Time) bool {
+	if !now.Before(l.predecessorLeasesUntil) {
+		l.predecessors = nil
+	}
 	for _, ranges := range l.services {
 		for _, r := range ranges {
 			n := len(r.former)
@@ -236,6 +263,7 @@
 // Record returns the current assignment, to be written to the store.
 func (l *Leader) Record() *Assignment {
 	a := *l.record
+	a.Earlier = slices.Clone(l.predecessors)
 	a.Services = make(map[string][]Range, len(l.services))
 	for service, ranges := range l.services {
 		for _, r := range ranges {
@@ -264,12 +292,6 @@
 // Assigned reports whether the keys of a service have owners.
 func (l *Leader) Assigned(service string) bool { return len(l.services[service]) > 0 }
 
-// PredecessorLeasesInForce reports whether leases of the previous leader may
-// still be in force.
-func (l *Leader) PredecessorLeasesInForce(now time.Time) bool {
-	return !l.noPredecessor && now.Before(l.predecessorLeasesUntil)
-}
-
 // Unsaved reports whether the assignment has changes that are not in the store.
 func (l *Leader) Unsaved() bool { return l.unsaved }
 
--- a/core/owner/model_test.go
+++ b/core/owner/model_test.go
@@ -36,6 +36,8 @@
 	*Leader
 	lastProof    time.Time
 	disconnected bool
+	// stopped is set once the leader has read the record of a later one.
+	stopped bool
 	// inFlight holds the orders without an outcome.
 	inFlight []*orderInFlight
 }
@@ -79,10 +81,25 @@
 // takeOver makes a new process the leader. The previous one may continue for a
 // while.
 func (m *model) takeOver() {
-	a := *m.record
-	a.Epoch++
-	m.record = &a
-	m.leaders = append(m.leaders, &modelLeader{Leader: NewLeader(&a, MaxLeaseDuration, m.now), lastProof: m.now})
+	name := fmt.Sprint("process ", m.record.Epoch+1)
+	m.record = m.record.NextLeader(name, LeaderProcess{Incarnation: name})
+	m.leaders = append(m.leaders, &modelLeader{Leader: NewLeader(m.record, MaxLeaseDuration, m.now), lastProof: m.now})
+}
+
+// stepDown makes a leader read the record of a later one. The newest leader knows of
+// it if it has the record of its own claim and the stopped leader awaits no response
+// to a grant.
+func (m *model) stepDown(l *modelLeader) {
+	if l == m.newest() {
+		return
+	}
+	l.stopped = true
+	for _, flight := range l.inFlight {
+		if flight.order.Kind == Grant {
+			return
+		}
+	}
+	m.newest().PredecessorEnded(l.record.LeaderIncarnation, m.now)
 }
 
 func (m *model) newest() *modelLeader { return m.leaders[len(m.leaders)-1] }
@@ -101,7 +118,7 @@
 			l.MarkPersisted(m.record)
 		}
 	}
-	if m.now.Sub(l.lastProof) >= MaxProofAgeForRenewal {
+	if l.stopped || m.now.Sub(l.lastProof) >= MaxProofAgeForRenewal {
 		return
 	}
 	for _, o := range l.Orders(targets, m.now.Sub(l.lastProof) < MaxProofAgeForNewLease, m.now) {
@@ -190,7 +207,7 @@
 }
 
 func (m *model) step() {
-	switch rapid.IntRange(0, 11).Draw(m.t, "action") {
+	switch rapid.IntRange(0, 13).Draw(m.t, "action") {
 	case 0, 1, 2:
 		m.advance(time.Duration(rapid.IntRange(1, 10).Draw(m.t, "steps")) * modelStep)
 	case 3, 4, 5:
@@ -212,6 +229,8 @@
 		l.disconnected = !l.disconnected
 	case 11:
 		m.injectTargetFault()
+	case 12, 13:
+		m.stepDown(rapid.SampledFrom(m.leaders).Draw(m.t, "stopped"))
 	}
 }
 
--- /dev/null
+++ b/core/owner/takeover_test.go
@@ -0,0 +1,96 @@
+package owner
+
+import (
+	"testing"
+	"time"
+)
+
+// releases returns the number of releases that a leader sends now, and reports success
+// for its grants.
+func releases(l *Leader, targets map[string]Target, now time.Time) int {
+	n := 0
+	for _, o := range l.Orders(targets, true, now) {
+		if o.Kind == Release {
+			n++
+			continue
+		}
+		l.HandleOutcome(o, Outcome{Done: true}, now)
+	}
+	return n
+}
+
+func wantReleases(t *testing.T, l *Leader, targets map[string]Target, now time.Time, want int) {
+	t.Helper()
+	if got := releases(l, targets, now); got != want {
+		t.Errorf("releases: got %d, want %d", got, want)
+	}
+}
+
+// moveFirstRange moves the first range to another target.
+func moveFirstRange(t *testing.T, l *Leader, now time.Time) {
+	t.Helper()
+	r := l.Record().Services[testService][0]
+	to := Incarnation{Target: "t01"}
+	if r.Owner == to {
+		to = Incarnation{Target: "t02"}
+	}
+	if !l.Move(testService, r.First, r.Last, to, now) {
+		t.Fatal("move: got false, want true")
+	}
+	l.MarkPersisted(l.Record())
+}
+
+// TestMoveUnderWay guards against keys without an owner for many seconds after a
+// change of leader: a move that the previous leader had begun goes on as soon as
+// that leader is known to send no more grants.
+func TestMoveUnderWay(t *testing.T) {
+	first, view, _ := newCluster(t, 4)
+	moveFirstRange(t, first, testStart)
+	record := first.Record()
+	record.LeaderIncarnation = "1"
+	second := NewLeader(record.NextLeader("b", LeaderProcess{Incarnation: "2"}), MaxLeaseDuration, testStart)
+	wantReleases(t, second, view, testStart, 0)
+	now := testStart.Add(orderRetryInterval)
+	second.PredecessorEnded("1", now)
+	wantReleases(t, second, view, now, 1)
+}
+
+// TestChainOfLeaders guards against two owners of a key: a leader that is cut off may
+// renew leases while two others follow it, so the end of the last of them is no proof
+// that a range is free.
+func TestChainOfLeaders(t *testing.T) {
+	founder, view, _ := newCluster(t, 4)
+	record := founder.Record()
+	record.LeaderIncarnation = "1"
+	second := NewLeader(record.NextLeader("b", LeaderProcess{Incarnation: "2"}), MaxLeaseDuration, testStart)
+	moveFirstRange(t, second, testStart)
+	third := NewLeader(second.Record().NextLeader("c", LeaderProcess{Incarnation: "3"}), MaxLeaseDuration, testStart)
+	now := testStart.Add(orderRetryInterval)
+	third.PredecessorEnded("2", now)
+	wantReleases(t, third, view, now, 0)
+	third.PredecessorEnded("1", now)
+	wantReleases(t, third, view, now, 1)
+}
+
+// TestPredecessorsInRecord checks which earlier leaders a record names: all that may
+// still send grants, and not the leader itself.
+func TestPredecessorsInRecord(t *testing.T) {
+	a := &Assignment{}
+	for _, incarnation := range []string{"1", "2", "1", "3"} {
+		a = a.NextLeader("host", LeaderProcess{Incarnation: incarnation, Address: "address-" + incarnation})
+	}
+	l := NewLeader(a, MaxLeaseDuration, testStart)
+	want := []LeaderProcess{{Incarnation: "1", Address: "address-1"}, {Incarnation: "2", Address: "address-2"}}
+	got := l.Predecessors(testStart)
+	if len(got) != len(want) || got[0] != want[0] || got[1] != want[1] {
+		t.Errorf("predecessors: got %v, want %v", got, want)
+	}
+	l.PredecessorEnded("2", testStart)
+	if got := len(l.Record().Earlier); got != 1 {
+		t.Errorf("earlier leaders in the record after one has ended: got %d, want 1", got)
+	}
+	l.DropFormerOwners(nil, testStart.Add(MaxProofAgeForRenewal+orderTimeout+leaseExpiryBound))
+	if got := len(l.Record().Earlier); got != 0 {
+		t.Errorf("earlier leaders in the record after their leases have expired: got %d, want 0", got)
+	}
+}
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -102,10 +102,10 @@
 	targets  *placement.Set
 	clock    clock.Clock
 	sender   *sender
-	// PredecessorEnded queries the host at an address whether the given
-	// incarnation, the previous leader, has ended, and returns a time by which it
-	// had ended. It is set before Run.
-	PredecessorEnded func(ctx context.Context, address, incarnation string) (time.Time, bool)
+	// PredecessorEnded queries whether the process of an earlier leader can send no
+	// more grants: it has ended, or it knows of the leader of the given epoch. It
+	// returns a time by which that held. It is set before Run.
+	PredecessorEnded func(ctx context.Context, process owner.LeaderProcess, epoch int64) (time.Time, bool)
 
 	mu              sync.Mutex
 	elected         bool
@@ -115,7 +115,9 @@
 	loads           *owner.Loads
 	done            chan struct{}
 	results         chan result
-	predecessorEnds chan time.Time
+	predecessorEnds chan predecessorEnd
+	// grantsInFlight is the number of grants without an outcome.
+	grantsInFlight int
 
 	// The fields below are used by the goroutine of Run only.
 	leader *owner.Leader
@@ -132,11 +134,8 @@
 	// firstTargetAt is the time at which the first target of any keyed service was
 	// seen before an assignment; zero for none.
 	firstTargetAt time.Time
-	// queriedAt is the time of the last query of the previous leader's host.
+	// queriedAt is the time of the last query of the earlier leaders' hosts.
 	queriedAt time.Time
-	// predecessor is the last assignment of another incarnation that was read while
-	// this host was not the leader.
-	predecessor owner.Assignment
 	// entries holds the entries of all targets by id, including those removed
 	// recently.
 	entries map[string]placement.Entry
@@ -147,13 +146,20 @@
 	outcome owner.Outcome
 }
 
+// predecessorEnd reports that the process of an earlier leader could send no more
+// grants at a time.
+type predecessorEnd struct {
+	process owner.LeaderProcess
+	at      time.Time
+}
+
 // New returns a coordinator. Targets accept leases of up to maxLease.
 func New(self Host, maxLease time.Duration, store Store, catalog Catalog, targets *placement.Set, clk clock.Clock) *Coordinator {
 	return &Coordinator{
 		self: self, maxLease: maxLease, store: store, catalog: catalog, targets: targets, clock: clk,
 		sender: newSender(), loads: owner.NewLoads(clk.Now()),
-		done: make(chan struct{}), results: make(chan result, resultBuffer), predecessorEnds: make(chan time.Time, 1),
-		PredecessorEnded: func(context.Context, string, string) (time.Time, bool) { return time.Time{}, false },
+		done: make(chan struct{}), results: make(chan result, resultBuffer), predecessorEnds: make(chan predecessorEnd, resultBuffer),
+		PredecessorEnded: func(context.Context, owner.LeaderProcess, int64) (time.Time, bool) { return time.Time{}, false },
 	}
 }
 
@@ -167,6 +173,25 @@
 	return c.leading
 }
 
+// MayGrant reports whether this host is the leader, or awaits responses to grants that
+// it sent as the leader.
+func (c *Coordinator) MayGrant() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leading || c.grantsInFlight > 0
+}
+
+// countGrants adds n to the number of grants without an outcome if the order is a
+// grant.
+func (c *Coordinator) countGrants(order owner.Order, n int) {
+	if order.Kind != owner.Grant {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.grantsInFlight += n
+}
+
 // AddReport adds a host's report to the loads that rebalancing uses.
 func (c *Coordinator) AddReport(report owner.Report) {
 	c.mu.Lock()
@@ -197,13 +222,14 @@
 		select {
 		case <-ctx.Done():
 		case r := <-c.results:
+			c.countGrants(r.order, -1)
 			if c.leader != nil {
 				c.leader.HandleOutcome(r.order, r.outcome, c.clock.Now())
 			}
-		case at := <-c.predecessorEnds:
+		case end := <-c.predecessorEnds:
 			if c.leader != nil {
-				c.leader.PredecessorEnded(at)
-				klog.InfoS("Previous leader has ended", "leader", c.predecessor.Leader, "epoch", c.predecessor.Epoch)
+				c.leader.PredecessorEnded(end.process.Incarnation, end.at)
+				klog.InfoS("Earlier leader sends no more grants", "address", end.process.Address, "process", end.process.Incarnation, "epoch", c.leader.Epoch())
 			}
 		case <-tick.C:
 			c.tick(ctx)
@@ -279,16 +305,19 @@
 	own := a.LeaderIncarnation == c.self.Incarnation
 	switch {
 	case c.leader == nil && own && !c.isStopping():
+		c.setLeading(true)
+		if c.catalog.Assignment() != a {
+			// A later leader may already have been told that this host follows it.
+			c.setLeading(false)
+			return
+		}
 		c.leader = owner.NewLeader(a, c.maxLease, now)
 		c.balancedAt = now
-		c.setLeading(true)
 		klog.InfoS("This host is the leader", "epoch", a.Epoch)
 	case c.leader != nil && (!own || a.Epoch != c.leader.Epoch()):
 		klog.InfoS("Another host is the leader", "leader", a.Leader, "epoch", a.Epoch, "epochHere", c.leader.Epoch())
 		c.leader = nil
 		c.setLeading(false)
 		c.resetLoads(now)
-	case c.leader == nil && !own:
-		c.predecessor = *a
 	}
 }
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -23,17 +23,18 @@
 
 // claimLeadership writes the record that makes this host the leader.
 func (c *Coordinator) claimLeadership(ctx context.Context, next int64, now time.Time) {
-	if now.Sub(c.writtenAt) < writeRetryInterval {
+	// Grants of an earlier epoch of this process must have ended: no other host would
+	// wait for them.
+	if now.Sub(c.writtenAt) < writeRetryInterval || c.MayGrant() {
 		return
 	}
 	c.writtenAt = now
-	a := owner.Assignment{}
-	if old := c.catalog.Assignment(); old != nil {
-		a = *old
+	a := c.catalog.Assignment()
+	if a == nil {
+		a = &owner.Assignment{}
 	}
-	a.Epoch++
-	a.Leader, a.LeaderIncarnation, a.Address = c.self.Name, c.self.Incarnation, c.self.Address
-	c.append(ctx, &a, next)
+	process := owner.LeaderProcess{Incarnation: c.self.Incarnation, Address: c.self.Address}
+	c.append(ctx, a.NextLeader(c.self.Name, process), next)
 }
 
 func (c *Coordinator) append(ctx context.Context, a *owner.Assignment, next int64) {
@@ -62,7 +63,7 @@
 		return
 	}
 	targets := c.currentTargets()
-	c.queryPredecessor(ctx, now)
+	c.queryPredecessors(ctx, now)
 	c.writeIfDirty(ctx, next, now)
 	mayReassign := now.Sub(provenAt) < maxProofAgeForChanges
 	if mayReassign {
@@ -180,6 +181,7 @@
 func (c *Coordinator) send(ctx context.Context, targets map[string]owner.Target, allowNewLeases bool, now time.Time) {
 	for _, order := range c.leader.Orders(targets, allowNewLeases, now) {
 		address := c.entries[order.Target.Target].Address
+		c.countGrants(order, 1)
 		go func() {
 			outcome := c.sender.send(ctx, address, order)
 			select {
@@ -190,27 +192,29 @@
 	}
 }
 
-// predecessorQueryInterval is the time between queries to the host of the previous
-// leader.
-const predecessorQueryInterval = time.Second
+// predecessorQueryInterval is the time between queries to the hosts of earlier
+// leaders.
+const predecessorQueryInterval = 300 * time.Millisecond
 
-// queryPredecessor queries the previous leader's host for proof that the previous
-// leader's process has ended. Without this proof, leases of the previous leader
-// count as in force until the last one that it could renew has expired.
-func (c *Coordinator) queryPredecessor(ctx context.Context, now time.Time) {
-	if c.predecessor.LeaderIncarnation == "" || !c.leader.PredecessorLeasesInForce(now) || now.Sub(c.queriedAt) < predecessorQueryInterval {
+// queryPredecessors queries the hosts of earlier leaders for proof that they send no
+// more grants. Without this proof, leases of an earlier leader count as in force until
+// the last one that it could renew has expired, and moves that it began must wait.
+func (c *Coordinator) queryPredecessors(ctx context.Context, now time.Time) {
+	if now.Sub(c.queriedAt) < predecessorQueryInterval {
 		return
 	}
 	c.queriedAt = now
-	predecessor := c.predecessor
-	go func() {
-		at, ok := c.PredecessorEnded(ctx, predecessor.Address, predecessor.LeaderIncarnation)
-		if !ok {
-			return
-		}
-		select {
-		case c.predecessorEnds <- at:
-		default:
-		}
-	}()
+	epoch := c.leader.Epoch()
+	for _, process := range c.leader.Predecessors(now) {
+		go func() {
+			at, ok := c.PredecessorEnded(ctx, process, epoch)
+			if !ok {
+				return
+			}
+			select {
+			case c.predecessorEnds <- predecessorEnd{process: process, at: at}:
+			default:
+			}
+		}()
+	}
 }
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -105,6 +105,8 @@
 	g.catalog.SetReadTimes(g.readWait, g.batchDelay)
 	g.links = hostlink.NewServer(incarnation, g.clock)
 	g.links.HandleReport = g.coordinator.AddReport
+	g.links.HandleOwners = g.catalog.ApplyOwners
+	g.links.Leadership = g.leadership
 	g.links.Subscribe = g.feed
 	g.reporter = hostlink.NewReporter(g.clock)
 	g.reporter.Leader = g.leader
@@ -159,22 +161,42 @@
 	}
 }
 
-// predecessorEnded reports whether a process with another incarnation now runs
-// at the address of a host, so that the given incarnation has ended. It returns
-// the latest time at which the new process can have started.
-func (g *Gateway) predecessorEnded(ctx context.Context, address, incarnation string) (time.Time, bool) {
-	if address == peerAddress(g.settings) {
+// predecessorEnded reports whether an earlier leader can send no more grants, and a
+// time by which that held. Either another process now runs at its address, or it
+// follows the leader of the given epoch. If it does not know of that leader, it is sent
+// the record that names it: it may be cut off from the store.
+func (g *Gateway) predecessorEnded(ctx context.Context, process owner.LeaderProcess, epoch int64) (time.Time, bool) {
+	if process.Address == peerAddress(g.settings) {
 		return g.started, true
 	}
-	link, err := hostlink.Dial(ctx, address, g.clock)
+	link, err := hostlink.Dial(ctx, process.Address, g.clock)
 	if err != nil {
+		klog.V(1).InfoS("Failed to dial the host of an earlier leader", "address", process.Address, "err", err)
 		return time.Time{}, false
 	}
 	defer link.Close()
-	if link.Incarnation() == incarnation {
-		return time.Time{}, false
+	if link.Incarnation() != process.Incarnation {
+		return g.clock.Now().Add(-link.Age()), true
+	}
+	if link.FollowsEpoch(epoch) {
+		return g.clock.Now(), true
+	}
+	if record, ok := g.catalog.OwnersRecord(); ok {
+		if err := link.SendOwners(ctx, record); err != nil {
+			klog.InfoS("Failed to inform an earlier leader", "address", process.Address, "err", err)
+		}
+	}
+	return time.Time{}, false
+}
+
+// leadership returns the epoch of the latest leader that this host knows, and whether
+// this host may still send grants.
+func (g *Gateway) leadership() (epoch int64, leading bool) {
+	a := g.catalog.Assignment()
+	if a == nil {
+		return 0, false
 	}
-	return g.clock.Now().Add(-link.Age()), true
+	return a.Epoch, g.coordinator.MayGrant()
 }
 
 const (
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -19,6 +19,7 @@
 	"pineturn/core/clock"
 	"pineturn/core/owner"
 	"pineturn/io/metastore"
+	"pineturn/platform"
 )
 
 const (
@@ -57,6 +58,11 @@
 	Incarnation string `cbor:"1,keyasint"`
 	// Age is the time since the process started.
 	Age time.Duration `cbor:"2,keyasint"`
+	// Epoch is the epoch of the latest leader that the host knows.
+	Epoch int64 `cbor:"3,keyasint,omitempty"`
+	// Leading reports whether the host is the leader, or awaits responses to grants
+	// that it sent as the leader.
+	Leading bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Feed is what the sender has read from the store since its last feed.
@@ -83,6 +89,8 @@
 type reportMessage struct {
 	owner.Report
 	SentAt time.Duration `cbor:"3,keyasint,omitempty"`
+	// Owners is a record of the owners of keys that the other host may lack.
+	Owners *platform.Record `cbor:"4,keyasint,omitempty"`
 }
 
 // echo is the time of the last report received on a link.
@@ -115,6 +123,12 @@
 	links       atomic.Int64
 	// HandleReport is called with each report. It is set before use.
 	HandleReport func(owner.Report)
+	// HandleOwners is called with each record of the owners of keys that another
+	// host sends. It is set before use.
+	HandleOwners func(platform.Record)
+	// Leadership returns the epoch of the latest leader that this host knows, and
+	// whether this host may still send grants. It is set before use.
+	Leadership func() (epoch int64, leading bool)
 	// Subscribe returns a channel of what this host reads from now on, and a
 	// function that returns the current watermarks, or nil if this host is not the
 	// leader. It is set before use.
@@ -123,7 +137,10 @@
 
 // NewServer returns a server for the given incarnation of a host's process.
 func NewServer(incarnation string, clk clock.Clock) *Server {
-	return &Server{incarnation: incarnation, clock: clk, started: clk.Now(), HandleReport: func(owner.Report) {}}
+	return &Server{
+		incarnation: incarnation, clock: clk, started: clk.Now(),
+		HandleReport: func(owner.Report) {}, HandleOwners: func(platform.Record) {}, Leadership: func() (int64, bool) { return 0, false },
+	}
 }
 
 // Handler returns the HTTP handler that accepts links.
@@ -141,7 +158,7 @@
 	}
 	defer func() { _ = conn.CloseNow() }()
 	conn.SetReadLimit(maxReportBytes)
-	if err := write(r.Context(), conn, hello{Incarnation: s.incarnation, Age: s.clock.Now().Sub(s.started)}); err != nil {
+	if err := write(r.Context(), conn, s.hello()); err != nil {
 		klog.InfoS("Failed to send the hello on a host link", "from", r.RemoteAddr, "err", err)
 		return
 	}
@@ -160,6 +177,10 @@
 		if err := read(ctx, conn, reportTimeout, &message); err != nil {
 			break
 		}
+		if message.Owners != nil {
+			s.HandleOwners(*message.Owners)
+			continue
+		}
 		last.set(message.SentAt, s.clock.Now())
 		s.HandleReport(message.Report)
 	}
@@ -167,6 +188,11 @@
 	<-feedsDone
 }
 
+func (s *Server) hello() hello {
+	epoch, leading := s.Leadership()
+	return hello{Incarnation: s.incarnation, Age: s.clock.Now().Sub(s.started), Epoch: epoch, Leading: leading}
+}
+
 // sendFeeds relays what this host reads until the link ends. It sends feeds without
 // content as well, from which the other host sees that the link works.
 func (s *Server) sendFeeds(ctx context.Context, conn *websocket.Conn, last *echo) {
@@ -262,6 +288,17 @@
 // Age returns how long the other host's process had run when it accepted the link.
 func (l *Link) Age() time.Duration { return l.hello.Age }
 
+// FollowsEpoch reports whether the other host, when it accepted the link, knew of the
+// leader of an epoch or of a later one, and could send no grants of an earlier one any
+// more.
+func (l *Link) FollowsEpoch(epoch int64) bool { return l.hello.Epoch >= epoch && !l.hello.Leading }
+
+// SendOwners sends a record of the owners of keys to the other host, which may be cut
+// off from the store.
+func (l *Link) SendOwners(ctx context.Context, record platform.Record) error {
+	return write(ctx, l.conn, reportMessage{Owners: &record})
+}
+
 // Report sends a report of this host to the other host.
 func (l *Link) Report(ctx context.Context, report owner.Report) error {
 	return write(ctx, l.conn, reportMessage{Report: report, SentAt: l.clock.Now().Sub(l.dialedAt)})
--- a/io/hostlink/hostlink_test.go
+++ b/io/hostlink/hostlink_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"pineturn/core/owner"
 	"pineturn/io/metastore"
 	"pineturn/io/standin/link"
+	"pineturn/platform"
 )
 
 // feedLog holds the feeds that a host has received.
@@ -113,6 +115,53 @@
 	}
 }
 
+// TestFollowsEpoch guards against a leader that waits for an earlier one which is cut
+// off from the store, and against one that relies on a host which still leads.
+func TestFollowsEpoch(t *testing.T) {
+	var epoch atomic.Int64
+	var leading atomic.Bool
+	epoch.Store(3)
+	leading.Store(true)
+	s := NewServer("earlier", clock.Boot{})
+	s.Subscribe = func() (<-chan metastore.Update, func(), func() []metastore.Watermark) {
+		return make(chan metastore.Update), func() {}, func() []metastore.Watermark { return nil }
+	}
+	s.Leadership = func() (int64, bool) { return epoch.Load(), leading.Load() }
+	s.HandleOwners = func(record platform.Record) { epoch.Store(record.Offset) }
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.CloseClientConnections)
+	wantFollows := func(t *testing.T, want bool) {
+		t.Helper()
+		l, err := Dial(t.Context(), server.Listener.Addr().String(), clock.Boot{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		if got := l.FollowsEpoch(4); got != want {
+			t.Errorf("host of epoch %d, leading %t, follows epoch 4: got %t, want %t", epoch.Load(), leading.Load(), got, want)
+		}
+	}
+	t.Run("the host leads and does not know of the epoch", func(t *testing.T) { wantFollows(t, false) })
+	t.Run("it is told", func(t *testing.T) {
+		l, err := Dial(t.Context(), server.Listener.Addr().String(), clock.Boot{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		if err := l.SendOwners(t.Context(), platform.Record{Key: platform.KeyOwners, Offset: 4}); err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(time.Second); epoch.Load() < 4 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		wantFollows(t, false)
+	})
+	t.Run("it has stopped leading", func(t *testing.T) {
+		leading.Store(false)
+		wantFollows(t, true)
+	})
+}
+
 // TestFullReportOncePerLeader guards against counting the requests of a host twice:
 // on another link to the same leader it must not send again all that it remembers.
 func TestFullReportOncePerLeader(t *testing.T) {
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -38,6 +38,8 @@
 	targets *placement.Set
 	table   atomic.Pointer[routing.Table]
 	owners  atomic.Pointer[owner.Assignment]
+	// ownersRecord is the record from which owners was decoded.
+	ownersRecord atomic.Pointer[platform.Record]
 
 	store          *reachability
 	configConsumer *Consumer
@@ -119,6 +121,22 @@
 // read.
 func (c *Catalog) Assignment() *owner.Assignment { return c.owners.Load() }
 
+// OwnersRecord returns the record of the owners of keys as last read, and false
+// before the first read.
+func (c *Catalog) OwnersRecord() (platform.Record, bool) {
+	r := c.ownersRecord.Load()
+	if r == nil {
+		return platform.Record{}, false
+	}
+	return *r, true
+}
+
+// ApplyOwners applies a record of the owners of keys that another host has read. It is
+// ignored unless it is newer than the one applied last.
+func (c *Catalog) ApplyOwners(record platform.Record) {
+	c.applyOwners([]platform.Record{record}, false)
+}
+
 // Ready reports whether the configuration and the targets have been read.
 func (c *Catalog) Ready() bool {
 	c.mu.Lock()
@@ -309,6 +327,7 @@
 			klog.InfoS("Leader has changed", "leader", a.Leader, "epoch", a.Epoch, "offset", r.Offset)
 		}
 		c.owners.Store(a)
+		c.ownersRecord.Store(&r)
 		c.changedAt = c.clock.Now()
 		close(c.changed)
 		c.changed = make(chan struct{})
--- a/io/metastore/relay.go
+++ b/io/metastore/relay.go
@@ -161,7 +161,8 @@
 
 // applyUpdate applies the records of a relayed batch that this host has not read.
 // If records before the batch are missing, or the batch was left out for its size,
-// this host goes on to read from the store.
+// this host goes on to read from the store. The records of the batch apply all the same,
+// because each one replaces all earlier ones of its key.
 func (c *Consumer) applyUpdate(u Update) {
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
@@ -170,6 +171,7 @@
 		return
 	}
 	if u.From > next || u.Large {
+		c.Apply(u.Records, false)
 		c.endRelay()
 		return
 	}
