--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -93,6 +93,8 @@
 	Slots   int
 	// Draining targets lose their keys.
 	Draining bool
+	// WarmingUp targets have started recently and are slow.
+	WarmingUp bool
 }
 
 // Leader decides on owners and leases at the leading host. It is not safe for
--- a/core/owner/loads.go
+++ b/core/owner/loads.go
@@ -53,22 +53,24 @@
 // from the reports of all hosts.
 type Loads struct {
 	services map[string]map[uint16]float64
-	// prefixSums holds, by service, the total load of all keys below each key.
-	// An entry is computed on first use after a change.
+	// prefixSums holds, by service, the total load of all keys below each key, and
+	// sorted the loaded keys in order. Entries are computed on first use after a
+	// change.
 	prefixSums map[string][]float32
+	sorted     map[string][]keyLoad
 	processing targetStats
 	decayedAt  time.Time
 }
 
 // NewLoads returns empty loads.
 func NewLoads(now time.Time) *Loads {
-	return &Loads{services: make(map[string]map[uint16]float64), prefixSums: make(map[string][]float32), processing: make(targetStats), decayedAt: now}
+	return &Loads{services: make(map[string]map[uint16]float64), prefixSums: make(map[string][]float32), sorted: make(map[string][]keyLoad), processing: make(targetStats), decayedAt: now}
 }
 
 // Add adds a report. Under a steady rate of r requests per second, the load of
 // a key converges to r.
 func (l *Loads) Add(report Report) {
-	clear(l.prefixSums)
+	l.forgetDerived()
 	for _, stats := range report.Processing {
 		l.processing.add(stats)
 	}
@@ -106,7 +108,7 @@
 // Decay reduces the weight of earlier reports by the time since the previous
 // call.
 func (l *Loads) Decay(now time.Time) {
-	clear(l.prefixSums)
+	l.forgetDerived()
 	l.processing.decay(now.Sub(l.decayedAt))
 	factor := math.Exp2(-now.Sub(l.decayedAt).Seconds() / loadHalfLife.Seconds())
 	l.decayedAt = now
@@ -143,14 +145,33 @@
 	return sums
 }
 
-// loadedKeys returns the keys of a range that have load, in key order.
+// loadedKeys returns the keys of a range that have load, in key order. The result must
+// not be modified.
 func (l *Loads) loadedKeys(service string, first, last uint16) []keyLoad {
-	var keys []keyLoad
-	for key, n := range l.services[service] {
-		if key >= first && key <= last {
-			keys = append(keys, keyLoad{key: key, load: n})
-		}
+	keys := l.sortedKeys(service)
+	start, _ := slices.BinarySearchFunc(keys, first, func(k keyLoad, key uint16) int { return int(k.key) - int(key) })
+	end, found := slices.BinarySearchFunc(keys, last, func(k keyLoad, key uint16) int { return int(k.key) - int(key) })
+	if found {
+		end++
+	}
+	return keys[start:end]
+}
+
+func (l *Loads) sortedKeys(service string) []keyLoad {
+	if keys := l.sorted[service]; keys != nil {
+		return keys
+	}
+	keys := make([]keyLoad, 0, len(l.services[service]))
+	for key, load := range l.services[service] {
+		keys = append(keys, keyLoad{key: key, load: load})
 	}
 	slices.SortFunc(keys, func(a, b keyLoad) int { return int(a.key) - int(b.key) })
+	l.sorted[service] = keys
 	return keys
 }
+
+// forgetDerived drops what was computed from the loads.
+func (l *Loads) forgetDerived() {
+	clear(l.prefixSums)
+	clear(l.sorted)
+}
--- a/core/owner/plan_test.go
+++ b/core/owner/plan_test.go
@@ -24,7 +24,7 @@
 func newClusterWithoutGrants(n int) (*Leader, map[string]Target, *Loads) {
 	targets := make(map[string]Target)
 	for i := range n {
-		id := fmt.Sprintf("t%02d", i)
+		id := targetID(i)
 		targets[id] = Target{Incarnation: Incarnation{Target: id}, Service: testService, Slots: 2}
 	}
 	loads := NewLoads(testStart)
@@ -34,6 +34,8 @@
 	return l, targets, loads
 }
 
+func targetID(i int) string { return fmt.Sprintf("t%02d", i) }
+
 // completeOrders reports success for all orders that are due.
 func completeOrders(t *testing.T, l *Leader, targets map[string]Target, now time.Time) {
 	t.Helper()
--- a/core/owner/processing.go
+++ b/core/owner/processing.go
@@ -63,16 +63,35 @@
 	}
 }
 
-// RelativeProcessingTime returns the processing time of a target per request,
-// divided by the mean of its service. With it, targets that are slower than
-// others or become slow get fewer keys. It returns 1 for a target without
+// assumedProcessingTime is the mean processing time of a service without recorded
 // responses.
-func (l *Loads) RelativeProcessingTime(service, target string) float64 {
+const assumedProcessingTime = 100 * time.Millisecond
+
+// total returns the recorded responses of all targets of a service.
+func (t targetStats) total(service string) ProcessingStats {
 	var all ProcessingStats
-	for _, s := range l.processing[service] {
+	for _, s := range t[service] {
 		all.Responses += s.Responses
 		all.Seconds += s.Seconds
 	}
+	return all
+}
+
+// meanProcessingTime returns the mean processing time of a service's requests.
+func (l *Loads) meanProcessingTime(service string) time.Duration {
+	all := l.processing.total(service)
+	if all.Seconds <= 0 {
+		return assumedProcessingTime
+	}
+	return time.Duration(all.Seconds / all.Responses * float64(time.Second))
+}
+
+// RelativeProcessingTime returns the processing time of a target per request,
+// divided by the mean of its service. With it, targets that are slower than
+// others or become slow get fewer keys. It returns 1 for a target without
+// responses.
+func (l *Loads) RelativeProcessingTime(service, target string) float64 {
+	all := l.processing.total(service)
 	stats := l.processing[service][target]
 	if stats == nil || all.Seconds <= 0 {
 		return 1
--- /dev/null
+++ b/core/owner/utilization.go
@@ -0,0 +1,51 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+)
+
+// utilization is the utilization of the assignable targets of a service: the load of
+// each in slots that it keeps busy, divided by its slots. Until responses have been
+// recorded, only its ratios mean something.
+type utilization struct {
+	byTarget map[Incarnation]float64
+	// perRequest is what one request per second adds to it.
+	perRequest map[Incarnation]float64
+}
+
+func (l *Leader) utilization(service string, assignable []Target, loads *Loads) utilization {
+	u := utilization{byTarget: make(map[Incarnation]float64, len(assignable)), perRequest: make(map[Incarnation]float64, len(assignable))}
+	mean := loads.meanProcessingTime(service).Seconds()
+	for _, target := range assignable {
+		u.byTarget[target.Incarnation] = 0
+		u.perRequest[target.Incarnation] = mean * loads.RelativeProcessingTime(service, target.Target) / float64(max(target.Slots, 1))
+	}
+	for _, r := range l.services[service] {
+		u.addLoad(r.owner, loads.RangeLoad(service, r.first, r.last))
+	}
+	return u
+}
+
+// addLoad adds load in requests per second to a target. A negative load is
+// subtracted.
+func (u utilization) addLoad(target Incarnation, load float64) {
+	if _, assignable := u.byTarget[target]; assignable {
+		u.byTarget[target] += load * u.perRequest[target]
+	}
+}
+
+// mean returns the mean utilization. A target counts with 1 at most: load that it
+// can't serve, of a single hot key, is no load that the others should take over.
+func (u utilization) mean() float64 {
+	sum := 0.0
+	for _, used := range u.byTarget {
+		sum += min(used, 1)
+	}
+	return sum / float64(len(u.byTarget))
+}
+
+// leastUtilized returns the assignable target with the lowest utilization.
+func (u utilization) leastUtilized(assignable []Target) Target {
+	return slices.MinFunc(assignable, func(a, b Target) int { return cmp.Compare(u.byTarget[a.Incarnation], u.byTarget[b.Incarnation]) })
+}
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -139,6 +139,14 @@
 	return t.entry, true
 }
 
+// WarmingUp reports whether a target has started recently and is still slow.
+func (s *Set) WarmingUp(id string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[id]
+	return t != nil && now.Before(t.warmEnd)
+}
+
 // State is a host's view of a target, as written to the state dump.
 type State struct {
 	Entry
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -165,7 +165,9 @@
 		c.entries[e.ID] = e
 	}
 	for _, e := range c.targets.Entries("") {
-		targets[e.ID] = ownerTarget(e, e.Draining)
+		target := ownerTarget(e, e.Draining)
+		target.WarmingUp = c.targets.WarmingUp(e.ID, c.clock.Now())
+		targets[e.ID] = target
 		c.entries[e.ID] = e
 	}
 	return targets
