Take a target whose address another has registered for ended, and refused orders for none

Cause: targets that end without notice, whose addresses another service's targets reuse 2 s later, answered orders with 400.

Change: an entry that registers the address of another target proves that this one has ended; its keys are granted to others without waiting for its lease. A response that refuses an order proves that it was not executed.

--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -93,6 +93,9 @@
 	Slots   int
 	// Draining targets lose their keys.
 	Draining bool
+	// Ended targets are proved to have ended: another target has registered their
+	// address since.
+	Ended bool
 	// WarmingUp targets have started recently and are slow.
 	WarmingUp bool
 }
@@ -252,6 +255,9 @@
 	if f.state.inFlight {
 		return false
 	}
+	if t, known := targets[f.state.owner.Target]; known && t.Ended && t.Born == f.state.owner.Born {
+		return true
+	}
 	return f.released || !now.Before(l.expiresAt(f.state)) ||
 		!now.Before(l.restartProvesFreeFrom(f.state)) && hasRestarted(f.state.owner, targets)
 }
--- a/core/owner/orders.go
+++ b/core/owner/orders.go
@@ -44,8 +44,10 @@
 	// has accepted a higher fencing token.
 	Done   bool
 	Fenced bool
-	// Unsent reports that nothing has reached the target.
-	Unsent bool
+	// Unsent reports that nothing has reached the target, Refused that a response shows
+	// that the order was not executed.
+	Unsent  bool
+	Refused bool
 	// TargetEnded reports that another target has the address, so that the
 	// addressed one has ended.
 	TargetEnded bool
@@ -144,10 +146,11 @@
 	}
 	r := o.state
 	r.inFlight = false
-	if !outcome.Unsent {
+	mayHaveArrived := !outcome.Unsent && !outcome.Refused && !outcome.Fenced
+	if mayHaveArrived {
 		r.lastSent = now
 	}
-	if !outcome.Unsent && !o.Renewal {
+	if mayHaveArrived && !o.Renewal {
 		r.lastSentOnNewConnection = now
 	}
 	switch {
--- a/core/owner/takeover_test.go
+++ b/core/owner/takeover_test.go
@@ -94,3 +94,42 @@
 		t.Errorf("earlier leaders in the record after their leases have expired: got %d, want 0", got)
 	}
 }
+
+// TestEndedOwner guards against keys without an owner until a lease expires, though the
+// former owner is known to have ended.
+func TestEndedOwner(t *testing.T) {
+	l, view, loads := newCluster(t, 4)
+	ended := view["t01"]
+	ended.Draining, ended.Ended = true, true
+	view["t01"] = ended
+	l.Assign(testService, view, loads, testStart)
+	l.MarkPersisted(l.Record())
+	l.DropFormerOwners(view, testStart)
+	for _, r := range l.Record().Services[testService] {
+		if len(r.Former) > 0 {
+			t.Errorf("former owners of the range from %d: got %v, want none", r.First, r.Former)
+		}
+	}
+}
+
+// TestRefusedOrderStartsNoLease guards against waiting for a lease that was never started:
+// the response to an order shows that the target did not execute it.
+func TestRefusedOrderStartsNoLease(t *testing.T) {
+	l, view, loads := newCluster(t, 4)
+	now := testStart.Add(l.renewInterval())
+	for range 8 {
+		for _, o := range l.Orders(view, true, now) {
+			l.HandleOutcome(o, Outcome{Refused: o.Target.Target == "t01", Done: o.Target.Target != "t01"}, now)
+		}
+		now = now.Add(orderRetryInterval)
+	}
+	delete(view, "t01")
+	l.Assign(testService, view, loads, now)
+	l.MarkPersisted(l.Record())
+	l.DropFormerOwners(view, testStart.Add(leaseExpiryBound))
+	for _, r := range l.Record().Services[testService] {
+		if len(r.Former) > 0 {
+			t.Errorf("former owners of the range from %d after its lease: got %v, want none", r.First, r.Former)
+		}
+	}
+}
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"pineturn/core/owner"
 	"pineturn/core/placement"
 	"pineturn/core/routing"
+	"pineturn/io/metastore"
 	"pineturn/platform"
 )
 
@@ -77,7 +78,7 @@
 type Catalog interface {
 	Table() *routing.Table
 	Assignment() *owner.Assignment
-	RecentlyRemoved() []placement.Entry
+	RecentlyRemoved() []metastore.RemovedTarget
 	Position() (next int64, provenAt time.Time)
 	RelayActive() bool
 }
--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -10,6 +10,7 @@
 	"pineturn/core/owner"
 	"pineturn/core/placement"
 	"pineturn/core/routing"
+	"pineturn/io/metastore"
 	"pineturn/platform"
 )
 
@@ -52,11 +53,11 @@
 	relayActive bool
 }
 
-func (c *fakeCatalog) Table() *routing.Table              { return nil }
-func (c *fakeCatalog) Assignment() *owner.Assignment      { return c.assignment }
-func (c *fakeCatalog) RecentlyRemoved() []placement.Entry { return nil }
-func (c *fakeCatalog) Position() (int64, time.Time)       { return 1, time.Now() }
-func (c *fakeCatalog) RelayActive() bool                  { return c.relayActive }
+func (c *fakeCatalog) Table() *routing.Table                      { return nil }
+func (c *fakeCatalog) Assignment() *owner.Assignment              { return c.assignment }
+func (c *fakeCatalog) RecentlyRemoved() []metastore.RemovedTarget { return nil }
+func (c *fakeCatalog) Position() (int64, time.Time)               { return 1, time.Now() }
+func (c *fakeCatalog) RelayActive() bool                          { return c.relayActive }
 
 // run runs the coordinator of a host named host-1 for a duration.
 func run(t *testing.T, catalog *fakeCatalog, duration time.Duration) *fakeStore {
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -160,9 +160,11 @@
 func (c *Coordinator) currentTargets() map[string]owner.Target {
 	targets := make(map[string]owner.Target)
 	c.entries = make(map[string]placement.Entry)
-	for _, e := range c.catalog.RecentlyRemoved() {
-		targets[e.ID] = ownerTarget(e, true)
-		c.entries[e.ID] = e
+	for _, removed := range c.catalog.RecentlyRemoved() {
+		target := ownerTarget(removed.Entry, true)
+		target.Ended = removed.Ended
+		targets[removed.ID] = target
+		c.entries[removed.ID] = removed.Entry
 	}
 	for _, e := range c.targets.Entries("") {
 		target := ownerTarget(e, e.Draining)
--- a/io/coordinator/sender.go
+++ b/io/coordinator/sender.go
@@ -111,7 +111,7 @@
 
 func outcome(err error, handover string) owner.Outcome {
 	return owner.Outcome{
-		Done: err == nil, Fenced: errors.Is(err, platform.ErrFenced), Unsent: notSent(err),
+		Done: err == nil, Fenced: errors.Is(err, platform.ErrFenced), Unsent: notSent(err), Refused: errors.Is(err, platform.ErrRefused),
 		TargetEnded: errors.Is(err, platform.ErrOtherTarget), Handover: handover,
 	}
 }
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -53,9 +53,11 @@
 	// whose entry may have lapsed because the store was unreachable.
 	unconfirmed map[string]time.Time
 	// offsets holds the newest offset read of each key, by topic and key.
-	offsets     map[string]int64
-	targetsRead bool
-	changed     chan struct{}
+	offsets map[string]int64
+	// entryOffsets holds the offset of each target's last entry, by id.
+	entryOffsets map[string]int64
+	targetsRead  bool
+	changed      chan struct{}
 	// changedAt is the time at which a change of owners was last read.
 	changedAt   time.Time
 	broadcaster *broadcaster
@@ -65,6 +67,16 @@
 type removal struct {
 	entry placement.Entry
 	at    time.Time
+	// superseded reports that another target has registered the address since the
+	// last entry, which proves that the removed one has ended.
+	superseded bool
+}
+
+// RemovedTarget is a target that was removed recently.
+type RemovedTarget struct {
+	placement.Entry
+	// Ended reports that the target is proved to have ended.
+	Ended bool
 }
 
 // NewCatalog returns an empty catalog that keeps targets up to date.
@@ -78,6 +90,7 @@
 		removed:        make(map[string]removal),
 		unconfirmed:    make(map[string]time.Time),
 		offsets:        make(map[string]int64),
+		entryOffsets:   make(map[string]int64),
 		changed:        make(chan struct{}),
 		broadcaster:    newBroadcaster(),
 		done:           make(chan struct{}),
@@ -217,7 +230,7 @@
 	for _, r := range records {
 		present[r.Key] = true
 		if c.recordOffset(platform.TopicTargets, r) {
-			c.applyTarget(r, now)
+			c.applyTarget(r, complete, now)
 		}
 	}
 	if complete {
@@ -230,7 +243,9 @@
 	c.targetsRead = true
 }
 
-func (c *Catalog) applyTarget(r platform.Record, now time.Time) {
+// applyTarget applies a record. In a complete list of the newest records, the order in
+// which targets registered their addresses does not show.
+func (c *Catalog) applyTarget(r platform.Record, complete bool, now time.Time) {
 	if len(r.Value) == 0 {
 		c.removeOrDefer(r.Key, now)
 		return
@@ -245,7 +260,11 @@
 	if !c.targets.Put(entry, now) {
 		return
 	}
+	c.entryOffsets[r.Key] = r.Offset
 	delete(c.unconfirmed, r.Key)
+	if _, removed := c.removed[r.Key]; !complete && !found && !removed {
+		c.supersede(entry, r.Offset, now)
+	}
 	delete(c.removed, r.Key)
 	if !found || old.Draining != entry.Draining || old.Born != entry.Born || old.Address != entry.Address {
 		klog.InfoS("Target entry was added or changed", "target", r.Key, "service", entry.Service, "address", entry.Address,
@@ -253,6 +272,27 @@
 	}
 }
 
+// supersede removes the targets that had the address of a new target before. Each of
+// them has ended, as addresses are reused only after that. An entry that was written
+// after the new target's first one proves nothing.
+func (c *Catalog) supersede(added placement.Entry, offset int64, now time.Time) {
+	ended := func(e placement.Entry) bool {
+		return e.ID != added.ID && e.Address == added.Address && c.entryOffsets[e.ID] < offset
+	}
+	for _, e := range c.targets.Entries("") {
+		if ended(e) {
+			c.remove(e.ID, now)
+		}
+	}
+	for id, r := range c.removed {
+		if !r.superseded && ended(r.entry) {
+			r.superseded = true
+			c.removed[id] = r
+			klog.InfoS("Target has ended, another has its address", "target", id, "address", added.Address, "by", added.ID, "offset", offset)
+		}
+	}
+}
+
 // removeOrDefer removes a target whose entry was deleted. If the store is or was
 // recently unreachable, the entry may only have lapsed, and the removal is deferred
 // until the end of the grace period so that the target can renew the entry.
@@ -295,20 +335,21 @@
 	for id, d := range c.removed {
 		if now.Sub(d.at) > removedRetention {
 			delete(c.removed, id)
+			delete(c.entryOffsets, id)
 		}
 	}
 }
 
-// RecentlyRemoved returns the entries of targets that were removed within
+// RecentlyRemoved returns the targets that were removed within
 // removedRetention.
-func (c *Catalog) RecentlyRemoved() []placement.Entry {
+func (c *Catalog) RecentlyRemoved() []RemovedTarget {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var entries []placement.Entry
-	for _, d := range c.removed {
-		entries = append(entries, d.entry)
+	var removed []RemovedTarget
+	for _, r := range c.removed {
+		removed = append(removed, RemovedTarget{Entry: r.entry, Ended: r.superseded})
 	}
-	return entries
+	return removed
 }
 
 func (c *Catalog) applyOwners(records []platform.Record, _ bool) {
