Rebalance each second, and move keys to responsive targets only

Change: the interval is 1 s. Targets with a failed order since their last success are no destination of a move.

--- a/core/owner/balance.go
+++ b/core/owner/balance.go
@@ -31,6 +31,8 @@
 	now        time.Time
 	// exhausted holds the targets that nothing more can be moved off.
 	exhausted map[Incarnation]bool
+	// responsive are the targets that keys may move to.
+	responsive []Target
 }
 
 // Balance moves keys from overloaded targets to others and returns the number of
@@ -43,7 +45,7 @@
 	}
 	b := &balancer{
 		leader: l, service: service, assignable: assignable, util: l.utilization(service, assignable, loads), loads: loads, now: now,
-		exhausted: make(map[Incarnation]bool),
+		exhausted: make(map[Incarnation]bool), responsive: l.responsive(service, assignable),
 	}
 	moves := 0
 	for moves < maxMovesPerRound {
@@ -95,7 +97,7 @@
 // faster, else others.
 func (b *balancer) relieve(from Incarnation) bool {
 	mean := b.util.mean()
-	to := b.util.leastUtilized(b.assignable).Incarnation
+	to := b.util.leastUtilized(b.responsive).Incarnation
 	room := (mean - b.util.byTarget[to]) / b.util.perRequest[to]
 	wanted := min(b.excess(from, mean), room)
 	hot, found := b.hottestKey(from)
@@ -145,7 +147,7 @@
 func (b *balancer) fasterTarget(hot keyWindow, from Incarnation) (Incarnation, bool) {
 	best, found := from, false
 	lowest := hot.load * b.util.perRequest[from] * hotKeyMoveRatio
-	for _, t := range b.assignable {
+	for _, t := range b.responsive {
 		if t.Incarnation == from || t.WarmingUp {
 			continue
 		}
--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -92,6 +92,22 @@
 	return assignable
 }
 
+// responsive returns the assignable targets without a failed order since their last
+// success. If there is none, all are returned.
+func (l *Leader) responsive(service string, assignable []Target) []Target {
+	failing := make(map[Incarnation]bool)
+	for _, r := range l.services[service] {
+		if !r.failingSince.IsZero() {
+			failing[r.owner] = true
+		}
+	}
+	responsive := slices.DeleteFunc(slices.Clone(assignable), func(t Target) bool { return failing[t.Incarnation] })
+	if len(responsive) == 0 {
+		return assignable
+	}
+	return responsive
+}
+
 // unreachableOwners returns the owners whose renewals have failed for more than
 // unreachableAfter. If that is more than half of all owners, this host itself
 // is taken to be disconnected, and none is returned.
@@ -127,7 +143,7 @@
 	if slices.ContainsFunc(assignable, func(t Target) bool { return t.Incarnation == r.owner }) {
 		return
 	}
-	to := util.leastUtilized(assignable)
+	to := util.leastUtilized(l.responsive(service, assignable))
 	if t, ok := targets[r.owner.Target]; ok && !t.Draining && t.Born > r.owner.Born {
 		to = t
 	}
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -47,7 +47,7 @@
 	// tickInterval is the time between runs of tick.
 	tickInterval = 50 * time.Millisecond
 	// balanceInterval is the time between two rounds of rebalancing.
-	balanceInterval = 2 * time.Second
+	balanceInterval = time.Second
 	// initialAssignDelay is the time between the first target's appearance and
 	// the first assignment of keys. It lets the other targets appear.
 	initialAssignDelay = 1500 * time.Millisecond
