--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -193,10 +193,14 @@
 	c.grantsInFlight += n
 }
 
-// AddReport adds a host's report to the loads that rebalancing uses.
+// AddReport adds a host's report to the loads that rebalancing uses. A host that is
+// about to lead may receive reports before it has read its record back.
 func (c *Coordinator) AddReport(report owner.Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.leading {
+		c.loads.Decay(c.clock.Now())
+	}
 	c.loads.Add(report)
 }
 
@@ -249,10 +253,13 @@
 	c.loads = owner.NewLoads(now)
 }
 
+// setLeading records whether this host is the leader. Loads decay while it is not, so
+// that those which the other hosts then report keep their weight.
 func (c *Coordinator) setLeading(leading bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leading = leading
+	c.loads.Decay(c.clock.Now())
 }
 
 func (c *Coordinator) tick(ctx context.Context) {
--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -114,3 +114,23 @@
 		})
 	}
 }
+
+// TestLoadsOfNewLeader guards against a new leader that rebalances without loads: what the
+// other hosts report to it must not lose weight for the time before it led.
+func TestLoadsOfNewLeader(t *testing.T) {
+	const rate = 40.0
+	clk := clock.NewFake(time.Unix(1000, 0))
+	c := New(Host{Name: "host-1", Incarnation: "new"}, owner.MaxLeaseDuration, &fakeStore{}, &fakeCatalog{}, placement.NewSet("a"), clk)
+	reported := owner.NewLoads(clk.Now())
+	for range 30 {
+		clk.Advance(time.Second)
+		reported.Decay(clk.Now())
+		reported.Add(owner.Report{Counts: []owner.KeyCount{{Service: "records", Key: 7, Count: rate}}})
+	}
+	c.AddReport(reported.Report())
+	c.setLeading(true)
+	c.loads.Decay(clk.Now())
+	if got := c.loads.RangeLoad("records", 7, 7); got < rate*0.8 {
+		t.Errorf("load of the key at the new leader: got %.1f requests per second, want at least %.1f", got, rate*0.8)
+	}
+}
