See steps in the load of a key within a second

Change: a second average with a half-life of 1 s. It counts for a key where it differs from the first one by more than three standard deviations of requests at random times. In the mean, targets are cut at the median if that is over 1.

--- a/core/owner/balance_test.go
+++ b/core/owner/balance_test.go
@@ -31,7 +31,7 @@
 // addLoad adds rates of requests, in requests per second, to the load of keys.
 func addLoad(loads *Loads, rates map[uint16]float64) {
 	for key, rate := range rates {
-		loads.Add(Report{Counts: []KeyCount{{Service: testService, Key: key, Count: rate / loadPerCount}}})
+		loads.Add(Report{Full: true, Counts: []KeyCount{{Service: testService, Key: key, Count: rate / loadPerCount}}})
 	}
 }
 
--- a/core/owner/loads.go
+++ b/core/owner/loads.go
@@ -7,9 +7,13 @@
 )
 
 const (
-	// loadHalfLife is the half-life of the load recorded for a key. Loads are in
-	// requests per second.
+	// loadHalfLife is the half-life of the load recorded for a key, stepHalfLife that
+	// of the load by which a step shows. Loads are in requests per second.
 	loadHalfLife = 4 * time.Second
+	stepHalfLife = time.Second
+	// stepDeviations is the difference between the two loads of a key, in standard
+	// deviations of the second one, from which it counts as a step.
+	stepDeviations = 3.0
 	// maxTrackedKeys bounds the number of keys tracked per service.
 	maxTrackedKeys = Keys / 2
 	// minTrackedLoad is the load in requests per second below which a key is no
@@ -24,9 +28,31 @@
 	baseLoad = 1.0
 )
 
-// loadPerCount is the amount that one request adds to a load. With the
-// exponential decay, a steady rate of r requests per second gives a load of r.
-const loadPerCount = math.Ln2 / (float64(loadHalfLife) / float64(time.Second))
+// loadPerCount and stepLoadPerCount are the amounts that one request adds to the loads
+// of a key. With the exponential decay, a steady rate of r requests per second gives a
+// load of r.
+const (
+	loadPerCount     = math.Ln2 / (float64(loadHalfLife) / float64(time.Second))
+	stepLoadPerCount = math.Ln2 / (float64(stepHalfLife) / float64(time.Second))
+)
+
+// keyRate is the load of a key as averaged over two spans of time.
+type keyRate struct {
+	steady, recent float64
+}
+
+// load returns the load of the key: the average over the longer span, unless the recent
+// load differs from it by more than requests at random times do. A key that becomes hot,
+// or cools down, thus shows within about a second, while the loads of other keys stay
+// smooth.
+func (r keyRate) load() float64 {
+	// The variance of an average over requests at random times.
+	variance := max(r.steady, r.recent) * stepLoadPerCount / 2
+	if difference := r.recent - r.steady; difference*difference > stepDeviations*stepDeviations*variance {
+		return r.recent
+	}
+	return r.steady
+}
 
 // KeyCount is the number of requests for a key of a service.
 type KeyCount struct {
@@ -47,12 +73,15 @@
 type Report struct {
 	Counts     []KeyCount        `cbor:"1,keyasint,omitempty"`
 	Processing []ProcessingStats `cbor:"2,keyasint,omitempty"`
+	// Full reports that Counts are all that the host remembers, not only the requests
+	// since its previous report.
+	Full bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Loads holds the load of keys and the processing times of targets, aggregated
 // from the reports of all hosts.
 type Loads struct {
-	services map[string]map[uint16]float64
+	services map[string]map[uint16]keyRate
 	// prefixSums holds, by service, the total load of all keys below each key, and
 	// sorted the loaded keys in order. Entries are computed on first use after a
 	// change.
@@ -64,7 +93,7 @@
 
 // NewLoads returns empty loads.
 func NewLoads(now time.Time) *Loads {
-	return &Loads{services: make(map[string]map[uint16]float64), prefixSums: make(map[string][]float32), sorted: make(map[string][]keyLoad), processing: make(targetStats), decayedAt: now}
+	return &Loads{services: make(map[string]map[uint16]keyRate), prefixSums: make(map[string][]float32), sorted: make(map[string][]keyLoad), processing: make(targetStats), decayedAt: now}
 }
 
 // Add adds a report. Under a steady rate of r requests per second, the load of
@@ -74,25 +103,33 @@
 	for _, stats := range report.Processing {
 		l.processing.add(stats)
 	}
+	recentPerCount := stepLoadPerCount
+	if report.Full {
+		recentPerCount = loadPerCount
+	}
 	for _, c := range report.Counts {
 		keys := l.services[c.Service]
 		if keys == nil {
-			keys = make(map[uint16]float64)
+			keys = make(map[uint16]keyRate)
 			l.services[c.Service] = keys
 		}
-		if _, known := keys[c.Key]; known || len(keys) < maxTrackedKeys {
-			keys[c.Key] += c.Count * loadPerCount
+		rate, known := keys[c.Key]
+		if !known && len(keys) >= maxTrackedKeys {
+			continue
 		}
+		rate.steady += c.Count * loadPerCount
+		rate.recent += c.Count * recentPerCount
+		keys[c.Key] = rate
 	}
 }
 
 // Report returns a report from which a new leader obtains the same loads and
 // processing times, except for keys with a load below minReportedLoad.
 func (l *Loads) Report() Report {
-	var report Report
+	report := Report{Full: true}
 	for service, keys := range l.services {
-		for key, load := range keys {
-			if load >= minReportedLoad {
+		for key, rate := range keys {
+			if load := rate.load(); load >= minReportedLoad {
 				report.Counts = append(report.Counts, KeyCount{Service: service, Key: key, Count: load / loadPerCount})
 			}
 		}
@@ -110,14 +147,17 @@
 func (l *Loads) Decay(now time.Time) {
 	l.forgetDerived()
 	l.processing.decay(now.Sub(l.decayedAt))
-	factor := math.Exp2(-now.Sub(l.decayedAt).Seconds() / loadHalfLife.Seconds())
+	elapsed := now.Sub(l.decayedAt).Seconds()
+	steadyFactor, recentFactor := math.Exp2(-elapsed/loadHalfLife.Seconds()), math.Exp2(-elapsed/stepHalfLife.Seconds())
 	l.decayedAt = now
 	for _, keys := range l.services {
-		for key, load := range keys {
-			if load *= factor; load < minTrackedLoad {
+		for key, rate := range keys {
+			rate.steady *= steadyFactor
+			rate.recent *= recentFactor
+			if rate.steady < minTrackedLoad {
 				delete(keys, key)
 			} else {
-				keys[key] = load
+				keys[key] = rate
 			}
 		}
 	}
@@ -135,8 +175,8 @@
 		return sums
 	}
 	sums := make([]float32, Keys+1)
-	for key, load := range l.services[service] {
-		sums[int(key)+1] = float32(load)
+	for key, rate := range l.services[service] {
+		sums[int(key)+1] = float32(rate.load())
 	}
 	for i := range Keys {
 		sums[i+1] += sums[i]
@@ -162,8 +202,8 @@
 		return keys
 	}
 	keys := make([]keyLoad, 0, len(l.services[service]))
-	for key, load := range l.services[service] {
-		keys = append(keys, keyLoad{key: key, load: load})
+	for key, rate := range l.services[service] {
+		keys = append(keys, keyLoad{key: key, load: rate.load()})
 	}
 	slices.SortFunc(keys, func(a, b keyLoad) int { return int(a.key) - int(b.key) })
 	l.sorted[service] = keys
--- a/core/owner/utilization.go
+++ b/core/owner/utilization.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -35,14 +36,17 @@
 	}
 }
 
-// mean returns the mean utilization. A target counts with 1 at most: load that it
-// can't serve, of a single hot key, is no load that the others should take over.
+// mean returns the mean utilization. A target counts with 1 at most, or with the median
+// if that is more: load that it can't serve, of a single hot key, is no load that the
+// others should take over.
 func (u utilization) mean() float64 {
+	all := slices.Sorted(maps.Values(u.byTarget))
+	highest := max(all[len(all)/2], 1)
 	sum := 0.0
-	for _, used := range u.byTarget {
-		sum += min(used, 1)
+	for _, used := range all {
+		sum += min(used, highest)
 	}
-	return sum / float64(len(u.byTarget))
+	return sum / float64(len(all))
 }
 
 // leastUtilized returns the assignable target with the lowest utilization.
