Assign keys of targets that leave where the utilization with them is lowest

Change: one function chooses the target by the utilization that it would have, for hot keys and for keys of targets that leave.

--- a/core/owner/balance.go
+++ b/core/owner/balance.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 )
 
@@ -97,7 +98,7 @@
 // faster, else others.
 func (b *balancer) relieve(from Incarnation) bool {
 	mean := b.util.mean()
-	to := b.util.leastUtilized(b.responsive).Incarnation
+	to := b.util.leastUtilizedWith(0, b.responsive).Incarnation
 	room := (mean - b.util.byTarget[to]) / b.util.perRequest[to]
 	wanted := min(b.excess(from, mean), room)
 	hot, found := b.hottestKey(from)
@@ -145,17 +146,13 @@
 // if that is well below what the key alone makes of its owner's. Targets that are
 // warming up are left out: their speed is not known yet.
 func (b *balancer) fasterTarget(hot keyWindow, from Incarnation) (Incarnation, bool) {
-	best, found := from, false
-	lowest := hot.load * b.util.perRequest[from] * hotKeyMoveRatio
-	for _, t := range b.responsive {
-		if t.Incarnation == from || t.WarmingUp {
-			continue
-		}
-		if used := b.util.byTarget[t.Incarnation] + hot.load*b.util.perRequest[t.Incarnation]; used < lowest {
-			best, lowest, found = t.Incarnation, used, true
-		}
+	others := slices.DeleteFunc(slices.Clone(b.responsive), func(t Target) bool { return t.Incarnation == from || t.WarmingUp })
+	if len(others) == 0 {
+		return from, false
 	}
-	return best, found
+	best := b.util.leastUtilizedWith(hot.load, others).Incarnation
+	used := b.util.byTarget[best] + hot.load*b.util.perRequest[best]
+	return best, used < hot.load*b.util.perRequest[from]*hotKeyMoveRatio
 }
 
 // keyWindow is a range of keys within a rangeState, with its load in requests per
--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -143,12 +143,13 @@
 	if slices.ContainsFunc(assignable, func(t Target) bool { return t.Incarnation == r.owner }) {
 		return
 	}
-	to := util.leastUtilized(l.responsive(service, assignable))
+	load := loads.RangeLoad(service, r.first, r.last)
+	to := util.leastUtilizedWith(load, l.responsive(service, assignable))
 	if t, ok := targets[r.owner.Target]; ok && !t.Draining && t.Born > r.owner.Born {
 		to = t
 	}
 	if l.Move(service, r.first, r.last, to.Incarnation, now) {
-		util.addLoad(to.Incarnation, loads.RangeLoad(service, r.first, r.last))
+		util.addLoad(to.Incarnation, load)
 	}
 }
 
--- a/core/owner/utilization.go
+++ b/core/owner/utilization.go
@@ -49,7 +49,9 @@
 	return sum / float64(len(all))
 }
 
-// leastUtilized returns the assignable target with the lowest utilization.
-func (u utilization) leastUtilized(assignable []Target) Target {
-	return slices.MinFunc(assignable, func(a, b Target) int { return cmp.Compare(u.byTarget[a.Incarnation], u.byTarget[b.Incarnation]) })
+// leastUtilizedWith returns the target that has the lowest utilization with additional
+// load, in requests per second. A fast target thus goes before a slow one.
+func (u utilization) leastUtilizedWith(load float64, targets []Target) Target {
+	with := func(t Target) float64 { return u.byTarget[t.Incarnation] + load*u.perRequest[t.Incarnation] }
+	return slices.MinFunc(targets, func(a, b Target) int { return cmp.Compare(with(a), with(b)) })
 }
