Give slow targets less utilization than fast ones

Cause: at equal utilization a slow target is late far more often: its processing time alone is most of the objective.

Change: utilization grows with the power 1.3 of the relative processing time.

--- a/core/owner/balance_test.go
+++ b/core/owner/balance_test.go
@@ -133,3 +133,20 @@
 		t.Errorf("load of the other overloaded target: got %.1f requests per second, want at most 45", got)
 	}
 }
+
+// TestUtilizationOfSlowTarget guards against late responses of slow targets, where a request
+// that waits for another misses its objective: their utilization must stay below that of
+// the others.
+func TestUtilizationOfSlowTarget(t *testing.T) {
+	l, targets, loads := newSpeedCluster(t, 2, 1, 1, 0.67)
+	rates := make(map[uint16]float64)
+	for key := 0; key < Keys; key += 256 {
+		rates[uint16(key)] = 0.4
+	}
+	addLoad(loads, rates)
+	balanceFor(t, l, targets, loads, 12)
+	byTarget := loadByTarget(l, loads)
+	if slow, other := 2*byTarget[targetID(0)], byTarget[targetID(1)]; slow > 0.95*other {
+		t.Errorf("slots that the slow target keeps busy: got %.2f of those of a target of mean speed, want at most 0.95", slow/other)
+	}
+}
--- a/core/owner/utilization.go
+++ b/core/owner/utilization.go
@@ -3,12 +3,18 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 )
 
+// processingTimeWeight is the power of a target's relative processing time by which its
+// utilization grows. Above 1, slow targets get less load than their slots could serve:
+// there, a request that waits for another misses its objective first.
+const processingTimeWeight = 1.3
+
 // utilization is the utilization of the assignable targets of a service: the load of
-// each in slots that it keeps busy, divided by its slots. Until responses have been
-// recorded, only its ratios mean something.
+// each in slots that it keeps busy, divided by its slots, and weighted by its
+// processing time. Until responses have been recorded, only its ratios mean something.
 type utilization struct {
 	byTarget map[Incarnation]float64
 	// perRequest is what one request per second adds to it.
@@ -18,9 +24,12 @@
 func (l *Leader) utilization(service string, assignable []Target, loads *Loads) utilization {
 	u := utilization{byTarget: make(map[Incarnation]float64, len(assignable)), perRequest: make(map[Incarnation]float64, len(assignable))}
 	mean := loads.meanProcessingTime(service).Seconds()
+	weight := func(target string) float64 {
+		return math.Pow(loads.RelativeProcessingTime(service, target), processingTimeWeight)
+	}
 	for _, target := range assignable {
 		u.byTarget[target.Incarnation] = 0
-		u.perRequest[target.Incarnation] = mean * loads.RelativeProcessingTime(service, target.Target) / float64(max(target.Slots, 1))
+		u.perRequest[target.Incarnation] = mean * weight(target.Target) / float64(max(target.Slots, 1))
 	}
 	for _, r := range l.services[service] {
 		u.addLoad(r.owner, loads.RangeLoad(service, r.first, r.last))
--- a/io/metastore/consumer.go
+++ b/io/metastore/consumer.go
@@ -17,12 +17,11 @@
 )
 
 const (
-	// retryPause is the pause after a call that the store refused. Random jitter of
-	// up to half of it is added.
-	retryPause = 500 * time.Millisecond
-	// silentRetryPause is the same after a call without a response. It is shorter,
-	// as such a call has taken its whole timeout.
-	silentRetryPause = 150 * time.Millisecond
+	// retryInterval is the time from a failed call to the next one, and minRetryPause
+	// the shortest time between the end of one and the next. Random jitter of up to
+	// half of the pause is added.
+	retryInterval = 500 * time.Millisecond
+	minRetryPause = 150 * time.Millisecond
 	// minWaitShare is the share of a read's wait that the store has certainly
 	// waited, with an allowance for the difference between the clocks.
 	minWaitShare = 0.9
@@ -92,13 +91,14 @@
 	defer close(c.done)
 	for ctx.Err() == nil {
 		c.waitWhileRelayed(ctx)
+		start := c.Clock.Now()
 		n, err := c.step(ctx, store)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err != nil:
 			c.store.recordFailure(c, err)
-			pause := pauseAfter(err)
+			pause := pauseAfter(c.Clock.Now().Sub(start))
 			c.store.awaitRetry(ctx, c, pause+rand.N(pause/2))
 		case n > 0:
 			clock.Sleep(ctx, c.BatchDelay())
@@ -106,12 +106,12 @@
 	}
 }
 
-// pauseAfter returns the time between a failed call and the next one.
-func pauseAfter(err error) time.Duration {
-	if errors.Is(err, platform.ErrStatus) {
-		return retryPause
-	}
-	return silentRetryPause
+// pauseAfter returns the time between a failed call and the next one. After a call
+// that has waited for a response until its timeout it is short, so that the end of a
+// network partition shows soon; after a call that was refused or reset at once, it keeps
+// the number of calls low.
+func pauseAfter(took time.Duration) time.Duration {
+	return max(retryInterval-took, minRetryPause)
 }
 
 func (c *Consumer) step(ctx context.Context, store Reader) (int, error) {
--- a/io/metastore/consumer_test.go
+++ b/io/metastore/consumer_test.go
@@ -337,6 +337,19 @@
 	}
 }
 
+// TestPauseAfterFailure guards against many calls to a store that refuses or resets them at
+// once, and against a late first call after a partition.
+func TestPauseAfterFailure(t *testing.T) {
+	for took, want := range map[time.Duration]time.Duration{
+		10 * time.Millisecond:  490 * time.Millisecond,
+		700 * time.Millisecond: minRetryPause,
+	} {
+		if got := pauseAfter(took); got != want {
+			t.Errorf("pause after a call that failed after %v: got %v, want %v", took, got, want)
+		}
+	}
+}
+
 // silentStore is a store without records. While it is silent, calls end without a
 // response after a timeout.
 type silentStore struct {
