--- a/core/owner/balance_test.go
+++ b/core/owner/balance_test.go
@@ -141,7 +141,7 @@
 	l, targets, loads := newSpeedCluster(t, 2, 1, 1, 0.67)
 	rates := make(map[uint16]float64)
 	for key := 0; key < Keys; key += 256 {
-		rates[uint16(key)] = 0.4
+		rates[uint16(key)] = 0.6
 	}
 	addLoad(loads, rates)
 	balanceFor(t, l, targets, loads, 12)
