Return cooled ranges to their neighbours' owner, merge ranges, log what was assumed of a full owner

Cause: each move split ranges and nothing joined them again. And a line of a request refused as "no-room" named no target and none of the inputs of the refusal.

Change: adjacent idle ranges of one owner are joined when keys move. Beyond 8 ranges a target, ranges that have cooled down go back to the owner of the keys on both sides. The model joins ranges too. The line of a refused request has the owner, its depth, limit, age of the report and whether a backoff was on.

--- a/core/owner/balance.go
+++ b/core/owner/balance.go
@@ -17,6 +17,12 @@
 	minExcessLoad = 0.6
 	// maxMovesPerRound bounds the moves of one call of Balance.
 	maxMovesPerRound = 16
+	// maxRangesPerTarget is the number of ranges per target from which small ranges go
+	// back to the owner of the keys around them, up to maxReturnsPerRound in one call of
+	// Balance. A range with more than maxReturnLoad, in requests per second, stays.
+	maxRangesPerTarget = 8
+	maxReturnsPerRound = 8
+	maxReturnLoad      = 1.0
 	// hotKeyMoveRatio is the ratio of the utilization by a hot key at another target,
 	// with the load that this has, to that at its owner up to which the key moves.
 	hotKeyMoveRatio = 0.85
@@ -60,9 +66,38 @@
 			b.exhausted[from] = true
 		}
 	}
+	moves += b.returnIdleRanges()
+	if moves > 0 {
+		l.Merge(service)
+	}
 	return moves
 }
 
+// returnIdleRanges gives ranges that have cooled down back to the owner of the keys on
+// both sides, if there are many ranges, and returns how many: the record and the number
+// of renewals grow with them.
+func (b *balancer) returnIdleRanges() int {
+	ranges := slices.Clone(b.leader.services[b.service])
+	returned := 0
+	for i := 1; i+1 < len(ranges) && returned < min(len(ranges)-maxRangesPerTarget*len(b.assignable), maxReturnsPerRound); i++ {
+		r, to := ranges[i], ranges[i-1].owner
+		load := b.loads.RangeLoad(b.service, r.first, r.last)
+		if ranges[i+1].owner != to || r.owner == to || load > maxReturnLoad || !b.mayReceive(to) {
+			continue
+		}
+		if b.move(keyWindow{first: r.first, last: r.last, load: load}, r.owner, to) {
+			returned++
+		}
+	}
+	return returned
+}
+
+// mayReceive reports whether a target is responsive and not overloaded.
+func (b *balancer) mayReceive(target Incarnation) bool {
+	responsive := slices.ContainsFunc(b.responsive, func(t Target) bool { return t.Incarnation == target })
+	return responsive && !b.overloaded(target, b.util.mean())
+}
+
 // mostOverloaded returns the overloaded target with the highest utilization among
 // those that are not exhausted.
 func (b *balancer) mostOverloaded() (Incarnation, bool) {
--- a/core/owner/balance_test.go
+++ b/core/owner/balance_test.go
@@ -150,3 +150,28 @@
 		t.Errorf("slots that the slow target keeps busy: got %.2f of those of a target of mean speed, want at most 0.95", slow/other)
 	}
 }
+
+// TestRecordStaysSmall guards against a record that grows with each move: it is sent to
+// every host at each change.
+func TestRecordStaysSmall(t *testing.T) {
+	l, targets, loads := newSpeedCluster(t, 1, 1, 1, 1)
+	ranges := func() int { return len(l.Record().Services[testService]) }
+	before, most := ranges(), 0
+	now := testStart
+	for round := range 100 {
+		hot := uint16(round * 650)
+		addLoad(loads, map[uint16]float64{hot: 6, hot + 40: 6, hot + 80: 6, hot + 120: 6, hot + 160: 6})
+		now = now.Add(4 * time.Second)
+		loads.Decay(now)
+		l.Balance(testService, targets, loads, now)
+		for range 3 {
+			l.MarkPersisted(l.Record())
+			completeOrders(t, l, targets, now)
+			l.DropFormerOwners(targets, now)
+		}
+		most = max(most, ranges())
+	}
+	if limit := 8 * before; most > limit {
+		t.Errorf("ranges after 100 rounds of moves: got up to %d, want at most %d", most, limit)
+	}
+}
--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -341,6 +341,41 @@
 	l.unsaved = true
 }
 
+// Merge joins adjacent ranges of a service that have the same owner and nothing under way,
+// so that the record does not grow with each move. The joined range keeps the higher
+// fencing token: its owner has accepted it for one part, and a lower one for the others.
+func (l *Leader) Merge(service string) {
+	ranges := l.services[service]
+	for i := len(ranges) - 1; i > 0; i-- {
+		left, right := ranges[i-1], ranges[i]
+		if left.owner != right.owner || !left.idle() || !right.idle() {
+			continue
+		}
+		left.absorb(right)
+		ranges = slices.Delete(ranges, i, i+1)
+		l.unsaved = true
+	}
+	l.services[service] = ranges
+}
+
+// idle reports whether the owner holds the range under a lease of this leader, and
+// nothing is under way for it.
+func (r *rangeState) idle() bool {
+	return r.granted && r.renewable && r.persisted && !r.inFlight && !r.ownerEnded && len(r.former) == 0 && r.failingSince.IsZero()
+}
+
+// absorb extends the range by the adjacent one after it. Where their states differ, the
+// result is the one that proves less.
+func (r *rangeState) absorb(right *rangeState) {
+	r.last = right.last
+	r.fencingToken = max(r.fencingToken, right.fencingToken)
+	r.inherited = r.inherited || right.inherited
+	r.lastSent = clock.Later(r.lastSent, right.lastSent)
+	r.lastSentOnNewConnection = clock.Later(r.lastSentOnNewConnection, right.lastSentOnNewConnection)
+	r.lastGranted = clock.Earlier(r.lastGranted, right.lastGranted)
+	r.lastAttempt = clock.Earlier(r.lastAttempt, right.lastAttempt)
+}
+
 // split divides the range that contains a key, so that a range starts at the
 // key.
 func (l *Leader) split(service string, at uint16) {
--- a/core/owner/model_test.go
+++ b/core/owner/model_test.go
@@ -113,6 +113,7 @@
 		l.lastProof = m.now
 		l.Assign(modelService, targets, m.loads, m.now)
 		l.DropFormerOwners(targets, m.now)
+		l.Merge(modelService)
 		if l.Unsaved() {
 			m.record = l.Record()
 			l.MarkPersisted(m.record)
--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -107,6 +108,44 @@
 	return best, Chosen
 }
 
+// Estimate is what a host assumes of a target's load when it selects targets.
+type Estimate struct {
+	// Depth is the number of running and waiting requests per slot with one more
+	// request, Limit the highest number at which the target is selected.
+	Depth, Limit float64
+	// ReportAge is the age of the target's last load report, zero without one.
+	ReportAge time.Duration
+	// Backoff reports that the target receives no request because it was full.
+	Backoff bool
+}
+
+// String returns the estimate as written to logs.
+func (e *Estimate) String() string {
+	if e == nil {
+		return ""
+	}
+	return fmt.Sprintf("depth %.1f of %.1f, report %v ago, backoff %t", e.Depth, e.Limit, e.ReportAge, e.Backoff)
+}
+
+// OwnerEstimate returns the estimate for the owner of the key of a request. It returns
+// false if the criteria name no owner, or one that is not present.
+func (s *Set) OwnerEstimate(criteria Criteria, now time.Time) (Estimate, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[criteria.Owner]
+	if t == nil {
+		return Estimate{}, false
+	}
+	svc := s.service(criteria.Service)
+	e := Estimate{
+		Depth: s.estimate(svc, t, now, svc.meanOtherHostsLoad()).depth, Limit: maxDepth(criteria), Backoff: t.inOwnerBackoff(now),
+	}
+	if !t.reported.IsZero() {
+		e.ReportAge = now.Sub(t.reported)
+	}
+	return e, true
+}
+
 func maxDepth(criteria Criteria) float64 {
 	if criteria.NonIdempotent {
 		return nonIdempotentMaxDepth
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -287,3 +287,19 @@
 	choose(t, s, criteria, now).End(Failed, nil, now)
 	choose(t, s, criteria, now)
 }
+
+// TestOwnerEstimate checks what the log states of the owner of a key that was refused for
+// lack of capacity.
+func TestOwnerEstimate(t *testing.T) {
+	s := newSet("t1")
+	now := time.Unix(100, 0)
+	criteria := Criteria{Service: service, Owner: "t1"}
+	choose(t, s, criteria, now).End(Shed, &Report{Running: 2, Waiting: 2}, now)
+	e, ok := s.OwnerEstimate(criteria, now.Add(10*time.Millisecond))
+	if !ok || !e.Backoff || e.Depth < 2 || e.Depth > 2.5 || e.Limit != idempotentMaxDepth || e.ReportAge != 10*time.Millisecond {
+		t.Errorf("estimate of a full owner: got %+v, want a backoff, a depth of 2 to 2.5, and a report of 10 ms ago", e)
+	}
+	if _, ok := s.OwnerEstimate(Criteria{Service: service, Owner: "t9"}, now); ok {
+		t.Error("estimate of an unknown owner: got one, want none")
+	}
+}
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -150,7 +150,7 @@
 		return
 	}
 	klog.InfoS("Request ended", "id", r.ID, "service", r.Service, "route", r.Route, "version", r.ConfigVersion,
-		"keyed", r.Keyed, "key", r.Key, "target", r.Target, "expected", r.ExpectedLatency, "sends", r.Sends, "status", r.Status,
+		"keyed", r.Keyed, "key", r.Key, "target", r.Target, "expected", r.ExpectedLatency, "estimate", r.Estimate, "sends", r.Sends, "status", r.Status,
 		"reason", r.Reason, "took", r.Latency, "targetsAge", g.catalog.Age(platform.TopicTargets),
 		"ownersAge", g.catalog.Age(platform.TopicOwners), "err", r.Cause)
 }
--- a/io/metastore/consumer_test.go
+++ b/io/metastore/consumer_test.go
@@ -212,7 +212,7 @@
 		catalog.store.unreachable = true
 		catalog.applyTargets([]platform.Record{deletion}, false)
 		wantTargets(t, targets, 1)
-		catalog.ApplyRelayed(nil, []Watermark{{Topic: platform.TopicTargets, Next: 1, Settled: true}})
+		catalog.ApplyRelayed(nil, []Watermark{{Topic: platform.TopicTargets, Next: 1, Uninterrupted: true}})
 		catalog.expire()
 		wantTargets(t, targets, 0)
 	})
@@ -230,9 +230,9 @@
 		catalog.targetConsumer.next = 1
 		catalog.store.unreachable = true
 		catalog.store.recordSuccess()
-		wantSettled(t, catalog, false)
+		wantUninterrupted(t, catalog, false)
 		fake.Advance(recoveryGrace)
-		wantSettled(t, catalog, true)
+		wantUninterrupted(t, catalog, true)
 	})
 	t.Run("a target that does not renew its entry is removed", func(t *testing.T) {
 		catalog, targets := newCatalog()
@@ -288,11 +288,11 @@
 	}
 }
 
-func wantSettled(t *testing.T, catalog *Catalog, want bool) {
+func wantUninterrupted(t *testing.T, catalog *Catalog, want bool) {
 	t.Helper()
 	for _, w := range catalog.Watermarks() {
-		if w.Settled != want {
-			t.Errorf("settled watermark of %s: got %t, want %t", w.Topic, w.Settled, want)
+		if w.Uninterrupted != want {
+			t.Errorf("uninterrupted watermark of %s: got %t, want %t", w.Topic, w.Uninterrupted, want)
 		}
 	}
 }
--- a/io/metastore/reachability.go
+++ b/io/metastore/reachability.go
@@ -36,9 +36,9 @@
 	// was unreachable once.
 	readableSince time.Time
 	recoveredAt   time.Time
-	// settled reports that the leader could read the store while this host could
+	// uninterrupted reports that the leader could read the store while this host could
 	// not, so that no grace period applies to the end of this host's outage.
-	settled bool
+	uninterrupted bool
 	// prober is the consumer that retries, nil unless calls fail. recovered is
 	// closed and replaced when calls succeed again.
 	prober    *Consumer
@@ -63,7 +63,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case r.settled:
+	case r.uninterrupted:
 		return time.Time{}
 	case r.unreachable:
 		return r.clock.Now().Add(grace)
@@ -89,7 +89,7 @@
 	if r.unreachable || now.Sub(r.failingSince) < unreachableAfter && !errors.Is(err, platform.ErrStatus) {
 		return
 	}
-	r.unreachable, r.settled = true, false
+	r.unreachable, r.uninterrupted = true, false
 	klog.InfoS("Store is unreachable", "topic", c.Topic, "err", err)
 }
 
@@ -113,12 +113,12 @@
 	}
 }
 
-// recordSettled records that the leader has read the store without an outage
+// recordUninterrupted records that the leader has read the store without an outage
 // for at least recoveryGrace.
-func (r *reachability) recordSettled() {
+func (r *reachability) recordUninterrupted() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.settled = !r.unreachable
+	r.uninterrupted = !r.unreachable
 }
 
 // awaitRetry returns when a consumer may call the store again after a failed call:
--- a/io/metastore/relay.go
+++ b/io/metastore/relay.go
@@ -43,9 +43,9 @@
 	Topic string        `cbor:"1,keyasint"`
 	Next  int64         `cbor:"2,keyasint"`
 	Age   time.Duration `cbor:"3,keyasint"`
-	// Settled reports that the sender has read the store for at least recoveryGrace
+	// Uninterrupted reports that the sender has read the store for at least recoveryGrace
 	// without an outage, so that targets whose entries are missing have gone.
-	Settled bool `cbor:"4,keyasint,omitempty"`
+	Uninterrupted bool `cbor:"4,keyasint,omitempty"`
 }
 
 const (
@@ -111,10 +111,10 @@
 func (c *Catalog) Watermarks() []Watermark {
 	var watermarks []Watermark
 	now := c.clock.Now()
-	settled := c.store.readableFor(recoveryGrace)
+	uninterrupted := c.store.readableFor(recoveryGrace)
 	for _, consumer := range c.consumers() {
 		if next, provenAt := consumer.Position(); next >= 0 {
-			watermarks = append(watermarks, Watermark{Topic: consumer.Topic, Next: next, Age: now.Sub(provenAt), Settled: settled})
+			watermarks = append(watermarks, Watermark{Topic: consumer.Topic, Next: next, Age: now.Sub(provenAt), Uninterrupted: uninterrupted})
 		}
 	}
 	return watermarks
@@ -203,8 +203,8 @@
 	if w.Age < maxWatermarkAge && relayProvenAt.After(c.relayProvenAt) {
 		c.relayProvenAt = relayProvenAt
 		c.store.recordSuccess()
-		if w.Settled {
-			c.store.recordSettled()
+		if w.Uninterrupted {
+			c.store.recordUninterrupted()
 		}
 	}
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -65,8 +65,11 @@
 	// Keyed reports whether the request was routed by its key, Key.
 	Keyed bool
 	Key   uint16
-	// Target is the last target that the request was sent to; empty for none.
+	// Target is the last target that the request was sent to, or the owner of its key
+	// if that had no capacity; empty for none.
 	Target string
+	// Estimate is what was assumed of an owner without capacity; nil for none.
+	Estimate *placement.Estimate
 	// ExpectedLatency is the estimated time to the response of Target.
 	ExpectedLatency time.Duration
 	// Sends is the number of times that the request was sent to a target.
@@ -125,6 +128,8 @@
 	// time to its response.
 	lastTarget      string
 	expectedLatency time.Duration
+	// estimate is what was assumed of lastTarget when it had no capacity.
+	estimate *placement.Estimate
 }
 
 func (q *request) attemptRequest() attempt.Request {
@@ -219,7 +224,7 @@
 
 func (q *request) record(status int, reason string, cause error, now time.Time) RequestRecord {
 	r := RequestRecord{
-		ID: q.ID, ConfigVersion: q.configVersion, Keyed: q.keyed(), Key: q.Key, Target: q.lastTarget, ExpectedLatency: q.expectedLatency, Sends: q.progress.Sends(),
+		ID: q.ID, ConfigVersion: q.configVersion, Keyed: q.keyed(), Key: q.Key, Target: q.lastTarget, ExpectedLatency: q.expectedLatency, Estimate: q.estimate, Sends: q.progress.Sends(),
 		Status: status, Reason: reason, Latency: now.Sub(q.started), Cause: cause, Service: q.match.Service.Name,
 	}
 	if q.match.Route != nil {
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -179,11 +179,19 @@
 		}
 		wait := min(end.Sub(p.clock.Now()), capacityPollInterval)
 		if wait <= 0 || !waitFor(ctx, capacityFreed, wait) {
+			p.recordEstimate(q, owner)
 			return nil, q.failOrRefuse(reason, q.match.Route.Objective/2, ctx.Err())
 		}
 	}
 }
 
+// recordEstimate keeps for the log what is assumed of an owner without capacity.
+func (p *Proxy) recordEstimate(q *request, owner string) {
+	if estimate, ok := p.targets.OwnerEstimate(p.criteria(q, owner), p.clock.Now()); ok {
+		q.lastTarget, q.estimate = owner, &estimate
+	}
+}
+
 func (p *Proxy) criteria(q *request, owner string) placement.Criteria {
 	return placement.Criteria{
 		Service: q.match.Service.Name, Owner: owner, Exclude: q.excluded,
