Refuse requests for a full owner at once when too many wait for it already

Cause: each request for a hot key waited 120 ms for capacity at its owner, though of some 25 that wait at a host in that time one can be served.

Change: no more requests of a host wait for an owner than it has in flight there, and one. The others are refused at once, with the time after which to come back.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -146,6 +146,30 @@
 	return e, true
 }
 
+// EnterQueue reports whether a request may wait for capacity at the owner of its key, and
+// counts it until LeaveQueue if so. Each response of the owner to this host frees capacity
+// for about one of this host's requests, so no more may wait than are in flight there, and
+// one: the others would wait in vain.
+func (s *Set) EnterQueue(owner string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[owner]
+	if t == nil || t.waiting > t.inFlight {
+		return false
+	}
+	t.waiting++
+	return true
+}
+
+// LeaveQueue ends the wait of a request that EnterQueue has admitted.
+func (s *Set) LeaveQueue(owner string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.targets[owner]; t != nil && t.waiting > 0 {
+		t.waiting--
+	}
+}
+
 func maxDepth(criteria Criteria) float64 {
 	if criteria.NonIdempotent {
 		return nonIdempotentMaxDepth
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -303,3 +303,33 @@
 		t.Error("estimate of an unknown owner: got one, want none")
 	}
 }
+
+// TestWaitingForFullOwner guards against requests that are held and then refused: of those for
+// a hot key, no more may wait at a host than its owner can soon take from there.
+func TestWaitingForFullOwner(t *testing.T) {
+	s := newSet("t1")
+	now := time.Unix(100, 0)
+	criteria := Criteria{Service: service, Owner: "t1"}
+	inFlight := 0
+	for ; ; inFlight++ {
+		if _, status := s.Choose(criteria, now); status != Chosen {
+			break
+		}
+	}
+	waiting := 0
+	for range 100 {
+		if s.EnterQueue("t1") {
+			waiting++
+		}
+	}
+	if want := inFlight + 1; waiting != want {
+		t.Errorf("requests that may wait: got %d, want %d", waiting, want)
+	}
+	s.LeaveQueue("t1")
+	if !s.EnterQueue("t1") {
+		t.Error("queue after one request has left it: got it full, want room for one")
+	}
+	if s.EnterQueue("t9") {
+		t.Error("queue of an unknown owner: got room, want none")
+	}
+}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -51,6 +51,9 @@
 	warmEnd time.Time
 	// inFlight is the number of this host's requests without a response.
 	inFlight int
+	// waiting is the number of this host's requests that wait for capacity at the
+	// target, the owner of their keys.
+	waiting int
 	// otherHostsLoad is the number of other hosts' requests, running and
 	// waiting, at the time of the last report.
 	otherHostsLoad float64
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -167,6 +167,12 @@
 // attempt.QueueTimeout.
 func (p *Proxy) chooseTarget(ctx context.Context, q *request, owner string) (*placement.Choice, error) {
 	end := p.clock.Now().Add(attempt.QueueTimeout(q.attemptRequest(), q.timeLeft(p.clock.Now())))
+	queued := false
+	defer func() {
+		if queued {
+			p.targets.LeaveQueue(owner)
+		}
+	}()
 	for {
 		capacityFreed := p.targets.CapacityFreed(q.match.Service.Name)
 		choice, verdict := p.targets.Choose(p.criteria(q, owner), p.clock.Now())
@@ -177,6 +183,11 @@
 		if verdict == placement.NoTarget {
 			reason = reasonNoTarget
 		}
+		if owner != "" && verdict == placement.NoCapacity && !queued {
+			if queued = p.targets.EnterQueue(owner); !queued {
+				end = p.clock.Now()
+			}
+		}
 		wait := min(end.Sub(p.clock.Now()), capacityPollInterval)
 		if wait <= 0 || !waitFor(ctx, capacityFreed, wait) {
 			p.recordEstimate(q, owner)
