Remove unused code, and record nothing against a target for a hedge that was not sent

A hedge that was given up before it was sent, for lack of time or budget, ended as a failed attempt to connect: 500 ms without requests and a failure score for a target that was never contacted.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -68,8 +68,7 @@
 	// address is empty if the target is not in the configuration.
 	address string
 	// checked is set if the target rejects orders with an old fencing token.
-	checked     bool
-	longRunning bool
+	checked bool
 
 	// guarded is set once all grants of earlier leaseholders have expired or are
 	// rejected by the target.
@@ -176,10 +175,6 @@
 	return &Table{self: self, options: options.withDefaults(), targets: map[record.Target]*targetLease{}}
 }
 
-// MaxGrantDuration returns the maximum duration of a grant after the latest proof of
-// freshness.
-func (t *Table) MaxGrantDuration() time.Duration { return t.options.MaxGrantDuration }
-
 // Sync updates the table to the folded state: it adds and removes held targets
 // and applies their terms, settings and desired shards.
 func (t *Table) Sync(state *fold.State, now time.Time) {
@@ -275,9 +270,6 @@
 		l.statusCurrent = false
 	}
 	l.checked = settings.Checked()
-	if service, found := conf.Service(l.id.Service); found {
-		l.longRunning = service.LongRunning()
-	}
 }
 
 // updateDesired computes from the log which shards each held target is to own. It
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -26,7 +26,6 @@
 type Tracker struct {
 	self      record.Incarnation
 	suspicion time.Duration
-	started   time.Time
 	peers     map[record.Incarnation]*peer
 	// replaced maps incarnations that no longer run to the time at which this
 	// host detected it.
@@ -53,7 +52,7 @@
 // New returns a tracker for the host self.
 func New(self record.Incarnation, suspicion time.Duration, now time.Time) *Tracker {
 	return &Tracker{
-		self: self, suspicion: suspicion, started: now,
+		self: self, suspicion: suspicion,
 		peers: map[record.Incarnation]*peer{}, replaced: map[record.Incarnation]time.Time{},
 	}
 }
--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -218,6 +218,9 @@
 	Abandoned
 	// Superseded means that a hedged send to another target responded first.
 	Superseded
+	// NotSent means that the request was not sent after all. It says nothing about
+	// the target.
+	NotSent
 )
 
 // Report is the load that a target reports with a response: its numbers of
@@ -288,7 +291,7 @@
 			c.recordResponseTime(svc, t, took)
 			t.addFailure(now, 0.7)
 		}
-	case WrongTarget:
+	case WrongTarget, NotSent:
 	}
 }
 
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -333,3 +333,14 @@
 		t.Error("queue of an unknown owner: got room, want none")
 	}
 }
+
+// TestNotSent guards against holding it against a target that a hedge was given up before it
+// was sent.
+func TestNotSent(t *testing.T) {
+	s := newSet("t1")
+	now := time.Unix(100, 0)
+	choose(t, s, Criteria{}, now).End(NotSent, nil, now)
+	if state := s.States(now)[0]; state.FailureScore != 0 || state.InFlight != 0 || state.Paused {
+		t.Errorf("state after a request that was not sent: got %+v, want no failure, none in flight, no backoff", state)
+	}
+}
--- a/io/daemon/bench_test.go
+++ b/io/daemon/bench_test.go
@@ -220,7 +220,7 @@
 				_ = json.NewEncoder(w).Encode(page)
 			}))
 			client := logservice.New(address)
-			b.Cleanup(client.Close)
+			b.Cleanup(client.CloseIdleConnections)
 			m.run(b, func() error {
 				_, err := client.Read(b.Context(), ChangeStream, 1_000_000, readLimit, readWait)
 				return err
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -241,7 +241,7 @@
 	err = errors.CombineErrors(err, d.peerListener.shutdown(ctx))
 	err = errors.CombineErrors(err, d.operatorListener.shutdown(ctx))
 	d.targets.Close()
-	d.log.Close()
+	d.log.CloseIdleConnections()
 	klog.InfoS("Stopped", "host", d.host.Self().Incarnation.String())
 	return errors.Wrap(err, "stop")
 }
--- a/io/daemon/helpers_test.go
+++ b/io/daemon/helpers_test.go
@@ -108,7 +108,7 @@
 	r.reader = &reader{
 		host: r.host, log: r.client, now: time.Now, metrics: m, onFolded: r.onFolded, restore: r.snapshots.restore,
 	}
-	t.Cleanup(r.client.Close)
+	t.Cleanup(r.client.CloseIdleConnections)
 	return r
 }
 
--- a/io/daemon/reader.go
+++ b/io/daemon/reader.go
@@ -90,7 +90,7 @@
 		r.restoreSnapshot(ctx, err)
 	} else {
 		r.setLogUp(false)
-		r.log.Reset()
+		r.log.CloseIdleConnections()
 	}
 	clock.Sleep(ctx, readPause)
 }
--- a/io/daemon/reader_test.go
+++ b/io/daemon/reader_test.go
@@ -48,7 +48,7 @@
 // readFrom makes the reader use the log service at another address.
 func (r *fixture) readFrom(address string) {
 	r.reader.log = logservice.New(address)
-	r.t.Cleanup(r.reader.log.Close)
+	r.t.Cleanup(r.reader.log.CloseIdleConnections)
 }
 
 // TestReader guards against a host that folds records in the wrong order or leaves some
--- a/io/logservice/client.go
+++ b/io/logservice/client.go
@@ -71,11 +71,9 @@
 	return &Client{base: "http://" + address + "/v1/streams/", http: &http.Client{Transport: transport}}
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
-
-// Reset closes idle connections, so that the next call opens a new connection.
-func (c *Client) Reset() { c.http.CloseIdleConnections() }
+// CloseIdleConnections closes the connections without a call, so that the next call
+// opens a new one.
+func (c *Client) CloseIdleConnections() { c.http.CloseIdleConnections() }
 
 func (c *Client) url(stream string) string { return c.base + url.PathEscape(stream) + "/records" }
 
--- a/io/proxy/failure.go
+++ b/io/proxy/failure.go
@@ -23,7 +23,6 @@
 	reasonUnreachable    = "target-unreachable"
 	reasonResponseLost   = "answer-lost"
 	reasonTimeout        = "timed-out"
-	reasonTooLate        = "too-late"
 	reasonBodyTooLarge   = "body-too-large"
 	reasonBodyReadFailed = "body-cut-off"
 	reasonCallerLeft     = "caller-left"
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -117,11 +117,9 @@
 	// routed by.
 	configVersion int64
 	started       time.Time
-	// deadline is the latest time at which the caller gets a response;
-	// callerDeadline is when the caller stops waiting.
-	deadline       time.Time
-	callerDeadline time.Time
-	progress       attempt.Progress
+	// deadline is the latest time at which the caller gets a response.
+	deadline time.Time
+	progress attempt.Progress
 	// excluded are the ids of targets that have already been tried.
 	excluded []string
 	// lastTarget is the target of the last send; expectedLatency is the estimated
@@ -173,7 +171,6 @@
 	if timeout <= 0 {
 		timeout = defaultCallerTimeout
 	}
-	q.callerDeadline = q.started.Add(timeout)
 	q.deadline = q.started.Add(min(timeout, q.match.Route.Timeout))
 }
 
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -283,7 +283,7 @@
 		return nil
 	}
 	if second.ExpectedLatency > q.timeLeft(now) || !p.budget.Spend(q.match.Service.Name, now) {
-		second.End(placement.Unreachable, nil, now)
+		second.End(placement.NotSent, nil, now)
 		return nil
 	}
 	return second
--- a/io/target/control.go
+++ b/io/target/control.go
@@ -21,7 +21,6 @@
 const (
 	StaleTerm        = "stale-term"
 	WrongIncarnation = "wrong-incarnation"
-	Expired          = "expired"
 	UnknownSet       = "unknown-set"
 
 	// notOwner is a code with which a target refuses a request.
