--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -195,7 +195,7 @@
 			t.targets[id] = l
 		}
 		settings, ok := state.Config().Target(id)
-		l.applySettings(state.Config(), settings, ok)
+		l.applySettings(settings, ok)
 		l.drainRequested = target.Drain || ok && settings.Drain()
 		l.updateDraining(now)
 	}
@@ -229,7 +229,7 @@
 	l.majorityFoldedAt = now
 	t.targets[id] = l
 	settings, ok := state.Config().Target(id)
-	l.applySettings(state.Config(), settings, ok)
+	l.applySettings(settings, ok)
 	t.updateDesired(state)
 }
 
@@ -260,7 +260,7 @@
 
 // applySettings applies the target's settings. A target that is not in the
 // configuration receives no more orders, and its grants expire.
-func (l *targetLease) applySettings(conf *config.Config, settings *config.Target, ok bool) {
+func (l *targetLease) applySettings(settings *config.Target, ok bool) {
 	if !ok {
 		l.address = ""
 		return
