Leave room for requests of a higher priority that found no capacity

Cause: the priority of a route decided nothing.

Change: for 2 s after a request found no capacity at a service, those of a lower priority are limited to 2 a slot there.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -20,6 +20,9 @@
 	// NonIdempotent requests are queued less deeply than others, as a full
 	// target may break the connection and so lose the request's outcome.
 	NonIdempotent bool
+	// Rank is the priority of the request; zero is the highest. Requests leave room for
+	// those of a higher priority.
+	Rank int
 }
 
 // ChoiceStatus is the result of Set.Choose.
@@ -61,6 +64,13 @@
 	// a target is still selected.
 	nonIdempotentMaxDepth = 2.5
 	idempotentMaxDepth    = 3.5
+	// yieldingMaxDepth is the limit for requests of a service at which others of a
+	// higher priority recently found no capacity. It is below both other limits, so
+	// that these find it.
+	yieldingMaxDepth = 2.0
+	// yieldPeriod is how long requests yield after one of a higher priority found no
+	// capacity.
+	yieldPeriod = 2 * time.Second
 	// jitter is the largest random increase of a cost, as a fraction. It keeps
 	// hosts with the same load data from selecting the same target.
 	jitter = 0.1
@@ -77,6 +87,7 @@
 	defer s.mu.Unlock()
 	svc := s.service(criteria.Service)
 	mean := svc.meanOtherHostsLoad()
+	limit := maxDepth(criteria, svc.yields(criteria.Rank, now))
 	var best *Choice
 	bestCost := 0.0
 	status := NoTarget
@@ -88,7 +99,7 @@
 			status = NoCapacity
 		}
 		c := s.estimate(svc, t, now, mean)
-		if c.depth > maxDepth(criteria) || criteria.Owner != "" && t.inOwnerBackoff(now) {
+		if c.depth > limit || criteria.Owner != "" && t.inOwnerBackoff(now) {
 			continue
 		}
 		cost := float64(c.ExpectedLatency) * (1 + jitter*rand.Float64())
@@ -101,6 +112,9 @@
 		}
 	}
 	if best == nil {
+		if status == NoCapacity {
+			svc.recordNoCapacity(criteria.Rank, now)
+		}
 		return nil, status
 	}
 	best.target.inFlight++
@@ -138,7 +152,7 @@
 	}
 	svc := s.service(criteria.Service)
 	e := Estimate{
-		Depth: s.estimate(svc, t, now, svc.meanOtherHostsLoad()).depth, Limit: maxDepth(criteria), Backoff: t.inOwnerBackoff(now),
+		Depth: s.estimate(svc, t, now, svc.meanOtherHostsLoad()).depth, Limit: maxDepth(criteria, svc.yields(criteria.Rank, now)), Backoff: t.inOwnerBackoff(now),
 	}
 	if !t.reported.IsZero() {
 		e.ReportAge = now.Sub(t.reported)
@@ -170,8 +184,13 @@
 	}
 }
 
-func maxDepth(criteria Criteria) float64 {
-	if criteria.NonIdempotent {
+// maxDepth returns the highest number of requests per slot at which a target is selected.
+// yields reports that requests of a higher priority recently found no capacity.
+func maxDepth(criteria Criteria, yields bool) float64 {
+	switch {
+	case yields:
+		return yieldingMaxDepth
+	case criteria.NonIdempotent:
 		return nonIdempotentMaxDepth
 	}
 	return idempotentMaxDepth
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -344,3 +344,38 @@
 		t.Errorf("state after a request that was not sent: got %+v, want no failure, none in flight, no backoff", state)
 	}
 }
+
+// TestYieldToHigherPriority guards against requests of a high priority that are refused while
+// others of a lower one fill the targets.
+func TestYieldToHigherPriority(t *testing.T) {
+	low := Criteria{Service: service, Owner: "t1", Rank: 2}
+	high := Criteria{Service: service, Owner: "t1", Rank: 0, NonIdempotent: true}
+	now := time.Unix(100, 0)
+	fill := func(s *Set, now time.Time) (inFlight []*Choice) {
+		for {
+			c, status := s.Choose(low, now)
+			if status != Chosen {
+				return inFlight
+			}
+			inFlight = append(inFlight, c)
+		}
+	}
+	s := newSet("t1")
+	inFlight := fill(s, now)
+	all := len(inFlight)
+	wantStatus(t, s, high, now, NoCapacity)
+	for _, c := range inFlight {
+		c.End(Complete, &Report{}, now)
+	}
+	yielding := fill(s, now)
+	if len(yielding) >= all {
+		t.Errorf("requests of a low priority after the refusal: got %d in flight, want fewer than %d", len(yielding), all)
+	}
+	choose(t, s, high, now).End(Complete, &Report{}, now)
+	for _, c := range yielding {
+		c.End(Complete, &Report{}, now)
+	}
+	if got := len(fill(s, now.Add(2*yieldPeriod))); got != all {
+		t.Errorf("requests of a low priority later: got %d in flight, want %d", got, all)
+	}
+}
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -26,6 +26,11 @@
 	// meanProcessingTime is the moving average of the time per request, without
 	// the time in the target's queue.
 	meanProcessingTime time.Duration
+	// refusedRank is the highest priority of the requests that found no capacity
+	// within yieldPeriod before refusedRankAt, the time of the last one of it. Zero is
+	// the highest priority.
+	refusedRank   int
+	refusedRankAt time.Time
 	// waiters are closed when a request of this host ends or a target is added.
 	waiters []chan struct{}
 }
@@ -200,6 +205,19 @@
 	return all
 }
 
+// recordNoCapacity records that a request of a priority found no capacity.
+func (svc *serviceState) recordNoCapacity(rank int, now time.Time) {
+	if !svc.yields(rank, now) {
+		svc.refusedRank, svc.refusedRankAt = rank, now
+	}
+}
+
+// yields reports whether a request of a priority leaves room for others of a higher one,
+// which recently found no capacity.
+func (svc *serviceState) yields(rank int, now time.Time) bool {
+	return rank > svc.refusedRank && !svc.refusedRankAt.IsZero() && now.Sub(svc.refusedRankAt) < yieldPeriod
+}
+
 func (svc *serviceState) meanOtherHostsLoad() float64 {
 	if len(svc.targets) == 0 {
 		return 0
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -206,7 +206,7 @@
 func (p *Proxy) criteria(q *request, owner string) placement.Criteria {
 	return placement.Criteria{
 		Service: q.match.Service.Name, Owner: owner, Exclude: q.excluded,
-		NonIdempotent: !q.match.Route.Idempotent,
+		NonIdempotent: !q.match.Route.Idempotent, Rank: q.match.Route.Rank,
 	}
 }
 
