Move the choice of a target out of serve.go, and share the steps of two takeover tests

What decides where a request goes and how long it waits (owner, chooseTarget, criteria) is choose.go now; nothing in it changed. TestTakeover uses the steps that the tests of earlier leaders have.

--- a/core/owner/plan_test.go
+++ b/core/owner/plan_test.go
@@ -218,24 +218,8 @@
 	for _, o := range orders {
 		l.HandleOutcome(o, Outcome{Done: true}, testStart)
 	}
-	r := record.Services[testService][0]
-	to := Incarnation{Target: "t01"}
-	if r.Owner == to {
-		to = Incarnation{Target: "t02"}
-	}
-	if !l.Move(testService, r.First, r.Last, to, testStart) {
-		t.Fatal("move: got false, want true")
-	}
-	l.MarkPersisted(l.Record())
-	released := func(now time.Time) bool {
-		for _, o := range l.Orders(view, true, now) {
-			if o.Kind == Release {
-				return true
-			}
-			l.HandleOutcome(o, Outcome{Done: true}, now)
-		}
-		return false
-	}
+	moveFirstRange(t, l, testStart)
+	released := func(now time.Time) bool { return releases(l, view, now) > 0 }
 	if released(testStart.Add(MaxProofAgeForNewLease + orderTimeout - time.Millisecond)) {
 		t.Error("release while the previous leader may start leases: got one, want none")
 	}
--- /dev/null
+++ b/io/proxy/choose.go
@@ -0,0 +1,123 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"pineturn/core/attempt"
+	"pineturn/core/placement"
+)
+
+// ownerPollInterval is the time between checks of the owner of a key.
+const ownerPollInterval = 100 * time.Millisecond
+
+// owner returns the target that owns the key of a request; empty if the request
+// has no key. For a key that is moving or has no owner, it waits up to
+// attempt.QueueTimeout.
+func (p *Proxy) owner(ctx context.Context, q *request) (string, error) {
+	if !q.keyed() {
+		return "", nil
+	}
+	p.keyCounts.add(q.match.Service.Name, q.Key)
+	end := p.clock.Now().Add(attempt.QueueTimeout(q.attemptRequest(), q.timeLeft(p.clock.Now())))
+	for {
+		changed := p.catalog.Changed()
+		target, reason := p.currentOwner(q)
+		if reason == "" {
+			return target, nil
+		}
+		wait := min(end.Sub(p.clock.Now()), ownerPollInterval)
+		if wait <= 0 && reason == reasonMoving {
+			// While the store is down, the new owner may already have its grant
+			// without a record of it. If it has none, it refuses the request.
+			return target, nil
+		}
+		if wait <= 0 || !waitFor(ctx, changed, wait) {
+			return "", q.failOrRefuse(reason, q.match.Route.Objective/2, ctx.Err())
+		}
+	}
+}
+
+// currentOwner returns the owner of the key of a request, and a reason if there
+// is none or if a former owner may still hold the key.
+func (p *Proxy) currentOwner(q *request) (target, reason string) {
+	assignment := p.catalog.Assignment()
+	if assignment == nil {
+		return "", reasonNoOwner
+	}
+	r, ok := assignment.Find(q.match.Service.Name, q.Key)
+	switch {
+	case !ok:
+		return "", reasonNoOwner
+	case len(r.Former) > 0:
+		return r.Owner.Target, reasonMoving
+	}
+	return r.Owner.Target, ""
+}
+
+// waitFor waits for a signal or for timeout. It returns false if ctx is done.
+func waitFor(ctx context.Context, signal <-chan struct{}, timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-signal:
+	case <-timer.C:
+	}
+	return true
+}
+
+// grantDelay is how long the grant of a new owner may lag behind its record.
+const grantDelay = 80 * time.Millisecond
+
+// capacityPollInterval is the time between checks for capacity while no request
+// of this host ends.
+const capacityPollInterval = 25 * time.Millisecond
+
+// chooseTarget reserves capacity at a target. If there is none, it waits up to
+// attempt.QueueTimeout.
+func (p *Proxy) chooseTarget(ctx context.Context, q *request, owner string) (*placement.Choice, error) {
+	end := p.clock.Now().Add(attempt.QueueTimeout(q.attemptRequest(), q.timeLeft(p.clock.Now())))
+	queued := false
+	defer func() {
+		if queued {
+			p.targets.LeaveQueue(owner)
+		}
+	}()
+	for {
+		capacityFreed := p.targets.CapacityFreed(q.match.Service.Name)
+		choice, verdict := p.targets.Choose(p.criteria(q, owner), p.clock.Now())
+		if verdict == placement.Chosen {
+			return choice, nil
+		}
+		reason := reasonNoCapacity
+		if verdict == placement.NoTarget {
+			reason = reasonNoTarget
+		}
+		if owner != "" && verdict == placement.NoCapacity && !queued {
+			if queued = p.targets.EnterQueue(owner); !queued {
+				end = p.clock.Now()
+			}
+		}
+		wait := min(end.Sub(p.clock.Now()), capacityPollInterval)
+		if wait <= 0 || !waitFor(ctx, capacityFreed, wait) {
+			p.recordEstimate(q, owner)
+			return nil, q.failOrRefuse(reason, q.match.Route.Objective/2, ctx.Err())
+		}
+	}
+}
+
+// recordEstimate keeps for the log what is assumed of an owner without capacity.
+func (p *Proxy) recordEstimate(q *request, owner string) {
+	if estimate, ok := p.targets.OwnerEstimate(p.criteria(q, owner), p.clock.Now()); ok {
+		q.lastTarget, q.estimate = owner, &estimate
+	}
+}
+
+func (p *Proxy) criteria(q *request, owner string) placement.Criteria {
+	return placement.Criteria{
+		Service: q.match.Service.Name, Owner: owner, Exclude: q.excluded,
+		NonIdempotent: !q.match.Route.Idempotent, Rank: q.match.Route.Rank,
+	}
+}
