--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -148,10 +148,12 @@
 }
 
 // predecessorEnd reports that the process of an earlier leader could send no more
-// grants at a time.
+// grants at a time. It holds for the leader of the epoch only: the process may have led
+// again before a later one.
 type predecessorEnd struct {
 	process owner.LeaderProcess
 	at      time.Time
+	epoch   int64
 }
 
 // New returns a coordinator. Targets accept leases of up to maxLease.
@@ -232,10 +234,7 @@
 				c.leader.HandleOutcome(r.order, r.outcome, c.clock.Now())
 			}
 		case end := <-c.predecessorEnds:
-			if c.leader != nil {
-				c.leader.PredecessorEnded(end.process.Incarnation, end.at)
-				klog.InfoS("Earlier leader sends no more grants", "address", end.process.Address, "process", end.process.Incarnation, "epoch", c.leader.Epoch())
-			}
+			c.handlePredecessorEnd(end)
 		case <-tick.C:
 			c.tick(ctx)
 		}
@@ -244,6 +243,14 @@
 	c.sender.close()
 }
 
+func (c *Coordinator) handlePredecessorEnd(end predecessorEnd) {
+	if c.leader == nil || c.leader.Epoch() != end.epoch {
+		return
+	}
+	c.leader.PredecessorEnded(end.process.Incarnation, end.at)
+	klog.InfoS("Earlier leader sends no more grants", "address", end.process.Address, "process", end.process.Incarnation, "epoch", end.epoch)
+}
+
 // resetLoads discards the loads when this host stops leading. Each host sends
 // its full report to a new leader, so the loads are complete again when this host
 // next leads.
--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -134,3 +134,23 @@
 		t.Errorf("load of the key at the new leader: got %.1f requests per second, want at least %.1f", got, rate*0.8)
 	}
 }
+
+// TestStaleProofOfPredecessor guards against two leaders whose grants are both in force: a proof
+// that a process sends no more grants, which was asked for in an earlier epoch of this host,
+// says nothing if that process has led again since.
+func TestStaleProofOfPredecessor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	earlier := owner.LeaderProcess{Incarnation: "earlier", Address: "127.0.0.1:1"}
+	record := (&owner.Assignment{Epoch: 5, LeaderIncarnation: earlier.Incarnation, Address: earlier.Address}).NextLeader("host-1", owner.LeaderProcess{Incarnation: "new"})
+	c := New(Host{Name: "host-1", Incarnation: "new"}, owner.MaxLeaseDuration, &fakeStore{}, &fakeCatalog{}, placement.NewSet("a"), clock.NewFake(now))
+	c.leader = owner.NewLeader(record, owner.MaxLeaseDuration, now)
+	for _, x := range []struct {
+		epoch int64
+		want  int
+	}{{epoch: 4, want: 1}, {epoch: 6, want: 0}} {
+		c.handlePredecessorEnd(predecessorEnd{process: earlier, at: now, epoch: x.epoch})
+		if got := len(c.leader.Predecessors(now)); got != x.want {
+			t.Errorf("earlier leaders of epoch 6 after a proof for epoch %d: got %d, want %d", x.epoch, got, x.want)
+		}
+	}
+}
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -216,7 +216,7 @@
 				return
 			}
 			select {
-			case c.predecessorEnds <- predecessorEnd{process: process, at: at}:
+			case c.predecessorEnds <- predecessorEnd{process: process, at: at, epoch: epoch}:
 			default:
 			}
 		}()
