Relay larger batches, and collect changes of the assignment where there are many hosts

Cause: with rebalancing each second the assignment is written 10 to 17 times a second on large deployments.

Change: batches of up to 16 KiB are relayed. The leader writes at most once in 4 ms a host.

--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -58,6 +58,9 @@
 	grantTimeout = time.Second
 	// releaseTimeout bounds the call for one release.
 	releaseTimeout = 8 * time.Second
+	// writeIntervalPerHost is the time between two writes of the assignment for each
+	// host. All hosts receive each one, so changes are collected where there are many.
+	writeIntervalPerHost = 4 * time.Millisecond
 	// resultBuffer is the number of outcomes of orders that can be queued for
 	// Run.
 	resultBuffer = 64
@@ -103,6 +106,8 @@
 	targets  *placement.Set
 	clock    clock.Clock
 	sender   *sender
+	// Hosts returns the number of hosts. It is set before Run.
+	Hosts func() int
 	// PredecessorEnded queries whether the process of an earlier leader can send no
 	// more grants: it has ended, or it knows of the leader of the given epoch. It
 	// returns a time by which that held. It is set before Run.
@@ -162,6 +167,7 @@
 		self: self, maxLease: maxLease, store: store, catalog: catalog, targets: targets, clock: clk,
 		sender: newSender(), loads: owner.NewLoads(clk.Now()),
 		done: make(chan struct{}), results: make(chan result, resultBuffer), predecessorEnds: make(chan predecessorEnd, resultBuffer),
+		Hosts:            func() int { return 1 },
 		PredecessorEnded: func(context.Context, owner.LeaderProcess, int64) (time.Time, bool) { return time.Time{}, false },
 	}
 }
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -144,6 +144,9 @@
 	if now.Sub(c.writtenAt) < writeRetryInterval && next == c.writtenOffset {
 		return
 	}
+	if now.Sub(c.writtenAt) < time.Duration(c.Hosts())*writeIntervalPerHost {
+		return
+	}
 	c.writtenAt, c.writtenOffset = now, next
 	c.append(ctx, record, next)
 }
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -105,6 +105,7 @@
 	g.catalog.SetReadTimes(g.readWait, g.batchDelay)
 	g.links = hostlink.NewServer(incarnation, g.clock)
 	g.links.HandleReport = g.coordinator.AddReport
+	g.coordinator.Hosts = g.links.Hosts
 	g.links.HandleOwners = g.catalog.ApplyOwners
 	g.links.Leadership = g.leadership
 	g.links.Subscribe = g.feed
--- a/io/metastore/relay.go
+++ b/io/metastore/relay.go
@@ -24,7 +24,7 @@
 // maxRelayBytes is the size of keys and values, in bytes, up to which a batch is
 // relayed. Above it, a read of the store costs less than sending the batch between
 // failure domains.
-const maxRelayBytes = 6 << 10
+const maxRelayBytes = 16 << 10
 
 // trim removes the records of a batch larger than maxRelayBytes.
 func (u Update) trim() Update {
