--- a/core/owner/assignment.go
+++ b/core/owner/assignment.go
@@ -24,7 +24,9 @@
 //     MaxProofAgeForRenewal after its last proof of leadership. The next leader
 //     waits that long before it treats a lease as expired, unless the target has
 //     accepted a grant of the new leader, whose fencing token is higher
-//     (predecessorLeasesUntil in leader.go).
+//     (predecessorLeasesUntil in leader.go). The wait ends early once all
+//     earlier leaders that the record names are known to send no more grants
+//     (Leader.PredecessorEnded).
 package owner
 
 import (
