One seam for connections to targets

Cause: a test could not cut one host off from the targets; the dialers of the pool and of the sender of grants were created inside them.

Change: socket.DialFunc is the type of both. proxy.Pool and coordinator.Coordinator have a field Dial, set to the same dialers as before by their New functions. Renewals still never dial: the sender checks this before it calls Dial. No change of behaviour.

--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"pineturn/core/placement"
 	"pineturn/core/routing"
 	"pineturn/io/metastore"
+	"pineturn/io/socket"
 	"pineturn/platform"
 )
 
@@ -106,6 +108,8 @@
 	targets  *placement.Set
 	clock    clock.Clock
 	sender   *sender
+	// Dial opens connections to targets. It is set before Run.
+	Dial socket.DialFunc
 	// Hosts returns the number of hosts. It is set before Run.
 	Hosts func() int
 	// PredecessorEnded queries whether the process of an earlier leader can send no
@@ -163,13 +167,17 @@
 
 // New returns a coordinator. Targets accept leases of up to maxLease.
 func New(self Host, maxLease time.Duration, store Store, catalog Catalog, targets *placement.Set, clk clock.Clock) *Coordinator {
-	return &Coordinator{
+	c := &Coordinator{
 		self: self, maxLease: maxLease, store: store, catalog: catalog, targets: targets, clock: clk,
-		sender: newSender(), loads: owner.NewLoads(clk.Now()),
+		Dial: (&net.Dialer{Timeout: connectTimeout}).DialContext, loads: owner.NewLoads(clk.Now()),
 		done: make(chan struct{}), results: make(chan result, resultBuffer), predecessorEnds: make(chan predecessorEnd, resultBuffer),
 		Hosts:            func() int { return 1 },
 		PredecessorEnded: func(context.Context, owner.LeaderProcess, int64) (time.Time, bool) { return time.Time{}, false },
 	}
+	c.sender = newSender(func(ctx context.Context, network, address string) (net.Conn, error) {
+		return c.Dial(ctx, network, address)
+	})
+	return c
 }
 
 // Done is closed when Run has returned.
--- a/io/coordinator/sender.go
+++ b/io/coordinator/sender.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"pineturn/core/owner"
+	"pineturn/io/socket"
 	"pineturn/platform"
 )
 
@@ -25,6 +26,9 @@
 
 // sender sends orders to targets.
 type sender struct {
+	// dial opens connections, but none for renewals.
+	dial socket.DialFunc
+
 	mu sync.Mutex
 	// grants holds a transport for each target. Releases use a transport of their
 	// own, because a release may take releaseTimeout and must not delay grants.
@@ -32,8 +36,8 @@
 	releases *http.Transport
 }
 
-func newSender() *sender {
-	return &sender{grants: make(map[owner.Incarnation]*http.Transport), releases: newTransport(0)}
+func newSender(dial socket.DialFunc) *sender {
+	return &sender{dial: dial, grants: make(map[owner.Incarnation]*http.Transport), releases: newTransport(dial, 0)}
 }
 
 type renewalKey struct{}
@@ -43,14 +47,13 @@
 // newTransport returns a transport with at most conns connections to each target,
 // or any number if conns is 0. It opens no connection for renewals: an address
 // that is dialed again may belong to another incarnation of the target.
-func newTransport(conns int) *http.Transport {
-	dialer := &net.Dialer{Timeout: connectTimeout}
+func newTransport(dial socket.DialFunc, conns int) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if renewal, _ := ctx.Value(renewalKey{}).(bool); renewal {
 				return nil, &net.OpError{Op: "dial", Net: network, Err: errNoConnection}
 			}
-			return dialer.DialContext(ctx, network, address)
+			return dial(ctx, network, address)
 		},
 		MaxConnsPerHost: conns, IdleConnTimeout: idleTimeout, DisableCompression: true,
 		ReadBufferSize: bufferSize, WriteBufferSize: bufferSize,
@@ -62,7 +65,7 @@
 	defer s.mu.Unlock()
 	t := s.grants[target]
 	if t == nil {
-		t = newTransport(1)
+		t = newTransport(s.dial, 1)
 		s.grants[target] = t
 	}
 	return t
--- a/io/proxy/pool.go
+++ b/io/proxy/pool.go
@@ -37,12 +37,18 @@
 // connection to one target is never used for another target that is later
 // started at the same address.
 type Pool struct {
+	// Dial opens connections to targets. It must be set before use.
+	Dial socket.DialFunc
+
 	mu         sync.Mutex
 	transports map[string]*http.Transport
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{transports: make(map[string]*http.Transport)} }
+// NewPool returns an empty pool, whose Dial opens TCP connections with the timeouts of
+// this package.
+func NewPool() *Pool {
+	return &Pool{Dial: newDialer().DialContext, transports: make(map[string]*http.Transport)}
+}
 
 // Get returns the transport for an incarnation of a target, by its id. It
 // creates the transport on first use.
@@ -51,7 +57,7 @@
 	defer p.mu.Unlock()
 	t := p.transports[target]
 	if t == nil {
-		t = newTransport()
+		t = newTransport(p.Dial)
 		p.transports[target] = t
 	}
 	return t
@@ -70,16 +76,19 @@
 	}
 }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{
+func newDialer() *net.Dialer {
+	return &net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
 		Control: func(_, _ string, conn syscall.RawConn) error {
 			return socket.SetUserTimeout(conn, userTimeout)
 		},
 	}
+}
+
+func newTransport(dial socket.DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleTimeout,
+		DialContext: dial, DisableCompression: true, IdleConnTimeout: idleTimeout,
 		MaxIdleConnsPerHost: maxIdleConns, ReadBufferSize: bufferSize, WriteBufferSize: bufferSize,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
--- a/io/socket/socket_linux.go
+++ b/io/socket/socket_linux.go
@@ -1,5 +1,5 @@
 // Package socket sets options of TCP connections that package net does not
-// expose.
+// expose, and defines how connections are opened.
 package socket
 
 import (
