Let the test cluster of io/gateway have failure domains

Cause: all hosts and targets of the test cluster were in one failure domain, targets had 4 slots, and nothing could be set on a host before its Run.

Change: addHostIn and addTargetIn take the domain, addHostIn a function that is called before Run; testCluster has the slots of its targets.

--- a/io/gateway/cluster_test.go
+++ b/io/gateway/cluster_test.go
@@ -42,6 +42,8 @@
 	requestCount int
 	// callerTimeout is the timeout that callers state in their requests.
 	callerTimeout time.Duration
+	// slots is the number of requests that a target runs at once.
+	slots int
 }
 
 type target struct {
@@ -62,7 +64,7 @@
 
 func newTestCluster(t *testing.T) *testCluster {
 	t.Helper()
-	c := &testCluster{t: t, store: platformstore.New(), audit: &keyholder.Audit{}, targets: make(map[string]*target), callerTimeout: 2 * time.Second}
+	c := &testCluster{t: t, store: platformstore.New(), audit: &keyholder.Audit{}, targets: make(map[string]*target), callerTimeout: 2 * time.Second, slots: 4}
 	c.addr = c.serve(c.store.Handler(), "127.0.0.1")
 	c.configure(1)
 	t.Cleanup(c.close)
@@ -127,6 +129,12 @@
 
 // addTarget starts a target and writes its entry to the store.
 func (c *testCluster) addTarget(id, service string) *target {
+	c.t.Helper()
+	return c.addTargetIn("a", id, service)
+}
+
+// addTargetIn starts a target in a failure domain and writes its entry to the store.
+func (c *testCluster) addTargetIn(domain, id, service string) *target {
 	c.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -134,7 +142,7 @@
 	}
 	x := &target{id: id, stop: make(chan struct{})}
 	x.Target = keyholder.New(keyholder.Options{
-		ID: id, Service: service, Address: l.Addr().String(), Domain: "a", Slots: 4, Queue: 8,
+		ID: id, Service: service, Address: l.Addr().String(), Domain: domain, Slots: c.slots, Queue: 8,
 		ServiceTime: 5 * time.Millisecond, Keyed: service == keyedService,
 	}, c.audit)
 	x.server = &http.Server{Handler: x.Handler()}
@@ -179,6 +187,13 @@
 
 // addHost starts a host and waits until it is ready.
 func (c *testCluster) addHost(name string) *host {
+	c.t.Helper()
+	return c.addHostIn("a", name, func(*Gateway) {})
+}
+
+// addHostIn starts a host in a failure domain and waits until it is ready. It calls
+// prepare before the host runs.
+func (c *testCluster) addHostIn(domain, name string, prepare func(*Gateway)) *host {
 	c.t.Helper()
 	ip := nextIP()
 	h := &host{
@@ -186,7 +201,7 @@
 		path: filepath.Join(c.t.TempDir(), "settings.toml"), done: make(chan error, 1),
 	}
 	settings := platformstore.HostSettings{
-		Name: name, IP: ip, Port: freePort(c.t, ip), CallerAddress: h.front, ReadyAddress: h.ready, StoreAddress: c.addr, RetryBudgetExtra: 160,
+		Name: name, Domain: domain, IP: ip, Port: freePort(c.t, ip), CallerAddress: h.front, ReadyAddress: h.ready, StoreAddress: c.addr, RetryBudgetExtra: 160,
 	}
 	if err := os.WriteFile(h.path, settings.Encode(), 0o600); err != nil {
 		c.t.Fatal(err)
@@ -198,6 +213,7 @@
 		c.t.Fatal(err)
 	}
 	h.gateway = gateway
+	prepare(gateway)
 	var ctx context.Context
 	ctx, h.stop = context.WithCancel(context.Background())
 	go func() { h.done <- gateway.Run(ctx, make(chan struct{})) }()
@@ -306,13 +322,12 @@
 	}
 }
 
-// wantAtMostOnce checks that no request whose path has the given prefix ran more
-// than once.
-func wantAtMostOnce(t *testing.T, runs []keyholder.Run, path string) {
+// wantPayoutsAtMostOnce checks that no payout ran more than once.
+func wantPayoutsAtMostOnce(t *testing.T, runs []keyholder.Run) {
 	t.Helper()
 	runCount := make(map[string]int)
 	for _, run := range runs {
-		if strings.HasPrefix(run.Path, path) {
+		if strings.HasPrefix(run.Path, "/payout/") {
 			runCount[run.ID]++
 		}
 	}
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -88,7 +88,7 @@
 		}
 		setBoth(keyholder.Fault{})
 	})
-	wantAtMostOnce(t, c.audit.Runs(), "/payout/")
+	wantPayoutsAtMostOnce(t, c.audit.Runs())
 }
 
 // TestPayoutsWithExtraResponses guards against a response that is returned for another
@@ -104,7 +104,7 @@
 	for range 50 {
 		wantOwnResponse(t, c.call(client, h, "POST", "/payout/x", -1, "b"))
 	}
-	wantAtMostOnce(t, c.audit.Runs(), "/payout/")
+	wantPayoutsAtMostOnce(t, c.audit.Runs())
 }
 
 // TestConfigurationInForce guards against hosts that keep an outdated configuration after
@@ -358,5 +358,5 @@
 			t.Errorf("%s: connection closed after the request reached a target, want a response", run.ID)
 		}
 	}
-	wantAtMostOnce(t, c.audit.Runs(), "/payout/")
+	wantPayoutsAtMostOnce(t, c.audit.Runs())
 }
--- a/io/standin/platformstore/config.go
+++ b/io/standin/platformstore/config.go
@@ -1,6 +1,7 @@
 package platformstore
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -96,7 +97,9 @@
 // HostSettings are the settings of a host.
 type HostSettings struct {
 	Name string
-	IP   string
+	// Domain is the host's failure domain; empty for "a".
+	Domain string
+	IP     string
 	// Port is the host's only port for other hosts.
 	Port int
 	// CallerAddress, ReadyAddress and StoreAddress are host:port addresses: that
@@ -111,7 +114,7 @@
 
 // Encode returns the settings file in TOML.
 func (h HostSettings) Encode() []byte {
-	return fmt.Appendf(nil, "node = %q\nzone = \"a\"\nip = %q\ninternal_ports = [%d, %d]\n"+
+	return fmt.Appendf(nil, "node = %q\nzone = %q\nip = %q\ninternal_ports = [%d, %d]\n"+
 		"[listen]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[bounds]\nretry_budget_ratio = 0.2\nretry_budget_extra = %d\n",
-		h.Name, h.IP, h.Port, h.Port, h.CallerAddress, h.ReadyAddress, h.StoreAddress, h.RetryBudgetExtra)
+		h.Name, cmp.Or(h.Domain, "a"), h.IP, h.Port, h.Port, h.CallerAddress, h.ReadyAddress, h.StoreAddress, h.RetryBudgetExtra)
 }
