--- a/io/gateway/path_test.go
+++ b/io/gateway/path_test.go
@@ -266,7 +266,9 @@
 	for _, run := range c.audit.Runs() {
 		ran[run.ID] = true
 	}
+	statuses := make(map[int]int)
 	for _, try := range tries {
+		statuses[try.status]++
 		wantOwnResponse(t, try.response)
 		if try.err != nil || try.latency > maxLatency {
 			t.Errorf("%s to %s: got error %v after %v, want a response within %v", try.id, try.service, try.err, try.latency, maxLatency)
@@ -275,6 +277,7 @@
 			t.Errorf("%s to %s: got status 503 for a request that ran, want none", try.id, try.service)
 		}
 	}
+	t.Logf("responses by status: %v", statuses)
 }
 
 // directCalls is the number of requests of each kind that wantDirect sends to a host.
