Decide to which other host a request is relayed

Cause: a host that can't reach the targets of a service has no list of other hosts to relay to. A mark of a host (detached, in backoff) outlasts lists that have nothing new of it, because a list comes with each change of any host. Failures during a backoff don't lengthen it: they are of requests that were relayed before it.

--- /dev/null
+++ b/core/peers/peers.go
@@ -0,0 +1,226 @@
+// Package peers holds what a host knows of the other hosts, and decides to which of
+// them it relays a request whose targets it can't reach itself. It does no I/O.
+package peers
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// forgetDelay is how long a host that is not in a new list remains known. After a
+	// change of leader the first lists lack hosts.
+	forgetDelay = 10 * time.Second
+	// minBackoff is the time without relaying to a host after its first failure. Each
+	// further failure doubles it up to maxBackoff.
+	minBackoff = 500 * time.Millisecond
+	// maxBackoff bounds the time without relaying to a host after a failure.
+	maxBackoff = 4 * time.Second
+	// detachedDelay is how long a host counts as detached after it has said so in a
+	// response.
+	detachedDelay = time.Second
+)
+
+// Host is a host as other hosts see it.
+type Host struct {
+	// Address is where the host accepts connections of other hosts.
+	Address string `cbor:"1,keyasint" json:"address"`
+	// Domain is its failure domain.
+	Domain string `cbor:"2,keyasint" json:"domain"`
+	// Incarnation is the incarnation of the host's process.
+	Incarnation string `cbor:"3,keyasint" json:"process"`
+	// Detached holds the names of the services whose targets the host can't reach,
+	// sorted.
+	Detached []string `cbor:"4,keyasint,omitempty" json:"detached,omitempty"`
+}
+
+// Equal reports whether two hosts have the same values.
+func (h Host) Equal(other Host) bool {
+	return h.Address == other.Address && h.Domain == other.Domain && h.Incarnation == other.Incarnation &&
+		slices.Equal(h.Detached, other.Detached)
+}
+
+// Table holds this host and the other hosts that it knows. It is safe for concurrent
+// use.
+type Table struct {
+	// Random returns a random number in [0, n). It is set before use.
+	Random func(n int) int
+
+	mu    sync.Mutex
+	self  Host
+	hosts map[string]*entry
+}
+
+// entry is another host.
+type entry struct {
+	Host
+	// missingSince is the time of the first of the latest lists without the host, or
+	// zero if it is in the latest list.
+	missingSince time.Time
+	// backoff is the latest backoff, or zero if the host has served since, and
+	// failedUntil its end.
+	backoff     time.Duration
+	failedUntil time.Time
+	// detachedUntil holds, by service, the end of the time for which the host counts
+	// as detached, whatever the list says.
+	detachedUntil map[string]time.Time
+}
+
+// New returns a table without other hosts.
+func New(self Host) *Table {
+	return &Table{Random: rand.IntN, self: self, hosts: make(map[string]*entry)}
+}
+
+// SetDetached sets the services whose targets this host can't reach. It reports
+// whether they have changed.
+func (t *Table) SetDetached(services []string) bool {
+	sorted := slices.Compact(slices.Sorted(slices.Values(services)))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if slices.Equal(sorted, t.self.Detached) {
+		return false
+	}
+	t.self.Detached = sorted
+	return true
+}
+
+// Self returns this host. The caller must not change its slice.
+func (t *Table) Self() Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.self
+}
+
+// Put replaces what is known of the hosts in a list. Other hosts are forgotten after a
+// delay. What was marked of a host holds until the list has something new of it.
+func (t *Table) Put(list []Host, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make(map[string]bool, len(list))
+	for _, h := range list {
+		if h.Address == t.self.Address {
+			continue
+		}
+		listed[h.Address] = true
+		t.put(h)
+	}
+	for address, e := range t.hosts {
+		if !listed[address] && e.missingSince.IsZero() {
+			e.missingSince = now
+		}
+	}
+	t.forget(now)
+}
+
+// put replaces what is known of one host. The caller holds mu.
+func (t *Table) put(h Host) {
+	e := t.hosts[h.Address]
+	if e == nil || e.Incarnation != h.Incarnation {
+		t.hosts[h.Address] = &entry{Host: h}
+		return
+	}
+	if !e.Equal(h) {
+		e.Host, e.detachedUntil = h, nil
+	}
+	e.missingSince = time.Time{}
+}
+
+// forget removes the hosts that have been missing for forgetDelay. The caller holds
+// mu.
+func (t *Table) forget(now time.Time) {
+	for address, e := range t.hosts {
+		if !e.missingSince.IsZero() && now.Sub(e.missingSince) >= forgetDelay {
+			delete(t.hosts, address)
+		}
+	}
+}
+
+// Hosts returns the other hosts by address.
+func (t *Table) Hosts(now time.Time) []Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(now)
+	all := make([]Host, 0, len(t.hosts))
+	for _, e := range t.hosts {
+		all = append(all, e.Host)
+	}
+	sortByAddress(all)
+	return all
+}
+
+// Pick returns a host to which a request to a service can be relayed: a random one in
+// this host's failure domain or, if there is none, in any other. It returns none of
+// the excluded addresses, and no host that is detached or in backoff.
+func (t *Table) Pick(service string, exclude []string, now time.Time) (Host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(now)
+	var near, far []Host
+	for _, e := range t.hosts {
+		switch {
+		case slices.Contains(exclude, e.Address) || !e.usable(service, now):
+		case e.Domain == t.self.Domain:
+			near = append(near, e.Host)
+		default:
+			far = append(far, e.Host)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return Host{}, false
+	}
+	sortByAddress(near)
+	return near[t.Random(len(near))], true
+}
+
+// usable reports whether the host is neither detached for the service nor in backoff.
+func (e *entry) usable(service string, now time.Time) bool {
+	return !slices.Contains(e.Detached, service) && !now.Before(e.detachedUntil[service]) && !now.Before(e.failedUntil)
+}
+
+// MarkFailed starts a backoff of the host at an address. Failures during a backoff are
+// of requests that were relayed before it, and don't lengthen it.
+func (t *Table) MarkFailed(address string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.hosts[address]
+	if e == nil || now.Before(e.failedUntil) {
+		return
+	}
+	e.backoff = min(max(2*e.backoff, minBackoff), maxBackoff)
+	e.failedUntil = now.Add(e.backoff)
+}
+
+// MarkServed ends the backoff of the host at an address.
+func (t *Table) MarkServed(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.hosts[address]; e != nil {
+		e.backoff, e.failedUntil = 0, time.Time{}
+	}
+}
+
+// MarkDetached records that the host at an address has said that it can't reach the
+// targets of a service. That holds for a second, or until a list has something new of
+// the host.
+func (t *Table) MarkDetached(address, service string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.hosts[address]
+	if e == nil {
+		return
+	}
+	if e.detachedUntil == nil {
+		e.detachedUntil = make(map[string]time.Time)
+	}
+	e.detachedUntil[service] = now.Add(detachedDelay)
+}
+
+func sortByAddress(hosts []Host) {
+	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(a.Address, b.Address) })
+}
