Tell hosts of each other in reports and feeds

Cause: a host knows only the leader's address; feeds carry just the number of hosts. Change: a report carries the host that sends it (key 6), and a change of it is reported with the next check of the link. The server keeps the last host of each open link. A feed lists hosts (key 6) only when the list has changed, at most 16: a sample of its own for each link.

--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,7 @@
 
 	"pineturn/core/clock"
 	"pineturn/core/owner"
+	"pineturn/core/peers"
 	"pineturn/io/metastore"
 	"pineturn/platform"
 )
@@ -72,6 +75,9 @@
 	Watermarks []metastore.Watermark `cbor:"2,keyasint,omitempty"`
 	// Hosts is the number of linked hosts, including the sender.
 	Hosts int `cbor:"3,keyasint,omitempty"`
+	// Peers lists hosts of which the sender knows, or is empty if the list is the
+	// same as in the last feed with one.
+	Peers []peers.Host `cbor:"6,keyasint,omitempty"`
 }
 
 // feedMessage is a feed with what the receiver needs to tell how long the message
@@ -91,6 +97,8 @@
 	SentAt time.Duration `cbor:"3,keyasint,omitempty"`
 	// Owners is a record of the owners of keys that the other host may lack.
 	Owners *platform.Record `cbor:"4,keyasint,omitempty"`
+	// Self is the host that sends the report.
+	Self *peers.Host `cbor:"6,keyasint,omitempty"`
 }
 
 // echo is the time of the last report received on a link.
@@ -121,6 +129,9 @@
 	clock       clock.Clock
 	started     time.Time
 	links       atomic.Int64
+	linked      linkedHosts
+	// Self returns this host as other hosts see it. It is set before use.
+	Self func() peers.Host
 	// HandleReport is called with each report. It is set before use.
 	HandleReport func(owner.Report)
 	// HandleOwners is called with each record of the owners of keys that another
@@ -138,7 +149,7 @@
 // NewServer returns a server for the given incarnation of a host's process.
 func NewServer(incarnation string, clk clock.Clock) *Server {
 	return &Server{
-		incarnation: incarnation, clock: clk, started: clk.Now(),
+		incarnation: incarnation, clock: clk, started: clk.Now(), Self: func() peers.Host { return peers.Host{} },
 		HandleReport: func(owner.Report) {}, HandleOwners: func(platform.Record) {}, Leadership: func() (int64, bool) { return 0, false },
 	}
 }
@@ -168,9 +179,11 @@
 	defer cancel()
 	feedsDone := make(chan struct{})
 	last := &echo{}
+	link := s.linked.open()
+	defer s.linked.remove(link)
 	go func() {
 		defer close(feedsDone)
-		s.sendFeeds(ctx, conn, last)
+		s.sendFeeds(ctx, conn, last, link)
 	}()
 	for {
 		var message reportMessage
@@ -182,6 +195,9 @@
 			continue
 		}
 		last.set(message.SentAt, s.clock.Now())
+		if message.Self != nil {
+			s.linked.put(link, *message.Self)
+		}
 		s.HandleReport(message.Report)
 	}
 	cancel()
@@ -195,9 +211,10 @@
 
 // sendFeeds relays what this host reads until the link ends. It sends feeds without
 // content as well, from which the other host sees that the link works.
-func (s *Server) sendFeeds(ctx context.Context, conn *websocket.Conn, last *echo) {
+func (s *Server) sendFeeds(ctx context.Context, conn *websocket.Conn, last *echo, link int) {
 	updates, cancel, watermarks := s.Subscribe()
 	defer cancel()
+	list := peerList{seed: maphash.MakeSeed()}
 	tick := time.NewTimer(feedInterval)
 	defer tick.Stop()
 	for {
@@ -220,6 +237,8 @@
 		message.Watermarks = watermarks()
 		message.Updates = append(message.Updates, queuedUpdates(updates)...)
 		message.Hosts = s.Hosts()
+		hosts, version := s.linked.all(s.Self())
+		message.Peers = list.next(hosts, version, s.linked.get(link))
 		if err := write(ctx, conn, message); err != nil {
 			return
 		}
@@ -229,6 +248,12 @@
 // Hosts returns the number of linked hosts, including this one.
 func (s *Server) Hosts() int { return int(s.links.Load()) + 1 }
 
+// Peers returns the last Host of each open link and this host, by address.
+func (s *Server) Peers() []peers.Host {
+	hosts, _ := s.linked.all(s.Self())
+	return slices.Clone(hosts)
+}
+
 // queuedUpdates returns the updates in the channel without waiting for more.
 func queuedUpdates(updates <-chan metastore.Update) []metastore.Update {
 	var all []metastore.Update
@@ -299,9 +324,14 @@
 	return write(ctx, l.conn, reportMessage{Owners: &record})
 }
 
-// Report sends a report of this host to the other host.
-func (l *Link) Report(ctx context.Context, report owner.Report) error {
-	return write(ctx, l.conn, reportMessage{Report: report, SentAt: l.clock.Now().Sub(l.dialedAt)})
+// Report sends a report of this host to the other host. self is left out if it has no
+// address.
+func (l *Link) Report(ctx context.Context, report owner.Report, self peers.Host) error {
+	message := reportMessage{Report: report, SentAt: l.clock.Now().Sub(l.dialedAt)}
+	if self.Address != "" {
+		message.Self = &self
+	}
+	return write(ctx, l.conn, message)
 }
 
 // Receive waits for the other host's next feed. It adds to the ages of the
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -9,6 +9,7 @@
 
 	"pineturn/core/clock"
 	"pineturn/core/owner"
+	"pineturn/core/peers"
 )
 
 const (
@@ -51,6 +52,12 @@
 	// called with its report.
 	Leading      func() bool
 	HandleReport func(owner.Report)
+	// WhileLeading is called with each check of the link while this host is the
+	// leader.
+	WhileLeading func()
+	// Self returns this host as other hosts see it. A change is reported with the
+	// next check of the link.
+	Self func() peers.Host
 	// HandleFeed is called with each feed that the leader relays.
 	HandleFeed func(Feed)
 
@@ -64,8 +71,10 @@
 	// remembers. After another link to it, it receives only what is new.
 	informed Leader
 	// leading reports whether this host was the leader at the last check.
-	leading  bool
-	sentAt   time.Time
+	leading bool
+	sentAt  time.Time
+	// sentSelf is this host as last reported.
+	sentSelf peers.Host
 	dialedAt time.Time
 	// dialedIncarnation is the incarnation that was last dialed.
 	dialedIncarnation string
@@ -73,7 +82,12 @@
 }
 
 // NewReporter returns a reporter.
-func NewReporter(clk clock.Clock) *Reporter { return &Reporter{clock: clk, done: make(chan struct{})} }
+func NewReporter(clk clock.Clock) *Reporter {
+	return &Reporter{
+		clock: clk, done: make(chan struct{}),
+		WhileLeading: func() {}, Self: func() peers.Host { return peers.Host{} },
+	}
+}
 
 // Done is closed when Run has returned.
 func (r *Reporter) Done() <-chan struct{} { return r.done }
@@ -104,9 +118,13 @@
 	if !leading && (!remote || r.link == nil && !r.dial(ctx, leader)) {
 		return
 	}
+	if leading {
+		r.WhileLeading()
+	}
 	interval := min(reportInterval+time.Duration(r.hosts.Load())*reportIntervalPerHost, maxReportInterval)
 	now := r.clock.Now()
 	if now.Sub(r.sentAt) < interval {
+		r.reportSelf(ctx, leader)
 		return
 	}
 	report := r.Report(r.informed != leader)
@@ -117,10 +135,28 @@
 		return
 	}
 	if len(report.Counts) == 0 && len(report.Processing) == 0 && now.Sub(r.sentAt) < idleReportInterval {
+		r.reportSelf(ctx, leader)
 		return
 	}
 	r.sentAt = now
-	if err := r.link.Report(ctx, report); err != nil {
+	r.send(ctx, leader, report, r.Self())
+}
+
+// reportSelf sends a report without content if this host has changed since the last
+// report on the link.
+func (r *Reporter) reportSelf(ctx context.Context, leader Leader) {
+	if r.link == nil {
+		return
+	}
+	if self := r.Self(); !self.Equal(r.sentSelf) {
+		r.send(ctx, leader, owner.Report{}, self)
+	}
+}
+
+// send sends a report on the link, and closes the link if that fails.
+func (r *Reporter) send(ctx context.Context, leader Leader, report owner.Report, self peers.Host) {
+	r.sentSelf = self
+	if err := r.link.Report(ctx, report, self); err != nil {
 		klog.InfoS("Failed to send a report to the leader", "address", leader.Address, "err", err)
 		r.closeLink()
 	}
