Keep the other hosts in the gateway, and dump them

Cause: the lists in feeds were not used. Change: a host puts them into its table, the leader the hosts of its own links with each check (150 ms); the state dump has the table as "peers". Evidence: go test -race -count=1 passes for io/gateway, io/pinectl, io/hostlink and core/peers, beside other work (load average 24).

--- a/core/dump/dump.go
+++ b/core/dump/dump.go
@@ -3,6 +3,7 @@
 package dump
 
 import (
+	"pineturn/core/peers"
 	"pineturn/core/placement"
 	"pineturn/core/routing"
 )
@@ -34,6 +35,8 @@
 	Keys map[string][]Range `json:"keys"`
 	// Requests holds the number of requests in flight for each service.
 	Requests map[string]int `json:"requests_in_flight"`
+	// Peers lists the other hosts that the host knows.
+	Peers []peers.Host `json:"peers"`
 }
 
 // Range is a range of keys with its owner.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"pineturn/core/budget"
 	"pineturn/core/clock"
 	"pineturn/core/owner"
+	"pineturn/core/peers"
 	"pineturn/core/placement"
 	"pineturn/io/coordinator"
 	"pineturn/io/hostlink"
@@ -69,6 +70,7 @@
 	peerServer      *http.Server
 	operatorServer  *http.Server
 	links           *hostlink.Server
+	peers           *peers.Table
 	reporter        *hostlink.Reporter
 	stop            *stopState
 	logs            *logsink.Sink
@@ -109,6 +111,8 @@
 	g.links.HandleOwners = g.catalog.ApplyOwners
 	g.links.Leadership = g.leadership
 	g.links.Subscribe = g.feed
+	g.peers = peers.New(peers.Host{Address: peerAddress(settings), Domain: settings.Domain, Incarnation: incarnation})
+	g.links.Self = g.peers.Self
 	g.reporter = hostlink.NewReporter(g.clock)
 	g.reporter.Leader = g.leader
 	g.reporter.Report = g.proxy.Report
@@ -117,8 +121,13 @@
 		b.SetHosts(g.links.Hosts())
 		g.coordinator.AddReport(report)
 	}
+	g.reporter.Self = g.peers.Self
+	g.reporter.WhileLeading = func() { g.peers.Put(g.links.Peers(), g.clock.Now()) }
 	g.reporter.HandleFeed = func(feed hostlink.Feed) {
 		b.SetHosts(feed.Hosts)
+		if len(feed.Peers) > 0 {
+			g.peers.Put(feed.Peers, g.clock.Now())
+		}
 		g.catalog.ApplyRelayed(feed.Updates, feed.Watermarks)
 	}
 	g.stop = newStopState(settings.StopTimeout)
