Leave the election at a host that cannot reach the targets that another reaches

Change: the coordinator leaves the group while Yields reports so, and joins again only if nobody leads. TestYield fails without it.

--- a/core/owner/orders.go
+++ b/core/owner/orders.go
@@ -54,6 +54,9 @@
 	Handover    string
 }
 
+// Responded reports whether the target has responded to the order.
+func (o Outcome) Responded() bool { return o.Done || o.Fenced || o.Refused || o.TargetEnded }
+
 // Orders returns the orders that are due for ranges that the record in the
 // store contains. The calling code may call Orders only within
 // MaxProofAgeForRenewal of the last proof of leadership. mayStartLeases reports whether that proof is
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -36,13 +36,13 @@
 	// standbyTTL is used instead of memberTTL for a host that is not elected while
 	// the leader relays updates to it.
 	standbyTTL = 2300 * time.Millisecond
-	// lowCPUJoinDelay is how long a host with less than minLeaderCores stays out
-	// of the election after the last sign of a leader, so that other hosts are
-	// elected first.
-	lowCPUJoinDelay = 2500 * time.Millisecond
+	// unfitJoinDelay is how long a host with less than minLeaderCores, or one that
+	// yields, stays out of the election after the last sign of a leader, so that other
+	// hosts are elected first.
+	unfitJoinDelay = 2500 * time.Millisecond
 	// minLeaderCores is the share that the leader of many hosts needs, in
 	// processor cores. A host with less is not excluded from the election: it only
-	// joins lowCPUJoinDelay later.
+	// joins unfitJoinDelay later.
 	minLeaderCores = 0.25
 	// joinPollInterval is the time between checks whether a join call is due.
 	joinPollInterval = 100 * time.Millisecond
@@ -112,6 +112,12 @@
 	Dial socket.DialFunc
 	// Hosts returns the number of hosts. It is set before Run.
 	Hosts func() int
+	// Yields reports whether this host has no path to targets that another host
+	// reaches, so that another one should lead. It is set before Run.
+	Yields func() bool
+	// HandleUnanswered is called with the service of each order that its target did not
+	// answer. It is set before Run.
+	HandleUnanswered func(service string)
 	// PredecessorEnded queries whether the process of an earlier leader can send no
 	// more grants: it has ended, or it knows of the leader of the given epoch. It
 	// returns a time by which that held. It is set before Run.
@@ -172,6 +178,8 @@
 		Dial: (&net.Dialer{Timeout: connectTimeout}).DialContext, loads: owner.NewLoads(clk.Now()),
 		done: make(chan struct{}), results: make(chan result, resultBuffer), predecessorEnds: make(chan predecessorEnd, resultBuffer),
 		Hosts:            func() int { return 1 },
+		Yields:           func() bool { return false },
+		HandleUnanswered: func(string) {},
 		PredecessorEnded: func(context.Context, owner.LeaderProcess, int64) (time.Time, bool) { return time.Time{}, false },
 	}
 	c.sender = newSender(func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -14,10 +14,14 @@
 	"pineturn/platform"
 )
 
-// fakeStore elects no member, and records the assignments that are written.
+// fakeStore records the join and leave calls, and the assignments that are written.
 type fakeStore struct {
+	// elects is set if each join elects the member.
+	elects bool
+
 	mu      sync.Mutex
 	joins   int
+	leaves  int
 	written []*owner.Assignment
 }
 
@@ -25,10 +29,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.joins++
-	return platform.GroupMember{}, nil
+	return platform.GroupMember{Elected: s.elects}, nil
 }
 
-func (s *fakeStore) Leave(context.Context, string, int64) error { return nil }
+func (s *fakeStore) Leave(context.Context, string, int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaves++
+	return nil
+}
 
 func (s *fakeStore) AppendAt(_ context.Context, _, _ string, value []byte, _ int64) error {
 	a, err := owner.Decode(value)
@@ -63,13 +72,21 @@
 func run(t *testing.T, catalog *fakeCatalog, duration time.Duration) *fakeStore {
 	t.Helper()
 	store := &fakeStore{}
+	runUntil(t, newCoordinator(store, catalog), duration)
+	return store
+}
+
+func newCoordinator(store *fakeStore, catalog *fakeCatalog) *Coordinator {
 	self := Host{Name: "host-1", Incarnation: "new", Address: "127.0.0.1:1", Cores: 1}
-	c := New(self, owner.MaxLeaseDuration, store, catalog, placement.NewSet("a"), clock.Boot{})
+	return New(self, owner.MaxLeaseDuration, store, catalog, placement.NewSet("a"), clock.Boot{})
+}
+
+func runUntil(t *testing.T, c *Coordinator, duration time.Duration) {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), duration)
 	defer cancel()
 	go c.Run(ctx)
 	<-c.Done()
-	return store
 }
 
 // TestSuccession guards against two faults: a restart of all hosts after which no host
@@ -115,6 +132,39 @@
 	}
 }
 
+// TestYield guards against a leader that keeps the election although it can't reach the
+// targets that it would grant leases to, and against a host without leader.
+func TestYield(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		yields        bool
+		joins, leaves int
+	}{
+		{name: "a host that reaches the targets stays", yields: false, joins: 1, leaves: 0},
+		{name: "one that does not leaves", yields: true, joins: 0, leaves: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store := &fakeStore{elects: true}
+			coordinator := newCoordinator(store, &fakeCatalog{})
+			coordinator.Yields = func() bool { return c.yields }
+			coordinator.setElected(true)
+			runUntil(t, coordinator, 400*time.Millisecond)
+			if store.joins != c.joins || store.leaves != c.leaves {
+				t.Errorf("got %d join and %d leave calls, want %d and %d", store.joins, store.leaves, c.joins, c.leaves)
+			}
+		})
+	}
+	t.Run("it joins again where no other host leads", func(t *testing.T) {
+		store := &fakeStore{}
+		coordinator := newCoordinator(store, &fakeCatalog{})
+		coordinator.Yields = func() bool { return true }
+		runUntil(t, coordinator, unfitJoinDelay+time.Second)
+		if store.joins == 0 {
+			t.Errorf("join calls: got none, want some")
+		}
+	})
+}
+
 // TestLoadsOfNewLeader guards against a new leader that rebalances without loads: what the
 // other hosts report to it must not lose weight for the time before it led.
 func TestLoadsOfNewLeader(t *testing.T) {
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -191,6 +191,9 @@
 		c.countGrants(order, 1)
 		go func() {
 			outcome := c.sender.send(ctx, address, order)
+			if noConnection := order.Renewal && outcome.Unsent; !outcome.Responded() && !noConnection {
+				c.HandleUnanswered(order.Service)
+			}
 			select {
 			case c.results <- result{order: order, outcome: outcome}:
 			case <-ctx.Done():
--- a/io/coordinator/member.go
+++ b/io/coordinator/member.go
@@ -11,24 +11,28 @@
 
 // maintainMembership keeps this host in the group from which the store elects the
 // leader, until the context ends or the host stops. A host with less than
-// minLeaderCores joins only if there has been no leader for lowCPUJoinDelay.
+// minLeaderCores, or one that yields, joins only if there has been no leader for
+// unfitJoinDelay. An elected host that yields leaves the group.
 func (c *Coordinator) maintainMembership(ctx context.Context) {
 	var generation int64
 	var joinedAt time.Time
 	leaderSeenAt := time.Now()
 	for ctx.Err() == nil {
 		if c.isStopping() {
-			if err := c.store.Leave(ctx, c.self.Name, generation); err != nil {
-				klog.InfoS("Failed to leave the election group", "err", err)
-			}
-			c.setElected(false)
+			c.leave(ctx, generation)
 			return
 		}
 		if c.isElected() || c.catalog.RelayActive() {
 			leaderSeenAt = time.Now()
 		}
+		yields := c.Yields()
+		if yields && c.isElected() {
+			klog.InfoS("Leaving the election, other hosts reach targets that this one does not")
+			c.leave(ctx, generation)
+		}
 		interval, ttl := c.joinTiming()
-		deferred := c.self.Cores < minLeaderCores && !c.isElected() && time.Since(leaderSeenAt) < lowCPUJoinDelay
+		unfit := yields || c.self.Cores < minLeaderCores
+		deferred := unfit && !c.isElected() && time.Since(leaderSeenAt) < unfitJoinDelay
 		if deferred || time.Since(joinedAt) < interval {
 			clock.Sleep(ctx, joinPollInterval)
 			continue
@@ -44,6 +48,15 @@
 	}
 }
 
+// leave takes this host out of the group, so that another host is elected. A leader goes
+// on until it reads the record of the next one.
+func (c *Coordinator) leave(ctx context.Context, generation int64) {
+	if err := c.store.Leave(ctx, c.self.Name, generation); err != nil {
+		klog.InfoS("Failed to leave the election group", "err", err)
+	}
+	c.setElected(false)
+}
+
 // joinTiming returns the time between two join calls, and the time without a join
 // call after which the store removes this host from the group.
 func (c *Coordinator) joinTiming() (interval, ttl time.Duration) {
