Log why a former owner counts as holding nothing

Leader.DropFormerOwners now returns what it drops, and the coordinator logs one line for each: service, range, target, born, token and reason.

--- /dev/null
+++ b/core/owner/dropped_test.go
@@ -0,0 +1,90 @@
+package owner
+
+import (
+	"testing"
+	"time"
+)
+
+// moveOff renews the leases that started at testStart after a time, then moves the ranges
+// of t01 to other targets, and returns the view in which it drains.
+func moveOff(t *testing.T, after time.Duration) (*Leader, map[string]Target) {
+	t.Helper()
+	l, view, loads := newCluster(t, 4)
+	now := testStart.Add(after)
+	completeOrders(t, l, view, now)
+	draining := view["t01"]
+	draining.Draining = true
+	view["t01"] = draining
+	l.Assign(testService, view, loads, now)
+	l.MarkPersisted(l.Record())
+	return l, view
+}
+
+// answerReleases completes all orders that are due, the releases with an outcome.
+func answerReleases(l *Leader, view map[string]Target, outcome Outcome, now time.Time) {
+	for _, o := range l.Orders(view, true, now) {
+		if o.Kind == Release {
+			l.HandleOutcome(o, outcome, now)
+		} else {
+			l.HandleOutcome(o, Outcome{Done: true}, now)
+		}
+	}
+}
+
+// TestDropped guards against a record of why a former owner counts as holding nothing
+// that names the wrong reason, target or token.
+func TestDropped(t *testing.T) {
+	const end = leaseExpiryBound
+	for _, c := range []struct {
+		name  string
+		do    func(l *Leader, view map[string]Target)
+		after time.Duration
+		want  Reason
+	}{
+		{name: "released", do: func(l *Leader, view map[string]Target) { answerReleases(l, view, Outcome{Done: true}, testStart) }, want: Released},
+		{name: "another target answers", do: func(l *Leader, view map[string]Target) {
+			answerReleases(l, view, Outcome{TargetEnded: true}, testStart)
+		}, want: Ended},
+		{name: "address registered again", do: func(_ *Leader, view map[string]Target) {
+			ended := view["t01"]
+			ended.Ended = true
+			view["t01"] = ended
+		}, want: Ended},
+		{name: "expired", do: func(*Leader, map[string]Target) {}, after: end, want: Expired},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, view := moveOff(t, 0)
+			token := l.services[testService][1].former[0].state.fencingToken
+			c.do(l, view)
+			dropped := l.DropFormerOwners(view, testStart.Add(c.after))
+			if len(dropped) == 0 {
+				t.Fatal("dropped former owners: got none, want some")
+			}
+			for _, d := range dropped {
+				if d.Reason != c.want || d.Owner.Target != "t01" || d.Service != testService {
+					t.Errorf("dropped: got %v of %s for %s, want %v of t01 for %s", d.Reason, d.Owner.Target, d.Service, c.want, testService)
+				}
+			}
+			if got := dropped[0].FencingToken; got != token {
+				t.Errorf("token of the first dropped owner: got %d, want %d", got, token)
+			}
+		})
+	}
+}
+
+// TestDroppedAfterRestart guards against a restart that counts as a proof too early, while
+// the new incarnation may have accepted a grant, or not before the renewals that only the
+// earlier one can have received have expired.
+func TestDroppedAfterRestart(t *testing.T) {
+	l, view := moveOff(t, 2*time.Second)
+	restarted := view["t01"]
+	restarted.Born++
+	view["t01"] = restarted
+	if got := l.DropFormerOwners(view, testStart.Add(leaseExpiryBound-time.Millisecond)); len(got) > 0 {
+		t.Errorf("dropped before the last new grant has expired: got %v, want none", got)
+	}
+	got := l.DropFormerOwners(view, testStart.Add(leaseExpiryBound))
+	if len(got) == 0 || got[0].Reason != Restarted {
+		t.Errorf("dropped once the last new grant has expired: got %v, want some, restarted", got)
+	}
+}
--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -83,7 +83,10 @@
 	state           *rangeState
 	lastAttempt     time.Time
 	releaseInFlight bool
-	released        bool
+	// released reports that the owner answered a release, ended that another target
+	// has its address.
+	released bool
+	ended    bool
 }
 
 // Target is a target as the leader sees it.
@@ -229,37 +232,50 @@
 	return expiry
 }
 
-// DropFormerOwners removes former owners that no longer hold any keys. It
-// reports whether the record has to be written.
-func (l *Leader) DropFormerOwners(targets map[string]Target, now time.Time) bool {
+// DropFormerOwners removes former owners that no longer hold any keys, and returns
+// them. If there are any, the record has to be written.
+func (l *Leader) DropFormerOwners(targets map[string]Target, now time.Time) []Dropped {
 	if !now.Before(l.predecessorLeasesUntil) {
 		l.predecessors = nil
 	}
-	for _, ranges := range l.services {
+	var dropped []Dropped
+	for service, ranges := range l.services {
 		for _, r := range ranges {
-			n := len(r.former)
 			if !r.persisted {
 				continue
 			}
-			r.former = slices.DeleteFunc(r.former, func(f *formerOwner) bool { return l.canDrop(f, targets, now) })
-			if len(r.former) != n {
-				l.unsaved = true
-			}
+			r.former = slices.DeleteFunc(r.former, func(f *formerOwner) bool {
+				reason, free := l.proofOfFree(f, targets, now)
+				if free {
+					dropped = append(dropped, Dropped{
+						Service: service, First: r.first, Last: r.last, Owner: f.state.owner, FencingToken: f.state.fencingToken, Reason: reason,
+					})
+				}
+				return free
+			})
 		}
 	}
-	return l.unsaved
+	l.unsaved = l.unsaved || len(dropped) > 0
+	return dropped
 }
 
-// canDrop reports whether a former owner no longer holds its range.
-func (l *Leader) canDrop(f *formerOwner, targets map[string]Target, now time.Time) bool {
+// proofOfFree reports whether a former owner no longer holds its range, and why.
+func (l *Leader) proofOfFree(f *formerOwner, targets map[string]Target, now time.Time) (Reason, bool) {
 	if f.state.inFlight {
-		return false
+		return 0, false
 	}
-	if t, known := targets[f.state.owner.Target]; known && t.Ended && t.Born == f.state.owner.Born {
-		return true
+	t, known := targets[f.state.owner.Target]
+	switch {
+	case f.ended, known && t.Ended && t.Born == f.state.owner.Born:
+		return Ended, true
+	case f.released:
+		return Released, true
+	case !now.Before(l.expiresAt(f.state)):
+		return Expired, true
+	case !now.Before(l.restartProvesFreeFrom(f.state)) && hasRestarted(f.state.owner, targets):
+		return Restarted, true
 	}
-	return f.released || !now.Before(l.expiresAt(f.state)) ||
-		!now.Before(l.restartProvesFreeFrom(f.state)) && hasRestarted(f.state.owner, targets)
+	return 0, false
 }
 
 // hasRestarted reports whether a later incarnation of the target has started.
--- a/core/owner/orders.go
+++ b/core/owner/orders.go
@@ -96,7 +96,7 @@
 	var orders []Order
 	for _, f := range r.former {
 		_, known := targets[f.state.owner.Target]
-		if f.releaseInFlight || f.released || f.state.inFlight || !r.persisted || !known || now.Sub(f.lastAttempt) < orderRetryInterval || !l.mayRelease(r, now) {
+		if f.releaseInFlight || f.released || f.ended || f.state.inFlight || !r.persisted || !known || now.Sub(f.lastAttempt) < orderRetryInterval || !l.mayRelease(r, now) {
 			continue
 		}
 		f.releaseInFlight, f.lastAttempt = true, now
@@ -177,10 +177,11 @@
 
 func (l *Leader) handleRelease(o Order, outcome Outcome) {
 	o.former.releaseInFlight = false
-	if !outcome.Done && !outcome.TargetEnded {
+	o.former.released = o.former.released || outcome.Done
+	o.former.ended = o.former.ended || outcome.TargetEnded
+	if !outcome.Done {
 		return
 	}
-	o.former.released = true
 	if outcome.Handover != "" {
 		o.state.handoverData = outcome.Handover
 	}
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -69,7 +69,9 @@
 	if mayReassign {
 		c.reassign(targets, now)
 	}
-	c.leader.DropFormerOwners(targets, now)
+	for _, dropped := range c.leader.DropFormerOwners(targets, now) {
+		logDropped(dropped)
+	}
 	c.writeIfDirty(ctx, next, now)
 	if now.Sub(provenAt) >= owner.MaxProofAgeForRenewal || c.isStopping() && !mayReassign {
 		return
@@ -77,6 +79,11 @@
 	c.send(ctx, targets, now.Sub(provenAt) < owner.MaxProofAgeForNewLease, now)
 }
 
+func logDropped(d owner.Dropped) {
+	klog.InfoS("Former owner holds nothing any more", "service", d.Service, "first", d.First, "last", d.Last, "target", d.Owner.Target,
+		"born", d.Owner.Born, "fence", d.FencingToken, "reason", d.Reason)
+}
+
 // logFenced logs, once an epoch, that a target reported the fencing token of a
 // later leader. From then on tickLeader sends no orders.
 func (c *Coordinator) logFenced() {
