--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -69,7 +69,9 @@
 	if mayReassign {
 		c.reassign(targets, now)
 	}
-	c.leader.DropFormerOwners(targets, now)
+	for _, dropped := range c.leader.DropFormerOwners(targets, now) {
+		logDropped(dropped)
+	}
 	c.writeIfDirty(ctx, next, now)
 	if now.Sub(provenAt) >= owner.MaxProofAgeForRenewal || c.isStopping() && !mayReassign {
 		return
@@ -77,6 +79,11 @@
 	c.send(ctx, targets, now.Sub(provenAt) < owner.MaxProofAgeForNewLease, now)
 }
 
+func logDropped(d owner.Dropped) {
+	klog.InfoS("Former owner holds nothing any more", "service", d.Service, "first", d.First, "last", d.Last, "target", d.Owner.Target,
+		"born", d.Owner.Born, "fence", d.FencingToken, "reason", d.Reason)
+}
+
 // logFenced logs, once an epoch, that a target reported the fencing token of a
 // later leader. From then on tickLeader sends no orders.
 func (c *Coordinator) logFenced() {
@@ -188,7 +195,7 @@
 func (c *Coordinator) send(ctx context.Context, targets map[string]owner.Target, allowNewLeases bool, now time.Time) {
 	for _, order := range c.leader.Orders(targets, allowNewLeases, now) {
 		address := c.entries[order.Target.Target].Address
-		c.countGrants(order, 1)
+		c.countGrant(order)
 		go func() {
 			outcome := c.sender.send(ctx, address, order)
 			if noConnection := order.Renewal && outcome.Unsent; !outcome.Responded() && !noConnection {
@@ -217,12 +224,12 @@
 	epoch := c.leader.Epoch()
 	for _, process := range c.leader.Predecessors(now) {
 		go func() {
-			at, ok := c.PredecessorEnded(ctx, process, epoch)
+			end, ok := c.PredecessorEnded(ctx, process, epoch)
 			if !ok {
 				return
 			}
 			select {
-			case c.predecessorEnds <- predecessorEnd{process: process, at: at, epoch: epoch}:
+			case c.predecessorEnds <- predecessorEnd{process: process, at: end.At, accounted: end.Accounted, epoch: epoch}:
 			default:
 			}
 		}()
