Leave the election also at a host that is not elected and can't reach targets

The store dealt the election to the second host, which did not join any more, and to a third one only when the second had missed its calls for 2.2 s.

A host that yields now leaves the group, elected or not. TestYield fails without it in the case of a host that is not elected.

--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,25 +134,19 @@
 	}
 }
 
-// TestYield guards against a leader that keeps the election although it can't reach the
-// targets that it would grant leases to, and against a host without leader.
+// TestYield guards against a host that keeps the election, or may win it, although it can't
+// reach the targets that it would grant leases to, and against hosts without a leader.
 func TestYield(t *testing.T) {
-	for _, c := range []struct {
-		name          string
-		yields        bool
-		joins, leaves int
-	}{
-		{name: "a host that reaches the targets stays", yields: false, joins: 1, leaves: 0},
-		{name: "one that does not leaves", yields: true, joins: 0, leaves: 1},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			store := &fakeStore{elects: true}
-			coordinator := newCoordinator(store, &fakeCatalog{})
-			coordinator.Yields = func() bool { return c.yields }
-			coordinator.setElected(true)
-			runUntil(t, coordinator, 400*time.Millisecond)
-			if store.joins != c.joins || store.leaves != c.leaves {
-				t.Errorf("got %d join and %d leave calls, want %d and %d", store.joins, store.leaves, c.joins, c.leaves)
+	for _, elected := range []bool{true, false} {
+		t.Run(fmt.Sprintf("elected %t", elected), func(t *testing.T) {
+			store := &fakeStore{elects: elected}
+			coordinator := newCoordinator(store, &fakeCatalog{relayActive: true})
+			var yields atomic.Bool
+			coordinator.Yields = yields.Load
+			time.AfterFunc(300*time.Millisecond, func() { yields.Store(true) })
+			runUntil(t, coordinator, 1600*time.Millisecond)
+			if store.joins != 1 || store.leaves != 1 {
+				t.Errorf("got %d join and %d leave calls, want 1 of each", store.joins, store.leaves)
 			}
 		})
 	}
--- a/io/coordinator/member.go
+++ b/io/coordinator/member.go
@@ -12,9 +12,11 @@
 // maintainMembership keeps this host in the group from which the store elects the
 // leader, until the context ends or the host stops. A host with less than
 // minLeaderCores, or one that yields, joins only if there has been no leader for
-// unfitJoinDelay. An elected host that yields leaves the group.
+// unfitJoinDelay. A host that yields leaves the group, elected or not: the store would
+// elect it until it had missed its join calls.
 func (c *Coordinator) maintainMembership(ctx context.Context) {
 	var generation int64
+	joined := false
 	var joinedAt time.Time
 	leaderSeenAt := time.Now()
 	for ctx.Err() == nil {
@@ -26,9 +28,10 @@
 			leaderSeenAt = time.Now()
 		}
 		yields := c.Yields()
-		if yields && c.isElected() {
+		if yields && joined {
 			klog.InfoS("Leaving the election, other hosts reach targets that this one does not")
 			c.leave(ctx, generation)
+			joined = false
 		}
 		interval, ttl := c.joinTiming()
 		unfit := yields || c.self.Cores < minLeaderCores
@@ -43,7 +46,7 @@
 			c.setElected(false)
 			continue
 		}
-		generation = membership.Generation
+		generation, joined = membership.Generation, true
 		c.setElected(membership.Elected)
 	}
 }
