--- a/core/owner/assignment.go
+++ b/core/owner/assignment.go
@@ -19,14 +19,19 @@
 //     the record that the change was based on.
 //   - The new owner is granted a key only after each former owner has released
 //     it, is proved to have ended, or has received no grant for longer than a
-//     lease lasts (leader.go).
+//     lease lasts (leader.go). A target may apply a grant without a response late,
+//     after it has answered a release, unless it has accepted one with a higher
+//     fencing token. So a release counts only if no earlier grant to the target is
+//     unaccounted for: each had an outcome, is refused, or has expired (accounted.go).
 //   - A host that is no longer the leader stops sending grants
 //     MaxProofAgeForRenewal after its last proof of leadership. The next leader
 //     waits that long before it treats a lease as expired, unless the target has
 //     accepted a grant of the new leader, whose fencing token is higher
 //     (predecessorLeasesUntil in leader.go). The wait ends early once all
-//     earlier leaders that the record names are known to send no more grants
-//     (Leader.PredecessorEnded).
+//     earlier leaders that the record names are known to send no more grants and
+//     to have accounted for theirs (Leader.PredecessorEnded). One whose process was
+//     killed has not (Leader.PredecessorKilled): the targets that have accepted no
+//     grant of the new leader since wait until its last grants have expired.
 package owner
 
 import (
