Count a process's own earlier term when it leads again after a leader that was killed

What callers could see: two targets hold the same keys (OWNER). Process 1 leads, process 2 takes over and is killed; process 1, which has not read the record of 2 yet, renews leases until it does, and then leads again. Its new record does not name it as an earlier leader, so once 2 was proved killed, all leases counted as expired leaseExpiryBound after the end of 2, though its own were renewed later.

Change: the last arrival of a grant of an earlier leader is never before the start of this one. A process claims the leadership only once its own grants have ended, so this covers them.

Evidence: TestSecondTerm fails without the change (a former owner dropped as expired before the leases of the first term had), and passes with it; tests of core/owner and io/coordinator pass.

--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -150,6 +150,7 @@
 		predecessorsAccounted:     record.Epoch == firstEpoch,
 		predecessors:              slices.Clone(record.Earlier),
 		killed:                    make(map[string]bool),
+		lastArrival:               now,
 	}
 	for service, ranges := range record.Services {
 		for _, r := range ranges {
--- a/core/owner/takeover_test.go
+++ b/core/owner/takeover_test.go
@@ -133,3 +133,25 @@
 		}
 	}
 }
+
+// TestSecondTerm guards against two owners of a key where a process leads again after one
+// that was killed: its own leases of its earlier term may be later than those of that one.
+func TestSecondTerm(t *testing.T) {
+	first, view, _ := newCluster(t, 4)
+	record := first.Record()
+	record.LeaderIncarnation = "1"
+	second := record.NextLeader("b", LeaderProcess{Incarnation: "2"})
+	// Process 2 is killed. Process 1, which has not read its record yet, renews leases.
+	renewed := testStart.Add(6 * time.Second)
+	completeOrders(t, first, view, renewed)
+	third := NewLeader(second.NextLeader("a", LeaderProcess{Incarnation: "1"}), MaxLeaseDuration, renewed)
+	third.PredecessorKilled("2", testStart)
+	moveFirstRange(t, third, renewed)
+	expired := renewed.Add(leaseExpiryBound)
+	if got := third.DropFormerOwners(view, expired.Add(-time.Nanosecond)); len(got) > 0 {
+		t.Errorf("former owners dropped before their leases of the first term have expired: got %v, want none", got)
+	}
+	if got := third.DropFormerOwners(view, expired); len(got) != 1 {
+		t.Errorf("former owners dropped after their leases have expired: got %v, want one", got)
+	}
+}
