Keep the published detached services in step with the probes

Cause: rounds of probes of several services end at the same time (they share the tick and the timeout), and each computed the list of lost services and set it in two steps. A round could set a list from before another's. Other hosts then relayed requests to a host without a path, or never to one whose path was restored; a leader kept the election, or left it for good, against what its probes had shown.

Change: the two steps are one under a lock.

--- a/io/proxy/probe.go
+++ b/io/proxy/probe.go
@@ -65,8 +65,7 @@
 	if !p.reach.Probed(service, len(chosen), int(accepted.Load()), p.clock.Now()) {
 		return
 	}
-	lost := p.reach.LostServices()
-	p.peers.SetDetached(lost)
+	lost := p.publishDetached()
 	klog.InfoS("Path to the targets of a service changed", "service", service, "lost", p.reach.IsLost(service),
 		"probed", len(chosen), "accepted", accepted.Load(), "lostServices", lost)
 	for _, entry := range p.targets.Entries(service) {
@@ -74,6 +73,16 @@
 	}
 }
 
+// publishDetached makes the services without a path known to the other hosts, and returns
+// them. Rounds of several services may end at the same time.
+func (p *Proxy) publishDetached() []string {
+	p.detachedMu.Lock()
+	defer p.detachedMu.Unlock()
+	lost := p.reach.LostServices()
+	p.peers.SetDetached(lost)
+	return lost
+}
+
 // probeTargets returns up to probesPerRound random targets of a service that are not
 // draining.
 func (p *Proxy) probeTargets(service string) []placement.Entry {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +55,9 @@
 	reach         *reach.Detector
 	peers         *peers.Table
 	peerTransport *http.Transport
+	// detachedMu orders the changes of the services that other hosts take this host to be
+	// detached for.
+	detachedMu sync.Mutex
 	// stopping is set once requests of other hosts are refused.
 	stopping atomic.Bool
 	done     chan struct{}
