Let a host that yields lead where nobody else does

What callers could see: keys without leases at all hosts. A host that yields left the group in the same loop in which it was elected, so it could never claim the leadership. Where each host has lost the path to the targets of one service with keys while another host has it (half the hosts lose service A, the others B), or where those with a path are not elected, nobody leads.

Change: a host that yields and has joined because there was no leader stays in the group until there is one. Once it leads itself it leaves again, so that another host can be elected, and goes on leading.

--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -161,6 +161,18 @@
 	})
 }
 
+// TestYieldWithoutLeader guards against keys without leases while each host that the store
+// can elect yields: one that is elected after no leader has been seen must lead.
+func TestYieldWithoutLeader(t *testing.T) {
+	store := &fakeStore{elects: true}
+	coordinator := newCoordinator(store, &fakeCatalog{})
+	coordinator.Yields = func() bool { return true }
+	runUntil(t, coordinator, unfitJoinDelay+time.Second)
+	if _, written := store.count(); len(written) == 0 {
+		t.Errorf("written records: got none with %d join and %d leave calls, want one", store.joins, store.leaves)
+	}
+}
+
 // TestLoadsOfNewLeader guards against a new leader that rebalances without loads: what the
 // other hosts report to it must not lose weight for the time before it led.
 func TestLoadsOfNewLeader(t *testing.T) {
--- a/io/coordinator/member.go
+++ b/io/coordinator/member.go
@@ -13,10 +13,11 @@
 // leader, until the context ends or the host stops. A host with less than
 // minLeaderCores, or one that yields, joins only if there has been no leader for
 // unfitJoinDelay. A host that yields leaves the group, elected or not: the store would
-// elect it until it had missed its join calls.
+// elect it until it had missed its join calls. If it has joined because there was no
+// leader, it stays until there is one, which may be itself: it goes on leading then.
 func (c *Coordinator) maintainMembership(ctx context.Context) {
 	var generation int64
-	joined := false
+	joined, lastResort := false, false
 	var joinedAt time.Time
 	leaderSeenAt := time.Now()
 	for ctx.Err() == nil {
@@ -24,11 +25,12 @@
 			c.leave(ctx, generation)
 			return
 		}
-		if c.isElected() || c.catalog.RelayActive() {
+		yields := c.Yields()
+		led := c.catalog.RelayActive() || yields && c.Leading()
+		if c.isElected() || led {
 			leaderSeenAt = time.Now()
 		}
-		yields := c.Yields()
-		if yields && joined {
+		if yields && joined && (led || !lastResort) {
 			klog.InfoS("Leaving the election, other hosts reach targets that this one does not")
 			c.leave(ctx, generation)
 			joined = false
@@ -40,7 +42,7 @@
 			clock.Sleep(ctx, joinPollInterval)
 			continue
 		}
-		joinedAt = time.Now()
+		joinedAt, lastResort = time.Now(), yields
 		membership, err := c.store.Join(ctx, c.self.Name, generation, ttl)
 		if err != nil {
 			c.setElected(false)
