Send a request with a key to its owner also after another host has sent it there

Cause: a target that a relayed request was last sent to was excluded from further sends, for requests with keys too, because a relay reports no owner. A request that was then sent directly, as the path had come back or no other host was left, could not reach the owner of its key and ended with 502.

Change: only requests without keys exclude targets.

Evidence: TestRelayedKeyThenDirect failed before (502 after 0.2 s), and passes; tests of io/proxy passed in 2 of 2 runs with -race.

--- a/io/proxy/relay_test.go
+++ b/io/proxy/relay_test.go
@@ -23,14 +23,15 @@
 	testHost    = "site.example"
 )
 
-// testCatalog is a catalog with a fixed table.
+// testCatalog is a catalog with a fixed table and fixed owners.
 type testCatalog struct {
-	table   *routing.Table
-	changed chan struct{}
+	table      *routing.Table
+	assignment *owner.Assignment
+	changed    chan struct{}
 }
 
 func (c *testCatalog) Table() *routing.Table         { return c.table }
-func (c *testCatalog) Assignment() *owner.Assignment { return nil }
+func (c *testCatalog) Assignment() *owner.Assignment { return c.assignment }
 func (c *testCatalog) Changed() <-chan struct{}      { return c.changed }
 func (c *testCatalog) ChangedAt() time.Time          { return time.Time{} }
 
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -23,7 +23,7 @@
 		return nil, q.fail(http.StatusBadGateway, reasonCallerLeft, nil)
 	}
 	for {
-		sent, owner, err := p.sendOnce(ctx, q)
+		sent, err := p.sendOnce(ctx, q)
 		if err != nil {
 			return nil, err
 		}
@@ -40,7 +40,7 @@
 			return sent.response, nil
 		case attempt.Retry:
 			switch {
-			case owner == "" && sent.target != "":
+			case !q.keyed() && sent.target != "":
 				q.excluded = append(q.excluded, sent.target)
 			case sent.result == attempt.WrongTarget:
 				waitFor(ctx, p.catalog.Changed(), grantDelay)
@@ -54,23 +54,23 @@
 }
 
 // sendOnce sends a request to a target, or to another host if this one has no path to the
-// targets. The owner of the request's key is empty if it has none or was relayed.
-func (p *Proxy) sendOnce(ctx context.Context, q *request) (sent sendResult, owner string, err error) {
+// targets.
+func (p *Proxy) sendOnce(ctx context.Context, q *request) (sendResult, error) {
 	if host, ok := p.peer(q); ok {
-		return p.relay(ctx, q, host), "", nil
+		return p.relay(ctx, q, host), nil
 	}
 	if q.relayed && p.reach.IsLost(q.match.Service.Name) {
-		return sendResult{}, "", q.refuseFor(reasonDetached, 0, nil)
+		return sendResult{}, q.refuseFor(reasonDetached, 0, nil)
 	}
-	owner, err = p.owner(ctx, q)
+	owner, err := p.owner(ctx, q)
 	if err != nil {
-		return sendResult{}, "", err
+		return sendResult{}, err
 	}
 	choice, err := p.chooseTarget(ctx, q, owner)
 	if err != nil {
-		return sendResult{}, "", err
+		return sendResult{}, err
 	}
-	return p.sendWithHedge(ctx, q, choice), owner, nil
+	return p.sendWithHedge(ctx, q, choice), nil
 }
 
 func (q *request) timeLeft(now time.Time) time.Duration { return q.deadline.Sub(now) }
--- a/io/proxy/stream_test.go
+++ b/io/proxy/stream_test.go
@@ -9,8 +9,10 @@
 	"strings"
 	"testing"
 
+	"pineturn/core/owner"
 	"pineturn/core/peers"
 	"pineturn/core/placement"
+	"pineturn/core/routing"
 )
 
 // newEcho runs a target that responds with the body of the request, signed. Its proxy has a
@@ -94,3 +96,18 @@
 		t.Errorf("got status %d, error %v, want 503 or 502", status, err)
 	}
 }
+
+// TestRelayedKeyThenDirect guards against a request with a key that can't reach the owner of
+// the key because another host has sent it there before: no other target may run it.
+func TestRelayedKeyThenDirect(t *testing.T) {
+	p, _ := newEcho(t)
+	failing := newPeer(t, "a", http.StatusBadGateway, relayFailed)
+	p.peers.Put([]peers.Host{failing.Host}, p.clock.Now())
+	p.catalog.Table().Config().Services[testService] = routing.Service{Name: testService, Keyed: true}
+	p.catalog.(*testCatalog).assignment = &owner.Assignment{Services: map[string][]owner.Range{
+		testService: {{First: 0, Last: owner.Keys - 1, Owner: owner.Incarnation{Target: "t1"}}},
+	}}
+	detach(p)
+	assertStatus(t, get(p.Handler(), "/read/1", http.Header{"X-Shard-Key": {"7"}}), http.StatusOK)
+	assertReceived(t, failing, 1)
+}
