Let no response of a target change what the relaying host is told

Cause: the headers of a target's response were copied over those that tell the relaying host the outcome and the number of sends. A target that sends Pineturn-Relay-Outcome: refused with a success would have had its request reported as not run. No target of the platform is known to send these headers.

Change: they are set in the response itself, which replaces the target's.

Evidence: TestRelayHeadersOfTarget failed before (outcome refused, 0 sends), and passes; tests of io/proxy passed in 2 of 2 runs with -race.

--- a/io/proxy/relayed.go
+++ b/io/proxy/relayed.go
@@ -63,7 +63,7 @@
 // encodeRelayed writes a target's response to the relaying host.
 func (p *Proxy) encodeRelayed(ctx context.Context, w http.ResponseWriter, message any) error {
 	r := message.(*response)
-	setRelayHeaders(w.Header(), r.request, relayResponded)
+	setRelayHeaders(r.header, r.request, relayResponded)
 	return p.encode(ctx, w, message)
 }
 
--- a/io/proxy/stream_test.go
+++ b/io/proxy/stream_test.go
@@ -111,3 +111,23 @@
 	assertStatus(t, get(p.Handler(), "/read/1", http.Header{"X-Shard-Key": {"7"}}), http.StatusOK)
 	assertReceived(t, failing, 1)
 }
+
+// TestRelayHeadersOfTarget guards against a target whose response changes what the relaying
+// host is told of the request.
+func TestRelayHeadersOfTarget(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Response-Signature", "signed")
+		w.Header().Set(headerRelayOutcome, string(relayRefused))
+		w.Header().Set(headerRelaySends, "0")
+	}))
+	t.Cleanup(target.Close)
+	p := newTestProxy(7)
+	p.targets.Put(placement.Entry{ID: "t1", Service: testService, Address: strings.TrimPrefix(target.URL, "http://"), Slots: 4}, p.clock.Now())
+	w := get(p.RelayHandler(), "/write/1", http.Header{headerRelayVersion: {"7"}, headerRelaySends: {"0"}, headerRelayService: {testService}})
+	for name, want := range map[string]string{headerRelayOutcome: string(relayResponded), headerRelaySends: "1", headerRelayTarget: "t1"} {
+		if got := w.Header().Values(name); len(got) != 1 || got[0] != want {
+			t.Errorf("%s: got %q, want %q", name, got, want)
+		}
+	}
+}
