Model: a process leads again

A process that has stepped down and accounts for its grants may become the leader once more, after others have led or were killed; up to 6 changes of leader a run instead of 4. Its end counts for all its terms.

--- a/core/owner/model_test.go
+++ b/core/owner/model_test.go
@@ -25,6 +25,8 @@
 	// modelOrderTimeout bounds the time that an order is in flight: after that
 	// the sender gives up and closes its connection.
 	modelOrderTimeout = time.Second
+	// maxModelLeaders bounds the changes of leader in one run.
+	maxModelLeaders = 6
 )
 
 type modelTarget struct {
@@ -100,29 +102,48 @@
 
 // takeOver makes a new process the leader. The previous one may continue for a
 // while.
-func (m *model) takeOver() {
-	name := fmt.Sprint("process ", m.record.Epoch+1)
-	m.record = m.record.NextLeader(name, LeaderProcess{Incarnation: name})
+func (m *model) takeOver() { m.lead(fmt.Sprint("process ", m.record.Epoch+1)) }
+
+// lead makes a process the leader.
+func (m *model) lead(process string) {
+	m.record = m.record.NextLeader(process, LeaderProcess{Incarnation: process})
 	m.leaders = append(m.leaders, &modelLeader{Leader: NewLeader(m.record, MaxLeaseDuration, m.now), lastProof: m.now})
 }
 
+// leadAgain makes the process of an earlier leader the leader once more, if it has stepped
+// down and can account for its grants.
+func (m *model) leadAgain(l *modelLeader) {
+	if process := l.record.LeaderIncarnation; m.accounted(process) {
+		m.lead(process)
+	}
+}
+
+// accounted reports whether a process has stepped down, awaits no response to a grant and has
+// got none to one that may still be applied. A process that was killed never does.
+func (m *model) accounted(process string) bool {
+	for _, l := range m.leaders {
+		if l.record.LeaderIncarnation != process {
+			continue
+		}
+		grants := slices.ContainsFunc(l.inFlight, func(f *orderInFlight) bool { return f.order.Kind == Grant })
+		if !l.stopped || !l.killedAt.IsZero() || grants || m.now.Before(l.UnaccountedUntil()) {
+			return false
+		}
+	}
+	return true
+}
+
 // stepDown makes a leader read the record of a later one. The newest leader knows of
-// it if it has the record of its own claim, and the stopped leader awaits no response
-// to a grant and has got none to one that may still be applied.
+// it if it has the record of its own claim, and the process of the stopped leader can
+// account for all grants.
 func (m *model) stepDown(l *modelLeader) {
 	if l == m.newest() || !l.killedAt.IsZero() {
 		return
 	}
 	l.stopped = true
-	for _, flight := range l.inFlight {
-		if flight.order.Kind == Grant {
-			return
-		}
-	}
-	if m.now.Before(l.UnaccountedUntil()) {
-		return
+	if process := l.record.LeaderIncarnation; m.accounted(process) {
+		m.newest().PredecessorEnded(process, m.now)
 	}
-	m.newest().PredecessorEnded(l.record.LeaderIncarnation, m.now)
 }
 
 // kill ends a leader's process. Orders that it has sent may still arrive.
@@ -324,8 +345,12 @@
 		}
 		m.deliverAll(l, how)
 	case 9:
-		if len(m.leaders) < 4 {
+		switch l := rapid.SampledFrom(m.leaders).Draw(m.t, "leader again"); {
+		case len(m.leaders) >= maxModelLeaders:
+		case rapid.Bool().Draw(m.t, "new process"):
 			m.takeOver()
+		default:
+			m.leadAgain(l)
 		}
 	case 10:
 		l := rapid.SampledFrom(m.leaders).Draw(m.t, "disconnected")
