List two faults of the change of leader

TestClaimWithUnaccountedGrant (failing, skipped unless PINETURN_RUN_RED is set): an elected host that has stepped down with a grant without a response waits up to leaseExpiryBound before it claims, and keeps the election meanwhile (no record, 4 joins in 2 s).

Traced: a move under way when the leader is cut off waits until the leader's grants without a response have expired (4.9 s from the next leader's start to the grant).

--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -173,6 +174,24 @@
 	}
 }
 
+// TestClaimWithUnaccountedGrant guards against keys without a leader while the elected host
+// waits for the end of its own earlier grants: the store elects no other host meanwhile.
+func TestClaimWithUnaccountedGrant(t *testing.T) {
+	if os.Getenv("PINETURN_RUN_RED") == "" {
+		t.Skip("listed in KNOWN-RED.txt")
+	}
+	const limit = 2 * time.Second
+	store := &fakeStore{elects: true}
+	c := newCoordinator(store, &fakeCatalog{})
+	unanswered := result{order: owner.Order{Kind: owner.Grant}}
+	c.countGrant(unanswered.order)
+	c.handleResult(unanswered)
+	runUntil(t, c, limit)
+	if joins, written := store.count(); len(written) == 0 && joins > 1 {
+		t.Errorf("in %v: got %d join calls and no record, want a record, or none of the later join calls", limit, joins)
+	}
+}
+
 // TestLoadsOfNewLeader guards against a new leader that rebalances without loads: what the
 // other hosts report to it must not lose weight for the time before it led.
 func TestLoadsOfNewLeader(t *testing.T) {
