Reset the connections of orders when they are closed

Found by the review of OWNER: a grant that has timed out counts as arrived by then, but its connection was closed, not reset, and the kernel behind a network partition goes on to deliver what it holds, seconds later. The lease then lasts longer than any leader accounts for.

With linger 0 closing discards what is unacknowledged. TestUnansweredGrantIsDiscarded failed before (the target read to the end of the data) and passes.

--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -188,7 +188,7 @@
 func New(self Host, maxLease time.Duration, store Store, catalog Catalog, targets *placement.Set, clk clock.Clock) *Coordinator {
 	c := &Coordinator{
 		self: self, maxLease: maxLease, store: store, catalog: catalog, targets: targets, clock: clk,
-		Dial: (&net.Dialer{Timeout: connectTimeout}).DialContext, loads: owner.NewLoads(clk.Now()),
+		Dial: socket.DiscardOnClose((&net.Dialer{Timeout: connectTimeout}).DialContext), loads: owner.NewLoads(clk.Now()),
 		done: make(chan struct{}), results: make(chan result, resultBuffer), predecessorEnds: make(chan predecessorEnd, resultBuffer),
 		Hosts:            func() int { return 1 },
 		Yields:           func() bool { return false },
