Reset connections between hosts when they are closed

The same for relayed requests: one that its host has given up must not reach the other host when a partition between them ends, with a time left that has passed.

--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -75,7 +75,7 @@
 			return socket.SetUserTimeout(conn, peerUserTimeout)
 		},
 	}
-	t := newTransport(dialer.DialContext)
+	t := newTransport(socket.DiscardOnClose(dialer.DialContext))
 	t.MaxIdleConnsPerHost = maxIdlePeerConns
 	return t
 }
