Close the connections of other hosts with the refusals of a stopping host

Found by the review: a stopping host refused relayed requests and kept the connection, which its shutdown then closed; a request sent on it at that moment ended as unknown though it never ran. The refusal now says Connection: close. Read from the code; no test shows the race itself.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -325,7 +325,7 @@
 
 // peerHandler serves the links of other hosts, and the requests that they relay.
 func (g *Gateway) peerHandler() http.Handler {
-	links, relayed := g.links.Handler(), g.proxy.RelayHandler()
+	links, relayed := g.links.Handler(), g.stop.closeConnections(g.proxy.RelayHandler())
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if proxy.IsRelayed(r) {
 			relayed.ServeHTTP(w, r)
