Find unused addresses while no process starts

Cause: the scenarios find an address by listening and closing. A process that another script starts in between is a copy with all sockets until its exec, so the address is still in use when its own program listens there. The ports are below the ephemeral range, so outgoing connections play no part.

Change: socket.Unused holds syscall.ForkLock for reading from the listen to the close, so no process of the test starts in that time. The scenarios, the experiments and the soak use it. The tests of io/daemon start no processes, but took ephemeral ports of 127.0.0.1, which outgoing connections use too: they have an IP address of their own now (not seen to fail).

How often the scripts failed before was not measured.

--- a/experiment/process_test.go
+++ b/experiment/process_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"pineturn/io/socket"
 )
 
 const (
@@ -64,9 +66,8 @@
 	for range 1000 {
 		h.port++
 		address := net.JoinHostPort(h.ip, fmt.Sprint(h.port))
-		if listener, err := net.Listen("tcp", address); err == nil {
-			h.check(listener.Close())
-			return address
+		if free, err := socket.Unused(address); err == nil {
+			return free
 		}
 	}
 	h.t.Fatal("found no unused port in 1000 attempts")
--- a/io/daemon/helpers_test.go
+++ b/io/daemon/helpers_test.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"net"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 	"pineturn/core/record"
 	"pineturn/io/logservice"
 	"pineturn/io/security"
+	"pineturn/io/socket"
 	standinlog "pineturn/io/standin/log"
 )
 
@@ -156,13 +158,14 @@
 	return data
 }
 
-// freeAddress returns a loopback address with an unused port.
+// freeAddress returns an unused loopback address. Its IP address is none that outgoing
+// connections use, nor one of another test process.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	address, err := socket.Unused(fmt.Sprintf("127.%d.251.%d:0", 16+pid%224, 1+pid/224%250))
 	assertNoError(t, err)
-	defer func() { _ = socket.Close() }()
-	return socket.Addr().String()
+	return address
 }
 
 // validSettings returns settings that Check accepts.
--- a/io/soak/system.go
+++ b/io/soak/system.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"pineturn/io/socket"
 	"pineturn/io/standin/keyholder"
 	"pineturn/io/standin/link"
 	"pineturn/io/standin/platformstore"
@@ -186,12 +188,12 @@
 
 // freePort returns a port of ip on which no process listens.
 func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", ip+":0")
+	address, err := socket.Unused(net.JoinHostPort(ip, "0"))
 	if err != nil {
-		return 0, errors.Wrap(err, "find a free port")
+		return 0, err
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	parsed, err := netip.ParseAddrPort(address)
+	return int(parsed.Port()), errors.Wrap(err, "parse address")
 }
 
 func (s *system) addTarget(service string) error {
--- a/scenario/address_test.go
+++ b/scenario/address_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"sync/atomic"
+
+	"pineturn/io/socket"
 )
 
 // scriptCount is the number of scripts started in this process.
@@ -30,14 +32,9 @@
 		pid := os.Getpid()
 		ip := fmt.Sprintf("127.%d.%d.%d", 16+pid%224, a.script%250, first+a.used)
 		address := net.JoinHostPort(ip, fmt.Sprint(10000+pid/224%2000*10))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		if err := listener.Close(); err != nil {
-			return "", fmt.Errorf("release address: %w", err)
+		if free, err := socket.Unused(address); err == nil {
+			return free, nil
 		}
-		return address, nil
 	}
 	return "", fmt.Errorf("all loopback addresses of the script are used")
 }
