Start no attempt shortly before the deadline

Cause: requests for a key that is moved off a draining target wait at the ingress until the key's route changes, here for almost their whole second. One whose route changed just before its deadline was sent with the rest. Trace of a failing log-unreachable run on the build before: "977.0ms attempt 1 left=22.967258ms", not the leaseholder, "998.7ms attempt 2 left=1.267907ms", and the target cut it at its deadline, which closes the connection: unknown, though not sending it would have been not run.

Change: the ingress starts no attempt with a tenth of the request's time or less left, at most 100 ms, but answers not run. A request whose outcome is unknown already may still be repeated until its deadline.

--- a/core/dispatch/ingress.go
+++ b/core/dispatch/ingress.go
@@ -104,10 +104,10 @@
 func (r *ingressRequest) attempt(ctx context.Context, rt route.Route) (*message.Response, *outcome.Error) {
 	i := r.ingress
 	// The deadline was set without the service's own limit if there was no route.
-	limit := r.start.Add(timeLimit(rt.Service, r.req.Left))
-	left := clock.Earlier(limit, r.deadline).Sub(i.Clock.Now())
-	if left <= 0 {
-		return nil, outcome.Refuse(outcome.DeadlineExceeded, "the deadline has passed", 0)
+	limit := clock.Earlier(r.start.Add(timeLimit(rt.Service, r.req.Left)), r.deadline)
+	left := limit.Sub(i.Clock.Now())
+	if left <= r.attemptMargin(limit.Sub(r.start)) {
+		return nil, outcome.Refuse(outcome.DeadlineExceeded, "too little time is left", retryDeadlineExceeded)
 	}
 	req := r.req
 	req.Shard, req.Epoch = rt.Shard, rt.Epoch
@@ -138,6 +138,16 @@
 	return response, withOwnDeadline(ctx, failure)
 }
 
+// attemptMargin returns the time that must be left for an attempt if the request had the
+// given time in all. A later attempt is likely to be cut by the deadline, so that its
+// outcome is unknown. If the outcome is unknown already, any attempt can only improve it.
+func (r *ingressRequest) attemptMargin(total time.Duration) time.Duration {
+	if r.firstUnknown != nil {
+		return 0
+	}
+	return min(total/10, maxAttemptMargin)
+}
+
 // withOwnDeadline replaces the reason Cancelled by DeadlineExceeded if the attempt was
 // cancelled by this host's own deadline and not by the caller.
 func withOwnDeadline(ctx context.Context, failure *outcome.Error) *outcome.Error {
--- a/core/dispatch/options.go
+++ b/core/dispatch/options.go
@@ -27,6 +27,8 @@
 	// retryDeadlineExceeded is the time after which a caller is asked to retry when the
 	// deadline was exceeded.
 	retryDeadlineExceeded = 250 * time.Millisecond
+	// maxAttemptMargin is the maximum time that must be left for an attempt.
+	maxAttemptMargin = 100 * time.Millisecond
 	// forwardMargin is the time by which the leaseholder's deadline is earlier, so
 	// that its error on an exceeded deadline arrives before the ingress reports its
 	// own.
