Reset no new connection of a caller when a host stops

Cause: Drain set an accept deadline and closed the listener when it passed. Accept looks for no connection after its deadline, so all that were established meanwhile were reset. strace of a trial of the listener: the last accept4 at .3844 returned a connection, the listener was closed at .3863, and at least 5 connections were reset. In a failing planned-stop run requests sent 43, 5 and 1 ms before ended in the same millisecond.

Change: the host stops new connections with a socket filter that drops packets with SYN alone, waits until the accept queue has been empty for 2 ms, then closes. Listeners are without Multipath TCP, whose sockets refuse the filter. Only callers' listeners drop packets; those for hosts and operators just wait for the empty queue.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -230,6 +230,9 @@
 	signal(d.heartbeater.wake)
 	klog.InfoS("Shutting down", "host", d.host.Self().Incarnation.String())
 	d.handOverTargets(ctx)
+	if err := d.callerListener.conns.StopNew(); err != nil {
+		klog.ErrorS(err, "Failed to stop new connections of callers")
+	}
 	err := d.callerListener.shutdown(ctx)
 	d.requests.replicateRequestIDs(ctx)
 	d.leaveMembership(ctx)
@@ -284,13 +287,13 @@
 // listen starts to serve handler at an IP:port, over TLS unless tlsConfig is
 // nil. maxHeader is the maximum size of a request header in bytes.
 func listen(address string, handler http.Handler, maxHeader int, tlsConfig *tls.Config) (*httpListener, error) {
-	plain, err := net.Listen("tcp", address)
+	conns, err := listener.Listen(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
 	l := &httpListener{
 		server: &http.Server{Handler: handler, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
-		conns:  listener.New(plain),
+		conns:  conns,
 		done:   make(chan struct{}),
 	}
 	l.conns.Attach(l.server)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"pineturn/io/logsink"
 	"pineturn/io/metastore"
 	"pineturn/io/proxy"
+	"pineturn/io/socket"
 	"pineturn/platform"
 )
 
@@ -236,7 +237,7 @@
 
 func (g *Gateway) listen() (*listeners, error) {
 	s := &listeners{}
-	for _, socket := range []struct {
+	for _, item := range []struct {
 		into    *net.Listener
 		address string
 		purpose string
@@ -244,11 +245,11 @@
 		{&s.callers, g.settings.CallerAddress, "callers"}, {&s.ready, g.settings.ReadyAddress, "the load balancer"},
 		{&s.peers, peerAddress(g.settings), "other hosts"}, {&s.operators, g.operatorAddress, "operators"},
 	} {
-		l, err := net.Listen("tcp", socket.address)
+		l, err := socket.Listen(item.address)
 		if err != nil {
-			return nil, errors.Wrapf(err, "listen for %s", socket.purpose)
+			return nil, errors.Wrapf(err, "listen for %s", item.purpose)
 		}
-		*socket.into = l
+		*item.into = l
 	}
 	return s, nil
 }
--- a/io/listener/listener.go
+++ b/io/listener/listener.go
@@ -17,9 +17,14 @@
 )
 
 const (
-	// acceptGrace is how long pending connections are still accepted before the
-	// listener closes.
-	acceptGrace = 20 * time.Millisecond
+	// handshakeGrace is how long a connection that is being established when a drain
+	// begins may take to become pending, in whole milliseconds.
+	handshakeGrace = 2 * time.Millisecond
+	// drainTimeout limits the time in which the server accepts the pending
+	// connections.
+	drainTimeout = time.Second
+	// acceptPollInterval is the time between checks for pending connections.
+	acceptPollInterval = time.Millisecond
 	// newConnGrace is how long a new connection may stay silent before it counts
 	// as idle.
 	newConnGrace = 500 * time.Millisecond
@@ -86,15 +91,13 @@
 	return ok && c.remoteClosed()
 }
 
-// Accept returns the next connection. It returns net.ErrClosed once the grace
-// period of Drain has passed.
+// Accept returns the next connection. It returns net.ErrClosed once Drain has closed
+// the listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
-		var netErr net.Error
-		if errors.As(err, &netErr) && netErr.Timeout() {
+		if errors.Is(err, net.ErrClosed) {
 			l.drainOnce.Do(func() { close(l.drained) })
-			return nil, net.ErrClosed
 		}
 		return nil, err
 	}
@@ -105,25 +108,6 @@
 	return c, nil
 }
 
-// Drain accepts pending connections for acceptGrace, then closes the listener.
-func (l *Listener) Drain() error {
-	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
-		if err := d.SetDeadline(time.Now().Add(acceptGrace)); err != nil {
-			return errors.Wrap(err, "set accept deadline")
-		}
-		// If the server no longer calls Accept, drained is never closed.
-		select {
-		case <-l.drained:
-		case <-time.After(10 * acceptGrace):
-		}
-	}
-	// The server may already have closed the listener after Accept failed.
-	if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-		return errors.Wrap(err, "close listener")
-	}
-	return nil
-}
-
 // CloseIdle closes connections as they become idle, until none is open or ctx
 // is done. It returns the number of connections that are still open.
 func (l *Listener) CloseIdle(ctx context.Context) int {
--- a/io/listener/listener_test.go
+++ b/io/listener/listener_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 )
@@ -15,11 +16,10 @@
 // closed.
 func serve(t *testing.T, proceed <-chan struct{}) *Listener {
 	t.Helper()
-	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := New(plain)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		<-proceed
 		_, _ = fmt.Fprint(w, CallerDisconnected(r.Context()))
@@ -80,6 +80,57 @@
 	}
 }
 
+// TestDrainLosesNoRequest guards against a listener that resets connections that were
+// established while it was closing. Callers that connect throughout the drain either
+// cannot connect or get a response.
+func TestDrainLosesNoRequest(t *testing.T) {
+	proceed := make(chan struct{})
+	close(proceed)
+	var rounds sync.WaitGroup
+	for range 20 {
+		l := serve(t, proceed)
+		rounds.Go(func() {
+			var callers sync.WaitGroup
+			for range 4 {
+				callers.Go(func() { callUntilRefused(t, l) })
+			}
+			time.Sleep(5 * time.Millisecond)
+			if err := l.StopNew(); err != nil {
+				t.Errorf("stop new connections: got error %v, want none", err)
+			}
+			if err := l.Drain(); err != nil {
+				t.Errorf("drain: got error %v, want none", err)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			if got := l.CloseIdle(ctx); got != 0 {
+				t.Errorf("connections still open: got %d, want 0", got)
+			}
+			callers.Wait()
+		})
+	}
+	rounds.Wait()
+}
+
+// callUntilRefused sends each request on a new connection until one cannot connect.
+func callUntilRefused(t *testing.T, l *Listener) {
+	t.Helper()
+	for {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			return
+		}
+		_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		if err == nil {
+			wantResponse(t, conn)
+		} else {
+			t.Errorf("request on a new connection: got error %v, want none", err)
+		}
+		_ = conn.Close()
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestCloseIdle guards against a connection that is closed as idle after a request has
 // been read from it, so that the request gets no response.
 func TestCloseIdle(t *testing.T) {
--- a/io/socket/socket_linux.go
+++ b/io/socket/socket_linux.go
@@ -1,5 +1,4 @@
-// Package socket sets options of TCP connections that package net does not
-// expose.
+// Package socket sets options of TCP sockets that package net does not expose.
 package socket
 
 import (
@@ -12,12 +11,7 @@
 // SetUserTimeout sets TCP_USER_TIMEOUT: the kernel closes the connection when
 // sent data stays unacknowledged for longer than limit.
 func SetUserTimeout(conn syscall.RawConn, limit time.Duration) error {
-	var optionErr error
-	err := conn.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+	return control(conn, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
 	})
-	if err != nil {
-		return err
-	}
-	return optionErr
 }
