Refuse new connections at once at the end of a stop on the platform

The listener for callers can drop the first packets of new connections while it closes, so that none is reset; the caller then waits about 1 s. On the platform callers connect again at once after a reset without a response, and the balancer sends a stopping host no new connections, so the gateway does not do that.

--- a/io/gateway/stop.go
+++ b/io/gateway/stop.go
@@ -53,9 +53,6 @@
 	cancelTimer := time.AfterFunc(cancelDelay(g.stop.timeout), g.proxy.CancelRequests)
 	defer cancelTimer.Stop()
 	time.Sleep(min(deregistrationTime, g.stop.timeout/2))
-	if err := callers.StopNew(); err != nil {
-		klog.ErrorS(err, "Failed to stop new connections of callers")
-	}
 	if err := callers.Drain(); err != nil {
 		klog.ErrorS(err, "Failed to close the listener for callers")
 	}
