Model of a store that comes back without its last records

Cause: nothing checks what becomes of the single owner when the store's record goes back. TestOneOwnerWithLostRecords plays it: any number of writes, at any moment, also twice, beside late grants and killed leaders; hosts start from the newest record that they remember, leaders of an earlier era claim again.

--- a/core/owner/model_test.go
+++ b/core/owner/model_test.go
@@ -25,6 +25,8 @@
 	// modelOrderTimeout bounds the time that an order is in flight: after that
 	// the sender gives up and closes its connection.
 	modelOrderTimeout = time.Second
+	// modelFirstEra is the era of a store that has lost nothing yet.
+	modelFirstEra = 1
 )
 
 type modelTarget struct {
@@ -42,6 +44,8 @@
 
 type modelLeader struct {
 	*Leader
+	// era is the store's era in which the leader claimed.
+	era          int64
 	lastProof    time.Time
 	disconnected bool
 	// stopped is set once the leader has read the record of a later one, or its process
@@ -72,13 +76,20 @@
 	pending []*orderInFlight
 	now     time.Time
 	record  *Assignment
-	targets map[string]*modelTarget
-	leaders []*modelLeader
-	loads   *Loads
+	// era rises by one each time the store comes back from an older copy. stored holds the
+	// records in the store, written all that ever were, also those that the store lost.
+	era       int64
+	stored    []*Assignment
+	history   []*Assignment
+	processes int
+	targets   map[string]*modelTarget
+	leaders   []*modelLeader
+	loads     *Loads
 }
 
 func newModel(fail func(format string, args ...any)) *model {
-	m := &model{fail: fail, now: time.Unix(1000, 0), targets: make(map[string]*modelTarget), record: &Assignment{}}
+	m := &model{fail: fail, now: time.Unix(1000, 0), targets: make(map[string]*modelTarget), record: &Assignment{}, era: modelFirstEra}
+	m.stored = []*Assignment{m.record}
 	for i := range 4 {
 		id := fmt.Sprint("t", i)
 		m.targets[id] = &modelTarget{id: id, born: 1, clockFactor: 1 + 0.02*float64(i%2), alive: true}
@@ -100,17 +111,26 @@
 
 // takeOver makes a new process the leader. The previous one may continue for a
 // while.
-func (m *model) takeOver() {
-	name := fmt.Sprint("process ", m.record.Epoch+1)
-	m.record = m.record.NextLeader(name, LeaderProcess{Incarnation: name})
-	m.leaders = append(m.leaders, &modelLeader{Leader: NewLeader(m.record, MaxLeaseDuration, m.now), lastProof: m.now})
+func (m *model) takeOver() { m.takeOverFrom(m.record) }
+
+func (m *model) takeOverFrom(known *Assignment) {
+	m.processes++
+	name := fmt.Sprint("process ", m.processes)
+	m.write(known.NextLeader(name, LeaderProcess{Incarnation: name}))
+	m.leaders = append(m.leaders, &modelLeader{Leader: NewLeader(m.record, MaxLeaseDuration, m.now), lastProof: m.now, era: m.era})
+}
+
+// write stores a record.
+func (m *model) write(a *Assignment) {
+	m.record = a
+	m.stored, m.history = append(m.stored, a), append(m.history, a)
 }
 
 // stepDown makes a leader read the record of a later one. The newest leader knows of
 // it if it has the record of its own claim, and the stopped leader awaits no response
 // to a grant and has got none to one that may still be applied.
 func (m *model) stepDown(l *modelLeader) {
-	if l == m.newest() || !l.killedAt.IsZero() {
+	if l == m.newest() || !l.killedAt.IsZero() || !m.newest().killedAt.IsZero() {
 		return
 	}
 	l.stopped = true
@@ -127,7 +147,7 @@
 
 // kill ends a leader's process. Orders that it has sent may still arrive.
 func (m *model) kill(l *modelLeader) {
-	if l == m.newest() || l.stopped {
+	if m.writes(l) || l.stopped {
 		return
 	}
 	l.stopped, l.killedAt = true, m.now
@@ -142,6 +162,10 @@
 
 func (m *model) newest() *modelLeader { return m.leaders[len(m.leaders)-1] }
 
+// writes reports whether a leader is the one that the store's record names in the present
+// era.
+func (m *model) writes(l *modelLeader) bool { return l == m.newest() && l.era == m.era }
+
 // tick runs one round of a leader. Only the newest leader can write to the
 // store and renew its proof of leadership.
 func (m *model) tick(l *modelLeader) {
@@ -149,15 +173,14 @@
 		return
 	}
 	targets := m.targetViews()
-	newest := l == m.newest()
 	l.DropFormerOwners(targets, m.now)
-	if newest && !l.disconnected {
+	if m.writes(l) && !l.disconnected {
 		l.lastProof = m.now
 		l.Assign(modelService, targets, m.loads, m.now)
 		l.DropFormerOwners(targets, m.now)
 		l.Merge(modelService)
 		if l.Unsaved() && m.written() {
-			m.record = l.Record()
+			m.write(l.Record())
 			l.MarkPersisted(m.record)
 		}
 	}
