One owner of a key after the store has lost records

Cause: a store that comes back from an older copy may have lost leaders, owners and former owners. The next leader took their epoch, and so their fencing tokens, again, and granted keys that a lost leader had moved.

Change: records carry the era in which they were written, and whether later ones may be lost (Incomplete). An epoch is above all of earlier eras. While a record is incomplete, a range is granted only once no unknown leader can have a lease on it in force: after the longest wait for earlier leaders, or, where the same process leads on, once the owner has accepted a renewal under the old token that was sent when no leader of the old era could start leases. Such a leader renews as during an outage until then, so its keys keep their owners.

--- a/core/owner/accounted.go
+++ b/core/owner/accounted.go
@@ -1,10 +1,6 @@
 package owner
 
-import (
-	"time"
-
-	"pineturn/core/clock"
-)
+import "time"
 
 // A target may apply a grant without an outcome late, after it has answered a release of
 // the same keys. It refuses the grant only if it has accepted one with a higher fencing
@@ -23,15 +19,7 @@
 // UnaccountedUntil returns the time from which no target can apply a grant of this leader
 // whose order has ended without an outcome. It is zero if there is none.
 func (l *Leader) UnaccountedUntil() time.Time {
-	var last time.Time
-	for _, ranges := range l.services {
-		for _, r := range ranges {
-			last = clock.Later(last, r.unaccounted)
-			for _, f := range r.former {
-				last = clock.Later(last, f.state.unaccounted)
-			}
-		}
-	}
+	last := l.lastUnaccounted()
 	if last.IsZero() {
 		return last
 	}
--- a/core/owner/assignment.go
+++ b/core/owner/assignment.go
@@ -32,6 +32,10 @@
 //     to have accounted for theirs (Leader.PredecessorEnded). One whose process was
 //     killed has not (Leader.PredecessorKilled): the targets that have accepted no
 //     grant of the new leader since wait until its last grants have expired.
+//
+// A store that comes back from an older copy has lost records. Its era is then higher.
+// Proofs of leadership and records of an earlier era count for nothing in the new one;
+// era.go has what a leader of a new era does about leaders that no record names.
 package owner
 
 import (
@@ -79,6 +83,11 @@
 	Earlier []LeaderProcess
 	// Services lists the ranges of each service in key order.
 	Services map[string][]Range
+	// Era is the store's era in which the record was written, 0 where the store has none.
+	Era int64
+	// Incomplete reports that the store may have lost later records than those that this
+	// one rests on: leaders, owners and former owners may be missing.
+	Incomplete bool
 }
 
 // LeaderProcess is a host's process that is or was the leader.
@@ -89,11 +98,25 @@
 	Address string
 }
 
+const (
+	// epochsPerEra is the number of changes of leader that one era of the store has room
+	// for.
+	epochsPerEra = 1 << 20
+	// firstEra is the era of a store that has lost nothing yet.
+	firstEra = 1
+)
+
+// firstEpoch returns the lowest epoch of an era. Epochs, and so fencing tokens, are above
+// all those of earlier eras, also of records that are lost.
+func firstEpoch(era int64) int64 { return era*epochsPerEra + 1 }
+
 // NextLeader returns the record that makes a process of the named host the leader
-// in place of the present one.
-func (a *Assignment) NextLeader(name string, process LeaderProcess) *Assignment {
+// in place of the present one, in an era of the store.
+func (a *Assignment) NextLeader(name string, process LeaderProcess, era int64) *Assignment {
 	next := *a
-	next.Epoch++
+	next.Epoch = max(a.Epoch+1, firstEpoch(era))
+	next.Era = max(a.Era, era)
+	next.Incomplete = a.Incomplete || era > a.Era && (a.Epoch > 0 || era > firstEra)
 	next.Leader, next.LeaderIncarnation, next.Address = name, process.Incarnation, process.Address
 	next.Earlier = nil
 	for _, earlier := range append([]LeaderProcess{{Incarnation: a.LeaderIncarnation, Address: a.Address}}, a.Earlier...) {
@@ -122,6 +145,9 @@
 	Services map[string][]wireRange `cbor:"5,keyasint"`
 	Targets  []Incarnation          `cbor:"6,keyasint"`
 	Earlier  []LeaderProcess        `cbor:"7,keyasint,omitempty"`
+	Era      int64                  `cbor:"8,keyasint,omitempty"`
+	// Incomplete is omitted where it is not set, so that earlier versions' records are equal.
+	Incomplete bool `cbor:"9,keyasint,omitempty"`
 }
 
 // encoding returns a deterministic encoder: equal records have equal bytes.
@@ -146,7 +172,7 @@
 func (a *Assignment) wire() *wireAssignment {
 	w := &wireAssignment{
 		Epoch: a.Epoch, Leader: a.Leader, Process: a.LeaderIncarnation, Address: a.Address, Earlier: a.Earlier,
-		Services: make(map[string][]wireRange, len(a.Services)),
+		Era: a.Era, Incomplete: a.Incomplete, Services: make(map[string][]wireRange, len(a.Services)),
 	}
 	indexes := make(map[Incarnation]uint16)
 	index := func(target Incarnation) uint16 {
@@ -180,7 +206,7 @@
 	}
 	a := &Assignment{
 		Epoch: w.Epoch, Leader: w.Leader, LeaderIncarnation: w.Process, Address: w.Address, Earlier: w.Earlier,
-		Services: make(map[string][]Range, len(w.Services)),
+		Era: w.Era, Incomplete: w.Incomplete, Services: make(map[string][]Range, len(w.Services)),
 	}
 	for service, stored := range w.Services {
 		ranges, err := w.ranges(stored)
--- a/core/owner/late_test.go
+++ b/core/owner/late_test.go
@@ -210,7 +210,7 @@
 	first, view, _ := newCluster(t, 4)
 	record := first.Record()
 	record.LeaderIncarnation = "1"
-	return NewLeader(record.NextLeader("b", LeaderProcess{Incarnation: "2"}), MaxLeaseDuration, testStart), view
+	return NewLeader(record.NextLeader("b", LeaderProcess{Incarnation: "2"}, 0), MaxLeaseDuration, testStart), view
 }
 
 // TestKilledPredecessor guards against two owners after two changes of leader: the record
--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -39,8 +39,6 @@
 	// fencingTokensPerEpoch is the number of fencing tokens that one leader can
 	// issue.
 	fencingTokensPerEpoch = 1 << 24
-	// firstEpoch is the epoch of a leader that has no predecessor.
-	firstEpoch = 1
 )
 
 // rangeState is a range of keys with the state of this leader's grants for it.
@@ -80,6 +78,10 @@
 	// it.
 	handoverData string
 	former       []*formerOwner
+	// confirmed reports that no leader whose record is lost has granted the range to
+	// another target. probe is the proof of that under way, nil if there is none.
+	confirmed bool
+	probe     *probe
 }
 
 // formerOwner is an owner that may still hold a range.
@@ -135,6 +137,11 @@
 	tokensIssued          int64
 	fenced                bool
 	unsaved               bool
+	// incomplete reports that there may be earlier leaders that no record names.
+	incomplete bool
+	// unaccounted is the end of the latest grant of this process under an earlier epoch
+	// that a target may still apply; zero if there is none.
+	unaccounted time.Time
 }
 
 // NewLeader returns a leader for the record that made this host the leader. If
@@ -146,8 +153,9 @@
 		record: record, leaseDuration: min(MaxLeaseDuration, targetMaxLease), services: make(map[string][]*rangeState),
 		predecessorNewLeasesUntil: now.Add(MaxProofAgeForNewLease + orderTimeout),
 		predecessorLeasesUntil:    now.Add(MaxProofAgeForRenewal + orderTimeout + leaseExpiryBound),
-		noPredecessor:             record.Epoch == firstEpoch,
-		predecessorsAccounted:     record.Epoch == firstEpoch,
+		noPredecessor:             record.hasNoPredecessor(),
+		predecessorsAccounted:     record.hasNoPredecessor(),
+		incomplete:                record.Incomplete,
 		predecessors:              slices.Clone(record.Earlier),
 		killed:                    make(map[string]bool),
 	}
@@ -217,7 +225,7 @@
 // latest.
 func (l *Leader) endPredecessor(lastArrival time.Time) {
 	l.lastArrival = clock.Later(l.lastArrival, lastArrival)
-	if slices.ContainsFunc(l.predecessors, func(p LeaderProcess) bool { return !l.killed[p.Incarnation] }) {
+	if l.incomplete || slices.ContainsFunc(l.predecessors, func(p LeaderProcess) bool { return !l.killed[p.Incarnation] }) {
 		return
 	}
 	l.noPredecessor, l.predecessorsAccounted = true, len(l.predecessors) == 0
@@ -263,6 +271,8 @@
 func (l *Leader) DropFormerOwners(targets map[string]Target, now time.Time) []Dropped {
 	if !now.Before(l.predecessorLeasesUntil) {
 		l.predecessors = nil
+		l.unsaved = l.unsaved || l.incomplete
+		l.incomplete = false
 	}
 	var dropped []Dropped
 	for service, ranges := range l.services {
@@ -313,7 +323,7 @@
 // Record returns the current assignment, to be written to the store.
 func (l *Leader) Record() *Assignment {
 	a := *l.record
-	a.Earlier = slices.Clone(l.predecessors)
+	a.Earlier, a.Incomplete = slices.Clone(l.predecessors), l.incomplete
 	a.Services = make(map[string][]Range, len(l.services))
 	for service, ranges := range l.services {
 		for _, r := range ranges {
@@ -376,7 +386,7 @@
 func (l *Leader) changeOwner(r *rangeState, to Incarnation) {
 	previous := *r
 	holdsNothing := r.lastSent.IsZero() && !r.inherited || r.ownerEnded
-	*r = rangeState{first: r.first, last: r.last, owner: to, fencingToken: l.nextFencingToken(), inherited: r.inherited && !r.granted}
+	*r = rangeState{first: r.first, last: r.last, owner: to, fencingToken: l.nextFencingToken(), inherited: r.inherited && !r.granted, confirmed: r.confirmed}
 	if !holdsNothing {
 		r.former = []*formerOwner{{state: &previous}}
 	}
@@ -412,6 +422,7 @@
 	r.last = right.last
 	r.fencingToken = max(r.fencingToken, right.fencingToken)
 	r.inherited = r.inherited || right.inherited
+	r.confirmed = r.confirmed && right.confirmed
 	r.lastSent = clock.Later(r.lastSent, right.lastSent)
 	r.lastSentOnNewConnection = clock.Later(r.lastSentOnNewConnection, right.lastSentOnNewConnection)
 	r.lastGranted = clock.Earlier(r.lastGranted, right.lastGranted)
--- a/core/owner/lease_duration_test.go
+++ b/core/owner/lease_duration_test.go
@@ -14,7 +14,7 @@
 	} {
 		t.Run(c.targetMaxLease.String(), func(t *testing.T) {
 			view := map[string]Target{"t00": {Incarnation: Incarnation{Target: "t00"}, Service: testService, Slots: 2}}
-			l := NewLeader(&Assignment{Epoch: firstEpoch}, c.targetMaxLease, testStart)
+			l := NewLeader(&Assignment{Epoch: firstEpoch(0)}, c.targetMaxLease, testStart)
 			l.Assign(testService, view, NewLoads(testStart), testStart)
 			l.MarkPersisted(l.Record())
 			wantGrants(t, l, view, c.want, testStart)
--- a/core/owner/model_test.go
+++ b/core/owner/model_test.go
@@ -116,7 +116,7 @@
 func (m *model) takeOverFrom(known *Assignment) {
 	m.processes++
 	name := fmt.Sprint("process ", m.processes)
-	m.write(known.NextLeader(name, LeaderProcess{Incarnation: name}))
+	m.write(known.NextLeader(name, LeaderProcess{Incarnation: name}, m.era))
 	m.leaders = append(m.leaders, &modelLeader{Leader: NewLeader(m.record, MaxLeaseDuration, m.now), lastProof: m.now, era: m.era})
 }
 
--- a/core/owner/orders.go
+++ b/core/owner/orders.go
@@ -68,6 +68,10 @@
 		for _, r := range l.services[service] {
 			orders = append(orders, l.formerOwnerRenewals(service, r, targets, now)...)
 			orders = append(orders, l.releaseOrders(service, r, targets, now)...)
+			orders = append(orders, l.probeOrders(service, r, targets, now)...)
+			if !l.mayGrant(r, now) {
+				continue
+			}
 			if order, ok := l.grantOrder(service, r, targets, mayStartLeases, now); ok {
 				orders = append(orders, order)
 			}
@@ -147,6 +151,10 @@
 		l.handleRelease(o, outcome)
 		return
 	}
+	if o.FencingToken < l.record.Epoch*fencingTokensPerEpoch {
+		l.handleEarlierGrant(o, outcome, now)
+		return
+	}
 	r := o.state
 	r.inFlight = false
 	mayHaveArrived := !outcome.Unsent && !outcome.Refused && !outcome.Fenced
--- a/core/owner/plan_test.go
+++ b/core/owner/plan_test.go
@@ -28,7 +28,7 @@
 		targets[id] = Target{Incarnation: Incarnation{Target: id}, Service: testService, Slots: 2}
 	}
 	loads := NewLoads(testStart)
-	l := NewLeader(&Assignment{Epoch: firstEpoch}, MaxLeaseDuration, testStart)
+	l := NewLeader(&Assignment{Epoch: firstEpoch(0)}, MaxLeaseDuration, testStart)
 	l.Assign(testService, targets, loads, testStart)
 	l.MarkPersisted(l.Record())
 	return l, targets, loads
--- a/core/owner/takeover_test.go
+++ b/core/owner/takeover_test.go
@@ -48,7 +48,7 @@
 	moveFirstRange(t, first, testStart)
 	record := first.Record()
 	record.LeaderIncarnation = "1"
-	second := NewLeader(record.NextLeader("b", LeaderProcess{Incarnation: "2"}), MaxLeaseDuration, testStart)
+	second := NewLeader(record.NextLeader("b", LeaderProcess{Incarnation: "2"}, 0), MaxLeaseDuration, testStart)
 	wantReleases(t, second, view, testStart, 0)
 	now := testStart.Add(orderRetryInterval)
 	second.PredecessorEnded("1", now)
@@ -62,9 +62,9 @@
 	founder, view, _ := newCluster(t, 4)
 	record := founder.Record()
 	record.LeaderIncarnation = "1"
-	second := NewLeader(record.NextLeader("b", LeaderProcess{Incarnation: "2"}), MaxLeaseDuration, testStart)
+	second := NewLeader(record.NextLeader("b", LeaderProcess{Incarnation: "2"}, 0), MaxLeaseDuration, testStart)
 	moveFirstRange(t, second, testStart)
-	third := NewLeader(second.Record().NextLeader("c", LeaderProcess{Incarnation: "3"}), MaxLeaseDuration, testStart)
+	third := NewLeader(second.Record().NextLeader("c", LeaderProcess{Incarnation: "3"}, 0), MaxLeaseDuration, testStart)
 	now := testStart.Add(orderRetryInterval)
 	third.PredecessorEnded("2", now)
 	wantReleases(t, third, view, now, 0)
@@ -77,7 +77,7 @@
 func TestPredecessorsInRecord(t *testing.T) {
 	a := &Assignment{}
 	for _, incarnation := range []string{"1", "2", "1", "3"} {
-		a = a.NextLeader("host", LeaderProcess{Incarnation: incarnation, Address: "address-" + incarnation})
+		a = a.NextLeader("host", LeaderProcess{Incarnation: incarnation, Address: "address-" + incarnation}, 0)
 	}
 	l := NewLeader(a, MaxLeaseDuration, testStart)
 	want := []LeaderProcess{{Incarnation: "1", Address: "address-1"}, {Incarnation: "2", Address: "address-2"}}
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -84,8 +84,13 @@
 	Table() *routing.Table
 	Assignment() *owner.Assignment
 	RecentlyRemoved() []metastore.RemovedTarget
+	// Position holds for the present era: next is negative until the topic of assignments
+	// has been read in it.
 	Position() (next int64, provenAt time.Time)
 	RelayActive() bool
+	// Era is the newest era of the store that this host has read, 0 for a store without. It
+	// never falls, and rises before anything read in the new era shows.
+	Era() int64
 }
 
 // Host describes the local host.
@@ -134,12 +139,19 @@
 	predecessorEnds chan predecessorEnd
 	// grantsInFlight is the number of grants without an outcome.
 	grantsInFlight int
+	// acked is the last acknowledged write in a store with eras, nil if it counts already.
+	acked *ackedWrite
 	// unaccountedUntil is the time until which targets may apply grants without an
 	// outcome that this host sent before it last stopped leading.
 	unaccountedUntil time.Time
 
 	// The fields below are used by the goroutine of Run only.
 	leader *owner.Leader
+	// known is the assignment of the highest epoch that this host has read.
+	known *owner.Assignment
+	// era is the store's era, and eraSeenAt when it was first seen.
+	era       int64
+	eraSeenAt time.Time
 	// balancedAt is the time of the last round of rebalancing, or the time at
 	// which this host became the leader.
 	balancedAt time.Time
@@ -335,16 +347,18 @@
 }
 
 func (c *Coordinator) tick(ctx context.Context) {
-	next, provenAt := c.catalog.Position()
-	if next < 0 {
-		return
-	}
 	now := c.clock.Now()
-	c.updateLeadership(now)
+	next, provenAt, read := c.readPosition(now)
+	if read {
+		c.updateLeadership(now)
+	}
 	switch {
-	case c.leader != nil:
+	case c.leader != nil && c.leader.Era() < c.era:
+		c.tickEarlierEra(ctx, next, read, now)
+	case c.leader != nil && read:
+		c.countAcked()
 		c.tickLeader(ctx, next, c.recordProof(provenAt), now)
-	case c.isElected() || c.isSuccessor():
+	case c.leader == nil && read && (c.isElected() || c.isSuccessor()):
 		c.claimLeadership(ctx, next, now)
 	}
 }
@@ -376,15 +390,15 @@
 
 // updateLeadership starts to lead when the record read back names this
 // incarnation as the leader, and stops when the record has another incarnation or
-// epoch.
+// epoch. A leader of an earlier era that has claimed again leads on.
 func (c *Coordinator) updateLeadership(now time.Time) {
-	a := c.catalog.Assignment()
+	a := c.known
 	if a == nil {
 		return
 	}
 	own := a.LeaderIncarnation == c.self.Incarnation
 	switch {
-	case c.leader == nil && own && !c.isStopping():
+	case c.leader == nil && own && !c.isStopping() && a.Era >= c.era:
 		c.setLeading(true)
 		if c.catalog.Assignment() != a {
 			// A later leader may already have been told that this host follows it.
@@ -394,6 +408,9 @@
 		c.leader = owner.NewLeader(a, c.maxLease, now)
 		c.balancedAt = now
 		klog.InfoS("This host is the leader", "epoch", a.Epoch)
+	case c.leader != nil && own && a.Epoch > c.leader.Epoch() && a.Era > c.leader.Era():
+		klog.InfoS("This host leads on in a new era of the store", "epoch", a.Epoch, "epochBefore", c.leader.Epoch(), "era", a.Era)
+		c.leader = c.leader.Succeed(a, c.lastProof(), now)
 	case c.leader != nil && (!own || a.Epoch != c.leader.Epoch()):
 		klog.InfoS("Another host is the leader", "leader", a.Leader, "epoch", a.Epoch, "epochHere", c.leader.Epoch())
 		c.stopLeading()
--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -62,8 +62,10 @@
 type fakeCatalog struct {
 	assignment  *owner.Assignment
 	relayActive bool
+	era         int64
 }
 
+func (c *fakeCatalog) Era() int64                                 { return c.era }
 func (c *fakeCatalog) Table() *routing.Table                      { return nil }
 func (c *fakeCatalog) Assignment() *owner.Assignment              { return c.assignment }
 func (c *fakeCatalog) RecentlyRemoved() []metastore.RemovedTarget { return nil }
@@ -187,7 +189,7 @@
 func TestStaleProofOfPredecessor(t *testing.T) {
 	now := time.Unix(1000, 0)
 	earlier := owner.LeaderProcess{Incarnation: "earlier", Address: "127.0.0.1:1"}
-	record := (&owner.Assignment{Epoch: 5, LeaderIncarnation: earlier.Incarnation, Address: earlier.Address}).NextLeader("host-1", owner.LeaderProcess{Incarnation: "new"})
+	record := (&owner.Assignment{Epoch: 5, LeaderIncarnation: earlier.Incarnation, Address: earlier.Address}).NextLeader("host-1", owner.LeaderProcess{Incarnation: "new"}, 0)
 	c := New(Host{Name: "host-1", Incarnation: "new"}, owner.MaxLeaseDuration, &fakeStore{}, &fakeCatalog{}, placement.NewSet("a"), clock.NewFake(now))
 	c.leader = owner.NewLeader(record, owner.MaxLeaseDuration, now)
 	for _, x := range []struct {
@@ -206,7 +208,7 @@
 	t.Helper()
 	now := clk.Now()
 	c := New(Host{Name: "host-1", Incarnation: "new"}, owner.MaxLeaseDuration, &fakeStore{}, &fakeCatalog{}, placement.NewSet("a"), clk)
-	c.leader = owner.NewLeader((&owner.Assignment{}).NextLeader("host-1", owner.LeaderProcess{Incarnation: "new"}), owner.MaxLeaseDuration, now)
+	c.leader = owner.NewLeader((&owner.Assignment{}).NextLeader("host-1", owner.LeaderProcess{Incarnation: "new"}, 0), owner.MaxLeaseDuration, now)
 	c.setLeading(true)
 	view := map[string]owner.Target{"t": {Incarnation: owner.Incarnation{Target: "t"}, Service: "records", Slots: 1}}
 	c.leader.Assign("records", view, c.loads, now)
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -17,7 +17,7 @@
 // this host. That process has ended, so this one claims leadership without waiting for
 // the election. This covers a simultaneous restart of all hosts.
 func (c *Coordinator) isSuccessor() bool {
-	a := c.catalog.Assignment()
+	a := c.known
 	return a != nil && a.Leader == c.self.Name && a.LeaderIncarnation != c.self.Incarnation && !c.isStopping()
 }
 
@@ -25,16 +25,15 @@
 func (c *Coordinator) claimLeadership(ctx context.Context, next int64, now time.Time) {
 	// Grants of an earlier epoch of this process must have ended: no other host would
 	// wait for them.
-	if now.Sub(c.writtenAt) < writeRetryInterval || c.MayGrant() {
+	if now.Sub(c.writtenAt) < writeRetryInterval || c.MayGrant() || c.inHeadStart(now) {
 		return
 	}
 	c.writtenAt = now
-	a := c.catalog.Assignment()
+	a := c.known
 	if a == nil {
 		a = &owner.Assignment{}
 	}
-	process := owner.LeaderProcess{Incarnation: c.self.Incarnation, Address: c.self.Address}
-	c.append(ctx, a.NextLeader(c.self.Name, process), next)
+	c.append(ctx, a.NextLeader(c.self.Name, c.process(), c.era), next)
 }
 
 func (c *Coordinator) append(ctx context.Context, a *owner.Assignment, next int64) {
@@ -50,7 +49,7 @@
 			klog.InfoS("Failed to write the assignment", "epoch", a.Epoch, "at", next, "err", err)
 		}
 		if err == nil {
-			c.recordProof(sent)
+			c.recordAcked(a, sent)
 		}
 	}()
 }
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -110,6 +110,9 @@
 // last proof, by a read of this host, that no assignment was missing.
 func (c *Catalog) Position() (next int64, provenAt time.Time) { return c.ownerConsumer.Position() }
 
+// Era returns the newest era of the store that this host has read, 0 for a store without.
+func (c *Catalog) Era() int64 { return 0 }
+
 // SetReadTimes sets how long reads wait for a change, and how long changes of
 // targets are collected between two reads. It must be called before Run.
 func (c *Catalog) SetReadTimes(wait, batchDelay func() time.Duration) {
