--- a/core/owner/model_test.go
+++ b/core/owner/model_test.go
@@ -27,6 +27,8 @@
 	modelOrderTimeout = time.Second
 	// maxModelLeaders bounds the changes of leader in one run.
 	maxModelLeaders = 6
+	// modelFirstEra is the era of a store that has lost nothing yet.
+	modelFirstEra = 1
 )
 
 type modelTarget struct {
@@ -44,6 +46,8 @@
 
 type modelLeader struct {
 	*Leader
+	// era is the store's era in which the leader claimed.
+	era          int64
 	lastProof    time.Time
 	disconnected bool
 	// stopped is set once the leader has read the record of a later one, or its process
@@ -74,13 +78,20 @@
 	pending []*orderInFlight
 	now     time.Time
 	record  *Assignment
-	targets map[string]*modelTarget
-	leaders []*modelLeader
-	loads   *Loads
+	// era rises by one each time the store comes back from an older copy. stored holds the
+	// records in the store, written all that ever were, also those that the store lost.
+	era       int64
+	stored    []*Assignment
+	history   []*Assignment
+	processes int
+	targets   map[string]*modelTarget
+	leaders   []*modelLeader
+	loads     *Loads
 }
 
 func newModel(fail func(format string, args ...any)) *model {
-	m := &model{fail: fail, now: time.Unix(1000, 0), targets: make(map[string]*modelTarget), record: &Assignment{}}
+	m := &model{fail: fail, now: time.Unix(1000, 0), targets: make(map[string]*modelTarget), record: &Assignment{}, era: modelFirstEra}
+	m.stored = []*Assignment{m.record}
 	for i := range 4 {
 		id := fmt.Sprint("t", i)
 		m.targets[id] = &modelTarget{id: id, born: 1, clockFactor: 1 + 0.02*float64(i%2), alive: true}
@@ -102,19 +113,30 @@
 
 // takeOver makes a new process the leader. The previous one may continue for a
 // while.
-func (m *model) takeOver() { m.lead(fmt.Sprint("process ", m.record.Epoch+1)) }
+func (m *model) takeOver() { m.takeOverFrom(m.record) }
 
-// lead makes a process the leader.
-func (m *model) lead(process string) {
-	m.record = m.record.NextLeader(process, LeaderProcess{Incarnation: process})
-	m.leaders = append(m.leaders, &modelLeader{Leader: NewLeader(m.record, MaxLeaseDuration, m.now), lastProof: m.now})
+func (m *model) takeOverFrom(known *Assignment) {
+	m.processes++
+	m.lead(fmt.Sprint("process ", m.processes), known)
+}
+
+// lead makes a process the leader, on top of the record that it knows.
+func (m *model) lead(process string, known *Assignment) {
+	m.write(known.NextLeader(process, LeaderProcess{Incarnation: process}, m.era))
+	m.leaders = append(m.leaders, &modelLeader{Leader: NewLeader(m.record, MaxLeaseDuration, m.now), lastProof: m.now, era: m.era})
+}
+
+// write stores a record.
+func (m *model) write(a *Assignment) {
+	m.record = a
+	m.stored, m.history = append(m.stored, a), append(m.history, a)
 }
 
 // leadAgain makes the process of an earlier leader the leader once more, if it has stepped
 // down and can account for its grants.
 func (m *model) leadAgain(l *modelLeader) {
 	if process := l.record.LeaderIncarnation; m.accounted(process) {
-		m.lead(process)
+		m.lead(process, m.record)
 	}
 }
 
@@ -137,7 +159,7 @@
 // it if it has the record of its own claim, and the process of the stopped leader can
 // account for all grants.
 func (m *model) stepDown(l *modelLeader) {
-	if l == m.newest() || !l.killedAt.IsZero() {
+	if l == m.newest() || !l.killedAt.IsZero() || !m.newest().killedAt.IsZero() {
 		return
 	}
 	l.stopped = true
@@ -148,7 +170,7 @@
 
 // kill ends a leader's process. Orders that it has sent may still arrive.
 func (m *model) kill(l *modelLeader) {
-	if l == m.newest() || l.stopped {
+	if m.writes(l) || l.stopped {
 		return
 	}
 	l.stopped, l.killedAt = true, m.now
@@ -163,6 +185,10 @@
 
 func (m *model) newest() *modelLeader { return m.leaders[len(m.leaders)-1] }
 
+// writes reports whether a leader is the one that the store's record names in the present
+// era.
+func (m *model) writes(l *modelLeader) bool { return l == m.newest() && l.era == m.era }
+
 // tick runs one round of a leader. Only the newest leader can write to the
 // store and renew its proof of leadership.
 func (m *model) tick(l *modelLeader) {
@@ -170,15 +196,14 @@
 		return
 	}
 	targets := m.targetViews()
-	newest := l == m.newest()
 	l.DropFormerOwners(targets, m.now)
-	if newest && !l.disconnected {
+	if m.writes(l) && !l.disconnected {
 		l.lastProof = m.now
 		l.Assign(modelService, targets, m.loads, m.now)
 		l.DropFormerOwners(targets, m.now)
 		l.Merge(modelService)
 		if l.Unsaved() && m.written() {
-			m.record = l.Record()
+			m.write(l.Record())
 			l.MarkPersisted(m.record)
 		}
 	}
