Let the stand-in's store come back from an older copy

Cause: nothing could play a store that loses acknowledged records. Change: SetEra puts Store-Era into all responses, Copy (PUT /standin/copy) takes a copy, Return (PUT /standin/return) makes the store go away (busy or silent) and come back from a copy of a given age: records, offsets, conditions of appends and groups go back, what the operator and the targets wrote is written again, at once or later, and the era rises. A read from an offset that the topic does not have gets 410. The stand-in has no producers' epochs, so these do not go back. Without SetEra no response states an era, as before.

--- a/io/standin/platformstore/fault.go
+++ b/io/standin/platformstore/fault.go
@@ -45,11 +45,15 @@
 	s.SetFault(f)
 }
 
-// activeFault counts the request and returns the fault that applies to its host.
+// activeFault counts the request and returns the fault that applies to its host. While
+// the store is away, that applies to all hosts.
 func (s *Store) activeFault(r *http.Request) Fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requestCounts[r.URL.Path]++
+	if s.awayMode != "" {
+		return Fault{Mode: s.awayMode}
+	}
 	if len(s.fault.Hosts) > 0 && !slices.Contains(s.fault.Hosts, callerIP(r)) {
 		return Fault{}
 	}
@@ -61,6 +65,9 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		f := s.activeFault(r)
 		time.Sleep(f.Delay)
+		s.mu.Lock()
+		s.stateEra(w)
+		s.mu.Unlock()
 		switch f.Mode {
 		case "busy":
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/io/standin/platformstore/group.go
+++ b/io/standin/platformstore/group.go
@@ -41,6 +41,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	g := s.group(req.Group)
 	g.topic = req.Topics[0]
 	now := time.Now()
@@ -70,6 +71,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	g := s.group(req.Group)
 	if i := g.find(req.Member); i >= 0 {
 		g.members = slices.Delete(g.members, i, i+1)
--- a/io/standin/platformstore/store.go
+++ b/io/standin/platformstore/store.go
@@ -55,18 +55,27 @@
 	fault         Fault
 	appended      chan struct{}
 	requestCounts map[string]int
+	// hasEra reports whether responses state era.
+	hasEra bool
+	era    int64
+	copies []storeCopy
+	// awayMode is the Fault.Mode of all requests while the store is away. lost is
+	// closed and replaced when it goes away.
+	awayMode string
+	lost     chan struct{}
 }
 
 // New returns an empty store.
 func New() *Store {
 	return &Store{
 		topics: make(map[string]*topic), groups: make(map[string]*group), appended: make(chan struct{}),
-		requestCounts: make(map[string]int),
+		requestCounts: make(map[string]int), lost: make(chan struct{}),
 	}
 }
 
-// Handler returns the handler of the store's API, and of PUT /standin/record and
-// PUT /standin/fault, which tests use to write records and inject faults.
+// Handler returns the handler of the store's API, and of PUT /standin/record, fault,
+// copy and return, which tests use to write records, inject faults, take copies and have
+// the store come back from one.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/log-append", s.injectFault(s.serveAppend))
@@ -76,6 +85,8 @@
 	mux.HandleFunc("POST /v1/log-leave", s.injectFault(s.serveLeave))
 	mux.HandleFunc("PUT /standin/record", s.serveRecord)
 	mux.HandleFunc("PUT /standin/fault", s.serveFault)
+	mux.HandleFunc("PUT /standin/copy", s.serveCopy)
+	mux.HandleFunc("PUT /standin/return", s.serveReturn)
 	return mux
 }
 
@@ -149,6 +160,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	name := r.URL.Query().Get("topic")
 	t := s.topic(name)
 	if at := r.URL.Query().Get("at"); at != "" && at != strconv.FormatInt(t.end(), 10) {
@@ -200,13 +212,14 @@
 	deadline := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
 	defer deadline.Stop()
 	for {
-		data, status, appended := s.read(query.Get("topic"), from)
-		if status != http.StatusOK || len(data) > 0 || wait == 0 {
-			s.writeRead(w, query.Get("topic"), status, data)
+		ended, appended, lost := s.read(w, query.Get("topic"), from, wait == 0)
+		if ended {
 			return
 		}
 		select {
 		case <-appended:
+		case <-lost:
+			panic(http.ErrAbortHandler)
 		case <-deadline.C:
 			wait = 0
 		case <-r.Context().Done():
@@ -215,38 +228,30 @@
 	}
 }
 
-// read returns the records from an offset on with their length prefixes, and a
-// channel that is closed at the next append. The status is 410 if the offset
-// precedes the topic's first record.
-func (s *Store) read(name string, from int64) (data []byte, status int, appended <-chan struct{}) {
+// read responds to a read with the topic's end and first offset, then the records from
+// an offset on with their length prefixes. The status is 410 if the topic has no such
+// offset. Without records it responds only if atOnce is set; otherwise it returns false,
+// and channels that are closed at the next append and when the store goes away.
+func (s *Store) read(w http.ResponseWriter, name string, from int64, atOnce bool) (ended bool, appended, lost <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
-	if from < t.first {
-		return nil, http.StatusGone, nil
+	s.stateEra(w)
+	if from < t.first || from > t.end() {
+		writeJSON(w, http.StatusGone, map[string]int64{"first_offset": t.first})
+		return true, nil, nil
 	}
-	for i := from; i < t.end(); i++ {
-		one := t.records[i-t.first]
+	if from == t.end() && !atOnce {
+		return false, s.appended, s.lost
+	}
+	data := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
+	data = binary.BigEndian.AppendUint64(data, uint64(t.first))
+	for _, one := range t.records[from-t.first:] {
 		data = binary.BigEndian.AppendUint32(data, uint32(len(one)))
 		data = append(data, one...)
 	}
-	return data, http.StatusOK, s.appended
-}
-
-// writeRead writes the response to a read: the topic's end and first offset, then
-// the records.
-func (s *Store) writeRead(w http.ResponseWriter, name string, status int, data []byte) {
-	s.mu.Lock()
-	t := s.topic(name)
-	first, end := t.first, t.end()
-	s.mu.Unlock()
-	if status == http.StatusGone {
-		writeJSON(w, status, map[string]int64{"first_offset": first})
-		return
-	}
-	head := binary.BigEndian.AppendUint64(nil, uint64(end))
-	head = binary.BigEndian.AppendUint64(head, uint64(first))
-	_, _ = w.Write(append(head, data...))
+	_, _ = w.Write(data)
+	return true, nil, nil
 }
 
 // item is one record in a page of newest records.
@@ -262,6 +267,7 @@
 func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	t := s.topic(r.URL.Query().Get("topic"))
 	after := r.URL.Query().Get("after")
 	items := []item{}
