--- a/core/owner/assignment.go
+++ b/core/owner/assignment.go
@@ -63,6 +63,9 @@
 type Assignment struct {
 	// Epoch is the number of changes of leader so far.
 	Epoch int64
+	// Era is the era of the store in which the record was written, 0 if the store states
+	// none.
+	Era int64
 	// Leader is the name of the leading host.
 	Leader string
 	// LeaderIncarnation is the incarnation of that host's process.
@@ -117,6 +120,7 @@
 	Services map[string][]wireRange `cbor:"5,keyasint"`
 	Targets  []Incarnation          `cbor:"6,keyasint"`
 	Earlier  []LeaderProcess        `cbor:"7,keyasint,omitempty"`
+	Era      int64                  `cbor:"8,keyasint,omitempty"`
 }
 
 // encoding returns a deterministic encoder: equal records have equal bytes.
@@ -140,7 +144,7 @@
 
 func (a *Assignment) wire() *wireAssignment {
 	w := &wireAssignment{
-		Epoch: a.Epoch, Leader: a.Leader, Process: a.LeaderIncarnation, Address: a.Address, Earlier: a.Earlier,
+		Epoch: a.Epoch, Leader: a.Leader, Process: a.LeaderIncarnation, Address: a.Address, Earlier: a.Earlier, Era: a.Era,
 		Services: make(map[string][]wireRange, len(a.Services)),
 	}
 	indexes := make(map[Incarnation]uint16)
@@ -174,7 +178,7 @@
 		return nil, fmt.Errorf("decode assignment: %w", err)
 	}
 	a := &Assignment{
-		Epoch: w.Epoch, Leader: w.Leader, LeaderIncarnation: w.Process, Address: w.Address, Earlier: w.Earlier,
+		Epoch: w.Epoch, Leader: w.Leader, LeaderIncarnation: w.Process, Address: w.Address, Earlier: w.Earlier, Era: w.Era,
 		Services: make(map[string][]Range, len(w.Services)),
 	}
 	for service, stored := range w.Services {
--- a/io/metastore/consumer.go
+++ b/io/metastore/consumer.go
@@ -29,8 +29,8 @@
 
 // Reader is the part of the store's client that a Consumer uses.
 type Reader interface {
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]platform.Record, int64, error)
-	Newest(ctx context.Context, topic string) ([]platform.Record, int64, error)
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Batch, error)
+	Newest(ctx context.Context, topic string) (platform.Batch, error)
 }
 
 // Consumer reads the records of a topic and applies them in their order. Its
@@ -118,18 +118,18 @@
 	sent := c.Clock.Now()
 	next, _ := c.Position()
 	if next < 0 {
-		records, end, err := store.Newest(ctx, c.Topic)
+		batch, err := store.Newest(ctx, c.Topic)
 		if err != nil {
 			return 0, err
 		}
 		c.applyMu.Lock()
 		defer c.applyMu.Unlock()
-		c.Apply(records, true)
-		c.advance(end, sent)
-		return len(records), nil
+		c.Apply(batch.Records, true)
+		c.advance(batch.Next, sent)
+		return len(batch.Records), nil
 	}
 	wait := c.readWait()
-	records, after, err := store.Read(ctx, c.Topic, next, wait)
+	batch, err := store.Read(ctx, c.Topic, next, wait)
 	if errors.Is(err, platform.ErrExpired) {
 		klog.InfoS("Records of a topic have expired, reading the newest record of each key", "topic", c.Topic, "from", next)
 		c.restart()
@@ -140,14 +140,14 @@
 	}
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
-	if len(records) > 0 {
-		c.Apply(records, false)
+	if len(batch.Records) > 0 {
+		c.Apply(batch.Records, false)
 	}
-	if after > next {
-		c.Publish(Update{Topic: c.Topic, From: next, Next: after, Records: records})
+	if batch.Next > next {
+		c.Publish(Update{Topic: c.Topic, From: next, Next: batch.Next, Records: batch.Records, Era: batch.Era})
 	}
-	c.advance(after, c.provenEnd(sent, wait, after > next))
-	return int(after - next), nil
+	c.advance(batch.Next, c.provenEnd(sent, wait, batch.Next > next))
+	return int(batch.Next - next), nil
 }
 
 // provenEnd returns a time at which the topic had no further record. The store
--- a/io/metastore/consumer_test.go
+++ b/io/metastore/consumer_test.go
@@ -30,29 +30,29 @@
 	update(s)
 }
 
-func (s *fakeStore) Newest(context.Context, string) ([]platform.Record, int64, error) {
+func (s *fakeStore) Newest(context.Context, string) (platform.Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fail {
-		return nil, 0, errors.New("no response")
+		return platform.Batch{}, errors.New("no response")
 	}
-	return nil, 0, nil
+	return platform.Batch{}, nil
 }
 
-func (s *fakeStore) Read(ctx context.Context, _ string, from int64, wait time.Duration) ([]platform.Record, int64, error) {
+func (s *fakeStore) Read(ctx context.Context, _ string, from int64, wait time.Duration) (platform.Batch, error) {
 	s.mu.Lock()
 	s.reads++
 	s.waits = append(s.waits, wait)
 	if s.fail {
 		s.mu.Unlock()
-		return nil, from, errors.New("no response")
+		return platform.Batch{Next: from}, errors.New("no response")
 	}
 	records := s.records[min(from, int64(len(s.records))):]
 	s.mu.Unlock()
 	if len(records) == 0 {
 		clock.Sleep(ctx, wait)
 	}
-	return records, from + int64(len(records)), nil
+	return platform.Batch{Records: records, Next: from + int64(len(records))}, nil
 }
 
 func run(t *testing.T, c *Consumer, store Reader) {
@@ -358,16 +358,16 @@
 	calls   atomic.Int64
 }
 
-func (s *silentStore) Newest(ctx context.Context, _ string) ([]platform.Record, int64, error) {
-	return nil, 0, s.respond(ctx)
+func (s *silentStore) Newest(ctx context.Context, _ string) (platform.Batch, error) {
+	return platform.Batch{}, s.respond(ctx)
 }
 
-func (s *silentStore) Read(ctx context.Context, _ string, from int64, wait time.Duration) ([]platform.Record, int64, error) {
+func (s *silentStore) Read(ctx context.Context, _ string, from int64, wait time.Duration) (platform.Batch, error) {
 	err := s.respond(ctx)
 	if err == nil {
 		clock.Sleep(ctx, min(wait, 100*time.Millisecond))
 	}
-	return nil, from, err
+	return platform.Batch{Next: from}, err
 }
 
 func (s *silentStore) respond(ctx context.Context) error {
--- a/io/metastore/relay.go
+++ b/io/metastore/relay.go
@@ -19,6 +19,8 @@
 	// Large is set if the records are left out because the batch is larger than
 	// maxRelayBytes. The receiving host reads them from the store.
 	Large bool `cbor:"5,keyasint,omitempty"`
+	// Era is the era of the store in which the offsets hold.
+	Era int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // maxRelayBytes is the size of keys and values, in bytes, up to which a batch is
@@ -46,6 +48,8 @@
 	// Uninterrupted reports that the sender has read the store for at least recoveryGrace
 	// without an outage, so that targets whose entries are missing have gone.
 	Uninterrupted bool `cbor:"4,keyasint,omitempty"`
+	// Era is the era of the store in which Next holds.
+	Era int64 `cbor:"5,keyasint,omitempty"`
 }
 
 const (
