Read all topics anew when the store comes back from an older copy

Cause: what counts as newer was the offset alone. After a rollback records were ignored until their offsets passed the old ones, targets that had left returned, positions and proofs of before stayed, and relayed offsets of one era were compared with another's. Change: the consumers of a host share an era, entered by its own reads. A new one drops positions, proofs, watermarks and offsets, and all topics are read anew; one log line has both eras, the offsets reached and how many were dropped. The configuration goes by version as before. A target that was seen to leave in an earlier era comes back only with a later entry (Born, Sequence); one that is just missing in the first list of an era has the 2 s of an outage to write its entry again, and a first list does not remove one for an invalid entry either. An offset of an earlier era proves no longer that a target has ended. Assignments go by epoch, then the era written in, then offset. Relayed items of another era are not applied; a newer era makes the host read all topics at once. The call of NewConsumer in consumer_test.go follows its signature.

--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -47,54 +47,46 @@
 	ownerConsumer  *Consumer
 
 	mu sync.Mutex
-	// removed holds the removed targets and the time of their removal, by id.
+	// removed holds the removed targets by id.
 	removed map[string]removal
-	// unconfirmed holds, by target id, the time at which a target is removed
-	// whose entry may have lapsed because the store was unreachable.
-	unconfirmed map[string]time.Time
-	// offsets holds the newest offset read of each key, by topic and key.
+	// unconfirmed holds, by id, the targets whose entry may have lapsed because the
+	// store was unreachable.
+	unconfirmed map[string]deferral
+	// offsets holds the newest offset read of each key in the current era, by topic
+	// and key.
 	offsets map[string]int64
-	// entryOffsets holds the offset of each target's last entry, by id.
+	// entryOffsets holds the offset of each target's last entry in the current era, by
+	// id.
 	entryOffsets map[string]int64
-	targetsRead  bool
-	changed      chan struct{}
+	eras         *eras
+	// era is the current era, rereading whether the targets in it are still to be read.
+	era         int64
+	rereading   bool
+	targetsRead bool
+	changed     chan struct{}
 	// changedAt is the time at which a change of owners was last read.
 	changedAt   time.Time
 	broadcaster *broadcaster
 	done        chan struct{}
 }
 
-type removal struct {
-	entry placement.Entry
-	at    time.Time
-	// superseded reports that another target has registered the address since the
-	// last entry, which proves that the removed one has ended.
-	superseded bool
-}
-
-// RemovedTarget is a target that was removed recently.
-type RemovedTarget struct {
-	placement.Entry
-	// Ended reports that the target is proved to have ended.
-	Ended bool
-}
-
 // NewCatalog returns an empty catalog that keeps targets up to date.
 func NewCatalog(clk clock.Clock, targets *placement.Set) *Catalog {
-	store := newReachability(clk)
+	store, era := newReachability(clk), newEras()
 	catalog := &Catalog{
-		clock: clk, targets: targets, store: store,
-		configConsumer: NewConsumer(platform.TopicConfig, store),
-		targetConsumer: NewConsumer(platform.TopicTargets, store),
-		ownerConsumer:  NewConsumer(platform.TopicOwners, store),
+		clock: clk, targets: targets, store: store, eras: era,
+		configConsumer: NewConsumer(platform.TopicConfig, store, era),
+		targetConsumer: NewConsumer(platform.TopicTargets, store, era),
+		ownerConsumer:  NewConsumer(platform.TopicOwners, store, era),
 		removed:        make(map[string]removal),
-		unconfirmed:    make(map[string]time.Time),
+		unconfirmed:    make(map[string]deferral),
 		offsets:        make(map[string]int64),
 		entryOffsets:   make(map[string]int64),
 		changed:        make(chan struct{}),
 		broadcaster:    newBroadcaster(),
 		done:           make(chan struct{}),
 	}
+	era.begin = catalog.beginEra
 	for _, consumer := range catalog.consumers() {
 		consumer.Wait = func() time.Duration { return defaultReadWait }
 		consumer.Publish = catalog.broadcaster.publish
@@ -106,8 +98,9 @@
 	return catalog
 }
 
-// Position returns the offset after the newest assignment read, and the time of the
-// last proof, by a read of this host, that no assignment was missing.
+// Position returns the offset after the newest assignment read, or a negative number
+// before the first read of an era, and the time of the last proof in the era, by a read
+// of this host, that no assignment was missing.
 func (c *Catalog) Position() (next int64, provenAt time.Time) { return c.ownerConsumer.Position() }
 
 // SetReadTimes sets how long reads wait for a change, and how long changes of
@@ -134,6 +127,9 @@
 // read.
 func (c *Catalog) Assignment() *owner.Assignment { return c.owners.Load() }
 
+// Era returns the era of the store that this host reads, 0 if the store states none.
+func (c *Catalog) Era() int64 { return c.eras.get() }
+
 // OwnersRecord returns the record of the owners of keys as last read, and false
 // before the first read.
 func (c *Catalog) OwnersRecord() (platform.Record, bool) {
@@ -222,141 +218,11 @@
 	}
 }
 
-func (c *Catalog) applyTargets(records []platform.Record, complete bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.clock.Now()
-	present := make(map[string]bool, len(records))
-	for _, r := range records {
-		present[r.Key] = true
-		if c.recordOffset(platform.TopicTargets, r) {
-			c.applyTarget(r, complete, now)
-		}
-	}
-	if complete {
-		for _, entry := range c.targets.Entries("") {
-			if !present[entry.ID] {
-				c.removeOrDefer(entry.ID, now)
-			}
-		}
-	}
-	c.targetsRead = true
-}
-
-// applyTarget applies a record. In a complete list of the newest records, the order in
-// which targets registered their addresses does not show.
-func (c *Catalog) applyTarget(r platform.Record, complete bool, now time.Time) {
-	if len(r.Value) == 0 {
-		c.removeOrDefer(r.Key, now)
-		return
-	}
-	entry, err := platform.DecodeEntry(r.Key, r.Value)
-	if err != nil {
-		klog.InfoS("Target entry is invalid", "key", r.Key, "offset", r.Offset, "err", err)
-		c.remove(r.Key, now)
-		return
-	}
-	old, found := c.targets.Entry(r.Key)
-	if !c.targets.Put(entry, now) {
-		return
-	}
-	c.entryOffsets[r.Key] = r.Offset
-	delete(c.unconfirmed, r.Key)
-	if _, removed := c.removed[r.Key]; !complete && !found && !removed {
-		c.supersede(entry, r.Offset, now)
-	}
-	delete(c.removed, r.Key)
-	if !found || old.Draining != entry.Draining || old.Born != entry.Born || old.Address != entry.Address {
-		klog.InfoS("Target entry was added or changed", "target", r.Key, "service", entry.Service, "address", entry.Address,
-			"draining", entry.Draining, "born", entry.Born, "sequence", entry.Sequence, "offset", r.Offset)
-	}
-}
-
-// supersede removes the targets that had the address of a new target before. Each of
-// them has ended, as addresses are reused only after that. An entry that was written
-// after the new target's first one proves nothing.
-func (c *Catalog) supersede(added placement.Entry, offset int64, now time.Time) {
-	ended := func(e placement.Entry) bool {
-		return e.ID != added.ID && e.Address == added.Address && c.entryOffsets[e.ID] < offset
-	}
-	for _, e := range c.targets.Entries("") {
-		if ended(e) {
-			c.remove(e.ID, now)
-		}
-	}
-	for id, r := range c.removed {
-		if !r.superseded && ended(r.entry) {
-			r.superseded = true
-			c.removed[id] = r
-			klog.InfoS("Target has ended, another has its address", "target", id, "address", added.Address, "by", added.ID, "offset", offset)
-		}
-	}
-}
-
-// removeOrDefer removes a target whose entry was deleted. If the store is or was
-// recently unreachable, the entry may only have lapsed, and the removal is deferred
-// until the end of the grace period so that the target can renew the entry.
-func (c *Catalog) removeOrDefer(id string, now time.Time) {
-	if _, found := c.targets.Entry(id); !found {
-		return
-	}
-	end := c.store.graceEnd(recoveryGrace)
-	if !now.Before(end) {
-		c.remove(id, now)
-		return
-	}
-	if _, ok := c.unconfirmed[id]; !ok {
-		c.unconfirmed[id] = end
-		klog.InfoS("Target's entry lapsed during a store outage, removal is deferred", "target", id, "grace", end.Sub(now))
-	}
-}
-
-func (c *Catalog) remove(id string, now time.Time) {
-	delete(c.unconfirmed, id)
-	entry, found := c.targets.Entry(id)
-	if !found {
-		return
-	}
-	c.targets.Remove(id)
-	c.removed[id] = removal{entry: entry, at: now}
-	klog.InfoS("Target removed", "target", id, "service", entry.Service, "born", entry.Born)
-}
-
-func (c *Catalog) expire() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.clock.Now()
-	graceEnd := c.store.graceEnd(recoveryGrace)
-	for id, at := range c.unconfirmed {
-		if !now.Before(at) || !now.Before(graceEnd) {
-			c.remove(id, now)
-		}
-	}
-	for id, d := range c.removed {
-		if now.Sub(d.at) > removedRetention {
-			delete(c.removed, id)
-			delete(c.entryOffsets, id)
-		}
-	}
-}
-
-// RecentlyRemoved returns the targets that were removed within
-// removedRetention.
-func (c *Catalog) RecentlyRemoved() []RemovedTarget {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var removed []RemovedTarget
-	for _, r := range c.removed {
-		removed = append(removed, RemovedTarget{Entry: r.entry, Ended: r.superseded})
-	}
-	return removed
-}
-
 func (c *Catalog) applyOwners(records []platform.Record, _ bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range records {
-		if r.Key != platform.KeyOwners || len(r.Value) == 0 || !c.recordOffset(platform.TopicOwners, r) {
+		if r.Key != platform.KeyOwners || len(r.Value) == 0 {
 			continue
 		}
 		a, err := owner.Decode(r.Value)
@@ -364,7 +230,11 @@
 			klog.ErrorS(err, "Failed to decode the assignment, keeping the previous one", "offset", r.Offset)
 			continue
 		}
-		if old := c.owners.Load(); old == nil || old.Epoch != a.Epoch {
+		old := c.owners.Load()
+		if old != nil && !isNewer(a, r, old, *c.ownersRecord.Load()) {
+			continue
+		}
+		if old == nil || old.Epoch != a.Epoch {
 			klog.InfoS("Leader has changed", "leader", a.Leader, "epoch", a.Epoch, "offset", r.Offset)
 		}
 		c.owners.Store(a)
@@ -374,3 +244,33 @@
 		c.changed = make(chan struct{})
 	}
 }
+
+// isNewer reports whether assignment a, read as record r, is newer than another one. An
+// epoch belongs to one leader in one era, and offsets can be compared within an era only.
+func isNewer(a *owner.Assignment, r platform.Record, old *owner.Assignment, oldRecord platform.Record) bool {
+	switch {
+	case a.Epoch != old.Epoch:
+		return a.Epoch > old.Epoch
+	case a.Era != old.Era:
+		return a.Era > old.Era
+	}
+	return r.Offset > oldRecord.Offset
+}
+
+// beginEra discards the positions and offsets of the old era, and logs it unless the first
+// era begins. The configuration, the targets and the owners stay: records of the new era
+// replace them only if they are newer by their own numbers.
+func (c *Catalog) beginEra(old, era int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.era = era
+	config, targets, owners := c.configConsumer.beginEra(), c.targetConsumer.beginEra(), c.ownerConsumer.beginEra()
+	if max(config, targets, owners) < 0 {
+		return
+	}
+	klog.InfoS("Store came back from an older copy, all topics are read anew", "oldEra", old, "era", era, "configOffset", config,
+		"targetsOffset", targets, "ownersOffset", owners, "droppedOffsets", len(c.offsets))
+	c.rereading = true
+	c.offsets, c.entryOffsets = make(map[string]int64), make(map[string]int64)
+	c.store.recordNewEra()
+}
--- a/io/metastore/consumer.go
+++ b/io/metastore/consumer.go
@@ -27,6 +27,9 @@
 	minWaitShare = 0.9
 )
 
+// errEarlierEra means that a batch is of an earlier era than the current one.
+var errEarlierEra = errors.New("batch of an earlier era")
+
 // Reader is the part of the store's client that a Consumer uses.
 type Reader interface {
 	Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Batch, error)
@@ -54,6 +57,11 @@
 	applyMu sync.Mutex
 	mu      sync.Mutex
 	next    int64
+	// reached is the largest next of the current era.
+	reached int64
+	// readAtOnce reports that another host has read a newer era, so that the next read
+	// does not wait for records.
+	readAtOnce bool
 	// relayProvenAt is a time at which the leader had read no record beyond
 	// next, or zero without a relay.
 	relayProvenAt time.Time
@@ -62,14 +70,15 @@
 	provenAt time.Time
 	// store is shared by the consumers of a host.
 	store *reachability
+	eras  *eras
 	done  chan struct{}
 }
 
-// NewConsumer returns a consumer of a topic. store is shared by the consumers of a
-// host.
-func NewConsumer(topic string, store *reachability) *Consumer {
+// NewConsumer returns a consumer of a topic. store and era are shared by the consumers of
+// a host.
+func NewConsumer(topic string, store *reachability, era *eras) *Consumer {
 	return &Consumer{
-		Topic: topic, Clock: store.clock, next: -1, store: store, done: make(chan struct{}),
+		Topic: topic, Clock: store.clock, next: -1, reached: -1, store: store, eras: era, done: make(chan struct{}),
 		Publish: func(Update) {}, BatchDelay: func() time.Duration { return 0 },
 	}
 }
@@ -78,8 +87,8 @@
 func (c *Consumer) Done() <-chan struct{} { return c.done }
 
 // Position returns the offset after the newest record read, or a negative number
-// before the first read, and the time of the last proof, by a read of this host,
-// that no record was missing.
+// before the first read of an era, and the time of the last proof in the era, by a read
+// of this host, that no record was missing.
 func (c *Consumer) Position() (next int64, provenAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -115,39 +124,70 @@
 }
 
 func (c *Consumer) step(ctx context.Context, store Reader) (int, error) {
-	sent := c.Clock.Now()
+	sent, era := c.Clock.Now(), c.eras.get()
 	next, _ := c.Position()
 	if next < 0 {
-		batch, err := store.Newest(ctx, c.Topic)
-		if err != nil {
-			return 0, err
-		}
-		c.applyMu.Lock()
-		defer c.applyMu.Unlock()
-		c.Apply(batch.Records, true)
-		c.advance(batch.Next, sent)
-		return len(batch.Records), nil
+		return c.readNewest(ctx, store, sent)
 	}
 	wait := c.readWait()
 	batch, err := store.Read(ctx, c.Topic, next, wait)
-	if errors.Is(err, platform.ErrExpired) {
+	switch {
+	case errors.Is(err, platform.ErrExpired):
 		klog.InfoS("Records of a topic have expired, reading the newest record of each key", "topic", c.Topic, "from", next)
 		c.restart()
 		return 0, nil
+	case errors.Is(err, platform.ErrEraEnded):
+		return 0, nil
+	case err != nil:
+		return 0, err
+	case batch.Era < era:
+		return 0, errEarlierEra
+	case batch.Era > era:
+		// The offset holds in an earlier era.
+		c.enter(batch.Era)
+		return 0, nil
+	}
+	c.applyMu.Lock()
+	defer c.applyMu.Unlock()
+	c.eras.apply(era, func() {
+		if len(batch.Records) > 0 {
+			c.Apply(batch.Records, false)
+		}
+		if batch.Next > next {
+			c.Publish(Update{Topic: c.Topic, From: next, Next: batch.Next, Records: batch.Records, Era: era})
+		}
+		c.advance(batch.Next, c.provenEnd(sent, wait, batch.Next > next))
+	})
+	return int(batch.Next - next), nil
+}
+
+// readNewest reads the newest record of each key.
+func (c *Consumer) readNewest(ctx context.Context, store Reader, sent time.Time) (int, error) {
+	batch, err := store.Newest(ctx, c.Topic)
+	if errors.Is(err, platform.ErrEraEnded) {
+		return 0, nil
 	}
 	if err != nil {
 		return 0, err
 	}
+	c.enter(batch.Era)
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
-	if len(batch.Records) > 0 {
-		c.Apply(batch.Records, false)
+	applied := c.eras.apply(batch.Era, func() {
+		c.Apply(batch.Records, true)
+		c.advance(batch.Next, sent)
+	})
+	if !applied {
+		return 0, errEarlierEra
 	}
-	if batch.Next > next {
-		c.Publish(Update{Topic: c.Topic, From: next, Next: batch.Next, Records: batch.Records, Era: batch.Era})
+	return len(batch.Records), nil
+}
+
+// enter begins an era if it is newer than the current one, and has other hosts informed.
+func (c *Consumer) enter(era int64) {
+	if c.eras.enter(era) {
+		c.Publish(Update{Topic: c.Topic, Era: era})
 	}
-	c.advance(batch.Next, c.provenEnd(sent, wait, batch.Next > next))
-	return int(batch.Next - next), nil
 }
 
 // provenEnd returns a time at which the topic had no further record. The store
@@ -161,10 +201,15 @@
 	return sent.Add(time.Duration(minWaitShare * float64(wait)))
 }
 
-// readWait returns how long a read waits for a record. After a failed call reads
-// don't wait, so that the recovery of the store is detected early.
+// readWait returns how long the next read waits for a record. After a failed call, or
+// news of another era, it doesn't wait, so that the recovery of the store or the era is
+// detected early.
 func (c *Consumer) readWait() time.Duration {
-	if c.store.failing() {
+	c.mu.Lock()
+	atOnce := c.readAtOnce
+	c.readAtOnce = false
+	c.mu.Unlock()
+	if atOnce || c.store.failing() {
 		return 0
 	}
 	return c.Wait()
@@ -180,5 +225,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next, c.provenAt = max(next, c.next), provenAt
+	c.reached = max(c.reached, c.next)
 	c.store.recordSuccess()
 }
+
+// beginEra discards the position and its proofs, which hold in the old era alone. It
+// returns the offset reached in that era, or a negative number.
+func (c *Consumer) beginEra() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reached := c.reached
+	c.next, c.reached = -1, -1
+	c.provenAt, c.relayProvenAt = time.Time{}, time.Time{}
+	return reached
+}
+
+// noticeEra makes this host read the store itself if another host has read a newer era.
+func (c *Consumer) noticeEra(era int64) {
+	if era <= c.eras.get() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readAtOnce, c.relayProvenAt = true, time.Time{}
+}
--- a/io/metastore/consumer_test.go
+++ b/io/metastore/consumer_test.go
@@ -66,7 +66,7 @@
 }
 
 func newConsumer() *Consumer {
-	c := NewConsumer("topic", newReachability(clock.System{}))
+	c := NewConsumer("topic", newReachability(clock.System{}), newEras())
 	c.Wait = func() time.Duration { return 50 * time.Millisecond }
 	c.Apply = func([]platform.Record, bool) {}
 	return c
--- /dev/null
+++ b/io/metastore/era_test.go
@@ -0,0 +1,444 @@
+package metastore
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"pineturn/core/clock"
+	"pineturn/core/owner"
+	"pineturn/core/placement"
+	"pineturn/platform"
+)
+
+// eraStore is a store of all topics that can come back from an older copy.
+type eraStore struct {
+	mu      sync.Mutex
+	era     int64
+	topics  map[string][]platform.Record
+	changed chan struct{}
+}
+
+func newEraStore() *eraStore {
+	return &eraStore{era: 1, topics: make(map[string][]platform.Record), changed: make(chan struct{})}
+}
+
+func (s *eraStore) put(topic, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics[topic] = append(s.topics[topic], platform.Record{Key: key, Value: value, Offset: int64(len(s.topics[topic]))})
+	s.wake()
+}
+
+func (s *eraStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// rollBack removes the last n records of each topic and begins a new era.
+func (s *eraStore) rollBack(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, records := range s.topics {
+		s.topics[name] = records[:max(len(records)-n, 0):max(len(records)-n, 0)]
+	}
+	s.era++
+	s.wake()
+}
+
+// stated returns the era and records in it. The caller holds s.mu.
+func (s *eraStore) stated(records []platform.Record, next int64) platform.Batch {
+	batch := platform.Batch{Next: next, Era: s.era}
+	for _, r := range records {
+		r.Era = s.era
+		batch.Records = append(batch.Records, r)
+	}
+	return batch
+}
+
+func (s *eraStore) Newest(_ context.Context, topic string) (platform.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := make(map[string]platform.Record)
+	for _, r := range s.topics[topic] {
+		newest[r.Key] = r
+	}
+	var records []platform.Record
+	for _, r := range newest {
+		if len(r.Value) > 0 {
+			records = append(records, r)
+		}
+	}
+	return s.stated(records, int64(len(s.topics[topic]))), nil
+}
+
+func (s *eraStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		end, changed := int64(len(s.topics[topic])), s.changed
+		if from > end {
+			s.mu.Unlock()
+			return platform.Batch{Next: from}, platform.ErrExpired
+		}
+		batch := s.stated(s.topics[topic][from:], end)
+		s.mu.Unlock()
+		if end > from || ctx.Err() != nil {
+			return batch, nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+func configOf(version int) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[],`+
+		`"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}`, version)
+}
+
+func ownersOf(t testing.TB, epoch, era int64) []byte {
+	t.Helper()
+	data, err := (&owner.Assignment{Epoch: epoch, Era: era, Leader: fmt.Sprint("host-", epoch)}).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// runCatalog runs a catalog of a store until the test ends.
+func runCatalog(t *testing.T, store Reader) (*Catalog, *placement.Set) {
+	t.Helper()
+	targets := placement.NewSet("a")
+	catalog := NewCatalog(clock.System{}, targets)
+	catalog.SetReadTimes(func() time.Duration { return 100 * time.Millisecond }, func() time.Duration { return 0 })
+	ctx, cancel := context.WithCancel(context.Background())
+	go catalog.Run(ctx, store)
+	t.Cleanup(func() {
+		cancel()
+		<-catalog.Done()
+	})
+	return catalog, targets
+}
+
+func version(c *Catalog) int64 {
+	if table := c.Table(); table != nil {
+		return table.Config().Version
+	}
+	return 0
+}
+
+func epoch(c *Catalog) int64 {
+	if a := c.Assignment(); a != nil {
+		return a.Epoch
+	}
+	return 0
+}
+
+func ids(targets *placement.Set) string {
+	var all []string
+	for _, e := range targets.Entries("") {
+		all = append(all, e.ID)
+	}
+	return strings.Join(all, " ")
+}
+
+func newEntry(n int, sequence string) []byte {
+	return []byte(strings.Replace(string(targetEntry(sequence)), "10.0.0.1:80", fmt.Sprintf("10.0.0.%d:80", n), 1))
+}
+
+// TestNewEra guards against a host that, after the store came back from an older copy,
+// ignores new records until their offsets pass the old ones, or returns to older ones.
+func TestNewEra(t *testing.T) {
+	store := newEraStore()
+	catalog, targets := runCatalog(t, store)
+	for i := range 10 {
+		store.put(platform.TopicConfig, platform.KeyConfig, configOf(i+1))
+		store.put(platform.TopicTargets, "stays", newEntry(1, fmt.Sprint(i+1)))
+		store.put(platform.TopicOwners, platform.KeyOwners, ownersOf(t, int64(i+1), 1))
+	}
+	store.put(platform.TopicTargets, "left", newEntry(2, "1"))
+	waitFor(t, "all records", func() bool { return version(catalog) == 10 && ids(targets) == "left stays" && epoch(catalog) == 10 })
+	store.put(platform.TopicTargets, "other", newEntry(3, "1"))
+	store.put(platform.TopicTargets, "left", nil)
+	waitFor(t, "removal", func() bool { return ids(targets) == "other stays" })
+	store.rollBack(2)
+	waitFor(t, "all topics read in the new era", func() bool {
+		for _, w := range catalog.Watermarks() {
+			if w.Era != 2 {
+				return false
+			}
+		}
+		return len(catalog.Watermarks()) == 3 && catalog.Era() == 2
+	})
+	t.Run("nothing goes back", func(t *testing.T) {
+		if got := version(catalog); got != 10 {
+			t.Errorf("configuration in force: got version %d, want 10", got)
+		}
+		if got := epoch(catalog); got != 10 {
+			t.Errorf("assignment: got epoch %d, want 10", got)
+		}
+		if got, want := ids(targets), "other stays"; got != want {
+			t.Errorf("targets: got %s, want %s", got, want)
+		}
+		next, provenAt := catalog.Position()
+		if next != 8 || time.Since(provenAt) > time.Second {
+			t.Errorf("position: got %d, proven %v ago, want 8 in the new era", next, time.Since(provenAt))
+		}
+	})
+	t.Run("new records count", func(t *testing.T) {
+		store.put(platform.TopicConfig, platform.KeyConfig, configOf(11))
+		store.put(platform.TopicTargets, "stays", []byte(strings.Replace(string(newEntry(1, "11")), "ready", "draining", 1)))
+		store.put(platform.TopicOwners, platform.KeyOwners, ownersOf(t, 11, 2))
+		waitFor(t, "new records", func() bool {
+			e, _ := targets.Entry("stays")
+			return version(catalog) == 11 && e.Draining && epoch(catalog) == 11
+		})
+	})
+	t.Run("a removed target returns with a newer entry alone", func(t *testing.T) {
+		store.put(platform.TopicTargets, "left", newEntry(2, "1"))
+		store.put(platform.TopicTargets, "mark", newEntry(4, "1"))
+		waitFor(t, "the next record", func() bool { return strings.Contains(ids(targets), "mark") })
+		if strings.Contains(ids(targets), "left") {
+			t.Errorf("targets: got %s, want none that left", ids(targets))
+		}
+		store.put(platform.TopicTargets, "left", newEntry(2, "2"))
+		waitFor(t, "the newer entry", func() bool { return strings.Contains(ids(targets), "left") })
+	})
+}
+
+// TestRelayOfOtherEra guards against offsets of one era that are compared with those of
+// another, and against a host that learns of a new era late.
+func TestRelayOfOtherEra(t *testing.T) {
+	const relayedOffset = 77
+	store := newEraStore()
+	var last atomic.Int64
+	var relayed atomic.Bool
+	c := newConsumer()
+	c.Topic = platform.TopicConfig
+	c.Wait = func() time.Duration { return 3 * time.Second }
+	c.BatchDelay = func() time.Duration { return 300 * time.Millisecond }
+	c.Apply = func(records []platform.Record, _ bool) {
+		for _, r := range records {
+			last.Store(r.Offset)
+			relayed.Store(relayed.Load() || r.Offset == relayedOffset)
+		}
+	}
+	batch := func(era int64) Update {
+		return Update{Topic: c.Topic, From: 2, Next: relayedOffset + 1, Records: []platform.Record{{Key: "k", Value: []byte("v"), Offset: relayedOffset}}, Era: era}
+	}
+	wantRelay := func(t *testing.T, want bool) {
+		t.Helper()
+		if relayed.Load() || c.relayActive() != want {
+			t.Errorf("batch applied, relay active: got %t, %t, want false, %t", relayed.Load(), c.relayActive(), want)
+		}
+	}
+	store.put(platform.TopicConfig, "k", []byte("v"))
+	run(t, c, store)
+	waitFor(t, "the first read", func() bool { next, _ := c.Position(); return next == 1 })
+	store.put(platform.TopicConfig, "k", []byte("v"))
+	waitFor(t, "the second record", func() bool { return last.Load() == 1 })
+	t.Run("older batch and watermark", func(t *testing.T) {
+		c.applyUpdate(batch(0))
+		c.applyWatermark(Watermark{Topic: c.Topic, Next: 2})
+		wantRelay(t, false)
+		c.applyWatermark(Watermark{Topic: c.Topic, Next: 2, Era: 1})
+		c.applyUpdate(batch(0))
+		wantRelay(t, true)
+	})
+	t.Run("newer era", func(t *testing.T) {
+		// The host waits for the relay, and no record wakes a read that waits.
+		time.Sleep(500 * time.Millisecond)
+		store.rollBack(0)
+		start := time.Now()
+		c.noticeEra(2)
+		c.applyUpdate(batch(2))
+		wantRelay(t, false)
+		waitFor(t, "an active relay in the new era", func() bool {
+			c.applyWatermark(Watermark{Topic: c.Topic, Next: 2, Era: 2})
+			return c.relayActive()
+		})
+		wantRelay(t, true)
+		if got := time.Since(start); got > 500*time.Millisecond {
+			t.Errorf("time until the host has read the new era: got %v, want at most 500 ms", got)
+		}
+	})
+}
+
+// TestAssignmentOrder guards against an assignment that replaces a newer one because its
+// offset in another era is higher.
+func TestAssignmentOrder(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		epoch, writtenIn int64
+		readIn, offset   int64
+		want             bool
+	}{
+		{"lower epoch, higher offset, newer era", 4, 2, 2, 900, false},
+		{"higher epoch, lower offset, newer era", 6, 2, 2, 1, true},
+		{"higher epoch, older era", 6, 1, 1, 1, true},
+		{"same epoch and offset", 5, 1, 1, 50, false},
+		{"same epoch, later", 5, 1, 1, 51, true},
+		{"same epoch, earlier, read in a newer era", 5, 1, 2, 49, false},
+		{"same epoch, later, read in a newer era", 5, 1, 2, 51, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			catalog := NewCatalog(clock.NewFake(time.Unix(1000, 0)), placement.NewSet("a"))
+			known := platform.Record{Key: platform.KeyOwners, Value: ownersOf(t, 5, 1), Offset: 50, Era: 1}
+			catalog.ApplyOwners(known)
+			catalog.ApplyOwners(platform.Record{Key: platform.KeyOwners, Value: ownersOf(t, c.epoch, c.writtenIn), Offset: c.offset, Era: c.readIn})
+			r, _ := catalog.OwnersRecord()
+			if got := r.Offset != known.Offset || r.Era != known.Era; got != c.want {
+				t.Errorf("assignment replaced: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// TestProofsOfOldEra guards against a leader that starts leases, and a host that doesn't
+// read, on a proof from before the store lost records.
+func TestProofsOfOldEra(t *testing.T) {
+	run := newFuzzRun(t)
+	run.store.put(platform.TopicOwners, platform.KeyOwners, ownersOf(t, 1, 1))
+	for _, c := range run.catalog.consumers() {
+		run.read(c)
+	}
+	run.catalog.ApplyRelayed(nil, []Watermark{{Topic: platform.TopicOwners, Next: 1, Era: 1, Uninterrupted: true}})
+	if next, provenAt := run.catalog.Position(); next != 1 || provenAt.IsZero() || !run.catalog.RelayActive() {
+		t.Fatalf("first era: got position %d, proven at %v, relay active %t, want 1, a time, true", next, provenAt, run.catalog.RelayActive())
+	}
+	run.store.rollBack(0)
+	run.read(run.catalog.configConsumer)
+	if next, provenAt := run.catalog.Position(); next >= 0 || !provenAt.IsZero() || run.catalog.RelayActive() || run.catalog.Era() != 2 {
+		t.Errorf("new era %d: got position %d, proven at %v, relay active %t, want none and false in era 2", run.catalog.Era(), next, provenAt,
+			run.catalog.RelayActive())
+	}
+	if got := len(run.catalog.Watermarks()); got != 0 {
+		t.Errorf("watermarks before the first read of the era: got %d, want none", got)
+	}
+	run.clock.Advance(recoveryGrace - 1)
+	run.read(run.catalog.ownerConsumer)
+	wantUninterrupted(t, run.catalog, false)
+	run.clock.Advance(1)
+	wantUninterrupted(t, run.catalog, true)
+}
+
+// TestAddressInNewEra guards against a live target that is taken for an ended one because
+// offsets of two eras are compared.
+func TestAddressInNewEra(t *testing.T) {
+	run := newFuzzRun(t)
+	read := func() { run.read(run.catalog.targetConsumer) }
+	read()
+	run.store.put(platform.TopicTargets, "first", newEntry(1, "1"))
+	read()
+	run.store.rollBack(1)
+	read()
+	read()
+	for range 3 {
+		run.store.put(platform.TopicTargets, "other", newEntry(2, "1"))
+	}
+	run.store.put(platform.TopicTargets, "second", newEntry(1, "1"))
+	read()
+	if got, want := ids(run.targets), "first other second"; got != want {
+		t.Errorf("targets: got %s, want %s", got, want)
+	}
+	for _, removed := range run.catalog.RecentlyRemoved() {
+		if removed.Ended {
+			t.Errorf("target %s: got a proof that it has ended, want none", removed.ID)
+		}
+	}
+}
+
+// TestMissingInNewEra guards against targets that are removed though they can still write
+// their lost entry again, and against those that never do and are kept.
+func TestMissingInNewEra(t *testing.T) {
+	run := newFuzzRun(t)
+	read := func() { run.read(run.catalog.targetConsumer) }
+	read()
+	run.store.put(platform.TopicTargets, "gone", newEntry(1, "1"))
+	run.store.put(platform.TopicTargets, "stays", newEntry(2, "1"))
+	read()
+	run.store.rollBack(2)
+	read()
+	read()
+	wantTargets(t, run.targets, 2)
+	run.clock.Advance(recoveryGrace - 1)
+	run.catalog.expire()
+	wantTargets(t, run.targets, 2)
+	run.store.put(platform.TopicTargets, "stays", newEntry(2, "1"))
+	read()
+	run.clock.Advance(1)
+	run.catalog.expire()
+	if got, want := ids(run.targets), "stays"; got != want {
+		t.Errorf("targets after the grace period: got %s, want %s", got, want)
+	}
+	run.store.put(platform.TopicTargets, "gone", newEntry(1, "1"))
+	read()
+	if got, want := ids(run.targets), "gone stays"; got != want {
+		t.Errorf("targets after a late entry: got %s, want %s", got, want)
+	}
+}
+
+// TestLineOfNewEra guards against a change of era that an operator can't see, and against
+// lines at the start of a host or for each topic.
+func TestLineOfNewEra(t *testing.T) {
+	logged := captureLog(t)
+	run := newFuzzRun(t)
+	run.store.put(platform.TopicConfig, platform.KeyConfig, configOf(1))
+	readAll := func() {
+		for range 2 {
+			for _, c := range run.catalog.consumers() {
+				run.read(c)
+			}
+		}
+	}
+	readAll()
+	if strings.Contains(logged(), "oldEra") {
+		t.Errorf("log at the start: got %q, want no change of era", logged())
+	}
+	run.store.rollBack(1)
+	readAll()
+	const want = "oldEra=1 era=2 configOffset=1 targetsOffset=0 ownersOffset=0 droppedOffsets=1"
+	if got := strings.Count(logged(), "oldEra"); got != 1 || !strings.Contains(logged(), want) {
+		t.Errorf("log after a change of era: got %d lines in %q, want 1 with %q", got, logged(), want)
+	}
+}
+
+// captureLog returns what is logged until the test ends.
+func captureLog(t *testing.T) func() string {
+	t.Helper()
+	var mu sync.Mutex
+	var text strings.Builder
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	if err := flags.Set("logtostderr", "false"); err != nil {
+		t.Fatal(err)
+	}
+	klog.SetOutput(io.Discard)
+	klog.SetOutputBySeverity("INFO", writerFunc(func(data []byte) (int, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		return text.Write(data)
+	}))
+	t.Cleanup(func() { _ = flags.Set("logtostderr", "true") })
+	return func() string {
+		klog.Flush()
+		mu.Lock()
+		defer mu.Unlock()
+		return text.String()
+	}
+}
+
+type writerFunc func([]byte) (int, error)
+
+func (f writerFunc) Write(data []byte) (int, error) { return f(data) }
--- a/io/metastore/reachability.go
+++ b/io/metastore/reachability.go
@@ -113,6 +113,15 @@
 	}
 }
 
+// recordNewEra records that the store has lost records, as in an outage: targets can
+// write their entries again within a grace period.
+func (r *reachability) recordNewEra() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	r.uninterrupted, r.readableSince, r.recoveredAt = false, now, now
+}
+
 // recordUninterrupted records that the leader has read the store without an outage
 // for at least recoveryGrace.
 func (r *reachability) recordUninterrupted() {
--- a/io/metastore/relay.go
+++ b/io/metastore/relay.go
@@ -113,12 +113,16 @@
 
 // Watermarks returns the end of each topic as of this host's last read.
 func (c *Catalog) Watermarks() []Watermark {
+	c.eras.mu.RLock()
+	defer c.eras.mu.RUnlock()
 	var watermarks []Watermark
 	now := c.clock.Now()
 	uninterrupted := c.store.readableFor(recoveryGrace)
 	for _, consumer := range c.consumers() {
 		if next, provenAt := consumer.Position(); next >= 0 {
-			watermarks = append(watermarks, Watermark{Topic: consumer.Topic, Next: next, Age: now.Sub(provenAt), Uninterrupted: uninterrupted})
+			watermarks = append(watermarks, Watermark{
+				Topic: consumer.Topic, Next: next, Age: now.Sub(provenAt), Uninterrupted: uninterrupted, Era: c.eras.current,
+			})
 		}
 	}
 	return watermarks
@@ -147,15 +151,18 @@
 	return c.Clock.Now().Sub(newest)
 }
 
-// ApplyRelayed applies the updates and watermarks that the leader relays.
+// ApplyRelayed applies the updates and watermarks that the leader relays. Those of an
+// older era are dropped; a newer era makes this host read all topics itself.
 func (c *Catalog) ApplyRelayed(updates []Update, watermarks []Watermark) {
 	for _, consumer := range c.consumers() {
 		for _, u := range updates {
+			consumer.noticeEra(u.Era)
 			if u.Topic == consumer.Topic {
 				consumer.applyUpdate(u)
 			}
 		}
 		for _, w := range watermarks {
+			consumer.noticeEra(w.Era)
 			if w.Topic == consumer.Topic {
 				consumer.applyWatermark(w)
 			}
@@ -163,13 +170,18 @@
 	}
 }
 
-// applyUpdate applies the records of a relayed batch that this host has not read.
-// If records before the batch are missing, or the batch was left out for its size,
-// this host goes on to read from the store. The records of the batch apply all the same,
-// because each one replaces all earlier ones of its key.
+// applyUpdate applies a relayed batch of the current era.
 func (c *Consumer) applyUpdate(u Update) {
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
+	c.eras.apply(u.Era, func() { c.applyUnread(u) })
+}
+
+// applyUnread applies the records of a relayed batch that this host has not read.
+// If records before the batch are missing, or the batch was left out for its size,
+// this host goes on to read from the store. The records of the batch apply all the same,
+// because each one replaces all earlier ones of its key.
+func (c *Consumer) applyUnread(u Update) {
 	next, _ := c.Position()
 	if next < 0 || u.Next <= next {
 		return
@@ -189,11 +201,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next = u.Next
+	c.reached = max(c.reached, c.next)
 }
 
-// applyWatermark records that nothing was missing here at the watermark's time. A
-// watermark beyond the records read here ends the relay.
+// applyWatermark applies a watermark of the current era.
 func (c *Consumer) applyWatermark(w Watermark) {
+	c.eras.apply(w.Era, func() { c.recordWatermark(w) })
+}
+
+// recordWatermark records that nothing was missing here at the watermark's time. A
+// watermark beyond the records read here ends the relay.
+func (c *Consumer) recordWatermark(w Watermark) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.next < 0 || w.Next > c.next {
