End reads in progress at the news of another era

Change: a host's own change of era, and the first news of a newer one from another host, end the reads in progress.

--- a/io/metastore/consumer.go
+++ b/io/metastore/consumer.go
@@ -59,9 +59,12 @@
 	next    int64
 	// reached is the largest next of the current era.
 	reached int64
-	// readAtOnce reports that another host has read a newer era, so that the next read
-	// does not wait for records.
+	// noticed is the newest era that another host has read. readAtOnce reports that it
+	// is new, so that the next read does not wait for records.
+	noticed    int64
 	readAtOnce bool
+	// interrupt ends the current read.
+	interrupt context.CancelFunc
 	// relayProvenAt is a time at which the leader had read no record beyond
 	// next, or zero without a relay.
 	relayProvenAt time.Time
@@ -79,7 +82,8 @@
 func NewConsumer(topic string, store *reachability, era *eras) *Consumer {
 	return &Consumer{
 		Topic: topic, Clock: store.clock, next: -1, reached: -1, store: store, eras: era, done: make(chan struct{}),
-		Publish: func(Update) {}, BatchDelay: func() time.Duration { return 0 },
+		interrupt: func() {},
+		Publish:   func(Update) {}, BatchDelay: func() time.Duration { return 0 },
 	}
 }
 
@@ -101,7 +105,7 @@
 	for ctx.Err() == nil {
 		c.waitWhileRelayed(ctx)
 		start := c.Clock.Now()
-		n, err := c.step(ctx, store)
+		n, err := c.interruptibleStep(ctx, store)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -123,6 +127,21 @@
 	return max(retryInterval-took, minRetryPause)
 }
 
+// interruptibleStep is a step that ends at the news of another era: a store that was away may
+// never respond to it.
+func (c *Consumer) interruptibleStep(ctx context.Context, store Reader) (int, error) {
+	stepCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.mu.Lock()
+	c.interrupt = cancel
+	c.mu.Unlock()
+	n, err := c.step(stepCtx, store)
+	if err != nil && stepCtx.Err() != nil {
+		return 0, ctx.Err()
+	}
+	return n, err
+}
+
 func (c *Consumer) step(ctx context.Context, store Reader) (int, error) {
 	sent, era := c.Clock.Now(), c.eras.get()
 	next, _ := c.Position()
@@ -237,6 +256,7 @@
 	reached := c.reached
 	c.next, c.reached = -1, -1
 	c.provenAt, c.relayProvenAt = time.Time{}, time.Time{}
+	c.interrupt()
 	return reached
 }
 
@@ -247,5 +267,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readAtOnce, c.relayProvenAt = true, time.Time{}
+	c.relayProvenAt = time.Time{}
+	if era > c.noticed {
+		c.noticed, c.readAtOnce = era, true
+		c.interrupt()
+	}
 }
--- a/io/metastore/era_test.go
+++ b/io/metastore/era_test.go
@@ -442,3 +442,53 @@
 type writerFunc func([]byte) (int, error)
 
 func (f writerFunc) Write(data []byte) (int, error) { return f(data) }
+
+// TestReadWithoutResponse guards against a host that waits for a response of the store that
+// was away, while another host has read the next era, and against reads that are ended by
+// each message of that host.
+func TestReadWithoutResponse(t *testing.T) {
+	store := &muteStore{eraStore: newEraStore()}
+	c := newConsumer()
+	c.Topic = platform.TopicConfig
+	run(t, c, store)
+	waitFor(t, "the first read", func() bool { next, _ := c.Position(); return next == 0 })
+	store.mute.Store(true)
+	waitFor(t, "a read without a response", func() bool { return store.waiting.Load() == 1 })
+	store.rollBack(0)
+	store.mute.Store(false)
+	start := time.Now()
+	c.noticeEra(2)
+	waitFor(t, "a read in the new era", func() bool { return c.eras.get() == 2 })
+	if got := time.Since(start); got > 300*time.Millisecond {
+		t.Errorf("time until the host has read the new era: got %v, want at most 300 ms", got)
+	}
+	store.mute.Store(true)
+	waitFor(t, "another read without a response", func() bool { return store.waiting.Load() == 1 })
+	c.noticeEra(3)
+	waitFor(t, "a read after the news", func() bool { return store.reads.Load() == 3 && store.waiting.Load() == 1 })
+	for range 10 {
+		c.noticeEra(3)
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := store.reads.Load(); got != 3 {
+		t.Errorf("reads without a response: got %d, want 3", got)
+	}
+}
+
+// muteStore is a store that does not respond while it is mute.
+type muteStore struct {
+	*eraStore
+	mute           atomic.Bool
+	waiting, reads atomic.Int64
+}
+
+func (s *muteStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (platform.Batch, error) {
+	if s.mute.Load() {
+		s.reads.Add(1)
+		s.waiting.Add(1)
+		defer s.waiting.Add(-1)
+		<-ctx.Done()
+		return platform.Batch{}, ctx.Err()
+	}
+	return s.eraStore.Read(ctx, topic, from, wait)
+}
