--- a/core/owner/assignment.go
+++ b/core/owner/assignment.go
@@ -72,6 +72,9 @@
 type Assignment struct {
 	// Epoch is the number of changes of leader so far.
 	Epoch int64
+	// Era is the era of the store in which the record was written, 0 if the store states
+	// none.
+	Era int64
 	// Leader is the name of the leading host.
 	Leader string
 	// LeaderIncarnation is the incarnation of that host's process.
@@ -83,8 +86,6 @@
 	Earlier []LeaderProcess
 	// Services lists the ranges of each service in key order.
 	Services map[string][]Range
-	// Era is the store's era in which the record was written, 0 where the store has none.
-	Era int64
 	// Incomplete reports that the store may have lost later records than those that this
 	// one rests on: leaders, owners and former owners may be missing.
 	Incomplete bool
