Wait for no lost leader at the first start of the whole system

A claim without a record in an era above 1 waits 17.5 s for leases of leaders whose records the store may have lost. A store that came back before, for others, would have cost a new deployment its keys for that time. The platform's settings say when the whole system starts for the first time; then no record means that none was lost. TestFirstStart failed before (first start true).

--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -100,6 +100,9 @@
 	Name, Incarnation, Address string
 	// Cores is the host's share of processor cores.
 	Cores float64
+	// FirstStart is set when all hosts start for the first time, so that a store without
+	// a record has lost none.
+	FirstStart bool
 }
 
 // Coordinator takes part in the leader election, and carries out the decisions
--- a/io/coordinator/era_test.go
+++ b/io/coordinator/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -139,3 +140,25 @@
 		}
 	}
 }
+
+// TestFirstStart guards against keys without owners for the time of a lost leader's leases when a
+// store that came back before, for others, is used for the first time; and against the lack of that
+// wait when the only record was lost.
+func TestFirstStart(t *testing.T) {
+	for _, firstStart := range []bool{true, false} {
+		t.Run(fmt.Sprintf("first start %t", firstStart), func(t *testing.T) {
+			store, catalog := &fakeStore{}, &eraCatalog{}
+			catalog.era.Store(7)
+			clk := clock.NewFake(time.Unix(1000, 0))
+			c := New(Host{Name: "host-1", FirstStart: firstStart}, owner.MaxLeaseDuration, store, catalog, placement.NewSet("a"), clk)
+			c.setElected(true)
+			written := tickAfter(t, c, clk, store, time.Second)
+			if len(written) != 1 {
+				t.Fatalf("records: got %d, want 1", len(written))
+			}
+			if got := written[0].Incomplete; got == firstStart {
+				t.Errorf("claim may lack lost records: got %t, want %t", got, !firstStart)
+			}
+		})
+	}
+}
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -33,7 +33,11 @@
 	if a == nil {
 		a = &owner.Assignment{}
 	}
-	c.append(ctx, a.NextLeader(c.self.Name, c.process(), c.era), next)
+	claim := a.NextLeader(c.self.Name, c.process(), c.era)
+	if c.known == nil && c.self.FirstStart {
+		claim.Incomplete = false
+	}
+	c.append(ctx, claim, next)
 }
 
 func (c *Coordinator) append(ctx context.Context, a *owner.Assignment, next int64) {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -103,7 +103,7 @@
 	g.peers = peers.New(peers.Host{Address: peerAddress(settings), Domain: settings.Domain, Incarnation: incarnation})
 	g.proxy = proxy.New(g.catalog, g.targets, b, g.pool, g.peers, g.clock)
 	g.proxy.HandleRecord = g.recordRequest
-	self := coordinator.Host{Name: settings.Name, Incarnation: incarnation, Address: peerAddress(settings), Cores: settings.Cores}
+	self := coordinator.Host{Name: settings.Name, Incarnation: incarnation, Address: peerAddress(settings), Cores: settings.Cores, FirstStart: settings.FirstStart}
 	g.coordinator = coordinator.New(self, settings.MaxLease, g.store, g.catalog, g.targets, g.clock)
 	g.coordinator.PredecessorEnded = g.predecessorEnded
 	g.coordinator.Yields = g.yields
