Don't count the request whose response brings a load report

Cause: a target counts the request that it responds to in the report of that response: of 2,053 traced reports all but one, which came with a refusal for a key of another owner, had one running or more. The host took it for a request of another host that still runs. With one slot that is a whole slot: an idle target looked as if it had one more request per slot, so requests that must not be repeated found room for one instead of two, and those that leave room for a higher priority for one, or none once the average of the reports was above one.

Change: one less for a response of a target that ran the request.

The test failed before the change (1, 1, 2 requests in place of 2, 2, 3).

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -248,6 +248,16 @@
 	Running, Waiting int
 }
 
+// others returns the number of requests that the target still has after the response: a
+// report counts the request that it comes with, if the target ran it.
+func (r *Report) others(result Result) int {
+	n := r.Running + r.Waiting
+	if result == Complete || result == Failed {
+		n--
+	}
+	return n
+}
+
 const (
 	// shedBackoff is how long a target receives no requests, other than those
 	// for its own keys, after it refused a request because it was full.
@@ -284,7 +294,7 @@
 	svc := s.service(t.entry.Service)
 	defer svc.notifyWaiters()
 	if report != nil {
-		t.report(max(0, float64(report.Running+report.Waiting-t.inFlight)), now)
+		t.report(float64(max(0, report.others(result)-t.inFlight)), now)
 	}
 	took := now.Sub(c.sent)
 	if c.toOwner && (result == Shed || result == ConnectionLost) && c.TargetFull(report) {
--- /dev/null
+++ b/core/placement/oneslot_test.go
@@ -0,0 +1,54 @@
+package placement
+
+import (
+	"testing"
+	"time"
+)
+
+// newOneSlotSet returns a set with one target of one slot, t1.
+func newOneSlotSet() *Set {
+	s := NewSet("a")
+	e := entry("t1", "a")
+	e.Slots = 1
+	s.Put(e, start)
+	return s
+}
+
+// wantRoom checks how many requests with the criteria find capacity at the same time, and
+// ends them without a report.
+func wantRoom(t *testing.T, s *Set, criteria Criteria, now time.Time, want int) {
+	t.Helper()
+	criteria.Service = service
+	var chosen []*Choice
+	for range 20 {
+		if c, status := s.Choose(criteria, now); status == Chosen {
+			chosen = append(chosen, c)
+		}
+	}
+	if got := len(chosen); got != want {
+		t.Errorf("requests that find capacity: got %d, want %d", got, want)
+	}
+	for _, c := range chosen {
+		c.End(NotSent, nil, now)
+	}
+}
+
+// TestReportCountsItsOwnRequest guards against taking the request whose response brings a
+// report for one that still runs, which with one slot is all the room that is left for
+// others: the replay is an idle target, each of whose reports has one request running.
+func TestReportCountsItsOwnRequest(t *testing.T) {
+	low := Criteria{Owner: "t1", Rank: 2}
+	high := Criteria{Owner: "t1", NonIdempotent: true}
+	for _, result := range []Result{Complete, Failed} {
+		s := newOneSlotSet()
+		choose(t, s, high, start).End(result, &Report{Running: 1}, start)
+		wantRoom(t, s, high, start, 2)
+		wantRoom(t, s, low, start, 2)
+		wantRoom(t, s, low, start.Add(2*yieldPeriod), 3)
+	}
+	t.Run("not if the target did not run it", func(t *testing.T) {
+		s := newOneSlotSet()
+		choose(t, s, high, start).End(WrongTarget, &Report{Running: 1}, start)
+		wantRoom(t, s, high, start, 1)
+	})
+}
