Let the mean load of a service decay with the age of its reports

Cause: the estimate of a target moves from its last report to the mean of the service, which was the mean of the last reports whatever their age. A host whose reports all told of full targets refused all requests, so no new report came.

The test failed before the change.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -86,7 +86,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	svc := s.service(criteria.Service)
-	mean := svc.meanOtherHostsLoad()
+	mean := svc.meanOtherHostsLoad(now)
 	limit := maxDepth(criteria, svc.yields(criteria.Rank, now))
 	var best *Choice
 	bestCost := 0.0
@@ -152,7 +152,7 @@
 	}
 	svc := s.service(criteria.Service)
 	e := Estimate{
-		Depth: s.estimate(svc, t, now, svc.meanOtherHostsLoad()).depth, Limit: maxDepth(criteria, svc.yields(criteria.Rank, now)), Backoff: t.inOwnerBackoff(now),
+		Depth: s.estimate(svc, t, now, svc.meanOtherHostsLoad(now)).depth, Limit: maxDepth(criteria, svc.yields(criteria.Rank, now)), Backoff: t.inOwnerBackoff(now),
 	}
 	if !t.reported.IsZero() {
 		e.ReportAge = now.Sub(t.reported)
--- a/core/placement/oneslot_test.go
+++ b/core/placement/oneslot_test.go
@@ -52,3 +52,14 @@
 		wantRoom(t, s, high, start, 1)
 	})
 }
+
+// TestFullTargetsAreTriedAgain guards against a host that refuses all requests of a service
+// for good: without a response there is no report that could tell of free capacity.
+func TestFullTargetsAreTriedAgain(t *testing.T) {
+	for _, criteria := range []Criteria{{}, {Owner: "t1"}, {Owner: "t1", NonIdempotent: true}} {
+		s := newOneSlotSet()
+		choose(t, s, criteria, start).End(Complete, &Report{Running: 1, Waiting: 5}, start)
+		wantRoom(t, s, criteria, start, 0)
+		wantStatus(t, s, criteria, start.Add(5*time.Second), Chosen)
+	}
+}
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -218,14 +218,16 @@
 	return rank > svc.refusedRank && !svc.refusedRankAt.IsZero() && now.Sub(svc.refusedRankAt) < yieldPeriod
 }
 
-func (svc *serviceState) meanOtherHostsLoad() float64 {
+// meanOtherHostsLoad returns the mean of the reported loads, each of which decays with its
+// age. Otherwise, a host that sends nothing, as all targets look full, would go on so.
+func (svc *serviceState) meanOtherHostsLoad(now time.Time) float64 {
 	if len(svc.targets) == 0 {
 		return 0
 	}
 	sum, n := 0.0, 0
 	for _, t := range svc.targets {
 		if !t.reported.IsZero() {
-			sum += t.otherHostsLoad
+			sum += t.otherHostsLoad * decay(now.Sub(t.reported), averageHalfLife)
 			n++
 		}
 	}
