Limit the requests that wait for any target to what can be served

Cause: EnterQueue limited only requests that wait for the owner of their key.

Change: the limit also holds for requests that any target of the service may run: as many as this host has in flight at the service, and one. TestWaitingForFullOwner passes the service in addition.

The new test fails with the former rule in place of the new one.

--- a/core/placement/oneslot_test.go
+++ b/core/placement/oneslot_test.go
@@ -63,3 +63,28 @@
 		wantStatus(t, s, criteria, start.Add(5*time.Second), Chosen)
 	}
 }
+
+// TestWaitingForAnyTarget guards against requests without a key that are held and then
+// refused: no more may wait at a host than the targets can soon take from there.
+func TestWaitingForAnyTarget(t *testing.T) {
+	s := newOneSlotSet()
+	inFlight := 0
+	for ; ; inFlight++ {
+		if _, status := s.Choose(Criteria{Service: service}, start); status != Chosen {
+			break
+		}
+	}
+	waiting := 0
+	for range 100 {
+		if s.EnterQueue(service, "") {
+			waiting++
+		}
+	}
+	if want := inFlight + 1; waiting != want {
+		t.Errorf("requests that may wait: got %d, want %d", waiting, want)
+	}
+	s.LeaveQueue(service, "")
+	if !s.EnterQueue(service, "") {
+		t.Error("queue after one request has left it: got it full, want room for one")
+	}
+}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -318,18 +318,18 @@
 	}
 	waiting := 0
 	for range 100 {
-		if s.EnterQueue("t1") {
+		if s.EnterQueue(service, "t1") {
 			waiting++
 		}
 	}
 	if want := inFlight + 1; waiting != want {
 		t.Errorf("requests that may wait: got %d, want %d", waiting, want)
 	}
-	s.LeaveQueue("t1")
-	if !s.EnterQueue("t1") {
+	s.LeaveQueue(service, "t1")
+	if !s.EnterQueue(service, "t1") {
 		t.Error("queue after one request has left it: got it full, want room for one")
 	}
-	if s.EnterQueue("t9") {
+	if s.EnterQueue(service, "t9") {
 		t.Error("queue of an unknown owner: got room, want none")
 	}
 }
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -31,6 +31,9 @@
 	// the highest priority.
 	refusedRank   int
 	refusedRankAt time.Time
+	// waiting is the number of this host's requests that wait for capacity at any
+	// target of the service.
+	waiting int
 	// waiters are closed when a request of this host ends or a target is added.
 	waiters []chan struct{}
 }
--- a/io/proxy/choose.go
+++ b/io/proxy/choose.go
@@ -82,7 +82,7 @@
 	queued := false
 	defer func() {
 		if queued {
-			p.targets.LeaveQueue(owner)
+			p.targets.LeaveQueue(q.match.Service.Name, owner)
 		}
 	}()
 	for {
@@ -95,8 +95,8 @@
 		if verdict == placement.NoTarget {
 			reason = reasonNoTarget
 		}
-		if owner != "" && verdict == placement.NoCapacity && !queued {
-			if queued = p.targets.EnterQueue(owner); !queued {
+		if verdict == placement.NoCapacity && !queued {
+			if queued = p.targets.EnterQueue(q.match.Service.Name, owner); !queued {
 				end = p.clock.Now()
 			}
 		}
