Yield to a higher priority for 0.5 s a slot in place of 2 s

Cause: after a request found no capacity, those of a lower priority leave room for its kind for 2 s. Four slots give up 6 of 14 requests, one slot 1 of 3.

Change: the period is 0.5 s for each slot of the service's largest target, so 2 s with four. The tests that named the constant take the period of the set.

The new test fails with 2 s for all.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -68,9 +68,10 @@
 	// higher priority recently found no capacity. It is below both other limits, so
 	// that these find it.
 	yieldingMaxDepth = 2.0
-	// yieldPeriod is how long requests yield after one of a higher priority found no
-	// capacity.
-	yieldPeriod = 2 * time.Second
+	// yieldPeriodPerSlot is how long, for each slot of a target, requests yield after one
+	// of a higher priority found no capacity. The fewer the slots, the larger is the share
+	// of the capacity that they give up.
+	yieldPeriodPerSlot = 500 * time.Millisecond
 	// jitter is the largest random increase of a cost, as a fraction. It keeps
 	// hosts with the same load data from selecting the same target.
 	jitter = 0.1
--- a/core/placement/oneslot_test.go
+++ b/core/placement/oneslot_test.go
@@ -6,10 +6,13 @@
 )
 
 // newOneSlotSet returns a set with one target of one slot, t1.
-func newOneSlotSet() *Set {
+func newOneSlotSet() *Set { return newSlotSet(1) }
+
+// newSlotSet returns a set with one target, t1, with the given number of slots.
+func newSlotSet(slots int) *Set {
 	s := NewSet("a")
 	e := entry("t1", "a")
-	e.Slots = 1
+	e.Slots = slots
 	s.Put(e, start)
 	return s
 }
@@ -44,7 +47,7 @@
 		choose(t, s, high, start).End(result, &Report{Running: 1}, start)
 		wantRoom(t, s, high, start, 2)
 		wantRoom(t, s, low, start, 2)
-		wantRoom(t, s, low, start.Add(2*yieldPeriod), 3)
+		wantRoom(t, s, low, start.Add(2*s.service(service).yieldPeriod()), 3)
 	}
 	t.Run("not if the target did not run it", func(t *testing.T) {
 		s := newOneSlotSet()
@@ -88,3 +91,17 @@
 		t.Error("queue after one request has left it: got it full, want room for one")
 	}
 }
+
+// TestYieldPeriod guards against requests of a low priority that yield as long with one slot
+// as with four: there they give up one of three requests, here six of fourteen.
+func TestYieldPeriod(t *testing.T) {
+	low := Criteria{Service: service, Owner: "t1", Rank: 2}
+	high := Criteria{Service: service, Owner: "t1", NonIdempotent: true}
+	for _, tt := range []struct{ slots, yielding, later, want int }{{1, 2, 3, 3}, {4, 8, 8, 14}} {
+		s := newSlotSet(tt.slots)
+		wantRoom(t, s, high, start, int(nonIdempotentMaxDepth*float64(tt.slots)))
+		wantRoom(t, s, low, start, tt.yielding)
+		wantRoom(t, s, low, start.Add(time.Second), tt.later)
+		wantRoom(t, s, low, start.Add(3*time.Second), tt.want)
+	}
+}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -375,7 +375,7 @@
 	for _, c := range yielding {
 		c.End(Complete, &Report{}, now)
 	}
-	if got := len(fill(s, now.Add(2*yieldPeriod))); got != all {
+	if got := len(fill(s, now.Add(2*s.service(service).yieldPeriod()))); got != all {
 		t.Errorf("requests of a low priority later: got %d in flight, want %d", got, all)
 	}
 }
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -27,8 +27,8 @@
 	// the time in the target's queue.
 	meanProcessingTime time.Duration
 	// refusedRank is the highest priority of the requests that found no capacity
-	// within yieldPeriod before refusedRankAt, the time of the last one of it. Zero is
-	// the highest priority.
+	// within the yield period before refusedRankAt, the time of the last one of it. Zero
+	// is the highest priority.
 	refusedRank   int
 	refusedRankAt time.Time
 	// waiting is the number of this host's requests that wait for capacity at any
@@ -218,7 +218,17 @@
 // yields reports whether a request of a priority leaves room for others of a higher one,
 // which recently found no capacity.
 func (svc *serviceState) yields(rank int, now time.Time) bool {
-	return rank > svc.refusedRank && !svc.refusedRankAt.IsZero() && now.Sub(svc.refusedRankAt) < yieldPeriod
+	return rank > svc.refusedRank && !svc.refusedRankAt.IsZero() && now.Sub(svc.refusedRankAt) < svc.yieldPeriod()
+}
+
+// yieldPeriod returns how long requests yield after one of a higher priority found no
+// capacity, by the slots of the largest target.
+func (svc *serviceState) yieldPeriod() time.Duration {
+	slots := 0
+	for _, t := range svc.targets {
+		slots = max(slots, t.entry.Slots)
+	}
+	return time.Duration(slots) * yieldPeriodPerSlot
 }
 
 // meanOtherHostsLoad returns the mean of the reported loads, each of which decays with its
