Let no more requests wait than are in flight, without one more

Cause: with one slot a host has no request or one in flight at an owner, so the one more that could wait was half of all that waited or all of it, also where the slot was another host's.

Change: the number that may wait is the number in flight. The two tests of it count exactly that number; the one for any target also has that none waits with nothing in flight.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -164,12 +164,12 @@
 // EnterQueue reports whether a request may wait for capacity at the owner of its key, or
 // at any target of the service without one, and counts it until LeaveQueue if so. Each
 // response to this host frees capacity for about one of this host's requests, so no more
-// may wait than are in flight there, and one: the others would wait in vain.
+// may wait than are in flight there: the others would wait in vain.
 func (s *Set) EnterQueue(service, owner string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	waiting, inFlight := s.queue(service, owner)
-	if waiting == nil || *waiting > inFlight {
+	if waiting == nil || *waiting >= inFlight {
 		return false
 	}
 	*waiting++
--- a/core/placement/oneslot_test.go
+++ b/core/placement/oneslot_test.go
@@ -71,6 +71,9 @@
 // refused: no more may wait at a host than the targets can soon take from there.
 func TestWaitingForAnyTarget(t *testing.T) {
 	s := newOneSlotSet()
+	if s.EnterQueue(service, "") || s.EnterQueue(service, "t1") {
+		t.Error("queue at targets with nothing in flight: got room, want none")
+	}
 	inFlight := 0
 	for ; ; inFlight++ {
 		if _, status := s.Choose(Criteria{Service: service}, start); status != Chosen {
@@ -83,8 +86,8 @@
 			waiting++
 		}
 	}
-	if want := inFlight + 1; waiting != want {
-		t.Errorf("requests that may wait: got %d, want %d", waiting, want)
+	if waiting != inFlight {
+		t.Errorf("requests that may wait: got %d, want %d", waiting, inFlight)
 	}
 	s.LeaveQueue(service, "")
 	if !s.EnterQueue(service, "") {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -322,8 +322,8 @@
 			waiting++
 		}
 	}
-	if want := inFlight + 1; waiting != want {
-		t.Errorf("requests that may wait: got %d, want %d", waiting, want)
+	if waiting != inFlight {
+		t.Errorf("requests that may wait: got %d, want %d", waiting, inFlight)
 	}
 	s.LeaveQueue(service, "t1")
 	if !s.EnterQueue(service, "t1") {
