--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -68,9 +68,10 @@
 	// higher priority recently found no capacity. It is below both other limits, so
 	// that these find it.
 	yieldingMaxDepth = 2.0
-	// yieldPeriod is how long requests yield after one of a higher priority found no
-	// capacity.
-	yieldPeriod = 2 * time.Second
+	// yieldPeriodPerSlot is how long, for each slot of a target, requests yield after one
+	// of a higher priority found no capacity. The fewer the slots, the larger is the share
+	// of the capacity that they give up.
+	yieldPeriodPerSlot = 500 * time.Millisecond
 	// jitter is the largest random increase of a cost, as a fraction. It keeps
 	// hosts with the same load data from selecting the same target.
 	jitter = 0.1
@@ -86,7 +87,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	svc := s.service(criteria.Service)
-	mean := svc.meanOtherHostsLoad()
+	mean := svc.meanOtherHostsLoad(now)
 	limit := maxDepth(criteria, svc.yields(criteria.Rank, now))
 	var best *Choice
 	bestCost := 0.0
@@ -152,7 +153,7 @@
 	}
 	svc := s.service(criteria.Service)
 	e := Estimate{
-		Depth: s.estimate(svc, t, now, svc.meanOtherHostsLoad()).depth, Limit: maxDepth(criteria, svc.yields(criteria.Rank, now)), Backoff: t.inOwnerBackoff(now),
+		Depth: s.estimate(svc, t, now, svc.meanOtherHostsLoad(now)).depth, Limit: maxDepth(criteria, svc.yields(criteria.Rank, now)), Backoff: t.inOwnerBackoff(now),
 	}
 	if !t.reported.IsZero() {
 		e.ReportAge = now.Sub(t.reported)
@@ -160,30 +161,47 @@
 	return e, true
 }
 
-// EnterQueue reports whether a request may wait for capacity at the owner of its key, and
-// counts it until LeaveQueue if so. Each response of the owner to this host frees capacity
-// for about one of this host's requests, so no more may wait than are in flight there, and
-// one: the others would wait in vain.
-func (s *Set) EnterQueue(owner string) bool {
+// EnterQueue reports whether a request may wait for capacity at the owner of its key, or
+// at any target of the service without one, and counts it until LeaveQueue if so. Each
+// response to this host frees capacity for about one of this host's requests, so no more
+// may wait than are in flight there: the others would wait in vain.
+func (s *Set) EnterQueue(service, owner string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.targets[owner]
-	if t == nil || t.waiting > t.inFlight {
+	waiting, inFlight := s.queue(service, owner)
+	if waiting == nil || *waiting >= inFlight {
 		return false
 	}
-	t.waiting++
+	*waiting++
 	return true
 }
 
 // LeaveQueue ends the wait of a request that EnterQueue has admitted.
-func (s *Set) LeaveQueue(owner string) {
+func (s *Set) LeaveQueue(service, owner string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t := s.targets[owner]; t != nil && t.waiting > 0 {
-		t.waiting--
+	if waiting, _ := s.queue(service, owner); waiting != nil && *waiting > 0 {
+		*waiting--
 	}
 }
 
+// queue returns the count of the requests that wait for an owner or, without one, for any
+// target of a service, and the number of requests in flight there. The count is nil if
+// the owner is unknown.
+func (s *Set) queue(service, owner string) (waiting *int, inFlight int) {
+	if owner != "" {
+		if t := s.targets[owner]; t != nil {
+			return &t.waiting, t.inFlight
+		}
+		return nil, 0
+	}
+	svc := s.service(service)
+	for _, t := range svc.targets {
+		inFlight += t.inFlight
+	}
+	return &svc.waiting, inFlight
+}
+
 // maxDepth returns the highest number of requests per slot at which a target is selected.
 // yields reports that requests of a higher priority recently found no capacity.
 func maxDepth(criteria Criteria, yields bool) float64 {
@@ -248,6 +266,16 @@
 	Running, Waiting int
 }
 
+// others returns the number of requests that the target still has after the response: a
+// report counts the request that it comes with, if the target ran it.
+func (r *Report) others(result Result) int {
+	n := r.Running + r.Waiting
+	if result == Complete || result == Failed {
+		n--
+	}
+	return n
+}
+
 const (
 	// shedBackoff is how long a target receives no requests, other than those
 	// for its own keys, after it refused a request because it was full.
@@ -284,7 +312,7 @@
 	svc := s.service(t.entry.Service)
 	defer svc.notifyWaiters()
 	if report != nil {
-		t.report(max(0, float64(report.Running+report.Waiting-t.inFlight)), now)
+		t.report(float64(max(0, report.others(result)-t.inFlight)), now)
 	}
 	took := now.Sub(c.sent)
 	if c.toOwner && (result == Shed || result == ConnectionLost) && c.TargetFull(report) {
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -27,10 +27,13 @@
 	// the time in the target's queue.
 	meanProcessingTime time.Duration
 	// refusedRank is the highest priority of the requests that found no capacity
-	// within yieldPeriod before refusedRankAt, the time of the last one of it. Zero is
-	// the highest priority.
+	// within the yield period before refusedRankAt, the time of the last one of it. Zero
+	// is the highest priority.
 	refusedRank   int
 	refusedRankAt time.Time
+	// waiting is the number of this host's requests that wait for capacity at any
+	// target of the service.
+	waiting int
 	// waiters are closed when a request of this host ends or a target is added.
 	waiters []chan struct{}
 }
@@ -215,17 +218,29 @@
 // yields reports whether a request of a priority leaves room for others of a higher one,
 // which recently found no capacity.
 func (svc *serviceState) yields(rank int, now time.Time) bool {
-	return rank > svc.refusedRank && !svc.refusedRankAt.IsZero() && now.Sub(svc.refusedRankAt) < yieldPeriod
+	return rank > svc.refusedRank && !svc.refusedRankAt.IsZero() && now.Sub(svc.refusedRankAt) < svc.yieldPeriod()
 }
 
-func (svc *serviceState) meanOtherHostsLoad() float64 {
+// yieldPeriod returns how long requests yield after one of a higher priority found no
+// capacity, by the slots of the largest target.
+func (svc *serviceState) yieldPeriod() time.Duration {
+	slots := 0
+	for _, t := range svc.targets {
+		slots = max(slots, t.entry.Slots)
+	}
+	return time.Duration(slots) * yieldPeriodPerSlot
+}
+
+// meanOtherHostsLoad returns the mean of the reported loads, each of which decays with its
+// age. Otherwise, a host that sends nothing, as all targets look full, would go on so.
+func (svc *serviceState) meanOtherHostsLoad(now time.Time) float64 {
 	if len(svc.targets) == 0 {
 		return 0
 	}
 	sum, n := 0.0, 0
 	for _, t := range svc.targets {
 		if !t.reported.IsZero() {
-			sum += t.otherHostsLoad
+			sum += t.otherHostsLoad * decay(now.Sub(t.reported), averageHalfLife)
 			n++
 		}
 	}
