Let the first start of a process hold no socket of an unused address

Cause: at the first start of a process package os checks the kernel once by a fork without syscall.ForkLock, and that fork holds the socket for an instant. TestPageMetrics sets a label of the new counter, as for the others with labels.

--- a/io/gateway/page_test.go
+++ b/io/gateway/page_test.go
@@ -15,6 +15,7 @@
 	h := newTestCluster(t).addHost("host-1")
 	h.gateway.metrics.observeStoreCall("/v1/log-read", 0, nil)
 	h.gateway.metrics.requests.WithLabelValues("s", "200", "answered").Inc()
+	h.gateway.metrics.relays.WithLabelValues("out", "s", "answered").Inc()
 	families, err := h.gateway.metrics.registry.Gather()
 	if err != nil {
 		t.Fatal(err)
--- a/io/socket/unused.go
+++ b/io/socket/unused.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"os"
+	"sync"
 	"syscall"
 )
 
@@ -11,6 +13,7 @@
 // process start, because a new process holds all sockets until it executes its
 // program.
 func Unused(address string) (string, error) {
+	awaitFirstFork()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
 	listener, err := net.Listen("tcp", address)
@@ -22,3 +25,11 @@
 	}
 	return listener.Addr().String(), nil
 }
+
+// awaitFirstFork makes package os check what the kernel offers for its processes. It does so
+// once, at the first start of a process, by a fork that does not take syscall.ForkLock.
+var awaitFirstFork = sync.OnceFunc(func() {
+	if process, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = process.Release()
+	}
+})
