--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"pineturn/core/clock"
 	"pineturn/core/owner"
 	"pineturn/core/placement"
@@ -226,52 +224,6 @@
 	return c.leading
 }
 
-// MayGrant reports whether this host is the leader, awaits responses to grants that it
-// sent as the leader, or has got none to one that the target may still apply.
-func (c *Coordinator) MayGrant() bool {
-	now := c.clock.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.leading || c.grantsInFlight > 0 || now.Before(c.unaccountedUntil)
-}
-
-// awaitsOwnGrants reports whether this host does not lead, but targets may still apply a
-// grant that it sent as the leader.
-func (c *Coordinator) awaitsOwnGrants() bool {
-	now := c.clock.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.leading && now.Before(c.unaccountedUntil)
-}
-
-// countGrant counts an order that is about to be sent if it is a grant.
-func (c *Coordinator) countGrant(order owner.Order) {
-	if order.Kind != owner.Grant {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.grantsInFlight++
-}
-
-// handleResult applies the outcome of an order. The leader accounts for its own grants;
-// those that end when this host no longer leads are accounted for here.
-func (c *Coordinator) handleResult(r result) {
-	now := c.clock.Now()
-	if c.leader != nil {
-		c.leader.HandleOutcome(r.order, r.outcome, now)
-	}
-	if r.order.Kind != owner.Grant {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.grantsInFlight--
-	if c.leader == nil {
-		c.unaccountedUntil = clock.Later(c.unaccountedUntil, r.outcome.UnaccountedUntil(now))
-	}
-}
-
 // AddReport adds a host's report to the loads that rebalancing uses. A host that is
 // about to lead may receive reports before it has read its record back.
 func (c *Coordinator) AddReport(report owner.Report) {
@@ -317,19 +269,6 @@
 	c.sender.close()
 }
 
-func (c *Coordinator) handlePredecessorEnd(end predecessorEnd) {
-	if c.leader == nil || c.leader.Epoch() != end.epoch {
-		return
-	}
-	if end.accounted {
-		c.leader.PredecessorEnded(end.process.Incarnation, end.at)
-	} else {
-		c.leader.PredecessorKilled(end.process.Incarnation, end.at)
-	}
-	klog.InfoS("Earlier leader sends no more grants", "address", end.process.Address, "process", end.process.Incarnation, "epoch", end.epoch,
-		"accounted", end.accounted)
-}
-
 // resetLoads discards the loads when this host stops leading. Each host sends
 // its full report to a new leader, so the loads are complete again when this host
 // next leads.
@@ -339,25 +278,6 @@
 	c.loads = owner.NewLoads(now)
 }
 
-// setLeading records whether this host is the leader. Loads decay while it is not, so
-// that those which the other hosts then report keep their weight.
-func (c *Coordinator) setLeading(leading bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.leading = leading
-	c.loads.Decay(c.clock.Now())
-}
-
-// stopLeading makes this host a follower. Its grants that have no outcome stay accounted
-// for.
-func (c *Coordinator) stopLeading() {
-	c.mu.Lock()
-	c.unaccountedUntil = clock.Later(c.unaccountedUntil, c.leader.UnaccountedUntil())
-	c.mu.Unlock()
-	c.leader = nil
-	c.setLeading(false)
-}
-
 func (c *Coordinator) tick(ctx context.Context) {
 	now := c.clock.Now()
 	next, provenAt, read := c.readPosition(now)
@@ -375,17 +295,6 @@
 	}
 }
 
-// recordProof moves the time of the last proof of leadership forward to at, and
-// returns the time of the last proof.
-func (c *Coordinator) recordProof(at time.Time) time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if at.After(c.provenAt) {
-		c.provenAt = at
-	}
-	return c.provenAt
-}
-
 func (c *Coordinator) keyedServices() []string {
 	table := c.catalog.Table()
 	if table == nil {
@@ -399,33 +308,3 @@
 	}
 	return names
 }
-
-// updateLeadership starts to lead when the record read back names this
-// incarnation as the leader, and stops when the record has another incarnation or
-// epoch. A leader of an earlier era that has claimed again leads on.
-func (c *Coordinator) updateLeadership(now time.Time) {
-	a := c.known
-	if a == nil {
-		return
-	}
-	own := a.LeaderIncarnation == c.self.Incarnation
-	switch {
-	case c.leader == nil && own && !c.isStopping() && a.Era >= c.era:
-		c.setLeading(true)
-		if c.catalog.Assignment() != a {
-			// A later leader may already have been told that this host follows it.
-			c.setLeading(false)
-			return
-		}
-		c.leader = owner.NewLeader(a, c.maxLease, now)
-		c.balancedAt = now
-		klog.InfoS("This host is the leader", "epoch", a.Epoch)
-	case c.leader != nil && own && a.Epoch > c.leader.Epoch() && a.Era > c.leader.Era():
-		klog.InfoS("This host leads on in a new era of the store", "epoch", a.Epoch, "epochBefore", c.leader.Epoch(), "era", a.Era)
-		c.leader = c.leader.Succeed(a, c.lastProof(), now)
-	case c.leader != nil && (!own || a.Epoch != c.leader.Epoch()):
-		klog.InfoS("Another host is the leader", "leader", a.Leader, "epoch", a.Epoch, "epochHere", c.leader.Epoch())
-		c.stopLeading()
-		c.resetLoads(now)
-	}
-}
