Report no limits of targets that have never named one

Cause: each response without a limit was kept as the end of a limit for 10 s, also of a target that had never named one. An end that is followed by more responses was told for ever, too.

Change: a host remembers when it learned that a limit has ended, and reports that for 10 s. Messages are the same; an older build gets fewer entries.

TestNoLimitIsNotReported failed before.

--- a/core/ratelimit/pacer.go
+++ b/core/ratelimit/pacer.go
@@ -30,6 +30,9 @@
 	limit Limit
 	// toldAt is the time after which the target said so.
 	toldAt time.Time
+	// endedAt is the time at which this host learned that an earlier limit has ended; zero
+	// if there was none.
+	endedAt time.Time
 	// share is this host's part in requests a second until shareEnd, and burst the number
 	// of requests for which it is kept. shared reports that the part counts.
 	share    float64
@@ -67,6 +70,9 @@
 		p.demand, p.demandSince = 0, now
 		p.fallBack(now)
 	}
+	if !limit.Named {
+		p.endedAt = now
+	}
 	p.limit = limit
 	return true
 }
@@ -180,9 +186,8 @@
 // Observation returns what this host knows of the limit of a target, and uses of it as one of
 // a number of hosts. It returns false if the target has named none, or has ended it long ago.
 func (p *Pacer) Observation(target string, now time.Time, hosts int) (Observation, bool) {
-	age := now.Sub(p.toldAt)
-	if p.toldAt.IsZero() || !p.limit.Named && age > endMemory {
+	if !p.limit.Named && (p.endedAt.IsZero() || now.Sub(p.endedAt) > endMemory) {
 		return Observation{}, false
 	}
-	return Observation{Target: target, Limit: p.limit, Age: age, Demand: p.Demand(now), Held: p.Rate(now, hosts)}, true
+	return Observation{Target: target, Limit: p.limit, Age: now.Sub(p.toldAt), Demand: p.Demand(now), Held: p.Rate(now, hosts)}, true
 }
--- a/core/ratelimit/sim_test.go
+++ b/core/ratelimit/sim_test.go
@@ -375,3 +375,29 @@
 		}
 	}
 }
+
+// TestNoLimitIsNotReported guards against messages about each target that has responded, also
+// of those that have never named a limit.
+func TestNoLimitIsNotReported(t *testing.T) {
+	assertReported := func(t *testing.T, p *Pacer, at time.Duration, want bool) {
+		t.Helper()
+		if _, got := p.Observation(target, simStart.Add(at), 1); got != want {
+			t.Errorf("observation %v after the first response: got %t, want %t", at, got, want)
+		}
+	}
+	respond := func(p *Pacer, limit Limit, at time.Duration) { p.Observe(limit, simStart.Add(at), simStart.Add(at)) }
+	t.Run("never named", func(t *testing.T) {
+		p := &Pacer{}
+		respond(p, Limit{}, 0)
+		assertReported(t, p, time.Millisecond, false)
+	})
+	t.Run("ended, with responses since", func(t *testing.T) {
+		p := &Pacer{}
+		respond(p, Limit{Named: true, PerSecond: 1}, 0)
+		assertReported(t, p, time.Second, true)
+		for at := 2 * time.Second; at <= 2*time.Second+2*endMemory; at += time.Second {
+			respond(p, Limit{}, at)
+			assertReported(t, p, at, at <= 2*time.Second+endMemory)
+		}
+	})
+}
