Tell hosts only what changes of the limits of targets

Cause: each feed repeated all limits with the receiver's part, and for each receiver the leader went through all parts of all limited targets. A round of feeds (each of the hosts told once) so grew with hosts x hosts x targets: 2,528 ms and 29 MB at 195 hosts with 600 limited targets, 497 ms with 200. Each host reported each limit it had heard of with each report.

Change: the Divider works through each division once in 250 ms, whoever asks, and counts changes; a link is told what is newer than what it was told last (Told). An update continues the shares before it (Shares renews them), so a part is no longer repeated. Reports carry limits that the host has demand for or a part of, or has just seen change; of the others some six hosts at random report each.

An older build: the flag in feeds (8) is unknown to it, so a host that does not say in its reports (8) that it understands the flag is told everything each time, as before. An older leader's feeds have no flag, so only what they repeat holds. Golden bytes of with limits are added.

--- a/core/placement/limits.go
+++ b/core/placement/limits.go
@@ -56,25 +56,31 @@
 	return true
 }
 
-// ApplyShares records what the leader has said of the limits of targets at a time.
-func (s *Set) ApplyShares(shares []ratelimit.Share, saidAt, now time.Time) {
+// ApplyLimits records what the leader has said of the limits of targets at a time.
+func (s *Set) ApplyLimits(update ratelimit.Update, saidAt, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, share := range shares {
-		t := s.targets[share.Target]
-		if t == nil {
-			continue
-		}
-		if t.pacer.Observe(share.Limit, saidAt.Add(-share.Age), now) {
+	s.shares.Apply(update, saidAt)
+	for _, share := range update.Shares {
+		if t := s.targets[share.Target]; t != nil && !share.Limit.Named && t.pacer.Learn(share.Limit, saidAt.Add(-share.Age), now) {
 			s.service(t.entry.Service).notifyWaiters()
 		}
-		if share.Dealt {
-			t.pacer.SetShare(share, saidAt, now)
+	}
+	s.shares.Targets(func(id string) {
+		if t := s.targets[id]; t != nil {
+			s.informOfLimit(t, now)
 		}
+	})
+}
+
+// informOfLimit tells a target's state what the leader has said of its limit.
+func (s *Set) informOfLimit(t *Target, now time.Time) {
+	if s.shares.Inform(t.entry.ID, &t.pacer, now) {
+		s.service(t.entry.Service).notifyWaiters()
 	}
 }
 
-// Limits returns what this host knows of the limits of targets, by target.
+// Limits returns what this host reports of the limits of targets, by target.
 func (s *Set) Limits(now time.Time) []ratelimit.Observation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -88,6 +94,19 @@
 	return known
 }
 
+// LimitedTargets returns the number of targets that have named a limit.
+func (s *Set) LimitedTargets() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, t := range s.targets {
+		if t.pacer.Limit().Named {
+			n++
+		}
+	}
+	return n
+}
+
 // TakeLimitsChanged reports whether a response has changed the limit of a target since the
 // previous call.
 func (s *Set) TakeLimitsChanged() bool {
--- a/core/placement/limits_test.go
+++ b/core/placement/limits_test.go
@@ -13,7 +13,7 @@
 	s := newSet(ids...)
 	limit := ratelimit.Limit{Named: true, PerSecond: 4}
 	s.ObserveLimit(ids[0], limit, start, start)
-	s.ApplyShares([]ratelimit.Share{{Target: ids[0], Limit: limit, Dealt: true, PerSecond: part, Burst: 1}}, start, start)
+	s.ApplyLimits(ratelimit.Update{Shares: []ratelimit.Share{{Target: ids[0], Limit: limit, Dealt: true, PerSecond: part, Burst: 1}}}, start, start)
 	return s
 }
 
@@ -96,7 +96,7 @@
 	assertNamed(t, true)
 	s.ObserveLimit("t1", ratelimit.Limit{}, at(2), at(2.1))
 	assertNamed(t, false)
-	s.ApplyShares([]ratelimit.Share{{Target: "t1", Limit: ratelimit.Limit{Named: true, PerSecond: 1}, Age: 2 * time.Second}}, at(3), at(3))
+	s.ApplyLimits(ratelimit.Update{Shares: []ratelimit.Share{{Target: "t1", Limit: ratelimit.Limit{Named: true, PerSecond: 1}, Age: 2 * time.Second}}}, at(3), at(3))
 	assertNamed(t, false)
 	choose(t, s, Criteria{}, at(3))
 	choose(t, s, Criteria{}, at(3))
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pineturn/core/owner"
+	"pineturn/core/ratelimit"
 )
 
 // Set is the table of all targets. It is safe for concurrent use. In the lock
@@ -20,6 +21,8 @@
 	changed chan struct{}
 	// limitsChanged is set when a response has changed the limit of a target.
 	limitsChanged bool
+	// shares holds what the leader has said of the limits of targets.
+	shares ratelimit.Shares
 	// Hosts returns the number of hosts that share the limits of targets. It is set
 	// before use.
 	Hosts func() int
@@ -96,6 +99,7 @@
 	}
 	t := &Target{entry: entry, warmEnd: now.Add(entry.WarmUp), relativeTime: 1}
 	s.targets[entry.ID] = t
+	s.informOfLimit(t, now)
 	svc := s.service(entry.Service)
 	svc.targets = append(svc.targets, t)
 	svc.notifyWaiters()
--- a/core/ratelimit/divider.go
+++ b/core/ratelimit/divider.go
@@ -1,9 +1,8 @@
 package ratelimit
 
 import (
-	"cmp"
-	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,32 +13,9 @@
 	// minDealt is what is dealt of a limit of zero, in requests a second: only a response
 	// shows the end of it.
 	minDealt = 0.25
-	// wantedDemand is the demand of the hosts that have a part of a limit, as a multiple of
-	// what is dealt: a part is used in full only if requests come more often.
-	wantedDemand = 2.0
-	// burstTime and burstRequests are what all hosts may save up together: what is dealt in
-	// a time, and a number of requests. Each host that has a part may save up one at least,
-	// so that there are no more of these hosts.
-	burstTime     = 400 * time.Millisecond
-	burstRequests = 3.0
-	// divideInterval is the time between two divisions of the same limit.
-	divideInterval = 250 * time.Millisecond
-	// enoughUse is the fraction of what is dealt that must meet enoughDemand times as much
-	// demand. Otherwise it is divided anew.
-	enoughUse    = 0.9
-	enoughDemand = 1.4
-	// reportMemory is how long the report of a host counts.
-	reportMemory = 3 * time.Second
 	// takeOverDelay is the time from the begin of a leadership to the first parts: by then
 	// those of the leader before it have ended.
 	takeOverDelay = shareTime + 500*time.Millisecond
-	// reserveTime is how long a part that was reduced is not dealt to others.
-	reserveTime = takeOverDelay
-	// rounding is the relative error of sums of parts.
-	rounding = 1e-9
-	// sharerPreference is the factor by which the demand of a host that has a part counts
-	// more, so that parts don't change all the time.
-	sharerPreference = 1.5
 )
 
 // Divider divides the limits of targets among the hosts, at the leader. It is safe for
@@ -47,45 +23,43 @@
 type Divider struct {
 	hosts *hostcount.Counter
 
-	mu      sync.Mutex
-	targets map[string]*division
+	mu sync.Mutex
+	// members holds the hosts that have reported lately, and free the numbers of hosts that
+	// have left.
+	members          map[string]*member
+	membersCheckedAt time.Time
+	free             []int
+	targets          map[string]*division
+	// sorted holds the divisions by target.
+	sorted  []*division
 	leading bool
+	// term counts the leaderships of this host.
+	term int
 	// dealFrom is the time from which parts are dealt.
 	dealFrom time.Time
+	// version counts the changes of what hosts are to know, from 1.
+	version uint64
 }
 
-// division is the division of the limit of one target.
-type division struct {
-	limit     Limit
-	toldAt    time.Time
-	dividedAt time.Time
-	parts     map[string]*part
-	// burst is what each host may save up.
-	burst float64
-}
-
-// part is the part of one host.
-type part struct {
-	demand     float64
+// member is a host that reports, with the number by which divisions know it.
+type member struct {
+	number     int
 	reportedAt time.Time
-	// rate is the part in requests a second; reserved is what the host may still use of
-	// an earlier one until reservedUntil.
-	rate          float64
-	reserved      float64
-	reservedUntil time.Time
 }
 
-// held returns what the host may use at most.
-func (p *part) held(now time.Time) float64 {
-	if now.Before(p.reservedUntil) {
-		return max(p.rate, p.reserved)
-	}
-	return p.rate
+// noMember is the number of hosts that have not reported.
+const noMember = -1
+
+// Told is what a host has been told on one link: all changes up to a version in a term of
+// the Divider. The zero value has been told nothing.
+type Told struct {
+	term    int
+	version uint64
 }
 
 // NewDivider returns a divider for the hosts that a counter counts.
 func NewDivider(hosts *hostcount.Counter) *Divider {
-	return &Divider{hosts: hosts, targets: make(map[string]*division)}
+	return &Divider{hosts: hosts, members: make(map[string]*member), targets: make(map[string]*division), version: 1}
 }
 
 // SetLeading records whether this host leads. Only a leader deals parts.
@@ -93,8 +67,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if leading && !d.leading {
+		d.term++
 		d.dealFrom = now.Add(takeOverDelay)
 		clear(d.targets)
+		d.sorted = nil
 	}
 	d.leading = leading
 }
@@ -103,165 +79,117 @@
 func (d *Divider) AddReport(host string, observations []Observation, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	m := d.member(host)
+	m.reportedAt = now
 	for _, o := range observations {
-		x := d.targets[o.Target]
-		if x == nil {
-			x = &division{parts: make(map[string]*part)}
-			d.targets[o.Target] = x
-		}
-		x.observe(o, now)
-		p := x.parts[host]
-		if p == nil {
-			p = &part{}
-			x.parts[host] = p
-		}
-		p.demand, p.reportedAt = o.Demand, now
-		if o.Held <= p.rate*(1+rounding) {
-			p.reservedUntil = time.Time{}
-		}
+		d.division(o.Target).addReport(m.number, o, now)
 	}
 }
 
-func (x *division) observe(o Observation, now time.Time) {
-	toldAt := now.Add(-o.Age)
-	if !toldAt.After(x.toldAt) {
-		return
+// member returns the member of a host, a new one at its first report.
+func (d *Divider) member(host string) *member {
+	m := d.members[host]
+	if m != nil {
+		return m
 	}
-	x.toldAt = toldAt
-	if x.limit != o.Limit {
-		x.limit, x.dividedAt = o.Limit, time.Time{}
+	m = &member{number: len(d.members)}
+	if last := len(d.free) - 1; last >= 0 {
+		m.number = d.free[last]
+		d.free = d.free[:last]
 	}
+	d.members[host] = m
+	return m
 }
 
-// Shares returns what a host is to know of the limits of targets. linked is the number of
-// hosts that this one can tell.
-func (d *Divider) Shares(host string, linked int, now time.Time) []Share {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.leading {
-		return nil
+// number returns the number of a host.
+func (d *Divider) number(host string) int {
+	if m := d.members[host]; m != nil {
+		return m.number
 	}
-	var shares []Share
-	for _, target := range slices.Sorted(maps.Keys(d.targets)) {
-		x := d.targets[target]
-		x.forget(now)
-		age := now.Sub(x.toldAt)
-		if len(x.parts) == 0 || !x.limit.Named && age > endMemory {
-			delete(d.targets, target)
-			continue
-		}
-		share := Share{Target: target, Limit: x.limit, Age: age}
-		if x.limit.Named && !now.Before(d.dealFrom) {
-			x.divide(d.dealt(x.limit, linked), now)
-			share.Dealt, share.PerSecond, share.Burst = true, x.rate(host), x.burst
+	return noMember
+}
+
+// memberMemory is how long a host without reports keeps its number. All of its parts have
+// been removed by then.
+const memberMemory = reportMemory + reserveTime + 10*time.Second
+
+// forgetMembers frees the numbers of hosts that no longer report.
+func (d *Divider) forgetMembers(now time.Time) {
+	d.membersCheckedAt = now
+	for host, m := range d.members {
+		if now.Sub(m.reportedAt) >= memberMemory {
+			d.free = append(d.free, m.number)
+			delete(d.members, host)
 		}
-		shares = append(shares, share)
 	}
-	return shares
 }
 
-// dealt returns how much of a limit is dealt to the linked hosts. Hosts that are cut off
-// may have another leader, which deals them the rest.
-func (d *Divider) dealt(limit Limit, linked int) float64 {
-	part := min(1, float64(linked)/float64(d.hosts.Hosts()))
-	return max(limit.PerSecond, minDealt) * part
+func (d *Divider) nextVersion() uint64 {
+	d.version++
+	return d.version
 }
 
-func (x *division) rate(host string) float64 {
-	if p := x.parts[host]; p != nil {
-		return p.rate
+// division returns the division of the limit of a target, a new one at its first report.
+func (d *Divider) division(target string) *division {
+	x := d.targets[target]
+	if x == nil {
+		x = newDivision(target, d.nextVersion)
+		d.targets[target] = x
+		i, _ := slices.BinarySearchFunc(d.sorted, target, func(x *division, target string) int { return strings.Compare(x.target, target) })
+		d.sorted = slices.Insert(d.sorted, i, x)
 	}
-	return 0
+	return x
 }
 
-// divide deals a total in requests a second to the hosts with the most demand, in
-// proportion to it.
-func (x *division) divide(total float64, now time.Time) {
-	if now.Sub(x.dividedAt) < divideInterval {
-		return
-	}
-	x.dividedAt = now
-	if x.isUsed(total, now) {
-		return
-	}
-	chosen, demand := x.sharers(total)
-	x.burst = saved(total) / float64(max(len(chosen), 1))
-	wanted := make(map[string]float64, len(chosen))
-	for _, host := range chosen {
-		wanted[host] = total * x.parts[host].demand / demand
-	}
-	for host, p := range x.parts {
-		if wanted[host] < p.rate {
-			p.reserved, p.reservedUntil = p.held(now), now.Add(reserveTime)
-			p.rate = wanted[host]
-		}
-	}
-	for _, host := range chosen {
-		p := x.parts[host]
-		if room := total - x.heldByOthers(host, now); wanted[host] > p.rate {
-			p.rate = max(p.rate, min(wanted[host], room))
+// Update returns what a host is to know of the limits of targets beyond what it has been
+// told, and records that it is told that. linked is the number of hosts that this one can
+// tell.
+func (d *Divider) Update(host string, told *Told, linked int, now time.Time) Update {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.leading {
+		*told = Told{}
+		return Update{}
+	}
+	d.divide(linked, now)
+	if told.term != d.term {
+		*told = Told{term: d.term}
+	}
+	update := Update{Continues: told.version > 0}
+	number := d.number(host)
+	for _, x := range d.sorted {
+		if x.version > told.version && x.isNew(number, told.version) && (update.Continues || !x.ended) {
+			update.Shares = append(update.Shares, x.share(number, now))
 		}
 	}
+	told.version = d.version
+	return update
 }
 
-// saved returns the number of requests that all hosts together may save up.
-func saved(total float64) float64 { return burstTime.Seconds()*total + burstRequests }
-
-// isUsed reports whether the parts meet demand and add up to no more than the total.
-func (x *division) isUsed(total float64, now time.Time) bool {
-	used, held := 0.0, 0.0
-	for _, p := range x.parts {
-		used += min(p.rate, p.demand/enoughDemand)
-		held += p.held(now)
-	}
-	return used >= enoughUse*total && held <= total*(1+rounding)
-}
-
-// forget removes the parts of hosts that no longer report.
-func (x *division) forget(now time.Time) {
-	for host, p := range x.parts {
-		if now.Sub(p.reportedAt) < reportMemory {
+// divide brings all divisions up to date.
+func (d *Divider) divide(linked int, now time.Time) {
+	dealing := !now.Before(d.dealFrom)
+	// Hosts that are cut off may have another leader, which deals them the rest.
+	part := min(1, float64(linked)/float64(d.hosts.Hosts()))
+	forgotten := false
+	for _, x := range d.sorted {
+		if now.Sub(x.dividedAt) < divideInterval {
 			continue
 		}
-		if p.rate > 0 {
-			p.reserved, p.reservedUntil, p.rate = p.held(now), now.Add(reserveTime), 0
-			x.dividedAt = time.Time{}
+		if x.forget(now); x.isForgotten(now) {
+			delete(d.targets, x.target)
+			forgotten = true
+			continue
 		}
-		p.demand = 0
-		if !now.Before(p.reservedUntil) {
-			delete(x.parts, host)
+		if dealing {
+			x.divide(max(x.limit.PerSecond, minDealt)*part, now)
 		}
+		x.dividedAt = now
 	}
-}
-
-func (x *division) heldByOthers(host string, now time.Time) float64 {
-	sum := 0.0
-	for other, p := range x.parts {
-		if other != host {
-			sum += p.held(now)
-		}
+	if now.Sub(d.membersCheckedAt) >= reportMemory {
+		d.forgetMembers(now)
 	}
-	return sum
-}
-
-// sharers returns the hosts with the most demand, and its sum: as many as have wantedDemand.
-func (x *division) sharers(total float64) (hosts []string, demand float64) {
-	weight := func(host string) float64 {
-		p := x.parts[host]
-		if p.rate > 0 {
-			return sharerPreference * p.demand
-		}
-		return p.demand
-	}
-	all := slices.SortedFunc(maps.Keys(x.parts), func(a, b string) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
-	})
-	for _, host := range all {
-		enough := demand >= wantedDemand*total
-		if p := x.parts[host]; p.demand > 0 && len(hosts) < int(saved(total)) && !enough {
-			hosts = append(hosts, host)
-			demand += p.demand
-		}
+	if forgotten {
+		d.sorted = slices.DeleteFunc(d.sorted, func(x *division) bool { return d.targets[x.target] != x })
 	}
-	return hosts, demand
 }
--- a/core/ratelimit/pacer.go
+++ b/core/ratelimit/pacer.go
@@ -19,6 +19,12 @@
 	// time over which it is taken.
 	demandHalfLife = 8 * time.Second
 	minDemandTime  = 500 * time.Millisecond
+	// minReportedDemand is the demand in requests a second from which a host always reports
+	// a limit.
+	minReportedDemand = 0.05
+	// idleReporters is the mean number of hosts that report a limit at a time, if none has
+	// demand.
+	idleReporters = 6.0
 )
 
 // Pacer keeps one host within its part of the limit of a target. The zero value has no limit.
@@ -30,6 +36,8 @@
 	limit Limit
 	// toldAt is the time after which the target said so.
 	toldAt time.Time
+	// changedAt is the time at which a response to this host last changed the limit.
+	changedAt time.Time
 	// endedAt is the time at which this host learned that an earlier limit has ended; zero
 	// if there was none.
 	endedAt time.Time
@@ -55,10 +63,19 @@
 // Limit returns the limit of the target as last known.
 func (p *Pacer) Limit() Limit { return p.limit }
 
-// Observe records what a target has said of its limit after a time, for a response the time
-// at which its request was sent. What it said earlier has no effect. It reports whether the
-// limit has changed.
-func (p *Pacer) Observe(limit Limit, toldAt, now time.Time) bool {
+// Observe records what a target has said of its limit in the response to a request that was
+// sent at a time. What it said earlier has no effect. It reports whether the limit has
+// changed.
+func (p *Pacer) Observe(limit Limit, sentAt, now time.Time) bool {
+	changed := p.Learn(limit, sentAt, now)
+	if changed {
+		p.changedAt = now
+	}
+	return changed
+}
+
+// Learn is like Observe, for what a target has said to another host after a time.
+func (p *Pacer) Learn(limit Limit, toldAt, now time.Time) bool {
 	if !toldAt.After(p.toldAt) {
 		return false
 	}
@@ -80,11 +97,14 @@
 // fallBack ends this host's part. The phase is random, so that hosts without a part don't
 // send at the same time.
 func (p *Pacer) fallBack(now time.Time) {
-	random := p.Random
-	if random == nil {
-		random = rand.Float64
+	p.shared, p.tokens, p.filledAt = false, p.random(), now
+}
+
+func (p *Pacer) random() float64 {
+	if p.Random == nil {
+		return rand.Float64()
 	}
-	p.shared, p.tokens, p.filledAt = false, random(), now
+	return p.Random()
 }
 
 // SetShare sets this host's part of the limit, as dealt by the leader at a time.
@@ -184,10 +204,24 @@
 }
 
 // Observation returns what this host knows of the limit of a target, and uses of it as one of
-// a number of hosts. It returns false if the target has named none, or has ended it long ago.
+// a number of hosts. It returns false if the target has named none, or has ended it long ago,
+// or if the leader hears enough of it from others: without demand for it, only some hosts at
+// random report a limit.
 func (p *Pacer) Observation(target string, now time.Time, hosts int) (Observation, bool) {
-	if !p.limit.Named && (p.endedAt.IsZero() || now.Sub(p.endedAt) > endMemory) {
+	if !p.isReported(now, hosts) {
 		return Observation{}, false
 	}
 	return Observation{Target: target, Limit: p.limit, Age: now.Sub(p.toldAt), Demand: p.Demand(now), Held: p.Rate(now, hosts)}, true
 }
+
+func (p *Pacer) isReported(now time.Time, hosts int) bool {
+	switch {
+	case !p.limit.Named:
+		return !p.endedAt.IsZero() && now.Sub(p.endedAt) <= endMemory
+	case p.Demand(now) >= minReportedDemand, p.shared && p.share > 0:
+		return true
+	case !p.changedAt.IsZero() && now.Sub(p.changedAt) < reportMemory:
+		return true
+	}
+	return p.random()*float64(hosts) < idleReporters
+}
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -33,6 +33,16 @@
 	Held float64 `cbor:"5,keyasint,omitempty"`
 }
 
+// Update is what the leader tells a host of the limits of targets at one time.
+type Update struct {
+	// Shares are those that are new, or differ from the last one of the same target on the
+	// link.
+	Shares []Share
+	// Continues reports that all other shares on the link still hold. Otherwise only those
+	// of this update do.
+	Continues bool
+}
+
 // Share is what the leader tells a host of the limit of a target.
 type Share struct {
 	Target string `cbor:"1,keyasint"`
--- a/core/ratelimit/sim_test.go
+++ b/core/ratelimit/sim_test.go
@@ -52,9 +52,13 @@
 	pacer    Pacer
 	counter  *hostcount.Counter
 	divider  *Divider
+	shares   Shares
 	changed  bool
 	reported time.Duration
 	fed      time.Duration
+	// fedBy is the leader of the last feed, told what it has told this host.
+	fedBy *simHost
+	told  Told
 }
 
 type request struct {
@@ -157,12 +161,15 @@
 		return
 	}
 	h.fed = at
-	for _, share := range leader.divider.Shares(fmt.Sprint(i), s.linked(s.leaderOf[i]), now) {
-		h.pacer.Observe(share.Limit, now.Add(-share.Age), now)
-		if share.Dealt {
-			h.pacer.SetShare(share, now, now)
-		}
+	if h.fedBy != leader {
+		h.fedBy, h.told = leader, Told{}
+	}
+	update := leader.divider.Update(fmt.Sprint(i), &h.told, s.linked(s.leaderOf[i]), now)
+	h.shares.Apply(update, now)
+	for _, share := range update.Shares {
+		h.pacer.Learn(share.Limit, now.Add(-share.Age), now)
 	}
+	h.shares.Inform(target, &h.pacer, now)
 }
 
 // assertWithinLimit checks all windows from known on: 10% and 3 requests over the limit.
@@ -225,7 +232,7 @@
 // eachSizeWith is like eachSize, with a demand of all hosts together.
 func eachSizeWith(t *testing.T, demand func(hosts int, limit float64) float64, test func(t *testing.T, s *sim)) {
 	t.Helper()
-	for _, hosts := range []int{1, 9, 78} {
+	for _, hosts := range []int{1, 9, 78, 195} {
 		for _, limit := range []float64{0.5, 1.4, 2.8, 20} {
 			t.Run(fmt.Sprintf("%d hosts, limit %v", hosts, limit), func(t *testing.T) {
 				for seed := range seeds(t) {
@@ -370,7 +377,7 @@
 		after time.Duration
 		want  int
 	}{{0, 1}, {takeOverDelay, 1}, {reportMemory, 1}, {reportMemory + reserveTime + time.Second, 0}} {
-		if got := len(d.Shares("a", 1, simStart.Add(c.after))); got != c.want {
+		if got := len(d.Update("a", &Told{}, 1, simStart.Add(c.after)).Shares); got != c.want {
 			t.Errorf("limits told %v after the last report: got %d, want %d", c.after, got, c.want)
 		}
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -140,7 +140,8 @@
 	g.wireLimits()
 	g.reporter.HandleFeed = func(feed hostlink.Feed) {
 		g.hosts.Set(feed.Hosts, g.clock.Now())
-		g.targets.ApplyShares(feed.Limits, g.clock.Now().Add(-feed.Delay), g.clock.Now())
+		limits := ratelimit.Update{Shares: feed.Limits, Continues: feed.LimitsContinue}
+		g.targets.ApplyLimits(limits, g.clock.Now().Add(-feed.Delay), g.clock.Now())
 		if len(feed.Peers) > 0 {
 			g.peers.Put(feed.Peers, g.clock.Now())
 		}
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -95,7 +95,7 @@
 		return 0
 	})
 	gauge("detached_services", "Services whose targets this host can't reach.", func() float64 { return float64(len(g.peers.Self().Detached)) })
-	gauge("limited_targets", "Targets that have named a limit of requests.", func() float64 { return float64(g.limitedTargets()) })
+	gauge("limited_targets", "Targets that have named a limit of requests.", func() float64 { return float64(g.targets.LimitedTargets()) })
 	gauge("sharing_hosts", "Hosts that are taken to share the retry budget and the limits of targets.", func() float64 { return float64(g.hosts.Hosts()) })
 	gauge("owners_epoch", "Epoch of the assignment of keys as last read.", func() float64 {
 		if a := g.catalog.Assignment(); a != nil {
--- a/io/hostlink/golden_test.go
+++ b/io/hostlink/golden_test.go
@@ -11,6 +11,7 @@
 
 	"pineturn/core/owner"
 	"pineturn/core/peers"
+	"pineturn/core/ratelimit"
 	"pineturn/io/metastore"
 )
 
@@ -42,7 +43,12 @@
 	third.commit = "1f85087"
 	third.feed.Peers = []peers.Host{{Address: "10.0.0.2:7200", Domain: "b", Incarnation: "p2", Detached: []string{"records"}}}
 	third.report.Self = &peers.Host{Address: "10.0.0.3:7200", Domain: "a", Incarnation: "p3"}
-	return []landedBuild{first, second, third}
+	fourth := third
+	fourth.commit = "6ba3830"
+	limit := ratelimit.Limit{Named: true, PerSecond: 2.8}
+	fourth.feed.Limits = []ratelimit.Share{{Target: "t1", Limit: limit, Age: time.Second, Dealt: true, PerSecond: 0.7, Burst: 1}}
+	fourth.report.Limits = []ratelimit.Observation{{Target: "t1", Limit: limit, Age: time.Second, Demand: 3, Held: 0.7}}
+	return []landedBuild{first, second, third, fourth}
 }
 
 // assertGolden checks that the bytes of a landed build are decoded as want.
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -78,6 +78,9 @@
 	Peers []peers.Host `cbor:"6,keyasint,omitempty"`
 	// Limits are the limits of targets, with the receiver's part of each.
 	Limits []ratelimit.Share `cbor:"7,keyasint,omitempty"`
+	// LimitsContinue reports that the Limits of earlier feeds on the link still hold, but
+	// for those of the same targets.
+	LimitsContinue bool `cbor:"8,keyasint,omitempty"`
 	// Delay is the longest time that the feed can have been on its way. The receiver
 	// sets it.
 	Delay time.Duration `cbor:"-"`
@@ -104,6 +107,8 @@
 	Self *peers.Host `cbor:"6,keyasint,omitempty"`
 	// Limits is what the host knows of the limits of targets.
 	Limits []ratelimit.Observation `cbor:"7,keyasint,omitempty"`
+	// FollowsLimits reports that the host understands LimitsContinue.
+	FollowsLimits bool `cbor:"8,keyasint,omitempty"`
 }
 
 // echo is the time of the last report received on a link.
@@ -145,9 +150,9 @@
 	// HandleLimits is called with what a host, by its address, knows of the limits of
 	// targets. It is set before use.
 	HandleLimits func(host string, known []ratelimit.Observation)
-	// Limits returns what a host, by its address, is to know of the limits of targets. It
-	// is set before use.
-	Limits func(host string) []ratelimit.Share
+	// Limits returns what a host, by its address, is to know of the limits of targets
+	// beyond what it has been told on its link. It is set before use.
+	Limits func(host string, told *ratelimit.Told) ratelimit.Update
 	// Leadership returns the epoch of the latest leader that this host knows, and
 	// whether this host may still send grants. It is set before use.
 	Leadership func() (epoch int64, leading bool)
@@ -161,7 +166,7 @@
 func NewServer(incarnation string, clk clock.Clock) *Server {
 	return &Server{
 		incarnation: incarnation, clock: clk, started: clk.Now(), Self: func() peers.Host { return peers.Host{} },
-		HandleLimits: func(string, []ratelimit.Observation) {}, Limits: func(string) []ratelimit.Share { return nil },
+		HandleLimits: func(string, []ratelimit.Observation) {}, Limits: func(string, *ratelimit.Told) ratelimit.Update { return ratelimit.Update{} },
 		HandleReport: func(owner.Report) {}, HandleOwners: func(platform.Record) {}, Leadership: func() (int64, bool) { return 0, false },
 	}
 }
@@ -210,6 +215,9 @@
 		if message.Self != nil {
 			s.linked.put(link, *message.Self)
 		}
+		if message.FollowsLimits {
+			s.linked.setFollowsLimits(link)
+		}
 		if len(message.Limits) > 0 {
 			s.HandleLimits(s.linked.get(link).Address, message.Limits)
 		}
@@ -230,6 +238,7 @@
 	updates, cancel, watermarks := s.Subscribe()
 	defer cancel()
 	list := peerList{seed: maphash.MakeSeed()}
+	limits := limitFeed{next: s.Limits}
 	tick := time.NewTimer(feedInterval)
 	defer tick.Stop()
 	for {
@@ -255,7 +264,7 @@
 		hosts, version := s.linked.all(s.Self())
 		receiver := s.linked.get(link)
 		message.Peers = list.next(hosts, version, receiver)
-		message.Limits = s.Limits(receiver.Address)
+		message.Limits, message.LimitsContinue = limits.update(receiver.Address, s.linked.followsLimits(link))
 		if err := write(ctx, conn, message); err != nil {
 			return
 		}
--- a/io/hostlink/link.go
+++ b/io/hostlink/link.go
@@ -74,7 +74,7 @@
 // Report sends a report of this host to the other host, with what it knows of the limits of
 // targets. self is left out if it has no address.
 func (l *Link) Report(ctx context.Context, report owner.Report, self peers.Host, limits []ratelimit.Observation) error {
-	message := reportMessage{Report: report, SentAt: l.clock.Now().Sub(l.dialedAt), Limits: limits}
+	message := reportMessage{Report: report, SentAt: l.clock.Now().Sub(l.dialedAt), Limits: limits, FollowsLimits: true}
 	if self.Address != "" {
 		message.Self = &self
 	}
--- a/io/hostlink/peers.go
+++ b/io/hostlink/peers.go
@@ -21,6 +21,8 @@
 	opened int
 	// hosts holds the hosts by the number of their link.
 	hosts map[int]peers.Host
+	// follow holds the numbers of the links of hosts that follow limits.
+	follow map[int]bool
 	// self and list are the arguments and the result of the last call of all, and
 	// version counts the changes of list. changed reports a change of hosts since.
 	self    peers.Host
@@ -54,9 +56,26 @@
 	return l.hosts[link]
 }
 
+// setFollowsLimits records that the host of a link understands LimitsContinue.
+func (l *linkedHosts) setFollowsLimits(link int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.follow == nil {
+		l.follow = make(map[int]bool)
+	}
+	l.follow[link] = true
+}
+
+func (l *linkedHosts) followsLimits(link int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.follow[link]
+}
+
 func (l *linkedHosts) remove(link int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.follow, link)
 	delete(l.hosts, link)
 	l.changed = true
 }
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -133,6 +133,7 @@
 		r.reportSelf(ctx, leader)
 		return
 	}
+	limits := r.Limits()
 	report := r.Report(r.informed != leader)
 	r.informed = leader
 	if leading {
@@ -140,12 +141,12 @@
 		r.HandleReport(report)
 		return
 	}
-	if len(report.Counts) == 0 && len(report.Processing) == 0 && len(r.Limits()) == 0 && now.Sub(r.sentAt) < idleReportInterval {
+	if len(report.Counts) == 0 && len(report.Processing) == 0 && len(limits) == 0 && now.Sub(r.sentAt) < idleReportInterval {
 		r.reportSelf(ctx, leader)
 		return
 	}
 	r.sentAt = now
-	r.send(ctx, leader, report, r.Self())
+	r.send(ctx, leader, report, r.Self(), limits)
 }
 
 // reportSelf sends a report without counts if this host, or a limit of a target, has changed
@@ -156,14 +157,14 @@
 	}
 	limitsChanged := r.LimitsChanged()
 	if self := r.Self(); limitsChanged || !self.Equal(r.sentSelf) {
-		r.send(ctx, leader, owner.Report{}, self)
+		r.send(ctx, leader, owner.Report{}, self, r.Limits())
 	}
 }
 
 // send sends a report on the link, and closes the link if that fails.
-func (r *Reporter) send(ctx context.Context, leader Leader, report owner.Report, self peers.Host) {
+func (r *Reporter) send(ctx context.Context, leader Leader, report owner.Report, self peers.Host, limits []ratelimit.Observation) {
 	r.sentSelf = self
-	if err := r.link.Report(ctx, report, self, r.Limits()); err != nil {
+	if err := r.link.Report(ctx, report, self, limits); err != nil {
 		klog.InfoS("Failed to send a report to the leader", "address", leader.Address, "err", err)
 		r.closeLink()
 	}
