Send no requests to a target that has said in a response that it leaves

Cause: the header by which a target says so in its responses was not read. A host learned of it by the store only, which may be out of reach, or by a relay that is behind; until then it went on sending requests there.

The host reports it at the next check of its link, so that the leader moves the keys, and feeds tell the other hosts: on a large site each of them sees a target every few seconds only, and would send requests to it when it is gone. A response that another host has relayed counts for the host that passes it on, too.

An older build ignores the new fields (9 of feeds and of reports): its hosts learn of it by the store, as before, and an older leader moves keys then.

The stand-in's targets have SetLeaving.

--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -23,6 +23,8 @@
 	limitsChanged bool
 	// shares holds what the leader has said of the limits of targets.
 	shares ratelimit.Shares
+	// departures holds the targets that have said that they leave.
+	departures departures
 	// Hosts returns the number of hosts that share the limits of targets. It is set
 	// before use.
 	Hosts func() int
@@ -77,10 +79,12 @@
 
 // Put stores an entry unless a newer one of the same target is present, and
 // reports whether the entry was stored. The measurements of a target are kept
-// within an incarnation and reset at the next one.
+// within an incarnation and reset at the next one. A target that has said that it leaves
+// counts as draining.
 func (s *Set) Put(entry Entry, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	entry.Draining = entry.Draining || s.departures.known[Departure{Target: entry.ID, Born: entry.Born}]
 	old := s.targets[entry.ID]
 	if old != nil && !entry.replaces(&old.entry) {
 		return false
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -138,10 +138,14 @@
 	g.reporter.Self = g.peers.Self
 	g.reporter.WhileLeading = func() { g.peers.Put(g.links.Peers(), g.clock.Now()) }
 	g.wireLimits()
+	g.links.HandleDepartures = func(all []placement.Departure) { g.targets.ApplyDepartures(all, g.clock.Now()) }
+	g.links.Departures = func(n int) ([]placement.Departure, int) { return g.targets.Departures(n, false) }
+	g.reporter.Departures = func(n int) ([]placement.Departure, int) { return g.targets.Departures(n, true) }
 	g.reporter.HandleFeed = func(feed hostlink.Feed) {
 		g.hosts.Set(feed.Hosts, g.clock.Now())
 		limits := ratelimit.Update{Shares: feed.Limits, Continues: feed.LimitsContinue}
 		g.targets.ApplyLimits(limits, g.clock.Now().Add(-feed.Delay), g.clock.Now())
+		g.targets.ApplyDepartures(feed.Departures, g.clock.Now())
 		if len(feed.Peers) > 0 {
 			g.peers.Put(feed.Peers, g.clock.Now())
 		}
--- a/io/gateway/limit_test.go
+++ b/io/gateway/limit_test.go
@@ -77,11 +77,14 @@
 	return n.share()
 }
 
+// minServed is the least share of the tries that is served by targets with room.
+const minServed = 0.97
+
 // wantShare checks the share of the tries to a service that were served.
-func wantShare(t *testing.T, tries []firstTry, service string, from, until time.Time, want float64) {
+func wantShare(t *testing.T, tries []firstTry, service string, from, until time.Time) {
 	t.Helper()
-	if got := share(tries, service, from, until); got < want {
-		t.Errorf("%s: got a share of %.3f served, want at least %.3f", service, got, want)
+	if got := share(tries, service, from, until); got < minServed {
+		t.Errorf("%s: got a share of %.3f served, want at least %.3f", service, got, minServed)
 	}
 }
 
@@ -130,12 +133,12 @@
 			t.Run("use of "+id, func(t *testing.T) { wantLimitUsed(t, c.targets[id], limit, known, ended) })
 		}
 	}
-	t.Run("others serve", func(t *testing.T) { wantShare(t, tries, plainService, known, ended, 0.97) })
-	t.Run("keys move", func(t *testing.T) { wantShare(t, tries, keyedService, known.Add(6*time.Second), ended, 0.97) })
+	t.Run("others serve", func(t *testing.T) { wantShare(t, tries, plainService, known, ended) })
+	t.Run("keys move", func(t *testing.T) { wantShare(t, tries, keyedService, known.Add(6*time.Second), ended) })
 	t.Run("refusals", func(t *testing.T) { wantPromptRefusals(t, tries) })
 	t.Run("end", func(t *testing.T) {
 		for _, kind := range requestKinds {
-			wantShare(t, tries, kind.service, ended.Add(4*time.Second), time.Now(), 0.97)
+			wantShare(t, tries, kind.service, ended.Add(4*time.Second), time.Now())
 		}
 	})
 	wantPayoutsAtMostOnce(t, c.audit.Runs())
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -18,6 +18,7 @@
 	"pineturn/core/clock"
 	"pineturn/core/owner"
 	"pineturn/core/peers"
+	"pineturn/core/placement"
 	"pineturn/core/ratelimit"
 	"pineturn/io/metastore"
 	"pineturn/platform"
@@ -81,6 +82,9 @@
 	// LimitsContinue reports that the Limits of earlier feeds on the link still hold, but
 	// for those of the same targets.
 	LimitsContinue bool `cbor:"8,keyasint,omitempty"`
+	// Departures are targets that have said that they leave, beyond those of earlier feeds
+	// on the link.
+	Departures []placement.Departure `cbor:"9,keyasint,omitempty"`
 	// Delay is the longest time that the feed can have been on its way. The receiver
 	// sets it.
 	Delay time.Duration `cbor:"-"`
@@ -109,6 +113,9 @@
 	Limits []ratelimit.Observation `cbor:"7,keyasint,omitempty"`
 	// FollowsLimits reports that the host understands LimitsContinue.
 	FollowsLimits bool `cbor:"8,keyasint,omitempty"`
+	// Departures are targets that have said to the host that they leave, beyond those of
+	// earlier reports on the link.
+	Departures []placement.Departure `cbor:"9,keyasint,omitempty"`
 }
 
 // echo is the time of the last report received on a link.
@@ -153,6 +160,12 @@
 	// Limits returns what a host, by its address, is to know of the limits of targets
 	// beyond what it has been told on its link. It is set before use.
 	Limits func(host string, told *ratelimit.Told) ratelimit.Update
+	// HandleDepartures is called with targets that have said to another host that they
+	// leave. It is set before use.
+	HandleDepartures func([]placement.Departure)
+	// Departures returns the targets that have said that they leave, after the first n,
+	// and the number of all. It is set before use.
+	Departures func(n int) (departures []placement.Departure, count int)
 	// Leadership returns the epoch of the latest leader that this host knows, and
 	// whether this host may still send grants. It is set before use.
 	Leadership func() (epoch int64, leading bool)
@@ -167,6 +180,7 @@
 	return &Server{
 		incarnation: incarnation, clock: clk, started: clk.Now(), Self: func() peers.Host { return peers.Host{} },
 		HandleLimits: func(string, []ratelimit.Observation) {}, Limits: func(string, *ratelimit.Told) ratelimit.Update { return ratelimit.Update{} },
+		HandleDepartures: func([]placement.Departure) {}, Departures: func(int) ([]placement.Departure, int) { return nil, 0 },
 		HandleReport: func(owner.Report) {}, HandleOwners: func(platform.Record) {}, Leadership: func() (int64, bool) { return 0, false },
 	}
 }
@@ -221,6 +235,9 @@
 		if len(message.Limits) > 0 {
 			s.HandleLimits(s.linked.get(link).Address, message.Limits)
 		}
+		if len(message.Departures) > 0 {
+			s.HandleDepartures(message.Departures)
+		}
 		s.HandleReport(message.Report)
 	}
 	cancel()
@@ -239,6 +256,7 @@
 	defer cancel()
 	list := peerList{seed: maphash.MakeSeed()}
 	limits := limitFeed{next: s.Limits}
+	departures := 0
 	tick := time.NewTimer(feedInterval)
 	defer tick.Stop()
 	for {
@@ -265,6 +283,7 @@
 		receiver := s.linked.get(link)
 		message.Peers = list.next(hosts, version, receiver)
 		message.Limits, message.LimitsContinue = limits.update(receiver.Address, s.linked.followsLimits(link))
+		message.Departures, departures = s.Departures(departures)
 		if err := write(ctx, conn, message); err != nil {
 			return
 		}
--- a/io/hostlink/link.go
+++ b/io/hostlink/link.go
@@ -13,6 +13,7 @@
 	"pineturn/core/clock"
 	"pineturn/core/owner"
 	"pineturn/core/peers"
+	"pineturn/core/placement"
 	"pineturn/core/ratelimit"
 	"pineturn/platform"
 )
@@ -71,12 +72,23 @@
 	return write(ctx, l.conn, reportMessage{Owners: &record})
 }
 
-// Report sends a report of this host to the other host, with what it knows of the limits of
-// targets. self is left out if it has no address.
-func (l *Link) Report(ctx context.Context, report owner.Report, self peers.Host, limits []ratelimit.Observation) error {
-	message := reportMessage{Report: report, SentAt: l.clock.Now().Sub(l.dialedAt), Limits: limits, FollowsLimits: true}
-	if self.Address != "" {
-		message.Self = &self
+// News is what a host tells the leader besides its report.
+type News struct {
+	// Self is the host as others see it. It is left out if it has no address.
+	Self peers.Host
+	// Limits is what the host knows of the limits of targets.
+	Limits []ratelimit.Observation
+	// Departures are targets that have said that they leave.
+	Departures []placement.Departure
+}
+
+// Report sends a report of this host to the other host, with its news.
+func (l *Link) Report(ctx context.Context, report owner.Report, news News) error {
+	message := reportMessage{
+		Report: report, SentAt: l.clock.Now().Sub(l.dialedAt), Limits: news.Limits, FollowsLimits: true, Departures: news.Departures,
+	}
+	if news.Self.Address != "" {
+		message.Self = &news.Self
 	}
 	return write(ctx, l.conn, message)
 }
--- a/io/hostlink/peers_test.go
+++ b/io/hostlink/peers_test.go
@@ -16,6 +16,7 @@
 	"pineturn/core/clock"
 	"pineturn/core/owner"
 	"pineturn/core/peers"
+	"pineturn/core/placement"
 	"pineturn/core/ratelimit"
 	"pineturn/io/metastore"
 	"pineturn/platform"
@@ -152,7 +153,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(l.Close)
-		if err := l.Report(t.Context(), owner.Report{}, self, nil); err != nil {
+		if err := l.Report(t.Context(), owner.Report{}, News{Self: self}); err != nil {
 			t.Fatal(err)
 		}
 		return l
@@ -334,6 +335,9 @@
 	limit := ratelimit.Limit{Named: true, PerSecond: 2.8}
 	withLimits := feed
 	withLimits.Limits = []ratelimit.Share{{Target: "t", Limit: limit, Age: 3, Dealt: true, PerSecond: 0.7, Burst: 1}}
+	left := []placement.Departure{{Target: "t"}, {Target: "u", Born: 5}}
+	withDepartures := feed
+	withDepartures.Departures, withDepartures.LimitsContinue = left, true
 	known := []ratelimit.Observation{{Target: "t", Limit: limit, Age: 3, Demand: 5, Held: 0.7}}
 	for _, c := range []struct {
 		name string
@@ -348,6 +352,10 @@
 		{"feed with limits to an earlier build", withLimits, &earlierFeed{}, &earlierF},
 		{"report with limits", reportMessage{SentAt: 7, Limits: known}, &reportMessage{}, &reportMessage{SentAt: 7, Limits: known}},
 		{"report with limits to an earlier build", reportMessage{Report: report, SentAt: 7, Limits: known}, &earlierReport{}, &earlierReport{Report: report, SentAt: 7}},
+		{"feed with departures to an earlier build", withDepartures, &earlierFeed{}, &earlierF},
+		{"feed with departures", withDepartures, &feedMessage{}, &withDepartures},
+		{"report with departures to an earlier build", reportMessage{Report: report, SentAt: 7, Departures: left, FollowsLimits: true}, &earlierReport{}, &earlierReport{Report: report, SentAt: 7}},
+		{"report with departures", reportMessage{SentAt: 7, Departures: left}, &reportMessage{}, &reportMessage{SentAt: 7, Departures: left}},
 		{"report of an earlier build", earlierReport{Report: report, SentAt: 7}, &reportMessage{}, &reportMessage{Report: report, SentAt: 7}},
 		{"report to an earlier build", reportMessage{Report: report, SentAt: 7, Self: &self}, &earlierReport{}, &earlierReport{Report: report, SentAt: 7}},
 		{"report", reportMessage{SentAt: 7, Self: &self}, &reportMessage{}, &reportMessage{SentAt: 7, Self: &self}},
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -10,6 +10,7 @@
 	"pineturn/core/clock"
 	"pineturn/core/owner"
 	"pineturn/core/peers"
+	"pineturn/core/placement"
 	"pineturn/core/ratelimit"
 )
 
@@ -63,6 +64,9 @@
 	// report; LimitsChanged reports whether that must not wait for the next one.
 	Limits        func() []ratelimit.Observation
 	LimitsChanged func() bool
+	// Departures returns the targets that have said to this host that they leave, after
+	// the first n, and the number of all.
+	Departures func(n int) (departures []placement.Departure, count int)
 	// HandleFeed is called with each feed that the leader relays.
 	HandleFeed func(Feed)
 
@@ -80,7 +84,9 @@
 	sentAt  time.Time
 	// sentSelf is this host as last reported.
 	sentSelf peers.Host
-	dialedAt time.Time
+	// departures is the number of departures that were reported on the link.
+	departures int
+	dialedAt   time.Time
 	// dialedIncarnation is the incarnation that was last dialed.
 	dialedIncarnation string
 	done              chan struct{}
@@ -92,6 +98,7 @@
 		clock: clk, done: make(chan struct{}),
 		WhileLeading: func() {}, Self: func() peers.Host { return peers.Host{} },
 		Limits: func() []ratelimit.Observation { return nil }, LimitsChanged: func() bool { return false },
+		Departures: func(int) ([]placement.Departure, int) { return nil, 0 },
 	}
 }
 
@@ -146,25 +153,28 @@
 		return
 	}
 	r.sentAt = now
-	r.send(ctx, leader, report, r.Self(), limits)
+	r.send(ctx, leader, report, News{Self: r.Self(), Limits: limits})
 }
 
 // reportSelf sends a report without counts if this host, or a limit of a target, has changed
-// since the last report on the link.
+// since the last report on the link, or a target has said that it leaves.
 func (r *Reporter) reportSelf(ctx context.Context, leader Leader) {
 	if r.link == nil {
 		return
 	}
 	limitsChanged := r.LimitsChanged()
-	if self := r.Self(); limitsChanged || !self.Equal(r.sentSelf) {
-		r.send(ctx, leader, owner.Report{}, self, r.Limits())
+	departures, _ := r.Departures(r.departures)
+	if self := r.Self(); limitsChanged || len(departures) > 0 || !self.Equal(r.sentSelf) {
+		r.send(ctx, leader, owner.Report{}, News{Self: self, Limits: r.Limits()})
 	}
 }
 
-// send sends a report on the link, and closes the link if that fails.
-func (r *Reporter) send(ctx context.Context, leader Leader, report owner.Report, self peers.Host, limits []ratelimit.Observation) {
-	r.sentSelf = self
-	if err := r.link.Report(ctx, report, self, limits); err != nil {
+// send sends a report and news, with all new departures, on the link. It closes the link if
+// that fails.
+func (r *Reporter) send(ctx context.Context, leader Leader, report owner.Report, news News) {
+	r.sentSelf = news.Self
+	news.Departures, r.departures = r.Departures(r.departures)
+	if err := r.link.Report(ctx, report, news); err != nil {
 		klog.InfoS("Failed to send a report to the leader", "address", leader.Address, "err", err)
 		r.closeLink()
 	}
@@ -184,7 +194,7 @@
 		link.Close()
 		return false
 	}
-	r.link, r.linkDone = link, make(chan struct{})
+	r.link, r.linkDone, r.departures = link, make(chan struct{}), 0
 	// A report is due at once: the ages of watermarks are bounded closely only
 	// after the other host has echoed one.
 	r.dialedAt, r.sentAt = time.Time{}, time.Time{}
--- a/io/metastore/targets.go
+++ b/io/metastore/targets.go
@@ -80,6 +80,8 @@
 		c.supersede(entry, r.Offset, now)
 	}
 	delete(c.removed, r.Key)
+	// A target that has said that it leaves counts as draining whatever its entry says.
+	entry, _ = c.targets.Entry(r.Key)
 	if !found || old.Draining != entry.Draining || old.Born != entry.Born || old.Address != entry.Address {
 		klog.InfoS("Target entry was added or changed", "target", r.Key, "service", entry.Service, "address", entry.Address,
 			"draining", entry.Draining, "born", entry.Born, "sequence", entry.Sequence, "offset", r.Offset)
--- a/io/proxy/limits.go
+++ b/io/proxy/observe.go
@@ -38,12 +38,30 @@
 	return true
 }
 
-// observeLimit records what the response of a target says of its limit. One that can't be
-// understood changes nothing, and one of another target at the address does not count.
-func (p *Proxy) observeLimit(s sendResult, sentAt time.Time) {
+// observe records what the response of a target says of the target itself. What can't be
+// understood changes nothing.
+func (p *Proxy) observe(s sendResult, sentAt time.Time) {
+	info := s.response.info
+	// A target that refuses the id that it was expected to have is another one; the
+	// expected one has left then.
+	if info.Leaving && p.targets.ObserveLeaving(s.target, p.clock.Now()) {
+		klog.InfoS("Target has said that it leaves", "target", s.target)
+	}
 	if s.result == attempt.WrongTarget {
 		return
 	}
+	p.observeLimit(s, sentAt)
+}
+
+// observeRelayed records what a response that another host has relayed says of its target. A
+// limit or a rest is that host's matter.
+func (p *Proxy) observeRelayed(s sendResult) {
+	if s.response.info.Leaving && p.targets.ObserveLeaving(s.target, p.clock.Now()) {
+		klog.InfoS("Target has said through another host that it leaves", "target", s.target)
+	}
+}
+
+func (p *Proxy) observeLimit(s sendResult, sentAt time.Time) {
 	info := s.response.info
 	if p.limitErrors.set(s.target, info.LimitErr != nil) {
 		klog.InfoS("Target has named an invalid limit, the one before holds", "target", s.target, "err", info.LimitErr)
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -178,7 +178,9 @@
 		_ = resp.Body.Close()
 	}
 	p.peers.MarkServed(host.Address)
-	return sendResult{result: attempt.Complete, response: r, target: target}
+	s := sendResult{result: attempt.Complete, response: r, target: target}
+	p.observeRelayed(s)
+	return s
 }
 
 // invalidRelay returns the result of a response that can't be used.
--- a/io/proxy/relay_test.go
+++ b/io/proxy/relay_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,6 +72,8 @@
 	peers.Host
 	mu       sync.Mutex
 	requests []*http.Request
+	// leaving is set if the target of the responses leaves.
+	leaving atomic.Bool
 }
 
 // newPeer runs a host that responds to each relayed request with a status, an outcome and a
@@ -86,6 +89,9 @@
 		h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		h.Set("X-Response-Signature", "signed")
 		h.Set("Retry-After", "0.250")
+		if peer.leaving.Load() {
+			h.Set("Server-Leaving", "1")
+		}
 		h.Set(headerRelayOutcome, string(outcome))
 		h.Set(headerRelaySends, "1")
 		h.Set(headerRelayTarget, "t1")
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -260,7 +260,7 @@
 	}
 	s.response = r
 	s.result = classifyResponse(r)
-	p.observeLimit(s, sentAt)
+	p.observe(s, sentAt)
 	report := loadReport(r.info.Load)
 	s.targetFull = choice.TargetFull(report)
 	p.endChoice(ctx, choice, s, report)
--- a/io/standin/keyholder/keyholder.go
+++ b/io/standin/keyholder/keyholder.go
@@ -74,7 +74,9 @@
 	fault   atomic.Pointer[Fault]
 	// limit is the text of the header that names the limit of requests a second; empty for
 	// none.
-	limit   atomic.Pointer[string]
+	limit atomic.Pointer[string]
+	// leaving is set while the target says that it leaves.
+	leaving atomic.Bool
 	slots   chan struct{}
 	waiting atomic.Int64
 	running atomic.Int64
@@ -100,6 +102,9 @@
 // on, in the words of text. An empty text ends that.
 func (t *Target) NameLimit(text string) { t.limit.Store(&text) }
 
+// SetLeaving sets whether the target says in all responses that it leaves.
+func (t *Target) SetLeaving(leaving bool) { t.leaving.Store(leaving) }
+
 // Arrivals returns the times of all requests that have reached the target, refused ones
 // included, and grants and releases left out.
 func (t *Target) Arrivals() []time.Time {
@@ -255,6 +260,9 @@
 	if limit != "" {
 		w.Header().Set("Server-Limit", limit)
 	}
+	if t.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	fault := *t.fault.Load()
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != t.options.ID {
 		t.respondNotRun(w, r, http.StatusMisdirectedRequest)
