Leave targets alone for as long as they ask for in a refusal

Cause: a target's 503 with Retry-After was a shed like any other: after a backoff of 60 ms (owners of keys 40 to 640 ms) requests went there again.

Change: such a target rests at this host until the time that it has named, rounded to no less than an earlier one still under way; only another incarnation ends that, an entry that lapses and comes back does not. Requests go to others; if all that may run a request rest, it is refused at once, and its caller is told to come back between the end of the first rest and half as long again after that. Where another target is merely in a backoff that ends sooner, the request waits. Values that can't be understood count as none and are logged once a target; the longest rest is 10 minutes. Connecting takes 300 ms at most, so nothing that was under way arrives half a second later.

Other hosts are not told: the target answers each by itself, and may have room for some. No message changes.

The stand-in's targets have AskRest; the state dump shows rest_s.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -194,3 +194,11 @@
 	after := time.Duration(float64(max(backlog, minRetryAfter)) * spread)
 	return min(after, time.Duration(maxRetryAfterFraction*float64(left)))
 }
+
+// RetryNotBefore is like RetryAfter for a request that can't be served before a known time:
+// callers come back after it, spread over half as long again.
+func RetryNotBefore(wait, left time.Duration) time.Duration {
+	spread := 1 + rand.Float64()/2
+	after := time.Duration(float64(max(wait, minRetryAfter)) * spread)
+	return min(after, time.Duration(maxRetryAfterFraction*float64(left)))
+}
--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -41,6 +41,9 @@
 	// Limited means that a target has capacity, but that this host has used its part of
 	// the limit of requests a second that the target has named.
 	Limited
+	// Resting means that all targets that would take the request have asked this host for
+	// no requests for some time.
+	Resting
 )
 
 // Choice is a target selected for one request, which counts as in flight there
@@ -95,9 +98,10 @@
 	mean := svc.meanOtherHostsLoad(now)
 	limit := maxDepth(criteria, svc.yields(criteria.Rank, now))
 	var best, limited candidate
+	var rest restState
 	status := NoTarget
 	for _, t := range svc.targets {
-		if !t.eligible(criteria, now) {
+		if !t.serves(criteria, now) || rest.add(t, now) || !t.isAvailable(criteria, now) {
 			continue
 		}
 		c := s.estimate(svc, t, now, mean)
@@ -115,7 +119,10 @@
 		recordDemand(best, limited, now)
 	}
 	if best.choice == nil {
-		return nil, recordRefused(svc, criteria, status, limited, now)
+		if status = recordRefused(svc, criteria, status, limited, now); status == NoTarget && rest.decides() {
+			status = Resting
+		}
+		return nil, status
 	}
 	t := best.choice.target
 	t.inFlight++
@@ -209,16 +216,20 @@
 	return idempotentMaxDepth
 }
 
-func (t *Target) eligible(criteria Criteria, now time.Time) bool {
+// serves reports whether the target may run a request at all.
+func (t *Target) serves(criteria Criteria, now time.Time) bool {
 	if t.entry.Draining && (criteria.Owner == "" || now.Sub(t.drainingSince) > ownerDrainPeriod) {
 		return false
 	}
-	if slices.Contains(criteria.Exclude, t.entry.ID) || criteria.Owner == "" && now.Before(t.backoffUntil) {
-		return false
-	}
 	return criteria.Owner == "" || t.entry.ID == criteria.Owner
 }
 
+// isAvailable reports whether a request may be sent to the target now, as far as earlier
+// sends go.
+func (t *Target) isAvailable(criteria Criteria, now time.Time) bool {
+	return !slices.Contains(criteria.Exclude, t.entry.ID) && (criteria.Owner != "" || !now.Before(t.backoffUntil))
+}
+
 func (s *Set) estimate(svc *serviceState, t *Target, now time.Time, mean float64) *Choice {
 	slots := float64(t.entry.Slots)
 	depth := (float64(t.inFlight) + t.otherHostsLoadAt(now, mean) + 1) / slots
--- a/core/placement/limits.go
+++ b/core/placement/limits.go
@@ -28,20 +28,6 @@
 	}
 }
 
-// LimitWait returns the time until this host may send a request to one of the targets whose
-// limits keep it from doing so.
-func (s *Set) LimitWait(criteria Criteria, now time.Time) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	shortest := time.Hour
-	for _, t := range s.service(criteria.Service).targets {
-		if t.eligible(criteria, now) && t.pacer.Limit().Named {
-			shortest = min(shortest, t.pacer.Wait(now, s.Hosts()))
-		}
-	}
-	return shortest
-}
-
 // ObserveLimit records what a target has said of its limit in the response to a request
 // that was sent at a time. It reports whether the limit has changed.
 func (s *Set) ObserveLimit(id string, limit ratelimit.Limit, sentAt, now time.Time) bool {
--- a/core/placement/limits_test.go
+++ b/core/placement/limits_test.go
@@ -46,7 +46,7 @@
 	free := start.Add(time.Second)
 	criteria := Criteria{Service: service, Owner: "t1"}
 	wantStatus(t, s, criteria, start, Limited)
-	if got, want := s.LimitWait(criteria, start), time.Second; got != want {
+	if got, want := s.SendWait(criteria, start), time.Second; got != want {
 		t.Errorf("time until there is room: got %v, want %v", got, want)
 	}
 	choice := choose(t, s, criteria, free)
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -23,8 +23,10 @@
 	limitsChanged bool
 	// shares holds what the leader has said of the limits of targets.
 	shares ratelimit.Shares
-	// departures holds the targets that have said that they leave.
+	// departures holds the targets that have said that they leave, rests the times until
+	// which targets have asked for no requests.
 	departures departures
+	rests      rests
 	// Hosts returns the number of hosts that share the limits of targets. It is set
 	// before use.
 	Hosts func() int
@@ -52,7 +54,7 @@
 func NewSet(domain string) *Set {
 	return &Set{
 		domain: domain, targets: make(map[string]*Target), services: make(map[string]*serviceState),
-		changed: make(chan struct{}), Hosts: func() int { return 1 },
+		rests: make(rests), changed: make(chan struct{}), Hosts: func() int { return 1 },
 	}
 }
 
@@ -84,7 +86,8 @@
 func (s *Set) Put(entry Entry, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	entry.Draining = entry.Draining || s.departures.known[Departure{Target: entry.ID, Born: entry.Born}]
+	incarnation := Departure{Target: entry.ID, Born: entry.Born}
+	entry.Draining = entry.Draining || s.departures.known[incarnation]
 	old := s.targets[entry.ID]
 	if old != nil && !entry.replaces(&old.entry) {
 		return false
@@ -101,7 +104,7 @@
 	if old != nil {
 		s.detach(old)
 	}
-	t := &Target{entry: entry, warmEnd: now.Add(entry.WarmUp), relativeTime: 1}
+	t := &Target{entry: entry, warmEnd: now.Add(entry.WarmUp), relativeTime: 1, restUntil: s.rests[incarnation]}
 	s.targets[entry.ID] = t
 	s.informOfLimit(t, now)
 	svc := s.service(entry.Service)
@@ -188,6 +191,8 @@
 	// and LimitShare this host's part of it; nil and 0 without one.
 	Limit      *float64 `json:"limit,omitempty"`
 	LimitShare float64  `json:"limit_share,omitempty"`
+	// RestS is the time in seconds for which the target wants no requests.
+	RestS float64 `json:"rest_s,omitempty"`
 }
 
 // States returns the states of all targets, sorted by ID.
@@ -206,6 +211,9 @@
 		if limit := t.pacer.Limit(); limit.Named {
 			state.Limit, state.LimitShare = &limit.PerSecond, t.pacer.Rate(now, s.Hosts())
 		}
+		if t.resting(now) {
+			state.RestS = t.restUntil.Sub(now).Seconds()
+		}
 		states = append(states, state)
 	}
 	slices.SortFunc(states, func(a, b State) int { return cmp.Compare(a.ID, b.ID) })
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -72,8 +72,10 @@
 	// drainingSince is the time at which an entry changed the target to
 	// draining. It is zero if the first entry of its incarnation was draining.
 	drainingSince time.Time
-	// backoffUntil is the end of the current backoff.
+	// backoffUntil is the end of the current backoff, restUntil that of the time for which
+	// the target has asked for no requests.
 	backoffUntil time.Time
+	restUntil    time.Time
 	// consecutiveSheds is the number of consecutive requests that the target, as the
 	// full owner of their keys, refused or ended by closing the connection. It does
 	// not exceed maxConsecutiveSheds.
--- a/io/gateway/leaving_test.go
+++ b/io/gateway/leaving_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,6 +14,12 @@
 	leavingKnown = 1500 * time.Millisecond
 	// leavingDuration is how long targets say so in these tests.
 	leavingDuration = 6 * time.Second
+	// restDuration is the rest for which targets ask, restGrace the time after that
+	// response within which requests that were under way may arrive, and
+	// requestsPerRest the number of requests from one host after that.
+	restDuration    = 2 * time.Second
+	restGrace       = 500 * time.Millisecond
+	requestsPerRest = 2
 )
 
 // wantArrivals checks the number of requests that reached a target from a time until another.
@@ -75,3 +82,39 @@
 	wantPayoutsAtMostOnce(t, c.audit.Runs())
 	wantOneOwner(t, c.audit)
 }
+
+// TestRestingTargets guards against requests to targets within the time for which they have
+// asked for none, and against requests for their keys that wait in vain.
+func TestRestingTargets(t *testing.T) {
+	t.Parallel()
+	c := newPathCluster(t)
+	c.awaitServed(t)
+	finish := c.startLoad(c.hosts, steady)
+	time.Sleep(settleTime)
+	asked := time.Now()
+	for _, kind := range requestKinds {
+		c.targets[kind.service+"-a"].AskRest(fmt.Sprint(restDuration.Seconds()))
+	}
+	const rests = 3
+	time.Sleep(rests * restDuration)
+	ended := time.Now()
+	for _, kind := range requestKinds {
+		c.targets[kind.service+"-a"].AskRest("")
+	}
+	time.Sleep(restDuration + 2*time.Second)
+	tries := finish()
+	for _, kind := range requestKinds {
+		t.Run("requests to "+kind.service, func(t *testing.T) {
+			wantArrivals(t, c.targets[kind.service+"-a"], asked.Add(restGrace), ended, len(c.hosts)*rests*requestsPerRest)
+		})
+		t.Run("afterwards "+kind.service, func(t *testing.T) {
+			wantShare(t, tries, kind.service, ended.Add(restDuration+time.Second), time.Now())
+		})
+	}
+	for _, service := range []string{plainService, orderService} {
+		t.Run("others serve "+service, func(t *testing.T) { wantShare(t, tries, service, asked, ended) })
+	}
+	t.Run("refusals", func(t *testing.T) { wantPromptRefusals(t, tries) })
+	wantPayoutsAtMostOnce(t, c.audit.Runs())
+	wantOneOwner(t, c.audit)
+}
--- a/io/proxy/choose.go
+++ b/io/proxy/choose.go
@@ -76,8 +76,8 @@
 const capacityPollInterval = 25 * time.Millisecond
 
 // chooseTarget reserves capacity at a target. If there is none, it waits up to
-// attempt.QueueTimeout. If the limits that targets have named leave none to this host, it
-// refuses the request at once.
+// attempt.QueueTimeout. If the limits that targets have named leave none to this host, or all
+// have asked it for a rest, it refuses the request at once.
 func (p *Proxy) chooseTarget(ctx context.Context, q *request, owner string) (*placement.Choice, error) {
 	end := p.clock.Now().Add(attempt.QueueTimeout(q.attemptRequest(), q.timeLeft(p.clock.Now())))
 	queued := false
@@ -94,9 +94,13 @@
 		if verdict == placement.Chosen {
 			return choice, nil
 		}
-		if verdict == placement.Limited {
-			wait := p.targets.LimitWait(criteria, p.clock.Now())
+		switch verdict {
+		case placement.Limited:
+			wait := p.targets.SendWait(criteria, p.clock.Now())
 			return nil, q.failOrRefuse(reasonTargetLimit, max(wait, q.match.Route.Objective/2), nil)
+		case placement.Resting:
+			wait := p.targets.SendWait(criteria, p.clock.Now())
+			return nil, q.refuseFor(reasonTargetRests, attempt.RetryNotBefore(wait, q.callerTimeout()), nil)
 		}
 		reason := reasonNoCapacity
 		if verdict == placement.NoTarget {
--- a/io/proxy/failure.go
+++ b/io/proxy/failure.go
@@ -19,6 +19,7 @@
 	reasonNoCapacity     = "no-room"
 	reasonNoOwner        = "no-owner"
 	reasonTargetLimit    = "target-limited"
+	reasonTargetRests    = "target-rests"
 	reasonMoving         = "key-moving"
 	reasonOverBudget     = "over-retry-budget"
 	reasonRefused        = "refused-by-target"
@@ -71,13 +72,9 @@
 // refuse returns a failure with status 503: the request has not run. Backlog is
 // the estimated time until it could run, from which Retry-After is computed.
 func (q *request) refuse(reason string, backlog time.Duration) error {
-	timeout := q.Timeout
-	if timeout <= 0 {
-		timeout = defaultCallerTimeout
-	}
 	return &failure{
 		request: q, status: http.StatusServiceUnavailable, reason: reason,
-		retryAfter: attempt.RetryAfter(backlog, timeout),
+		retryAfter: attempt.RetryAfter(backlog, q.callerTimeout()),
 	}
 }
 
--- a/io/proxy/observe.go
+++ b/io/proxy/observe.go
@@ -9,26 +9,26 @@
 	"pineturn/core/attempt"
 )
 
-// maxLimitErrors bounds the targets of which an unreadable limit is remembered.
-const maxLimitErrors = 256
+// maxHeaderErrors bounds the targets of which an unreadable header is remembered.
+const maxHeaderErrors = 256
 
-// limitErrors holds the targets whose last limit could not be understood, so that each is
-// logged once.
-type limitErrors struct {
+// headerErrors holds the targets of which the last value of some header could not be
+// understood, so that each is logged once.
+type headerErrors struct {
 	mu      sync.Mutex
 	targets map[string]bool
 }
 
-// set records whether the limit of a target could be understood, and reports whether that is
+// set records whether the header of a target could be understood, and reports whether that is
 // a new error.
-func (e *limitErrors) set(target string, failed bool) bool {
+func (e *headerErrors) set(target string, failed bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !failed {
 		delete(e.targets, target)
 		return false
 	}
-	if e.targets[target] || len(e.targets) >= maxLimitErrors {
+	if e.targets[target] || len(e.targets) >= maxHeaderErrors {
 		return false
 	}
 	if e.targets == nil {
@@ -51,6 +51,7 @@
 		return
 	}
 	p.observeLimit(s, sentAt)
+	p.observeRest(s)
 }
 
 // observeRelayed records what a response that another host has relayed says of its target. A
@@ -70,3 +71,14 @@
 		klog.InfoS("Target has changed its limit of requests", "target", s.target, "limited", info.Limit.Named, "perSecond", info.Limit.PerSecond)
 	}
 }
+
+func (p *Proxy) observeRest(s sendResult) {
+	info := s.response.info
+	if p.restErrors.set(s.target, info.RestErr != nil) {
+		klog.InfoS("Target has asked for an invalid rest", "target", s.target, "err", info.RestErr)
+	}
+	if info.Rest > 0 {
+		now := p.clock.Now()
+		p.targets.ObserveRest(s.target, now.Add(info.Rest), now)
+	}
+}
--- a/io/proxy/observe_test.go
+++ b/io/proxy/observe_test.go
@@ -31,10 +31,10 @@
 	}
 }
 
-// TestLimitErrors guards against a log line for each response of a target whose limit can't be
-// understood.
+// TestHeaderErrors guards against a log line for each response of a target with a header that
+// can't be understood.
 func TestLimitErrors(t *testing.T) {
-	var e limitErrors
+	var e headerErrors
 	for i, c := range []struct{ failed, want bool }{{true, true}, {true, false}, {false, false}, {true, true}} {
 		if got := e.set("t1", c.failed); got != c.want {
 			t.Errorf("response %d is a new error: got %t, want %t", i, got, c.want)
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -58,7 +58,8 @@
 	// detachedMu orders the changes of the services that other hosts take this host to be
 	// detached for.
 	detachedMu  sync.Mutex
-	limitErrors limitErrors
+	limitErrors headerErrors
+	restErrors  headerErrors
 	// stopping is set once requests of other hosts are refused.
 	stopping atomic.Bool
 	done     chan struct{}
@@ -221,12 +222,16 @@
 // defaultCallerTimeout applies to callers that do not state a timeout.
 const defaultCallerTimeout = 30 * time.Second
 
-func (q *request) setDeadlines() {
-	timeout := q.Timeout
-	if timeout <= 0 {
-		timeout = defaultCallerTimeout
+// callerTimeout returns how long the caller waits for the response.
+func (q *request) callerTimeout() time.Duration {
+	if q.Timeout <= 0 {
+		return defaultCallerTimeout
 	}
-	q.deadline = q.started.Add(min(timeout, q.match.Route.Timeout))
+	return q.Timeout
+}
+
+func (q *request) setDeadlines() {
+	q.deadline = q.started.Add(min(q.callerTimeout(), q.match.Route.Timeout))
 }
 
 func (p *Proxy) endpoint() endpoint.Endpoint {
--- a/io/standin/keyholder/keyholder.go
+++ b/io/standin/keyholder/keyholder.go
@@ -75,7 +75,9 @@
 	// limit is the text of the header that names the limit of requests a second; empty for
 	// none.
 	limit atomic.Pointer[string]
-	// leaving is set while the target says that it leaves.
+	// rest is the text of the header by which the target, which then refuses all requests,
+	// asks for a rest; empty for none. leaving is set while it says that it leaves.
+	rest    atomic.Pointer[string]
 	leaving atomic.Bool
 	slots   chan struct{}
 	waiting atomic.Int64
@@ -95,6 +97,7 @@
 	}
 	t.fault.Store(&Fault{})
 	t.limit.Store(new(string))
+	t.rest.Store(new(string))
 	return t
 }
 
@@ -102,6 +105,10 @@
 // on, in the words of text. An empty text ends that.
 func (t *Target) NameLimit(text string) { t.limit.Store(&text) }
 
+// AskRest makes the target refuse all requests from now on and ask for a rest of some seconds,
+// in the words of text. An empty text ends that.
+func (t *Target) AskRest(text string) { t.rest.Store(&text) }
+
 // SetLeaving sets whether the target says in all responses that it leaves.
 func (t *Target) SetLeaving(leaving bool) { t.leaving.Store(leaving) }
 
@@ -272,6 +279,11 @@
 	if err != nil {
 		return
 	}
+	if rest := *t.rest.Load(); rest != "" {
+		w.Header().Set("Retry-After", rest)
+		t.respondNotRun(w, r, http.StatusServiceUnavailable)
+		return
+	}
 	if fault.Shed || !t.acquireSlot(r) {
 		t.respondNotRun(w, r, http.StatusServiceUnavailable)
 		return
