Let a new leader read the store at once

Cause: a host that takes over goes on to rely on the relay of the leader before it, and starts no read until that one's last watermarks are 1.4 s old; a read that it has begun as a follower waits 1.5 s. For about a second the new leader so had no proof of the end of a topic: its watermarks were too old to count, and after that second all other hosts read all three topics themselves (traced on the small twin of the large site: takeover at -8.50 s, first read at -7.48 s, reads by the followers from -7.47 s on; 195 hosts make some 600 calls of it).

Change: taking over ends the relay and the reads under way, and makes the next read of each topic return at once (three calls).

TestReadAtOnce failed before (1.2 s to the first read).

--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -86,6 +86,8 @@
 	// has been read in it.
 	Position() (next int64, provenAt time.Time)
 	RelayActive() bool
+	// ReadAtOnce makes this host read all topics now.
+	ReadAtOnce()
 	// Era is the newest era of the store that this host has read, 0 for a store without. It
 	// never falls, and rises before anything read in the new era shows.
 	Era() int64
--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -62,6 +62,8 @@
 type fakeCatalog struct {
 	assignment  *owner.Assignment
 	relayActive bool
+	// readsAtOnce counts the calls of ReadAtOnce.
+	readsAtOnce atomic.Int64
 }
 
 func (c *fakeCatalog) Era() int64                                 { return 0 }
@@ -70,6 +72,7 @@
 func (c *fakeCatalog) RecentlyRemoved() []metastore.RemovedTarget { return nil }
 func (c *fakeCatalog) Position() (int64, time.Time)               { return 1, time.Now() }
 func (c *fakeCatalog) RelayActive() bool                          { return c.relayActive }
+func (c *fakeCatalog) ReadAtOnce()                                { c.readsAtOnce.Add(1) }
 
 // run runs the coordinator of a host named host-1 for a duration.
 func run(t *testing.T, catalog *fakeCatalog, duration time.Duration) *fakeStore {
@@ -114,6 +117,16 @@
 	})
 }
 
+// TestNewLeaderReadsAtOnce guards against hosts that all read the store themselves after a
+// change of leader, because the reads of the new one still wait and prove nothing.
+func TestNewLeaderReadsAtOnce(t *testing.T) {
+	catalog := &fakeCatalog{assignment: &owner.Assignment{Epoch: 4, Leader: "host-1", LeaderIncarnation: "new"}}
+	run(t, catalog, 300*time.Millisecond)
+	if got := catalog.readsAtOnce.Load(); got != 1 {
+		t.Errorf("reads at once of a new leader: got %d, want 1", got)
+	}
+}
+
 // TestJoins guards against needless join calls of every host while a leader relays
 // updates, and against too few of them while there is no leader.
 func TestJoins(t *testing.T) {
--- a/io/coordinator/leadership.go
+++ b/io/coordinator/leadership.go
@@ -117,6 +117,7 @@
 		}
 		c.leader = owner.NewLeader(a, c.maxLease, now)
 		c.balancedAt = now
+		c.catalog.ReadAtOnce()
 		klog.InfoS("This host is the leader", "epoch", a.Epoch)
 	case c.leader != nil && own && a.Epoch > c.leader.Epoch() && a.Era > c.leader.Era():
 		klog.InfoS("This host leads on in a new era of the store", "epoch", a.Epoch, "epochBefore", c.leader.Epoch(), "era", a.Era)
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -112,6 +112,15 @@
 	c.targetConsumer.BatchDelay = batchDelay
 }
 
+// ReadAtOnce makes this host read all topics now, also if another host relays them. The leader
+// does so when it takes over: its watermarks are only as new as its last reads, and those of
+// the leader before it have kept it from reading.
+func (c *Catalog) ReadAtOnce() {
+	for _, consumer := range c.consumers() {
+		consumer.requestRead()
+	}
+}
+
 func (c *Catalog) consumers() []*Consumer {
 	return []*Consumer{c.configConsumer, c.targetConsumer, c.ownerConsumer}
 }
--- a/io/metastore/consumer.go
+++ b/io/metastore/consumer.go
@@ -260,6 +260,14 @@
 	return reached
 }
 
+// requestRead ends the relay and the current read, and makes the next read return at once.
+func (c *Consumer) requestRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readAtOnce, c.relayProvenAt = true, time.Time{}
+	c.interrupt()
+}
+
 // noticeEra makes this host read the store itself if another host has read a newer era.
 func (c *Consumer) noticeEra(era int64) {
 	if era <= c.eras.get() {
--- a/io/metastore/consumer_test.go
+++ b/io/metastore/consumer_test.go
@@ -385,3 +385,41 @@
 		t.Errorf("targets: got %d, want %d", got, want)
 	}
 }
+
+// TestReadAtOnce guards against a topic whose end is proved only when a read that waits for a
+// record ends.
+func TestReadAtOnce(t *testing.T) {
+	store := &fakeStore{}
+	c := newConsumer()
+	c.Wait = func() time.Duration { return time.Minute }
+	run(t, c, store)
+	reading := func(n int) func() bool {
+		return func() bool {
+			store.mu.Lock()
+			defer store.mu.Unlock()
+			return store.reads == n
+		}
+	}
+	waitFor(t, "a read that waits", reading(1))
+	for name, relayed := range map[string]bool{"while it reads": false, "while it is relayed": true} {
+		t.Run(name, func(t *testing.T) {
+			store.set(func(s *fakeStore) { s.reads = 0 })
+			if relayed {
+				c.applyWatermark(Watermark{Topic: c.Topic})
+				c.mu.Lock()
+				c.interrupt()
+				c.mu.Unlock()
+				time.Sleep(2 * relayPollInterval)
+			}
+			requested := time.Now()
+			c.requestRead()
+			waitFor(t, "a read at once, and one that waits", reading(2))
+			if _, provenAt := c.Position(); provenAt.Before(requested) {
+				t.Errorf("end of the topic: got it proved %v before the request, want after it", requested.Sub(provenAt))
+			}
+			if took := time.Since(requested); took > maxWatermarkAge/2 {
+				t.Errorf("reads: got them %v after the request, want them at once", took)
+			}
+		})
+	}
+}
