Let hosts rely on the relay for as long as the bound on updates allows

Cause: hosts read the store themselves when the leader's last watermark is 1.4 s old, whatever the bound within which they have to act on a change.

Change: the age is 0.7 of the shorter one of the bounds on configuration and drains in the settings file (1.4 s as before for 2 s, 2.1 s for the large site's 3 s, at most 3 s), and the leader's reads wait as long as that leaves between two feeds (0.5 s before; now 0.8 s with 9 hosts and a bound of 2 s, 1.2 s with 195 hosts and 3 s), those of the owners at most 0.8 s, as they prove that it leads. Elections still take a leader for silent after 1.4 s.

Hosts that read themselves do so 0.7 s later than before on the large site, 0.9 s before the bound. Messages are the same; an older build keeps its own times.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -120,7 +120,8 @@
 	g.coordinator.PredecessorEnded = g.predecessorEnded
 	g.coordinator.Yields = g.yields
 	g.coordinator.HandleUnanswered = g.proxy.RecordUnanswered
-	g.catalog.SetReadTimes(g.readWait, g.batchDelay)
+	g.catalog.SetReadTimes(g.ownerReadWait, g.readWait, g.batchDelay)
+	g.catalog.SetRelayAge(relayAge(settings.UpdateBound))
 	g.links = hostlink.NewServer(incarnation, g.clock)
 	g.links.HandleReport = g.coordinator.AddReport
 	g.coordinator.Hosts = g.links.Hosts
@@ -230,35 +231,6 @@
 	return a.Epoch, g.coordinator.MayGrant()
 }
 
-const (
-	// leaderReadWait is how long a read of the store by the leader waits for a
-	// change. It is shorter than hostReadWait, because each read by the leader
-	// proves again that it leads and that the other hosts need not read the store.
-	leaderReadWait = 500 * time.Millisecond
-	// hostReadWait is how long a read of the store by any other host waits for a
-	// change.
-	hostReadWait = 1500 * time.Millisecond
-	// leaderBatchDelay is the leader's pause between two reads of the targets
-	// topic, in which changes accumulate to be read together.
-	leaderBatchDelay = 100 * time.Millisecond
-	// hostBatchDelay is the corresponding pause of any other host.
-	hostBatchDelay = 400 * time.Millisecond
-)
-
-func (g *Gateway) batchDelay() time.Duration {
-	if g.coordinator.Leading() {
-		return leaderBatchDelay
-	}
-	return hostBatchDelay
-}
-
-func (g *Gateway) readWait() time.Duration {
-	if g.coordinator.Leading() {
-		return leaderReadWait
-	}
-	return hostReadWait
-}
-
 // listeners are the listeners of a host, by the clients that they serve.
 type listeners struct {
 	callers, ready, peers, operators net.Listener
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -272,7 +272,7 @@
 			message.Updates = append(message.Updates, u)
 		case <-tick.C:
 		}
-		tick.Reset(min(feedInterval+time.Duration(s.links.Load())*feedIntervalPerLink, maxFeedInterval))
+		tick.Reset(s.FeedInterval())
 		// Records up to the watermarks must be in this message or an earlier one,
 		// so the watermarks are taken before the queued updates.
 		message.Echo, message.EchoAge = last.get(s.clock.Now())
@@ -290,6 +290,11 @@
 	}
 }
 
+// FeedInterval returns the time between two feeds on a link without news.
+func (s *Server) FeedInterval() time.Duration {
+	return min(feedInterval+time.Duration(s.links.Load())*feedIntervalPerLink, maxFeedInterval)
+}
+
 // Hosts returns the number of linked hosts, including this one.
 func (s *Server) Hosts() int { return int(s.links.Load()) + 1 }
 
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -103,15 +103,24 @@
 // of this host, that no assignment was missing.
 func (c *Catalog) Position() (next int64, provenAt time.Time) { return c.ownerConsumer.Position() }
 
-// SetReadTimes sets how long reads wait for a change, and how long changes of
-// targets are collected between two reads. It must be called before Run.
-func (c *Catalog) SetReadTimes(wait, batchDelay func() time.Duration) {
+// SetReadTimes sets how long reads of the owners and of other topics wait for a change, and
+// how long changes of targets are collected between two reads. It must be called before Run.
+func (c *Catalog) SetReadTimes(ownerWait, wait, batchDelay func() time.Duration) {
 	for _, consumer := range c.consumers() {
 		consumer.Wait = wait
 	}
+	c.ownerConsumer.Wait = ownerWait
 	c.targetConsumer.BatchDelay = batchDelay
 }
 
+// SetRelayAge sets the age of the leader's last watermark up to which this host relies on its
+// relay and does not read from the store. It must be called before Run.
+func (c *Catalog) SetRelayAge(age time.Duration) {
+	for _, consumer := range c.consumers() {
+		consumer.RelayAge = age
+	}
+}
+
 // ReadAtOnce makes this host read all topics now, also if another host relays them. The leader
 // does so when it takes over: its watermarks are only as new as its last reads, and those of
 // the leader before it have kept it from reading.
--- a/io/metastore/consumer.go
+++ b/io/metastore/consumer.go
@@ -47,6 +47,9 @@
 	// BatchDelay returns the time between a read that returned records and the
 	// next read, so that several records are read in one batch.
 	BatchDelay func() time.Duration
+	// RelayAge is the age of the last watermark up to which this host relies on the relay
+	// and does not read from the store.
+	RelayAge time.Duration
 	// Publish is called with each batch that was read from the store.
 	Publish func(u Update)
 	// Apply is called with new records. If complete is set, they are the newest
@@ -82,8 +85,8 @@
 func NewConsumer(topic string, store *reachability, era *eras) *Consumer {
 	return &Consumer{
 		Topic: topic, Clock: store.clock, next: -1, reached: -1, store: store, eras: era, done: make(chan struct{}),
-		interrupt: func() {},
-		Publish:   func(Update) {}, BatchDelay: func() time.Duration { return 0 },
+		interrupt: func() {}, RelayAge: defaultRelayAge,
+		Publish: func(Update) {}, BatchDelay: func() time.Duration { return 0 },
 	}
 }
 
--- a/io/metastore/consumer_test.go
+++ b/io/metastore/consumer_test.go
@@ -417,7 +417,7 @@
 			if _, provenAt := c.Position(); provenAt.Before(requested) {
 				t.Errorf("end of the topic: got it proved %v before the request, want after it", requested.Sub(provenAt))
 			}
-			if took := time.Since(requested); took > maxWatermarkAge/2 {
+			if took := time.Since(requested); took > defaultRelayAge/2 {
 				t.Errorf("reads: got them %v after the request, want them at once", took)
 			}
 		})
--- a/io/metastore/era_test.go
+++ b/io/metastore/era_test.go
@@ -121,7 +121,8 @@
 	t.Helper()
 	targets := placement.NewSet("a")
 	catalog := NewCatalog(clock.System{}, targets)
-	catalog.SetReadTimes(func() time.Duration { return 100 * time.Millisecond }, func() time.Duration { return 0 })
+	wait := func() time.Duration { return 100 * time.Millisecond }
+	catalog.SetReadTimes(wait, wait, func() time.Duration { return 0 })
 	ctx, cancel := context.WithCancel(context.Background())
 	go catalog.Run(ctx, store)
 	t.Cleanup(func() {
@@ -239,8 +240,8 @@
 	}
 	wantRelay := func(t *testing.T, want bool) {
 		t.Helper()
-		if relayed.Load() || c.relayActive() != want {
-			t.Errorf("batch applied, relay active: got %t, %t, want false, %t", relayed.Load(), c.relayActive(), want)
+		if relayed.Load() || c.relayedWithin(c.RelayAge) != want {
+			t.Errorf("batch applied, relay active: got %t, %t, want false, %t", relayed.Load(), c.relayedWithin(c.RelayAge), want)
 		}
 	}
 	store.put(platform.TopicConfig, "k", []byte("v"))
@@ -266,7 +267,7 @@
 		wantRelay(t, false)
 		waitFor(t, "an active relay in the new era", func() bool {
 			c.applyWatermark(Watermark{Topic: c.Topic, Next: 2, Era: 2})
-			return c.relayActive()
+			return c.relayedWithin(c.RelayAge)
 		})
 		wantRelay(t, true)
 		if got := time.Since(start); got > 500*time.Millisecond {
--- a/io/metastore/fuzz_test.go
+++ b/io/metastore/fuzz_test.go
@@ -33,7 +33,7 @@
 		t: t, store: newEraStore(), clock: fake, targets: targets, catalog: NewCatalog(fake, targets),
 		left: make(map[string]removal), sequence: make(map[string]int64),
 	}
-	f.catalog.SetReadTimes(func() time.Duration { return 0 }, func() time.Duration { return 0 })
+	f.catalog.SetReadTimes(func() time.Duration { return 0 }, func() time.Duration { return 0 }, func() time.Duration { return 0 })
 	return f
 }
 
--- a/io/metastore/relay.go
+++ b/io/metastore/relay.go
@@ -53,9 +53,12 @@
 }
 
 const (
-	// maxWatermarkAge is the age of the last watermark up to which a host relies
-	// on the relay and does not read from the store.
-	maxWatermarkAge = 1400 * time.Millisecond
+	// defaultRelayAge is the age of the last watermark up to which a host relies on
+	// the relay and does not read from the store, unless SetRelayAge sets another.
+	defaultRelayAge = 1400 * time.Millisecond
+	// leaderSilence is the age of the last watermark from which a host does not count on
+	// the leader any more in elections.
+	leaderSilence = 1400 * time.Millisecond
 	// relayPollInterval is the time between checks of the last watermark's age.
 	relayPollInterval = 100 * time.Millisecond
 	// subscriberBuffer is the number of updates that are queued for a subscriber.
@@ -222,7 +225,7 @@
 		return
 	}
 	relayProvenAt := c.Clock.Now().Add(-w.Age)
-	if w.Age < maxWatermarkAge && relayProvenAt.After(c.relayProvenAt) {
+	if w.Age < c.RelayAge && relayProvenAt.After(c.relayProvenAt) {
 		c.relayProvenAt = relayProvenAt
 		c.store.recordSuccess()
 		if w.Uninterrupted {
@@ -231,12 +234,11 @@
 	}
 }
 
-// relayActive reports whether the last watermark is recent enough to rely on the
-// relay.
-func (c *Consumer) relayActive() bool {
+// relayedWithin reports whether the last watermark is younger than an age.
+func (c *Consumer) relayedWithin(age time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.Clock.Now().Sub(c.relayProvenAt) < maxWatermarkAge
+	return c.Clock.Now().Sub(c.relayProvenAt) < age
 }
 
 // endRelay makes this host read from the store until the next watermark that
@@ -248,12 +250,12 @@
 }
 
 // RelayActive reports whether the leader relays all changes of owners to this
-// host.
-func (c *Catalog) RelayActive() bool { return c.ownerConsumer.relayActive() }
+// host, so that there is a leader.
+func (c *Catalog) RelayActive() bool { return c.ownerConsumer.relayedWithin(leaderSilence) }
 
 // waitWhileRelayed waits while the leader relays the topic to this host.
 func (c *Consumer) waitWhileRelayed(ctx context.Context) {
-	for ctx.Err() == nil && c.relayActive() {
+	for ctx.Err() == nil && c.relayedWithin(c.RelayAge) {
 		clock.Sleep(ctx, relayPollInterval)
 	}
 }
