Bound the responses of targets to grants and releases

Cause: the leader's connections for grants and releases had no limit on the header of a response (10 MB by default), and read up to 16 MB of its body. A target in trouble whose bytes don't end so took 10 MB of the leader's memory at a time, and some twenty of them would end its process (184 MB on the smallest hosts).

--- a/io/coordinator/sender.go
+++ b/io/coordinator/sender.go
@@ -22,6 +22,8 @@
 	idleTimeout = 20 * time.Second
 	// bufferSize is the size of a connection's read and write buffers, in bytes.
 	bufferSize = 1 << 10
+	// maxHeaderBytes limits the size of the header of a target's response.
+	maxHeaderBytes = 64 << 10
 )
 
 // sender sends orders to targets.
@@ -56,7 +58,7 @@
 			return dial(ctx, network, address)
 		},
 		MaxConnsPerHost: conns, IdleConnTimeout: idleTimeout, DisableCompression: true,
-		ReadBufferSize: bufferSize, WriteBufferSize: bufferSize,
+		ReadBufferSize: bufferSize, WriteBufferSize: bufferSize, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
