--- a/io/gateway/cluster_test.go
+++ b/io/gateway/cluster_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -14,6 +15,7 @@
 	"time"
 
 	"pineturn/io/logsink"
+	"pineturn/io/socket"
 	"pineturn/io/standin/keyholder"
 	"pineturn/io/standin/platformstore"
 	"pineturn/platform"
@@ -175,14 +177,18 @@
 	}
 }()
 
+// freePort returns a port of ip on which no process listens.
 func freePort(t *testing.T, ip string) int {
 	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
+	address, err := socket.Unused(ip + ":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	return int(parsed.Port())
 }
 
 // addHost starts a host and waits until it is ready.
--- a/io/socket/unused_test.go
+++ b/io/socket/unused_test.go
@@ -1,7 +1,10 @@
 package socket
 
 import (
+	"fmt"
 	"net"
+	"net/netip"
+	"os"
 	"os/exec"
 	"sync"
 	"testing"
@@ -50,3 +53,29 @@
 		}
 	}
 }
+
+// TestUnusedIsNoEphemeralPort guards against an address that an outgoing connection takes
+// before a process listens there.
+func TestUnusedIsNoEphemeralPort(t *testing.T) {
+	data, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	if err != nil {
+		t.Skip(err)
+	}
+	var first, last int
+	if _, err := fmt.Sscan(string(data), &first, &last); err != nil {
+		t.Fatal(err)
+	}
+	for range 200 {
+		address, err := Unused("127.0.0.3:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		parsed, err := netip.ParseAddrPort(address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := int(parsed.Port()); got >= first && got <= last {
+			t.Fatalf("port: got %d, want none from %d to %d", got, first, last)
+		}
+	}
+}
