Relay records between hosts compressed with the record before as dictionary

Cause: the record of owners holds all ranges and goes whole over each link at each change, and so does each target's entry.

Change: the leader deflates the records of an update once, with the value of the topic's last record before it as dictionary, and sends that to all links. A host keeps the last four records of a topic; without the right one it reads the store, as it does after any gap. The limit of 16 KiB holds for the packed size, so records up to some 100 KB are relayed, too.

An older build does not say in its reports (10) that it unpacks, and is sent records as before; an older leader sends nothing packed.

--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -113,6 +113,8 @@
 	Limits []ratelimit.Observation `cbor:"7,keyasint,omitempty"`
 	// FollowsLimits reports that the host understands LimitsContinue.
 	FollowsLimits bool `cbor:"8,keyasint,omitempty"`
+	// Unpacks reports that the host understands packed updates.
+	Unpacks bool `cbor:"10,keyasint,omitempty"`
 	// Departures are targets that have said to the host that they leave, beyond those of
 	// earlier reports on the link.
 	Departures []placement.Departure `cbor:"9,keyasint,omitempty"`
@@ -229,9 +231,7 @@
 		if message.Self != nil {
 			s.linked.put(link, *message.Self)
 		}
-		if message.FollowsLimits {
-			s.linked.setFollowsLimits(link)
-		}
+		s.linked.setFeatures(link, features{followsLimits: message.FollowsLimits, unpacks: message.Unpacks})
 		if len(message.Limits) > 0 {
 			s.HandleLimits(s.linked.get(link).Address, message.Limits)
 		}
@@ -277,12 +277,12 @@
 		// so the watermarks are taken before the queued updates.
 		message.Echo, message.EchoAge = last.get(s.clock.Now())
 		message.Watermarks = watermarks()
-		message.Updates = append(message.Updates, queuedUpdates(updates)...)
+		message.Updates = s.linked.forHost(link, append(message.Updates, queuedUpdates(updates)...))
 		message.Hosts = s.Hosts()
 		hosts, version := s.linked.all(s.Self())
 		receiver := s.linked.get(link)
 		message.Peers = list.next(hosts, version, receiver)
-		message.Limits, message.LimitsContinue = limits.update(receiver.Address, s.linked.followsLimits(link))
+		message.Limits, message.LimitsContinue = limits.update(receiver.Address, s.linked.features(link).followsLimits)
 		message.Departures, departures = s.Departures(departures)
 		if err := write(ctx, conn, message); err != nil {
 			return
--- a/io/hostlink/peers.go
+++ b/io/hostlink/peers.go
@@ -8,12 +8,20 @@
 	"sync"
 
 	"pineturn/core/peers"
+	"pineturn/io/metastore"
 )
 
 // maxPeersPerFeed is the largest number of hosts that a feed lists. It keeps the bytes
 // of all feeds from growing with the square of the hosts.
 const maxPeersPerFeed = 16
 
+// features is what the host of a link understands beyond the messages of earlier builds.
+type features struct {
+	// followsLimits reports that it understands LimitsContinue, unpacks that it
+	// understands packed updates.
+	followsLimits, unpacks bool
+}
+
 // linkedHosts holds the last Host of each open link.
 type linkedHosts struct {
 	mu sync.Mutex
@@ -21,8 +29,8 @@
 	opened int
 	// hosts holds the hosts by the number of their link.
 	hosts map[int]peers.Host
-	// follow holds the numbers of the links of hosts that follow limits.
-	follow map[int]bool
+	// understood holds what hosts understand by the number of their link.
+	understood map[int]features
 	// self and list are the arguments and the result of the last call of all, and
 	// version counts the changes of list. changed reports a change of hosts since.
 	self    peers.Host
@@ -56,26 +64,36 @@
 	return l.hosts[link]
 }
 
-// setFollowsLimits records that the host of a link understands LimitsContinue.
-func (l *linkedHosts) setFollowsLimits(link int) {
+// setFeatures records what the host of a link understands.
+func (l *linkedHosts) setFeatures(link int, f features) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.follow == nil {
-		l.follow = make(map[int]bool)
+	if l.understood == nil {
+		l.understood = make(map[int]features)
 	}
-	l.follow[link] = true
+	l.understood[link] = f
 }
 
-func (l *linkedHosts) followsLimits(link int) bool {
+// features returns what the host of a link understands, as of its last report.
+func (l *linkedHosts) features(link int) features {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.follow[link]
+	return l.understood[link]
+}
+
+// forHost returns updates as they are sent to the host of a link.
+func (l *linkedHosts) forHost(link int, updates []metastore.Update) []metastore.Update {
+	unpacks := l.features(link).unpacks
+	for i, u := range updates {
+		updates[i] = u.ForHost(unpacks)
+	}
+	return updates
 }
 
 func (l *linkedHosts) remove(link int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.follow, link)
+	delete(l.understood, link)
 	delete(l.hosts, link)
 	l.changed = true
 }
--- a/io/metastore/consumer.go
+++ b/io/metastore/consumer.go
@@ -68,6 +68,8 @@
 	readAtOnce bool
 	// interrupt ends the current read.
 	interrupt context.CancelFunc
+	// dictionaries holds records by which relayed ones are packed.
+	dictionaries dictionaries
 	// relayProvenAt is a time at which the leader had read no record beyond
 	// next, or zero without a relay.
 	relayProvenAt time.Time
@@ -176,7 +178,8 @@
 			c.Apply(batch.Records, false)
 		}
 		if batch.Next > next {
-			c.Publish(Update{Topic: c.Topic, From: next, Next: batch.Next, Records: batch.Records, Era: era})
+			c.Publish(Update{Topic: c.Topic, From: next, Next: batch.Next, Records: batch.Records, Era: era, base: c.base()})
+			c.keep(batch.Records)
 		}
 		c.advance(batch.Next, c.provenEnd(sent, wait, batch.Next > next))
 	})
@@ -197,6 +200,7 @@
 	defer c.applyMu.Unlock()
 	applied := c.eras.apply(batch.Era, func() {
 		c.Apply(batch.Records, true)
+		c.keep(batch.Records)
 		c.advance(batch.Next, sent)
 	})
 	if !applied {
@@ -237,6 +241,20 @@
 	return c.Wait()
 }
 
+// base returns the record that the next update is packed with.
+func (c *Consumer) base() platform.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dictionaries.latest()
+}
+
+// keep keeps the latest record to pack or unpack the next update with.
+func (c *Consumer) keep(records []platform.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dictionaries.add(records)
+}
+
 func (c *Consumer) restart() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -259,6 +277,7 @@
 	reached := c.reached
 	c.next, c.reached = -1, -1
 	c.provenAt, c.relayProvenAt = time.Time{}, time.Time{}
+	c.dictionaries = nil
 	c.interrupt()
 	return reached
 }
--- a/io/metastore/relay.go
+++ b/io/metastore/relay.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"pineturn/core/clock"
 	"pineturn/platform"
 )
@@ -21,6 +23,12 @@
 	Large bool `cbor:"5,keyasint,omitempty"`
 	// Era is the era of the store in which the offsets hold.
 	Era int64 `cbor:"6,keyasint,omitempty"`
+	// Packed holds the records in place of Records, compressed with the value of the
+	// topic's record at offset Base as the dictionary.
+	Packed []byte `cbor:"7,keyasint,omitempty"`
+	Base   int64  `cbor:"8,keyasint,omitempty"`
+	// base is the record of which Base is the offset.
+	base platform.Record
 }
 
 // maxRelayBytes is the size of keys and values, in bytes, up to which a batch is
@@ -28,14 +36,34 @@
 // failure domains.
 const maxRelayBytes = 16 << 10
 
-// trim removes the records of a batch larger than maxRelayBytes.
-func (u Update) trim() Update {
-	size := 0
-	for _, r := range u.Records {
-		size += len(r.Key) + len(r.Value)
+// pack adds the packed form of the records.
+func (u Update) pack() Update {
+	if len(u.Records) == 0 {
+		return u
+	}
+	packed, err := packRecords(u.Records, u.base.Value)
+	if err != nil {
+		klog.ErrorS(err, "Failed to pack records for other hosts", "topic", u.Topic, "from", u.From)
+		return u
+	}
+	u.Packed, u.Base = packed, u.base.Offset
+	return u
+}
+
+// ForHost returns the update as it is sent to a host, which may understand packed records or
+// not. Records that are larger than maxRelayBytes are left out.
+func (u Update) ForHost(unpacks bool) Update {
+	size := len(u.Packed)
+	if unpacks && size > 0 {
+		u.Records = nil
+	} else {
+		u.Packed, u.Base, size = nil, 0, 0
+		for _, r := range u.Records {
+			size += len(r.Key) + len(r.Value)
+		}
 	}
 	if size > maxRelayBytes {
-		u.Records, u.Large = nil, true
+		u.Records, u.Packed, u.Base, u.Large = nil, nil, 0, true
 	}
 	return u
 }
@@ -76,9 +104,11 @@
 // publish sends an update to every subscriber. The channel of a subscriber whose
 // queue is full is closed.
 func (b *broadcaster) publish(u Update) {
-	u = u.trim()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.subscribers) > 0 {
+		u = u.pack()
+	}
 	for subscriber := range b.subscribers {
 		select {
 		case subscriber <- u:
@@ -189,6 +219,7 @@
 	if next < 0 || u.Next <= next {
 		return
 	}
+	u = c.unpack(u)
 	if u.From > next || u.Large {
 		c.Apply(u.Records, false)
 		c.endRelay()
@@ -203,10 +234,34 @@
 	c.Apply(unread, false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.dictionaries.add(unread)
 	c.next = u.Next
 	c.reached = max(c.reached, c.next)
 }
 
+// unpack returns an update with its records. They are left out, like those of a large one, if
+// this host does not have the record that they are packed with.
+func (c *Consumer) unpack(u Update) Update {
+	if len(u.Packed) == 0 {
+		return u
+	}
+	c.mu.Lock()
+	dictionary, ok := c.dictionaries.find(u.Base)
+	c.mu.Unlock()
+	if !ok && u.Base != noBase {
+		u.Large = true
+		return u
+	}
+	records, err := unpackRecords(u.Packed, dictionary)
+	if err != nil {
+		klog.ErrorS(err, "Failed to unpack relayed records, reading them from the store", "topic", u.Topic, "from", u.From, "base", u.Base)
+		u.Large = true
+		return u
+	}
+	u.Records, u.Packed = records, nil
+	return u
+}
+
 // applyWatermark applies a watermark of the current era.
 func (c *Consumer) applyWatermark(w Watermark) {
 	c.eras.apply(w.Era, func() { c.recordWatermark(w) })
