Play targets that leave or ask for a rest in the soak

The stand-in's targets say that they leave from SIGWINCH on, and refuse all requests and ask for a rest from one SIGIO until the next. Each seed has one step of either kind, drawn apart, so that the steps of earlier seeds stay as they were. Checked are the requests later than 3 s after a target has first said that it leaves (two a host), and those within a rest.

--- a/cmd/standin/keyholder.go
+++ b/cmd/standin/keyholder.go
@@ -30,6 +30,7 @@
 			f.float("lost", 0, "fraction of responses dropped by closing their connection"),
 			f.float("extra", 0, "fraction of responses followed by an unsolicited response"),
 			f.string("limit", "3", "limit of requests a second that the target names from SIGUSR1 until SIGUSR2"),
+			f.string("rest", "2", "seconds of rest for which the target, which then refuses all requests, asks from one SIGIO until the next"),
 			f.bool("keyed", "run requests only for keys that the target owns"),
 		},
 		Action: runKeyholder,
@@ -46,7 +47,7 @@
 		return err
 	}
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP, syscall.SIGWINCH, syscall.SIGIO)
 	defer signal.Stop(signals)
 	listener, err := listen(command.String("listen"))
 	if err != nil {
@@ -58,14 +59,16 @@
 		Slots: command.Int("slots"), Queue: command.Int("queue"), ServiceTime: command.Duration("work"), Keyed: command.Bool("keyed"),
 		LostFraction: command.Float("lost"), ExtraFraction: command.Float("extra"),
 	}, audit)
-	go handleSignals(ctx, signals, target, command.String("limit"))
+	go handleSignals(ctx, signals, target, command.String("limit"), command.String("rest"))
 	return serve(ctx, listener, target.Handler())
 }
 
-// handleSignals makes a target name a limit from SIGUSR1 until SIGUSR2, and lose all responses
-// from one SIGHUP until the next.
-func handleSignals(ctx context.Context, signals <-chan os.Signal, target *keyholder.Target, limit string) {
+// handleSignals makes a target name a limit from SIGUSR1 until SIGUSR2, say that it leaves from
+// SIGWINCH on, and lose all responses, or ask for a rest, from one SIGHUP or SIGIO until the
+// next.
+func handleSignals(ctx context.Context, signals <-chan os.Signal, target *keyholder.Target, limit, rest string) {
 	var fault keyholder.Fault
+	resting := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -76,6 +79,11 @@
 				target.NameLimit(limit)
 			case syscall.SIGUSR2:
 				target.NameLimit("")
+			case syscall.SIGWINCH:
+				target.SetLeaving(true)
+			case syscall.SIGIO:
+				resting = !resting
+				target.AskRest(map[bool]string{true: rest}[resting])
 			default:
 				fault.Lose = !fault.Lose
 				target.SetFault(fault)
--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -76,6 +76,9 @@
 // drainStarted by incarnation of a target, and newestVersion by number and
 // incarnation of a host.
 type Checker struct {
+	// hosts is the number of hosts.
+	hosts int
+
 	mu            sync.Mutex
 	runs          map[string][]keyholder.Run
 	responses     map[string]Response
@@ -89,10 +92,11 @@
 	counts        map[string]int
 }
 
-// NewChecker returns a checker without observations.
-func NewChecker() *Checker {
+// NewChecker returns a checker for a number of hosts, without observations.
+func NewChecker(hosts int) *Checker {
 	return &Checker{
-		runs: make(map[string][]keyholder.Run), responses: make(map[string]Response), published: make(map[int]time.Time),
+		hosts: hosts,
+		runs:  make(map[string][]keyholder.Run), responses: make(map[string]Response), published: make(map[int]time.Time),
 		drainStarted: make(map[string]time.Time), newestVersion: make(map[[2]int]int), counts: make(map[string]int),
 	}
 }
@@ -247,6 +251,8 @@
 	defer c.mu.Unlock()
 	c.checkRetries()
 	c.checkLimits()
+	c.checkDepartures()
+	c.checkRests()
 	for id, response := range c.responses {
 		runs := c.runs[id]
 		if response.Once && len(runs) > 1 {
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -28,6 +28,15 @@
 	c.AddEvent(keyholder.Event{Kind: keyholder.Arrived, ID: id, Target: target, Limit: limit, At: at(seconds)})
 }
 
+// addAsked adds n requests that reach a target which says something of itself.
+func addAsked(c *Checker, n int, seconds float64, e keyholder.Event) {
+	e.Kind, e.ID, e.Target = keyholder.Arrived, "r1", "t1"
+	for i := range n {
+		e.At = at(seconds + float64(i)/1000)
+		c.AddEvent(e)
+	}
+}
+
 // addRetries adds requests of which each arrives twice, the second time late.
 func addRetries(c *Checker, n int, seconds, late float64) {
 	for i := range n {
@@ -96,6 +105,22 @@
 				addArrival(c, "r1", "t1", 3, float64(i)*0.025)
 			}
 		}, ""},
+		{"target that leaves, few requests", func(c *Checker) {
+			addAsked(c, 1, 0, keyholder.Event{Leaving: true})
+			addAsked(c, 8, 4, keyholder.Event{Leaving: true})
+		}, ""},
+		{"target that leaves, many requests", func(c *Checker) {
+			addAsked(c, 1, 0, keyholder.Event{Leaving: true})
+			addAsked(c, 9, 4, keyholder.Event{Leaving: true})
+		}, "9 requests later than 3s after it said that it leaves, at most 8 allowed"},
+		{"target that rests, few requests", func(c *Checker) {
+			addAsked(c, 30, 0, keyholder.Event{Resting: true})
+			addAsked(c, 16, 1, keyholder.Event{Resting: true})
+		}, ""},
+		{"target that rests, many requests", func(c *Checker) {
+			addAsked(c, 1, 0, keyholder.Event{Resting: true})
+			addAsked(c, 17, 1, keyholder.Event{Resting: true})
+		}, "17 requests in that time, at most 16 allowed"},
 		{"two owners", func(c *Checker) {
 			addGrant(c, "t1", 0, 99, 1, 0, 4)
 			addGrant(c, "t2", 50, 60, 2, 3, 7)
@@ -172,7 +197,7 @@
 		}, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			c := NewChecker()
+			c := NewChecker(4)
 			test.history(c)
 			c.CheckLeases(at(10))
 			c.Finish()
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -63,7 +63,7 @@
 		return s.reloadHost(h)
 	case PublishConfig:
 		return s.publishConfig()
-	case TargetDrain, TargetKill, TargetPause, TargetLimit:
+	case TargetDrain, TargetKill, TargetPause, TargetLimit, TargetLeave, TargetRest:
 		return s.runTargetStep(ctx, step, maxDuration)
 	case ServiceLose:
 		return s.withWindow(systemWindow, maxDuration, func() error { s.loseResponses(ctx, step); return nil })
@@ -184,6 +184,15 @@
 			clock.Sleep(ctx, step.Length+limitKnown+limitWindow)
 			t.process.signal(syscall.SIGUSR2)
 			return nil
+		case TargetLeave:
+			t.process.signal(syscall.SIGWINCH)
+			clock.Sleep(ctx, step.Length+leavingKnown)
+			return s.restartTarget(ctx, t, Step{})
+		case TargetRest:
+			t.process.signal(syscall.SIGIO)
+			clock.Sleep(ctx, step.Length+restTime)
+			t.process.signal(syscall.SIGIO)
+			return nil
 		}
 		t.process.signal(syscall.SIGSTOP)
 		clock.Sleep(ctx, step.Length)
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -58,7 +58,7 @@
 	if err := os.MkdirAll(logFolder, 0o755); err != nil {
 		return report, errors.Wrap(err, "create log folder")
 	}
-	checker := NewChecker()
+	checker := NewChecker(options.Hosts)
 	s, err := newSystem(options, logFolder, checker)
 	if s != nil {
 		defer s.close()
--- a/io/soak/steps.go
+++ b/io/soak/steps.go
@@ -30,6 +30,10 @@
 	TargetPause  Kind = "target-pause"
 	// TargetLimit makes a target name a limit of requests a second.
 	TargetLimit Kind = "target-limit"
+	// TargetLeave makes a target say in its responses that it leaves, and TargetRest refuse
+	// all requests and ask for a rest.
+	TargetLeave Kind = "target-leave"
+	TargetRest  Kind = "target-rest"
 	// ServiceLose makes all targets of a service lose all responses.
 	ServiceLose Kind = "service-lose"
 	// LinkCut resets the connections of a host to the store and refuses new ones.
@@ -61,6 +65,10 @@
 	StoreBusy, StoreReset, StoreSilent, StoreLost, StoreExpire, StoreRebalance,
 }
 
+// requested are what targets ask for in their responses. They are drawn apart from the others,
+// so that the steps of a seed stay as they were.
+var requested = []Kind{TargetLeave, TargetRest}
+
 // Planned reports whether the kind is a planned operation, which must not affect
 // callers.
 func (k Kind) Planned() bool { return slices.Contains(planned, k) }
@@ -107,10 +115,23 @@
 			steps = append(steps, step)
 		}
 	}
+	steps = append(steps, requestedSteps(seed, duration)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.Start - b.Start) })
 	return steps
 }
 
+// requestedSteps returns one step of each of the requested kinds.
+func requestedSteps(seed uint64, duration time.Duration) []Step {
+	random := rand.New(rand.NewPCG(seed, seed+1))
+	var steps []Step
+	for _, kind := range requested {
+		step := randomStep(random, duration)
+		step.Kind = kind
+		steps = append(steps, step)
+	}
+	return steps
+}
+
 func randomStep(random *rand.Rand, duration time.Duration) Step {
 	kinds := faults
 	if random.Float64() < plannedShare {
--- a/io/soak/system.go
+++ b/io/soak/system.go
@@ -229,7 +229,7 @@
 func (s *system) startTarget(t *target) error {
 	t.startedMs = time.Now().UnixMilli()
 	incarnation := t.incarnationID()
-	args := []string{"keyholder", "--listen", t.address, "--id", t.id, "--service", t.service, "--limit", targetLimit, "--lost", responseFaultRate, "--extra", responseFaultRate}
+	args := []string{"keyholder", "--listen", t.address, "--id", t.id, "--service", t.service, "--limit", targetLimit, "--rest", fmt.Sprint(restTime.Seconds()), "--lost", responseFaultRate, "--extra", responseFaultRate}
 	if t.service == keyedService {
 		args = append(args, "--keyed")
 	}
--- a/io/standin/keyholder/audit.go
+++ b/io/standin/keyholder/audit.go
@@ -54,9 +54,12 @@
 	FencingToken int64     `json:"fence,omitempty"`
 	Until        time.Time `json:"until,omitzero"`
 	// ID is the id of the request, and Limit the limit of requests a second that the
-	// target names, 0 for none. Both are set for Arrived.
-	ID    string  `json:"id,omitempty"`
-	Limit float64 `json:"limit,omitempty"`
+	// target names, 0 for none. Leaving and Resting report that the target says that it
+	// leaves, or asks for a rest. All are set for Arrived.
+	ID      string  `json:"id,omitempty"`
+	Limit   float64 `json:"limit,omitempty"`
+	Leaving bool    `json:"leaving,omitempty"`
+	Resting bool    `json:"resting,omitempty"`
 }
 
 // Audit collects the events of all targets of a service and detects keys owned
@@ -114,10 +117,10 @@
 	}
 }
 
-func (a *Audit) recordArrival(target, id string, limit float64, now time.Time) {
+func (a *Audit) recordArrival(e Event) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.emit(Event{Kind: Arrived, At: now, Target: target, ID: id, Limit: limit})
+	a.emit(e)
 }
 
 func (a *Audit) recordRun(run Run) {
--- a/io/standin/keyholder/keyholder.go
+++ b/io/standin/keyholder/keyholder.go
@@ -263,7 +263,8 @@
 
 func (t *Target) serveRequest(w http.ResponseWriter, r *http.Request) {
 	limit := *t.limit.Load()
-	t.recordArrival(r, limit)
+	rest := *t.rest.Load()
+	t.recordArrival(r, limit, rest)
 	if limit != "" {
 		w.Header().Set("Server-Limit", limit)
 	}
@@ -279,7 +280,7 @@
 	if err != nil {
 		return
 	}
-	if rest := *t.rest.Load(); rest != "" {
+	if rest != "" {
 		w.Header().Set("Retry-After", rest)
 		t.respondNotRun(w, r, http.StatusServiceUnavailable)
 		return
@@ -302,11 +303,13 @@
 	t.respond(w, r, fault)
 }
 
-func (t *Target) recordArrival(r *http.Request, limit string) {
+func (t *Target) recordArrival(r *http.Request, limit, rest string) {
 	now := time.Now()
 	// A limit that is no number counts as none.
 	perSecond, _ := strconv.ParseFloat(limit, 64)
-	t.audit.recordArrival(t.options.ID, r.Header.Get("X-Request-Id"), perSecond, now)
+	t.audit.recordArrival(Event{
+		Kind: Arrived, At: now, Target: t.options.ID, ID: r.Header.Get("X-Request-Id"), Limit: perSecond, Leaving: t.leaving.Load(), Resting: rest != "",
+	})
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.arrivals = append(t.arrivals, now)
