Let hosts with a link to the leader retry the store less often

Cause: while the store is down, each host retries every half second and joins the election five times a second, whether or not it has a link to the leader, which tries as well and relays what it reads.

Change: a host whose leader has sent a feed within 1.5 s retries after 2 s, its other topics after 6 s. A watermark beyond what it has read, a gap in the relay or news of another era ends these waits at once. After a failed join a host that does not lead waits 1 s.

No message changes. A host that loses its leader as well retries as before.

TestRetriesWhileLed failed before.

--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -24,6 +24,9 @@
 	// electionJoinInterval is the time between join calls of a host that is not
 	// elected and that no leader relays updates to.
 	electionJoinInterval = 200 * time.Millisecond
+	// failedJoinInterval is the time from a failed join call to the next one. Many hosts
+	// make such calls while the store is down.
+	failedJoinInterval = time.Second
 	// memberTTL is the time without a join call after which the store removes a
 	// host from the group and elects another. It applies to a host that is elected
 	// or that no leader relays updates to.
--- a/io/coordinator/member.go
+++ b/io/coordinator/member.go
@@ -18,7 +18,7 @@
 // leader, it stays until there is one, which may be itself: it goes on leading then.
 func (c *Coordinator) maintainMembership(ctx context.Context) {
 	var generation int64
-	joined, lastResort := false, false
+	joined, lastResort, failed := false, false, false
 	var joinedAt time.Time
 	leaderSeenAt := time.Now()
 	for ctx.Err() == nil {
@@ -37,6 +37,9 @@
 			joined = false
 		}
 		interval, ttl := c.joinTiming()
+		if failed && !c.Leading() {
+			interval = max(interval, failedJoinInterval)
+		}
 		unfit := yields || c.self.Cores < minLeaderCores
 		deferred := unfit && !c.isElected() && time.Since(leaderSeenAt) < unfitJoinDelay
 		if deferred || time.Since(joinedAt) < interval {
@@ -45,7 +48,7 @@
 		}
 		joinedAt, lastResort = time.Now(), yields
 		membership, err := c.store.Join(ctx, c.self.Name, generation, ttl)
-		if err != nil {
+		if failed = err != nil; failed {
 			c.setElected(false)
 			continue
 		}
--- a/io/metastore/consumer.go
+++ b/io/metastore/consumer.go
@@ -22,6 +22,9 @@
 	// half of the pause is added.
 	retryInterval = 500 * time.Millisecond
 	minRetryPause = 150 * time.Millisecond
+	// ledRetryInterval is used instead while this host has a link to the leader, which
+	// relays what it reads as soon as it can read again.
+	ledRetryInterval = 2 * time.Second
 	// minWaitShare is the share of a read's wait that the store has certainly
 	// waited, with an allowance for the difference between the clocks.
 	minWaitShare = 0.9
@@ -116,7 +119,7 @@
 			return
 		case err != nil:
 			c.store.recordFailure(c, err)
-			pause := pauseAfter(c.Clock.Now().Sub(start))
+			pause := pauseAfter(c.Clock.Now().Sub(start), c.store.led())
 			c.store.awaitRetry(ctx, c, pause+rand.N(pause/2))
 		case n > 0:
 			clock.Sleep(ctx, c.BatchDelay())
@@ -127,9 +130,13 @@
 // pauseAfter returns the time between a failed call and the next one. After a call
 // that has waited for a response until its timeout it is short, so that the end of a
 // network partition shows soon; after a call that was refused or reset at once, it keeps
-// the number of calls low.
-func pauseAfter(took time.Duration) time.Duration {
-	return max(retryInterval-took, minRetryPause)
+// the number of calls low, and lower for a host that the leader has a link to.
+func pauseAfter(took time.Duration, led bool) time.Duration {
+	interval := retryInterval
+	if led {
+		interval = ledRetryInterval
+	}
+	return max(interval-took, minRetryPause)
 }
 
 // interruptibleStep is a step that ends at the news of another era: a store that was away may
@@ -301,5 +308,6 @@
 	if era > c.noticed {
 		c.noticed, c.readAtOnce = era, true
 		c.interrupt()
+		c.store.retryNow()
 	}
 }
--- a/io/metastore/consumer_test.go
+++ b/io/metastore/consumer_test.go
@@ -340,12 +340,17 @@
 // TestPauseAfterFailure guards against many calls to a store that refuses or resets them at
 // once, and against a late first call after a partition.
 func TestPauseAfterFailure(t *testing.T) {
-	for took, want := range map[time.Duration]time.Duration{
-		10 * time.Millisecond:  490 * time.Millisecond,
-		700 * time.Millisecond: minRetryPause,
+	for _, c := range []struct {
+		took time.Duration
+		led  bool
+		want time.Duration
+	}{
+		{10 * time.Millisecond, false, 490 * time.Millisecond},
+		{700 * time.Millisecond, false, minRetryPause},
+		{10 * time.Millisecond, true, 1990 * time.Millisecond},
 	} {
-		if got := pauseAfter(took); got != want {
-			t.Errorf("pause after a call that failed after %v: got %v, want %v", took, got, want)
+		if got := pauseAfter(c.took, c.led); got != c.want {
+			t.Errorf("pause after a call that failed after %v, led %t: got %v, want %v", c.took, c.led, got, c.want)
 		}
 	}
 }
@@ -423,3 +428,51 @@
 		})
 	}
 }
+
+// TestRetriesWhileLed guards against calls to a store that is down by all hosts at once, although
+// the leader tries and tells them, and against hosts that then wait though the leader has read
+// what they have not.
+func TestRetriesWhileLed(t *testing.T) {
+	const duration = time.Second
+	failingReads := func(t *testing.T, feed func(*Catalog)) int64 {
+		t.Helper()
+		store := &failingStore{}
+		catalog, _ := runCatalog(t, store)
+		for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			feed(catalog)
+		}
+		return store.calls.Load()
+	}
+	// One call for each topic, and the retries of one of them.
+	const topics = 3
+	t.Run("without a leader", func(t *testing.T) {
+		if got := failingReads(t, func(*Catalog) {}); got < topics+1 {
+			t.Errorf("calls: got %d, want at least %d", got, topics+1)
+		}
+	})
+	t.Run("with a leader that can't read", func(t *testing.T) {
+		stale := []Watermark{{Topic: "another", Age: time.Minute}}
+		if got := failingReads(t, func(c *Catalog) { c.ApplyRelayed(nil, stale) }); got > topics {
+			t.Errorf("calls: got %d, want at most %d", got, topics)
+		}
+	})
+	t.Run("with a leader that has read more", func(t *testing.T) {
+		ahead := []Watermark{{Topic: platform.TopicConfig, Next: 5}}
+		if got := failingReads(t, func(c *Catalog) { c.ApplyRelayed(nil, ahead) }); got < 2*topics {
+			t.Errorf("calls: got %d, want at least %d", got, 2*topics)
+		}
+	})
+}
+
+// failingStore counts the calls, all of which fail at once.
+type failingStore struct{ calls atomic.Int64 }
+
+func (s *failingStore) Newest(context.Context, string) (platform.Batch, error) {
+	s.calls.Add(1)
+	return platform.Batch{}, platform.ErrStatus
+}
+
+func (s *failingStore) Read(context.Context, string, int64, time.Duration) (platform.Batch, error) {
+	s.calls.Add(1)
+	return platform.Batch{}, platform.ErrStatus
+}
--- a/io/metastore/reachability.go
+++ b/io/metastore/reachability.go
@@ -19,6 +19,11 @@
 	// maxProbeWait bounds how long a consumer waits for the retries of another
 	// one, in case only its own topic can be read.
 	maxProbeWait = 3 * time.Second
+	// ledProbeWait is used instead while this host has a link to the leader.
+	ledProbeWait = 6 * time.Second
+	// feedMemory is the time after a feed of the leader for which its link counts as
+	// intact.
+	feedMemory = 1500 * time.Millisecond
 )
 
 // reachability tracks whether the store responds to this host. The consumers of
@@ -39,6 +44,8 @@
 	// uninterrupted reports that the leader could read the store while this host could
 	// not, so that no grace period applies to the end of this host's outage.
 	uninterrupted bool
+	// fedAt is the time of the last feed from the leader.
+	fedAt time.Time
 	// prober is the consumer that retries, nil unless calls fail. recovered is
 	// closed and replaced when calls succeed again.
 	prober    *Consumer
@@ -56,6 +63,21 @@
 	return !r.failingSince.IsZero()
 }
 
+// recordFeed records a feed from the leader.
+func (r *reachability) recordFeed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fedAt = r.clock.Now()
+}
+
+// led reports whether this host has a link to the leader, which may be unable to read the store
+// itself.
+func (r *reachability) led() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.fedAt.IsZero() && r.clock.Now().Sub(r.fedAt) < feedMemory
+}
+
 // graceEnd returns the end of a grace period that starts when the store becomes
 // reachable again. While the store is unreachable, the period starts now. There is
 // none if the leader could read the store all the time.
@@ -98,11 +120,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.failingSince = time.Time{}
-	if r.prober != nil {
-		r.prober = nil
-		close(r.recovered)
-		r.recovered = make(chan struct{})
-	}
+	r.endWaits()
 	now := r.clock.Now()
 	if r.readableSince.IsZero() {
 		r.readableSince = now
@@ -113,6 +131,24 @@
 	}
 }
 
+// endWaits ends the waits of all consumers after failed calls. The caller holds mu.
+func (r *reachability) endWaits() {
+	if r.prober == nil {
+		return
+	}
+	r.prober = nil
+	close(r.recovered)
+	r.recovered = make(chan struct{})
+}
+
+// retryNow makes the consumers that wait after a failed call read again: the leader has read
+// what this host has not.
+func (r *reachability) retryNow() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endWaits()
+}
+
 // recordNewEra records that the store has lost records, as in an outage: targets can
 // write their entries again within a grace period.
 func (r *reachability) recordNewEra() {
@@ -132,7 +168,7 @@
 
 // awaitRetry returns when a consumer may call the store again after a failed call:
 // after the pause if it is the one that retries, else when calls succeed again or
-// after maxProbeWait.
+// after maxProbeWait or ledProbeWait.
 func (r *reachability) awaitRetry(ctx context.Context, c *Consumer, pause time.Duration) {
 	r.mu.Lock()
 	if r.prober == nil {
@@ -141,13 +177,29 @@
 	isProber, recovered := r.prober == c, r.recovered
 	r.mu.Unlock()
 	if isProber {
-		clock.Sleep(ctx, pause)
+		r.awaitProbe(ctx, pause, recovered)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxProbeWait)
+	wait := maxProbeWait
+	if r.led() {
+		wait = ledProbeWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	select {
 	case <-ctx.Done():
 	case <-recovered:
 	}
 }
+
+// awaitProbe returns after a pause, or when calls succeed again: the leader may relay what it
+// reads.
+func (r *reachability) awaitProbe(ctx context.Context, pause time.Duration, recovered <-chan struct{}) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-recovered:
+	}
+}
--- a/io/metastore/relay.go
+++ b/io/metastore/relay.go
@@ -187,6 +187,9 @@
 // ApplyRelayed applies the updates and watermarks that the leader relays. Those of an
 // older era are dropped; a newer era makes this host read all topics itself.
 func (c *Catalog) ApplyRelayed(updates []Update, watermarks []Watermark) {
+	if len(watermarks) > 0 {
+		c.store.recordFeed()
+	}
 	for _, consumer := range c.consumers() {
 		for _, u := range updates {
 			consumer.noticeEra(u.Era)
@@ -274,6 +277,7 @@
 	defer c.mu.Unlock()
 	if c.next < 0 || w.Next > c.next {
 		c.relayProvenAt = time.Time{}
+		c.store.retryNow()
 		return
 	}
 	if w.Next < c.next {
@@ -302,6 +306,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.relayProvenAt = time.Time{}
+	c.store.retryNow()
 }
 
 // RelayActive reports whether the leader relays all changes of owners to this
