Give hosts no part of the retry extra until they are counted

Cause: until the first counts have settled, 3 s after them, 100 hosts were assumed to share the retry extra and the limits of targets. More than that which start together, with all responses lost, retry more than the operator allows.

--- a/core/budget/hosts_test.go
+++ b/core/budget/hosts_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -60,3 +61,34 @@
 	storms := []storm{{12 * time.Second, 20 * time.Second}}
 	runWithEvents(rand.New(rand.NewPCG(1, 0)), func() []*simHost { return hosts }, storms, 24*time.Second, events).assertWithinLimit(t)
 }
+
+// TestFirstStartOfManyHosts guards against hosts that assume too few others until they are
+// counted: all start at once and lose all responses, more of them than any fixed number.
+func TestFirstStartOfManyHosts(t *testing.T) {
+	const (
+		rate  = 2.0
+		extra = 430.0
+		storm = 3 * time.Second
+	)
+	for _, n := range []int{10, 60, 195, 300, 1000} {
+		t.Run(fmt.Sprint(n, " hosts"), func(t *testing.T) {
+			retries, requests := 0, 0
+			for range n {
+				counter := hostcount.New()
+				b := New(stormRatio, extra, stormWindow, counter)
+				for at := time.Duration(0); at < storm; at += time.Duration(float64(time.Second) / rate) {
+					now := simStart.Add(at)
+					counter.Set(1, now)
+					b.RecordRequest("records", now)
+					requests++
+					if b.Spend("records", now) {
+						retries++
+					}
+				}
+			}
+			if allowed := stormRatio*float64(requests) + extra; float64(retries) > allowed {
+				t.Errorf("retries: got %d, want at most %.0f", retries, allowed)
+			}
+		})
+	}
+}
--- a/core/hostcount/hostcount.go
+++ b/core/hostcount/hostcount.go
@@ -9,8 +9,9 @@
 
 const (
 	// assumedHosts is the number of hosts that is assumed at least until the first
-	// counts are settled.
-	assumedHosts = 100
+	// counts are settled. It is more than there are: a host that assumes too few takes
+	// more than its part of what all share.
+	assumedHosts = 100_000
 	// SettleTime is the time from the first count until counts are settled. A leader
 	// that has just taken over counts the hosts as they connect.
 	SettleTime = 3 * time.Second
