--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -99,60 +99,14 @@
 	g := &Gateway{settingsPath: path, settings: settings, clock: clock.Boot{}, incarnation: incarnation, metrics: newMetrics(), logs: logs}
 	g.operatorAddress = net.JoinHostPort(settings.Address, strconv.Itoa(adminPort))
 	g.started = g.clock.Now()
-	g.store = platform.NewStore(settings.StoreAddress)
-	g.store.Observe = g.metrics.observeStoreCall
-	g.hosts = hostcount.New()
-	g.limits = ratelimit.NewDivider(g.hosts)
-	g.targets = placement.NewSet(settings.Domain)
-	g.targets.Hosts = g.hosts.Hosts
-	g.catalog = metastore.NewCatalog(g.clock, g.targets)
-	g.pool = proxy.NewPool()
-	g.budget = budget.New(settings.RetryRatio, settings.RetryExtra, settings.RetryWindow, g.hosts)
-	g.budget.Observe = g.metrics.observeRetry
-	if !settings.FirstStart {
-		g.budget.MarkRestarted(g.started)
-	}
-	g.peers = peers.New(peers.Host{Address: peerAddress(settings), Domain: settings.Domain, Incarnation: incarnation})
-	g.proxy = proxy.New(g.catalog, g.targets, g.budget, g.pool, g.peers, g.clock)
-	g.proxy.HandleRecord = g.recordRequest
-	self := coordinator.Host{Name: settings.Name, Incarnation: incarnation, Address: peerAddress(settings), Cores: settings.Cores, FirstStart: settings.FirstStart}
-	g.coordinator = coordinator.New(self, settings.MaxLease, g.store, g.catalog, g.targets, g.clock)
-	g.coordinator.PredecessorEnded = g.predecessorEnded
-	g.coordinator.Yields = g.yields
-	g.coordinator.HandleUnanswered = g.proxy.RecordUnanswered
-	g.catalog.SetReadTimes(g.ownerReadWait, g.readWait, g.batchDelay)
-	g.catalog.SetDefers(func() bool { return !g.coordinator.Leading() })
-	g.catalog.SetRelayAge(relayAge(settings.UpdateBound))
-	g.links = hostlink.NewServer(incarnation, g.clock)
-	g.links.HandleReport = g.coordinator.AddReport
-	g.coordinator.Hosts = g.links.Hosts
-	g.links.HandleOwners = g.catalog.ApplyOwners
-	g.links.Leadership = g.leadership
-	g.links.Subscribe = g.feed
-	g.links.Self = g.peers.Self
-	g.reporter = hostlink.NewReporter(g.clock)
-	g.reporter.Leader = g.leader
-	g.reporter.Report = g.proxy.Report
-	g.reporter.HandleReport = func(report owner.Report) {
-		g.hosts.Set(g.links.Hosts(), g.clock.Now())
-		g.coordinator.AddReport(report)
-	}
-	g.reporter.Self = g.peers.Self
-	g.reporter.WhileLeading = func() { g.peers.Put(g.links.Peers(), g.clock.Now()) }
-	g.wireLimits()
-	g.links.HandleDepartures = func(all []placement.Departure) { g.targets.ApplyDepartures(all, g.clock.Now()) }
-	g.links.Departures = func(n int) ([]placement.Departure, int) { return g.targets.Departures(n, false) }
-	g.reporter.Departures = func(n int) ([]placement.Departure, int) { return g.targets.Departures(n, true) }
-	g.reporter.HandleFeed = func(feed hostlink.Feed) {
-		g.hosts.Set(feed.Hosts, g.clock.Now())
-		limits := ratelimit.Update{Shares: feed.Limits, Continues: feed.LimitsContinue}
-		g.targets.ApplyLimits(limits, g.clock.Now().Add(-feed.Delay), g.clock.Now())
-		g.targets.ApplyDepartures(feed.Departures, g.clock.Now())
-		if len(feed.Peers) > 0 {
-			g.peers.Put(feed.Peers, g.clock.Now())
-		}
-		g.catalog.ApplyRelayed(feed.Updates, feed.Watermarks)
-	}
+	g.createTables()
+	g.createProxy()
+	g.createCoordinator()
+	g.connectReads()
+	g.connectLinks()
+	g.connectReporter()
+	g.connectLimits()
+	g.connectDepartures()
 	g.stop = newStopState(settings.StopTimeout)
 	g.metrics.registerGauges(g)
 	return g, nil
--- a/io/gateway/limits.go
+++ b/io/gateway/limits.go
@@ -2,9 +2,9 @@
 
 import "pineturn/core/ratelimit"
 
-// wireLimits connects what this host knows of the limits of targets with the leader, which
+// connectLimits connects what this host knows of the limits of targets with the leader, which
 // divides them, and with the hosts that are linked to this one.
-func (g *Gateway) wireLimits() {
+func (g *Gateway) connectLimits() {
 	g.reporter.Limits = func() []ratelimit.Observation { return g.targets.Limits(g.clock.Now()) }
 	g.reporter.LimitsChanged = g.targets.TakeLimitsChanged
 	g.links.HandleLimits = func(host string, known []ratelimit.Observation) { g.limits.AddReport(host, known, g.clock.Now()) }
