Remove what is left of a host's parts when its number is freed

Found by reading: a leader that was paused for longer than a host keeps its number freed the numbers of all hosts while their last parts were still reserved; hosts that reported again could get another one's part with its number. Parts of that age have ended at their hosts, so nothing was over a limit by it.

TestNumbersOfHosts failed before (1 part left of each target).

--- a/core/ratelimit/divider.go
+++ b/core/ratelimit/divider.go
@@ -109,15 +109,19 @@
 	return noMember
 }
 
-// memberMemory is how long a host without reports keeps its number. All of its parts have
-// been removed by then.
+// memberMemory is how long a host without reports keeps its number. What it was dealt has
+// ended by then.
 const memberMemory = reportMemory + reserveTime + 10*time.Second
 
-// forgetMembers frees the numbers of hosts that no longer report.
+// forgetMembers frees the numbers of hosts that no longer report, and removes what is left of
+// their parts.
 func (d *Divider) forgetMembers(now time.Time) {
 	d.membersCheckedAt = now
 	for host, m := range d.members {
 		if now.Sub(m.reportedAt) >= memberMemory {
+			for _, x := range d.sorted {
+				x.remove(m.number)
+			}
 			d.free = append(d.free, m.number)
 			delete(d.members, host)
 		}
--- a/core/ratelimit/divider_test.go
+++ b/core/ratelimit/divider_test.go
@@ -217,3 +217,28 @@
 		t.Errorf("hosts that report the limit: got %.1f, want at most %.1f on average", got, most)
 	}
 }
+
+// TestNumbersOfHosts guards against a host that is given what is left of another one's parts
+// with its number, after a leader that was paused has forgotten both.
+func TestNumbersOfHosts(t *testing.T) {
+	f := newFleet(3, 2)
+	f.report(steadyDemand)
+	f.update()
+	f.now = f.now.Add(2 * memberMemory)
+	f.update()
+	for _, x := range f.divider.sorted {
+		if x.count > 0 {
+			t.Errorf("parts of %s after all hosts were forgotten: got %d, want 0", x.target, x.count)
+		}
+	}
+	f.hosts = append(f.hosts, "host-new")
+	f.told = append(f.told, Told{})
+	f.report(steadyDemand)
+	numbers := make(map[int]string)
+	for host, m := range f.divider.members {
+		if other, taken := numbers[m.number]; taken {
+			t.Errorf("number %d: got it for %s and %s, want it for one", m.number, host, other)
+		}
+		numbers[m.number] = host
+	}
+}
--- a/core/ratelimit/division.go
+++ b/core/ratelimit/division.go
@@ -124,6 +124,7 @@
 	}
 }
 
+// add adds a part for a host that has none.
 func (x *division) add(host int) *part {
 	if missing := host + 1 - len(x.parts); missing > 0 {
 		x.parts = append(x.parts, make([]*part, missing)...)
@@ -133,6 +134,14 @@
 	return x.parts[host]
 }
 
+// remove removes the part of a host, if it has one.
+func (x *division) remove(host int) {
+	if x.part(host) != nil {
+		x.parts[host] = nil
+		x.count--
+	}
+}
+
 func (x *division) addReport(host int, o Observation, now time.Time) {
 	x.observe(o, now)
 	p := x.part(host)
@@ -207,8 +216,7 @@
 		}
 		x.withdraw(p, now)
 		if !now.Before(p.reservedUntil) {
-			x.parts[p.host] = nil
-			x.count--
+			x.remove(p.host)
 		}
 	}
 	if x.count == 0 && !x.ended {
