--- a/core/placement/rest.go
+++ b/core/placement/rest.go
@@ -5,11 +5,12 @@
 	"time"
 
 	"pineturn/core/clock"
+	"pineturn/core/owner"
 )
 
 // rests holds the times until which targets have asked for no requests, by incarnation. A
 // target may be removed and come back within its rest.
-type rests map[Departure]time.Time
+type rests map[owner.Incarnation]time.Time
 
 // ObserveRest records that a target wants no requests from this host until a time. An
 // earlier time that it has named does not shorten a later one.
@@ -21,8 +22,8 @@
 		return
 	}
 	t.restUntil = clock.Later(t.restUntil, until)
-	maps.DeleteFunc(s.rests, func(_ Departure, until time.Time) bool { return !now.Before(until) })
-	s.rests[Departure{Target: id, Born: t.entry.Born}] = t.restUntil
+	maps.DeleteFunc(s.rests, func(_ owner.Incarnation, until time.Time) bool { return !now.Before(until) })
+	s.rests[owner.Incarnation{Target: id, Born: t.entry.Born}] = t.restUntil
 	s.service(t.entry.Service).notifyWaiters()
 }
 
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -86,8 +86,7 @@
 func (s *Set) Put(entry Entry, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	incarnation := Departure{Target: entry.ID, Born: entry.Born}
-	entry.Draining = entry.Draining || s.departures.known[incarnation]
+	entry.Draining = entry.Draining || s.departures.known[Departure{Target: entry.ID, Born: entry.Born}]
 	old := s.targets[entry.ID]
 	if old != nil && !entry.replaces(&old.entry) {
 		return false
@@ -104,7 +103,7 @@
 	if old != nil {
 		s.detach(old)
 	}
-	t := &Target{entry: entry, warmEnd: now.Add(entry.WarmUp), relativeTime: 1, restUntil: s.rests[incarnation]}
+	t := &Target{entry: entry, warmEnd: now.Add(entry.WarmUp), relativeTime: 1, restUntil: s.rests[owner.Incarnation{Target: entry.ID, Born: entry.Born}]}
 	s.targets[entry.ID] = t
 	s.informOfLimit(t, now)
 	svc := s.service(entry.Service)
