--- a/core/placement/rest_test.go
+++ b/core/placement/rest_test.go
@@ -95,68 +95,108 @@
 	})
 }
 
+const (
+	// simStep and simEnd are the step and the end of a simulation, simTransit the time from a
+	// request to its response, and simRest the rest that responses ask for.
+	simStep    = 10 * time.Millisecond
+	simEnd     = 30 * time.Second
+	simTransit = 20 * time.Millisecond
+	simRest    = 3 * time.Second
+	// requestShare is the probability of a request in a step, restShare that of a response
+	// which asks for a rest.
+	requestShare = 0.3
+	restShare    = 0.05
+)
+
+// restSim simulates one host that sends requests to two targets, both of which ask for rests.
+// Half of the requests are for keys of the first one.
+type restSim struct {
+	random *rand.Rand
+	set    *Set
+	// underway are the requests without a response, by the time of that.
+	underway []underway
+	// arrivals and rests are the times at which requests reached the first target, and at
+	// which it asked for rests.
+	arrivals, rests []time.Duration
+}
+
+type underway struct {
+	at     time.Duration
+	choice *Choice
+}
+
+func (s *restSim) run() {
+	for at := time.Duration(0); at < simEnd; at += simStep {
+		for len(s.underway) > 0 && s.underway[0].at <= at {
+			s.respond(s.underway[0].choice, at)
+			s.underway = s.underway[1:]
+		}
+		if s.random.Float64() < requestShare {
+			s.send(at)
+		}
+	}
+}
+
+func (s *restSim) respond(choice *Choice, at time.Duration) {
+	now := start.Add(at)
+	if id := choice.Entry.ID; s.random.Float64() < restShare {
+		s.set.ObserveRest(id, now.Add(simRest), now)
+		if id == "t1" {
+			s.rests = append(s.rests, at)
+		}
+	}
+	choice.End(Shed, nil, now)
+}
+
+func (s *restSim) send(at time.Duration) {
+	criteria := Criteria{Service: service}
+	if s.random.Float64() < 0.5 {
+		criteria.Owner = "t1"
+	}
+	choice, _ := s.set.Choose(criteria, start.Add(at))
+	if choice == nil {
+		return
+	}
+	s.underway = append(s.underway, underway{at + simTransit, choice})
+	if choice.Entry.ID == "t1" {
+		s.arrivals = append(s.arrivals, at+simTransit/2)
+	}
+}
+
+// most returns the largest number of requests that arrived within a rest, from a time after it
+// was asked for.
+func (s *restSim) most(grace time.Duration) int {
+	most := 0
+	for _, asked := range s.rests {
+		n := 0
+		for _, at := range s.arrivals {
+			if at > asked+grace && at < asked+simRest {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 // TestRestsUnderLoad guards against more requests to a resting target than those that were
 // under way when it asked for the rest, from 1 to 195 hosts whose requests all may go there.
 func TestRestsUnderLoad(t *testing.T) {
 	const (
-		step     = 10 * time.Millisecond
-		end      = 30 * time.Second
-		rest     = 3 * time.Second
-		transit  = 20 * time.Millisecond
-		grace    = 500 * time.Millisecond
-		perHost  = 2
-		requests = 0.3
+		grace   = 500 * time.Millisecond
+		perHost = 2
 	)
-	type response struct {
-		at     time.Duration
-		choice *Choice
-	}
 	for _, hosts := range []int{1, 9, 78, 195} {
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(1, uint64(hosts)))
 			for host := range hosts {
-				s := newSet("t1", "t2")
-				var arrivals, rests []time.Duration
-				var underway []response
-				for at := time.Duration(0); at < end; at += step {
-					now := start.Add(at)
-					for len(underway) > 0 && underway[0].at <= at {
-						if id := underway[0].choice.Entry.ID; random.Float64() < 0.05 {
-							s.ObserveRest(id, now.Add(rest), now)
-							if id == "t1" {
-								rests = append(rests, at)
-							}
-						}
-						underway[0].choice.End(Shed, nil, now)
-						underway = underway[1:]
-					}
-					if random.Float64() > requests {
-						continue
-					}
-					owner := ""
-					if random.Float64() < 0.5 {
-						owner = "t1"
-					}
-					if choice, _ := s.Choose(Criteria{Service: service, Owner: owner}, now); choice != nil {
-						underway = append(underway, response{at + transit, choice})
-						if choice.Entry.ID == "t1" {
-							arrivals = append(arrivals, at+transit/2)
-						}
-					}
-				}
-				if len(rests) == 0 {
+				s := &restSim{random: random, set: newSet("t1", "t2")}
+				s.run()
+				if len(s.rests) == 0 {
 					t.Errorf("host %d: got no rest, want some", host)
 				}
-				for _, from := range rests {
-					got := 0
-					for _, at := range arrivals {
-						if at > from+grace && at < from+rest {
-							got++
-						}
-					}
-					if got > perHost {
-						t.Fatalf("host %d: got %d requests within a rest from %v, want at most %d", host, got, from, perHost)
-					}
+				if got := s.most(grace); got > perHost {
+					t.Errorf("host %d: got %d requests within a rest, want at most %d", host, got, perHost)
 				}
 			}
 		})
