--- a/io/gateway/cluster_test.go
+++ b/io/gateway/cluster_test.go
@@ -36,7 +36,6 @@
 	t     *testing.T
 	store *platformstore.Store
 	audit *keyholder.Audit
-	addr  string
 
 	mu           sync.Mutex
 	targets      map[string]*target
@@ -67,7 +66,6 @@
 func newTestCluster(t *testing.T) *testCluster {
 	t.Helper()
 	c := &testCluster{t: t, store: platformstore.New(), audit: &keyholder.Audit{}, targets: make(map[string]*target), callerTimeout: 2 * time.Second, slots: 4}
-	c.addr = c.serve(c.store.Handler(), "127.0.0.1")
 	c.configure(1)
 	t.Cleanup(c.close)
 	return c
@@ -207,7 +205,7 @@
 		path: filepath.Join(c.t.TempDir(), "settings.toml"), done: make(chan error, 1),
 	}
 	settings := platformstore.HostSettings{
-		Name: name, Domain: domain, IP: ip, Port: freePort(c.t, ip), CallerAddress: h.front, ReadyAddress: h.ready, StoreAddress: c.addr, RetryBudgetExtra: 160,
+		Name: name, Domain: domain, IP: ip, Port: freePort(c.t, ip), CallerAddress: h.front, ReadyAddress: h.ready, StoreAddress: c.serve(storeHandlerOf(c.store, ip), ip), RetryBudgetExtra: 160,
 	}
 	if err := os.WriteFile(h.path, settings.Encode(), 0o600); err != nil {
 		c.t.Fatal(err)
@@ -230,6 +228,16 @@
 	return h
 }
 
+// storeHandlerOf returns a handler of the store for the host with the given IP address alone.
+// All hosts of a test connect from the same address.
+func storeHandlerOf(store *platformstore.Store, ip string) http.Handler {
+	handler := store.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.RemoteAddr = net.JoinHostPort(ip, "0")
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // exited fails the test if the host has ended by itself; otherwise it returns
 // false.
 func (h *host) exited(t *testing.T) bool {
