Let hosts that the store refuses find the next leader and what they have missed

Cause: a host that the store refuses depends on the leader's relay, but it learned of a new leader from the store alone, and read from the store alone what it had missed between two leaders, or what is too large for the relay. With the leader refused as well, or ended, it kept its configuration until the store served it again.

Change: a host without proof for 2.5 s that it knows the latest owners asks other hosts for the leader's record; a host that knows for 0.4 s that the leader has read more asks it for the newest records of the topic. The leader reads them once for all that ask. They are no proof of the store's end. A host that is cut off from the store alone follows into a new era of the store this way, too.

No cost while the store serves all.

Older builds: an older host ignores the query and counts the link until it ends, the asking host goes on to another; an older leader ignores what a host lacks, which then waits as before; a complete update is sent only to a host that asked.

--- a/io/gateway/create.go
+++ b/io/gateway/create.go
@@ -64,6 +64,8 @@
 	g.links.HandleOwners = g.catalog.ApplyOwners
 	g.links.Leadership = g.leadership
 	g.links.Subscribe = g.feed
+	g.links.Owners = g.catalog.OwnersRecord
+	g.links.Snapshot = metastore.NewSnapshots(g.catalog, g.store).Get
 	g.links.Self = g.peers.Self
 }
 
@@ -79,6 +81,20 @@
 	g.reporter.Self = g.peers.Self
 	g.reporter.WhileLeading = func() { g.peers.Put(g.links.Peers(), g.clock.Now()) }
 	g.reporter.HandleFeed = g.applyFeed
+	g.reporter.Lacks = g.catalog.Lacks
+}
+
+// connectFinder creates what asks other hosts for the leader when neither the store nor the
+// leader known here tells.
+func (g *Gateway) connectFinder() {
+	g.finder = hostlink.NewFinder(g.clock)
+	g.finder.Lost = func() bool { return !g.coordinator.Leading() && g.catalog.LeaderLost() }
+	g.finder.Epoch = func() int64 {
+		epoch, _ := g.leadership()
+		return epoch
+	}
+	g.finder.Hosts = func() []peers.Host { return g.peers.Hosts(g.clock.Now()) }
+	g.finder.HandleOwners = g.catalog.ApplyOwners
 }
 
 // applyFeed takes over what the leader relays.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -78,6 +78,7 @@
 	links           *hostlink.Server
 	peers           *peers.Table
 	reporter        *hostlink.Reporter
+	finder          *hostlink.Finder
 	stop            *stopState
 	logs            *logsink.Sink
 	operatorAddress string
@@ -105,6 +106,7 @@
 	g.connectReads()
 	g.connectLinks()
 	g.connectReporter()
+	g.connectFinder()
 	g.connectLimits()
 	g.connectDepartures()
 	g.stop = newStopState(settings.StopTimeout)
@@ -245,6 +247,7 @@
 	<-g.catalog.Done()
 	<-g.coordinator.Done()
 	<-g.reporter.Done()
+	<-g.finder.Done()
 	<-g.proxy.Done()
 	klog.InfoS("Host has stopped", "host", g.settings.Name)
 	return nil
@@ -256,6 +259,7 @@
 	go g.catalog.Run(ctx, g.store)
 	go g.coordinator.Run(ctx)
 	go g.reporter.Run(ctx)
+	go g.finder.Run(ctx)
 	go g.proxy.Run(ctx)
 	go g.watchSettings(ctx, reload)
 	go g.pruneConnections(ctx)
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -65,6 +65,9 @@
 	// Leading reports whether the host is the leader, or awaits responses to grants
 	// that it sent as the leader.
 	Leading bool `cbor:"4,keyasint,omitempty"`
+	// Owners is the record of the latest leader that the host knows, in response to a query
+	// of a host that knows an earlier one only.
+	Owners *platform.Record `cbor:"5,keyasint,omitempty"`
 }
 
 // Feed is what the sender has read from the store since its last feed.
@@ -118,6 +121,9 @@
 	// Departures are targets that have said to the host that they leave, beyond those of
 	// earlier reports on the link.
 	Departures []placement.Departure `cbor:"9,keyasint,omitempty"`
+	// Lacks are topics of which the host asks for the newest records, because it can't read
+	// them from the store.
+	Lacks []string `cbor:"11,keyasint,omitempty"`
 }
 
 // echo is the time of the last report received on a link.
@@ -171,6 +177,12 @@
 	// Leadership returns the epoch of the latest leader that this host knows, and
 	// whether this host may still send grants. It is set before use.
 	Leadership func() (epoch int64, leading bool)
+	// Owners returns the record of the owners of keys that this host knows. It is set before
+	// use.
+	Owners func() (record platform.Record, ok bool)
+	// Snapshot returns the newest records of a topic for a host that can't read them itself.
+	// It is set before use.
+	Snapshot func(ctx context.Context, topic string) (metastore.Update, error)
 	// Subscribe returns a channel of what this host reads from now on, and a
 	// function that returns the current watermarks, or nil if this host is not the
 	// leader. It is set before use.
@@ -184,6 +196,8 @@
 		HandleLimits: func(string, []ratelimit.Observation) {}, Limits: func(string, *ratelimit.Told) ratelimit.Update { return ratelimit.Update{} },
 		HandleDepartures: func([]placement.Departure) {}, Departures: func(int) ([]placement.Departure, int) { return nil, 0 },
 		HandleReport: func(owner.Report) {}, HandleOwners: func(platform.Record) {}, Leadership: func() (int64, bool) { return 0, false },
+		Owners:   func() (platform.Record, bool) { return platform.Record{}, false },
+		Snapshot: func(context.Context, string) (metastore.Update, error) { return metastore.Update{}, errNoSnapshots },
 	}
 }
 
@@ -202,6 +216,10 @@
 	}
 	defer func() { _ = conn.CloseNow() }()
 	conn.SetReadLimit(maxReportBytes)
+	if isQuery(r) {
+		s.answerQuery(conn, r)
+		return
+	}
 	if err := write(r.Context(), conn, s.hello()); err != nil {
 		klog.InfoS("Failed to send the hello on a host link", "from", r.RemoteAddr, "err", err)
 		return
@@ -214,9 +232,10 @@
 	last := &echo{}
 	link := s.linked.open()
 	defer s.linked.remove(link)
+	snapshots := newSnapshotReader(s.Snapshot)
 	go func() {
 		defer close(feedsDone)
-		s.sendFeeds(ctx, conn, last, link)
+		s.sendFeeds(ctx, conn, last, link, snapshots.read)
 	}()
 	for {
 		var message reportMessage
@@ -238,6 +257,7 @@
 		if len(message.Departures) > 0 {
 			s.HandleDepartures(message.Departures)
 		}
+		snapshots.request(ctx, message.Lacks)
 		s.HandleReport(message.Report)
 	}
 	cancel()
@@ -251,7 +271,7 @@
 
 // sendFeeds relays what this host reads until the link ends. It sends feeds without
 // content as well, from which the other host sees that the link works.
-func (s *Server) sendFeeds(ctx context.Context, conn *websocket.Conn, last *echo, link int) {
+func (s *Server) sendFeeds(ctx context.Context, conn *websocket.Conn, last *echo, link int, snapshots <-chan metastore.Update) {
 	updates, cancel, watermarks := s.Subscribe()
 	defer cancel()
 	list := peerList{seed: maphash.MakeSeed()}
@@ -261,9 +281,12 @@
 	defer tick.Stop()
 	for {
 		var message feedMessage
+		var snapshot []metastore.Update
 		select {
 		case <-ctx.Done():
 			return
+		case u := <-snapshots:
+			snapshot = append(snapshot, u)
 		case u, ok := <-updates:
 			if !ok {
 				_ = conn.CloseNow()
@@ -277,7 +300,7 @@
 		// so the watermarks are taken before the queued updates.
 		message.Echo, message.EchoAge = last.get(s.clock.Now())
 		message.Watermarks = watermarks()
-		message.Updates = s.linked.forHost(link, append(message.Updates, queuedUpdates(updates)...))
+		message.Updates = slices.Concat(snapshot, s.linked.forHost(link, append(message.Updates, queuedUpdates(updates)...)))
 		message.Hosts = s.Hosts()
 		hosts, version := s.linked.all(s.Self())
 		receiver := s.linked.get(link)
--- a/io/hostlink/link.go
+++ b/io/hostlink/link.go
@@ -29,10 +29,15 @@
 
 // Dial opens a link to the host at an address.
 func Dial(ctx context.Context, address string, clk clock.Clock) (*Link, error) {
+	return dial(ctx, address, "", clk)
+}
+
+// dial opens a link with a query string in its URL.
+func dial(ctx context.Context, address, query string, clk clock.Clock) (*Link, error) {
 	l := &Link{clock: clk, dialedAt: clk.Now()}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, _, err := websocket.Dial(ctx, "ws://"+address+path, &websocket.DialOptions{
+	conn, _, err := websocket.Dial(ctx, "ws://"+address+path+query, &websocket.DialOptions{
 		HTTPClient:      &http.Client{Transport: linkTransport()},
 		CompressionMode: websocket.CompressionDisabled,
 	})
@@ -80,12 +85,15 @@
 	Limits []ratelimit.Observation
 	// Departures are targets that have said that they leave.
 	Departures []placement.Departure
+	// Lacks are topics of which this host asks for the newest records.
+	Lacks []string
 }
 
 // Report sends a report of this host to the other host, with its news.
 func (l *Link) Report(ctx context.Context, report owner.Report, news News) error {
 	message := reportMessage{
 		Report: report, SentAt: l.clock.Now().Sub(l.dialedAt), Limits: news.Limits, FollowsLimits: true, Unpacks: true, Departures: news.Departures,
+		Lacks: news.Lacks,
 	}
 	if news.Self.Address != "" {
 		message.Self = &news.Self
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -28,6 +28,8 @@
 	idleReportInterval = 5 * time.Second
 	// linkPollInterval is the time between checks of the link and of the leader.
 	linkPollInterval = 150 * time.Millisecond
+	// lacksInterval is the time after which this host repeats what it lacks.
+	lacksInterval = 700 * time.Millisecond
 	// redialDelay is the time after a failed dial before the same incarnation is
 	// dialed again.
 	redialDelay = 600 * time.Millisecond
@@ -67,6 +69,8 @@
 	// Departures returns the targets that have said to this host that they leave, after
 	// the first n, and the number of all.
 	Departures func(n int) (departures []placement.Departure, count int)
+	// Lacks returns the topics of which this host needs the newest records from the leader.
+	Lacks func() []string
 	// HandleFeed is called with each feed that the leader relays.
 	HandleFeed func(Feed)
 
@@ -84,6 +88,8 @@
 	sentAt  time.Time
 	// sentSelf is this host as last reported.
 	sentSelf peers.Host
+	// lacksSentAt is the time at which the link was last used to tell what this host lacks.
+	lacksSentAt time.Time
 	// departures is the number of departures that were reported on the link.
 	departures int
 	dialedAt   time.Time
@@ -99,6 +105,7 @@
 		WhileLeading: func() {}, Self: func() peers.Host { return peers.Host{} },
 		Limits: func() []ratelimit.Observation { return nil }, LimitsChanged: func() bool { return false },
 		Departures: func(int) ([]placement.Departure, int) { return nil, 0 },
+		Lacks:      func() []string { return nil },
 	}
 }
 
@@ -164,16 +171,24 @@
 	}
 	limitsChanged := r.LimitsChanged()
 	departures, _ := r.Departures(r.departures)
-	if self := r.Self(); limitsChanged || len(departures) > 0 || !self.Equal(r.sentSelf) {
+	if self := r.Self(); limitsChanged || len(departures) > 0 || r.lacksDue() || !self.Equal(r.sentSelf) {
 		r.send(ctx, leader, owner.Report{}, News{Self: self, Limits: r.Limits()})
 	}
 }
 
-// send sends a report and news, with all new departures, on the link. It closes the link if
-// that fails.
+// lacksDue reports whether this host lacks records and has not told the leader of late.
+func (r *Reporter) lacksDue() bool {
+	return r.clock.Now().Sub(r.lacksSentAt) >= lacksInterval && len(r.Lacks()) > 0
+}
+
+// send sends a report and news, with all new departures and what is lacking, on the link. It
+// closes the link if that fails.
 func (r *Reporter) send(ctx context.Context, leader Leader, report owner.Report, news News) {
 	r.sentSelf = news.Self
 	news.Departures, r.departures = r.Departures(r.departures)
+	if r.lacksDue() {
+		news.Lacks, r.lacksSentAt = r.Lacks(), r.clock.Now()
+	}
 	if err := r.link.Report(ctx, report, news); err != nil {
 		klog.InfoS("Failed to send a report to the leader", "address", leader.Address, "err", err)
 		r.closeLink()
@@ -195,6 +210,7 @@
 		return false
 	}
 	r.link, r.linkDone, r.departures = link, make(chan struct{}), 0
+	r.lacksSentAt = time.Time{}
 	// A report is due at once: the ages of watermarks are bounded closely only
 	// after the other host has echoed one.
 	r.dialedAt, r.sentAt = time.Time{}, time.Time{}
--- a/io/metastore/consumer.go
+++ b/io/metastore/consumer.go
@@ -74,6 +74,10 @@
 	readAtOnce bool
 	// behind reports that the leader has read what this host has not.
 	behind bool
+	// leaderPosition is how far the leader has read by its last watermark, and lackingSince
+	// the time since when that is known to be ahead of this host, or zero.
+	leaderPosition position
+	lackingSince   time.Time
 	// interrupt ends the current read.
 	interrupt context.CancelFunc
 	// dictionaries holds records by which relayed ones are packed.
--- a/io/metastore/relay.go
+++ b/io/metastore/relay.go
@@ -27,6 +27,8 @@
 	// topic's record at offset Base as the dictionary.
 	Packed []byte `cbor:"7,keyasint,omitempty"`
 	Base   int64  `cbor:"8,keyasint,omitempty"`
+	// Complete is set if the records are the newest one of every key.
+	Complete bool `cbor:"9,keyasint,omitempty"`
 	// base is the record of which Base is the offset.
 	base platform.Record
 }
@@ -164,10 +166,8 @@
 // Age returns the time since the local copy of a topic was last proved to be
 // complete.
 func (c *Catalog) Age(topic string) time.Duration {
-	for _, consumer := range c.consumers() {
-		if consumer.Topic == topic {
-			return consumer.age()
-		}
+	if consumer := c.consumer(topic); consumer != nil {
+		return consumer.age()
 	}
 	return 0
 }
@@ -193,13 +193,18 @@
 	for _, consumer := range c.consumers() {
 		for _, u := range updates {
 			consumer.noticeEra(u.Era)
-			if u.Topic == consumer.Topic {
+			switch {
+			case u.Topic != consumer.Topic:
+			case u.Complete:
+				consumer.applySnapshot(u)
+			default:
 				consumer.applyUpdate(u)
 			}
 		}
 		for _, w := range watermarks {
 			consumer.noticeEra(w.Era)
 			if w.Topic == consumer.Topic {
+				consumer.recordLeaderPosition(w)
 				consumer.applyWatermark(w)
 			}
 		}
