--- a/io/gateway/cluster_test.go
+++ b/io/gateway/cluster_test.go
@@ -45,6 +45,8 @@
 	callerTimeout time.Duration
 	// slots is the number of requests that a target runs at once.
 	slots int
+	// ends holds the ends of targets by requests whose paths contain fatalPath.
+	ends []fatalSend
 }
 
 type target struct {
@@ -145,7 +147,7 @@
 		ID: id, Service: service, Address: l.Addr().String(), Domain: domain, Slots: c.slots, Queue: 8,
 		ServiceTime: 5 * time.Millisecond, Keyed: service == keyedService,
 	}, c.audit)
-	x.server = &http.Server{Handler: x.Handler()}
+	x.server = &http.Server{Handler: c.endOnFatalPath(x)}
 	go func() { _ = x.server.Serve(l) }()
 	c.store.PutTarget(id, x.Entry(1, false))
 	c.mu.Lock()
--- /dev/null
+++ b/io/gateway/fatal_test.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	// fatalPath is a part of the paths of requests that end each target that begins to run
+	// them.
+	fatalPath = "fatal"
+	// endsToKnow is the number of ended targets after which a request is known to end them,
+	// and knownBound the time after which no host sends it any more.
+	endsToKnow = 3
+	knownBound = 3 * time.Second
+	// fatalInterval is the time between two of these requests.
+	fatalInterval = 400 * time.Millisecond
+	// fatalTargets is the number of targets of a service in these tests.
+	fatalTargets = 14
+)
+
+// fatalSend is a request that has ended a target.
+type fatalSend struct {
+	target, path string
+	at           time.Time
+}
+
+// endOnFatalPath wraps the handler of a target, which ends without a response when it begins to
+// run a request with fatalPath.
+func (c *testCluster) endOnFatalPath(x *target) http.Handler {
+	handler := x.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.URL.Path, fatalPath) {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		c.mu.Lock()
+		c.ends = append(c.ends, fatalSend{target: x.id, path: r.URL.Path, at: time.Now()})
+		c.mu.Unlock()
+		x.end()
+		panic(http.ErrAbortHandler)
+	})
+}
+
+// fatalEnds returns the ends of targets by requests with a path.
+func (c *testCluster) fatalEnds(path string) []fatalSend {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ends []fatalSend
+	for _, e := range c.ends {
+		if e.path == path {
+			ends = append(ends, e)
+		}
+	}
+	return ends
+}
+
+// newFatalCluster returns a cluster with many targets of the services without keys.
+func newFatalCluster(t *testing.T) *pathCluster {
+	t.Helper()
+	c := newPathCluster(t)
+	for i := range fatalTargets {
+		c.addTarget(fmt.Sprint(plainService, i), plainService)
+		c.addTarget(fmt.Sprint(orderService, i), orderService)
+	}
+	c.awaitServed(t)
+	return c
+}
+
+// sendFatal sends a request to the hosts in turn for a time, and returns the responses.
+func (c *pathCluster) sendFatal(t *testing.T, method, path string, d time.Duration) []response {
+	t.Helper()
+	client := newClient(t)
+	var responses []response
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(fatalInterval) {
+		responses = append(responses, c.call(client, c.hosts[len(responses)%len(c.hosts)], method, path, -1, "order"))
+	}
+	return responses
+}
+
+// wantFewEnds checks that no request with a path has ended a target later than knownBound after
+// it had ended endsToKnow.
+func (c *testCluster) wantFewEnds(t *testing.T, path string) {
+	t.Helper()
+	ends := c.fatalEnds(path)
+	if len(ends) < endsToKnow {
+		t.Fatalf("targets that ended: got %d, want at least %d", len(ends), endsToKnow)
+	}
+	known := ends[endsToKnow-1].at
+	for _, e := range ends[endsToKnow:] {
+		if late := e.at.Sub(known); late > knownBound {
+			t.Errorf("%s: ended %v after it was known that the request ends targets, want none after %v", e.target, late, knownBound)
+		}
+	}
+	t.Logf("%s: %d targets ended, the last one %v after the third", path, len(ends), ends[len(ends)-1].at.Sub(known).Round(time.Millisecond))
+}
+
+// TestRequestThatEndsTargets guards against a request that ends each target that runs it, and
+// that hosts go on sending to one target after the other.
+func TestRequestThatEndsTargets(t *testing.T) {
+	if os.Getenv("PINETURN_RUN_RED") == "" {
+		t.Skip("listed in KNOWN-RED.txt")
+	}
+	for _, x := range []struct{ name, method, path string }{
+		{name: "idempotent", method: "GET", path: "/cover/" + fatalPath}, {name: "not idempotent", method: "POST", path: "/payout/" + fatalPath},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			c := newFatalCluster(t)
+			responses := c.sendFatal(t, x.method, x.path, knownBound+4*time.Second)
+			c.wantFewEnds(t, x.path)
+			wantStatus(t, responses[len(responses)-1], http.StatusServiceUnavailable)
+			t.Run("others are served", func(t *testing.T) {
+				client := newClient(t)
+				for _, h := range c.hosts {
+					wantStatus(t, c.call(client, h, x.method, x.path[:len(x.path)-1], -1, "order"), http.StatusOK)
+				}
+			})
+		})
+	}
+}
