Refuse requests that end the targets that run them

Cause: nothing counted the ends of targets under a request. A missing part.

Change: a host that loses a response connects to the target once more; if that is refused, the end counts against what the target ran, by a fingerprint of method, host, path, query, key, caller and body. The leader puts together what all hosts report, records suspects after two ends and refused requests after three, one after the other, beside the owners in the store. All hosts refuse what is recorded at once. A response by a target, at any host, clears a request; ends that are explained by a refused request count against no other; targets with another version of their software get it.

Older builds: an older leader ignores what is reported, older hosts ignore the record and send such requests on; nothing else changes for them. The new key is in a topic that they read, and they skip it.

--- a/core/dump/dump.go
+++ b/core/dump/dump.go
@@ -5,6 +5,7 @@
 import (
 	"pineturn/core/peers"
 	"pineturn/core/placement"
+	"pineturn/core/poison"
 	"pineturn/core/routing"
 )
 
@@ -35,6 +36,8 @@
 	Keys map[string][]Range `json:"keys"`
 	// Requests holds the number of requests in flight for each service.
 	Requests map[string]int `json:"requests_in_flight"`
+	// Blocked lists the requests that are refused because they end targets.
+	Blocked []poison.Block `json:"blocked_requests"`
 	// Peers lists the other hosts that the host knows.
 	Peers []peers.Host `json:"peers"`
 }
--- a/core/placement/entry.go
+++ b/core/placement/entry.go
@@ -8,6 +8,8 @@
 type Entry struct {
 	ID      string
 	Service string
+	// Version is the version of the target's software.
+	Version string
 	// Address is the IP:port on which the target serves requests.
 	Address string
 	// Domain is the target's failure domain.
--- /dev/null
+++ b/core/poison/recorded.go
@@ -0,0 +1,91 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+// SetRecord replaces the record that all hosts read. A block or a suspicion that a response here
+// contradicts is not applied, and the leader is told.
+func (t *Tracker) SetRecord(blocks []Block, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.recorded
+	t.recorded = make(map[Fingerprint]activeBlock, len(blocks))
+	for _, b := range blocks {
+		active := activeBlock{Block: b, since: now}
+		if known, ok := before[b.Fingerprint]; ok && equalBlocks(known.Block, b) {
+			active.since = known.since
+		} else {
+			delete(t.lifted, b.Fingerprint)
+		}
+		t.recorded[b.Fingerprint] = active
+		if found, ok := t.found[b.Fingerprint]; ok && equalBlocks(found.Block, b) {
+			delete(t.found, b.Fingerprint)
+		}
+	}
+	for f := range before {
+		if _, ok := t.recorded[f]; !ok {
+			// The leader has lifted it.
+			t.clear(f, now)
+			delete(t.lifted, f)
+		}
+	}
+	t.anyBlock.Store(len(t.recorded)+len(t.found) > 0)
+	for f, b := range t.recorded {
+		if b.Suspect {
+			t.detector.merge(b.Block, now)
+			t.judge(f, now)
+		} else {
+			t.explain(b.Block, now)
+		}
+		t.contest(f, now)
+	}
+}
+
+// explain records that the targets of a block have ended under its request. The caller holds mu.
+func (t *Tracker) explain(block Block, now time.Time) {
+	delete(t.detector.suspects, block.Fingerprint)
+	for _, target := range block.Targets {
+		t.detector.explain(target, block.Fingerprint, now)
+	}
+}
+
+// LoseRecord records that the store has no record of blocks: it has lost it, or there was none.
+// What was recorded stays in force and is recorded anew.
+func (t *Tracker) LoseRecord() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for f, b := range t.recorded {
+		if _, ok := t.found[f]; !ok && !b.Suspect {
+			t.found[f] = b
+		}
+	}
+	t.recorded = make(map[Fingerprint]activeBlock)
+}
+
+// Unrecorded returns the blocks and suspicions that are to be recorded, and whether they differ
+// from the record last read.
+func (t *Tracker) Unrecorded(now time.Time) (blocks []Block, differ bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.recorded)+len(t.found)+len(t.detector.suspects) == 0 {
+		return nil, false
+	}
+	blocks = t.blocks(now)
+	suspected := t.detector.suspected(now)
+	blocks = append(blocks, suspected[:min(len(suspected), maxBlocks-len(blocks))]...)
+	if len(blocks) != len(t.recorded) {
+		return blocks, true
+	}
+	for _, b := range blocks {
+		if recorded, ok := t.recorded[b.Fingerprint]; !ok || !equalBlocks(recorded.Block, b) {
+			return blocks, true
+		}
+	}
+	return blocks, false
+}
+
+func equalBlocks(a, b Block) bool {
+	return a.Fingerprint == b.Fingerprint && slices.Equal(a.Versions, b.Versions) && slices.Equal(a.Targets, b.Targets) && slices.Equal(a.Requests, b.Requests) && a.Suspect == b.Suspect
+}
--- /dev/null
+++ b/core/poison/tracker.go
@@ -0,0 +1,373 @@
+package poison
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// responseMemory is how long a response to a request is remembered. A target that ended
+	// under the request meanwhile has another reason.
+	responseMemory = time.Minute
+	// maxResponses bounds the requests of which a response is remembered.
+	maxResponses = 4096
+	// lostMemory is how long after a lost response its target may be found to have ended.
+	lostMemory = time.Second
+	// maxEvents events are kept for other hosts, and up to twice as many at times;
+	// maxEventsPerReport bounds those that one report carries.
+	maxEvents          = 4096
+	maxEventsPerReport = 256
+)
+
+// Send is a request that was sent to a target.
+type Send struct {
+	Fingerprint Fingerprint
+	Target      Target
+	// Request is the id of the request.
+	Request string
+	SentAt  time.Time
+}
+
+// lostSend is a send without a response, of which the target may have ended.
+type lostSend struct {
+	Send
+	lostAt time.Time
+}
+
+// response is the last response of a target to a request.
+type response struct {
+	version string
+	at      time.Time
+}
+
+// ownEvent is an event that this host has observed.
+type ownEvent struct {
+	Event
+	sentAt, endedAt time.Time
+}
+
+// activeBlock is a block and the time of its last sign.
+type activeBlock struct {
+	Block
+	since time.Time
+}
+
+// Role is the role of a host among the hosts.
+type Role int
+
+// Roles of hosts.
+const (
+	// Alone is a host that no leader tells of the record. It refuses what it has found itself.
+	Alone Role = iota
+	// Follower is a host that refuses what is recorded: others may have a response to what it
+	// has found.
+	Follower
+	// Leader is the host that records what it has found by the observations of all hosts.
+	Leader
+)
+
+// Tracker holds what a host knows of requests that end targets. It is safe for concurrent use.
+type Tracker struct {
+	// Logged is called with each block that this host has found. It is set before use.
+	Logged func(Block)
+
+	// anyBlock is set while there is a block, so that others need no lock.
+	anyBlock atomic.Bool
+
+	mu        sync.Mutex
+	responses map[Fingerprint]response
+	// responseOrder holds the keys of responses by age, the oldest first.
+	responseOrder []Fingerprint
+	lost          map[Target][]lostSend
+	events        []ownEvent
+	// dropped is the number of events that are not kept any more.
+	dropped  int
+	detector *detector
+	role     Role
+	// recorded holds the record last read, found the blocks that were found here and are not
+	// recorded yet, lifted the requests to which a target has responded since.
+	recorded map[Fingerprint]activeBlock
+	found    map[Fingerprint]activeBlock
+	lifted   map[Fingerprint]time.Time
+}
+
+// NewTracker returns a tracker that knows of no request.
+func NewTracker() *Tracker {
+	return &Tracker{
+		Logged: func(Block) {}, responses: make(map[Fingerprint]response), lost: make(map[Target][]lostSend), detector: newDetector(),
+		recorded: make(map[Fingerprint]activeBlock), found: make(map[Fingerprint]activeBlock), lifted: make(map[Fingerprint]time.Time),
+	}
+}
+
+// Lost records that a send had no response because its connection ended.
+func (t *Tracker) Lost(send Send, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.responded(send.Fingerprint, send.Target.Version, now) {
+		return
+	}
+	for target, sends := range t.lost {
+		if now.Sub(sends[len(sends)-1].lostAt) > lostMemory {
+			delete(t.lost, target)
+		}
+	}
+	t.lost[send.Target] = append(t.lost[send.Target], lostSend{Send: send, lostAt: now})
+}
+
+// Awaits reports whether responses of a target were lost so lately that its end would explain
+// them.
+func (t *Tracker) Awaits(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for target, sends := range t.lost {
+		if target.ID == id && now.Sub(sends[len(sends)-1].lostAt) <= lostMemory {
+			return true
+		}
+	}
+	return false
+}
+
+// Ended records that a target has ended. It returns the sends under which it has.
+func (t *Tracker) Ended(id string, now time.Time) []Send {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ended []Send
+	for target, sends := range t.lost {
+		if target.ID != id {
+			continue
+		}
+		delete(t.lost, target)
+		for _, s := range sends {
+			if now.Sub(s.lostAt) > lostMemory || t.responded(s.Fingerprint, target.Version, now) {
+				continue
+			}
+			ended = append(ended, s.Send)
+			t.report(ownEvent{Event: Event{Fingerprint: s.Fingerprint, Target: target, Request: s.Request}, sentAt: s.SentAt, endedAt: now})
+			t.addEnd(s.Fingerprint, end{target: target, request: s.Request, sentAt: s.SentAt, endedAt: now}, now)
+		}
+	}
+	return ended
+}
+
+// responded reports whether a target of a version has responded to a request after some time, or
+// shortly before. The caller holds mu.
+func (t *Tracker) responded(f Fingerprint, version string, at time.Time) bool {
+	r, ok := t.responses[f]
+	return ok && r.version == version && at.Sub(r.at) <= responseMemory
+}
+
+// Responded records that a target of a version has responded to a request, which it has run.
+func (t *Tracker) Responded(f Fingerprint, version string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remember(f, response{version: version, at: now})
+	t.contest(f, now)
+}
+
+// remember remembers the last response to a request. The caller holds mu.
+func (t *Tracker) remember(f Fingerprint, r response) {
+	known, ok := t.responses[f]
+	if ok && known.at.After(r.at) {
+		return
+	}
+	t.responses[f] = r
+	if ok {
+		return
+	}
+	t.responseOrder = append(t.responseOrder, f)
+	if len(t.responseOrder) > maxResponses {
+		delete(t.responses, t.responseOrder[0])
+		t.responseOrder = t.responseOrder[1:]
+	}
+}
+
+// contest lifts the block of a request, and forgets it as a suspect, if a target of a version
+// that it covers has responded. The caller holds mu.
+func (t *Tracker) contest(f Fingerprint, now time.Time) {
+	block, blocked := t.block(f, now)
+	if recorded, ok := t.recorded[f]; ok && recorded.Suspect && !blocked {
+		block, blocked = recorded.Block, true
+	}
+	suspected := t.detector.suspects[f] != nil
+	if blocked && !t.respondedToBlock(block, now) || !blocked && !suspected {
+		return
+	}
+	r := t.responses[f]
+	t.report(ownEvent{Event: Event{Fingerprint: f, Responded: true, Target: Target{Version: r.version}}, sentAt: r.at, endedAt: r.at})
+	t.lift(f, now)
+}
+
+func (t *Tracker) respondedToBlock(block Block, now time.Time) bool {
+	return slices.ContainsFunc(block.Versions, func(version string) bool { return t.responded(block.Fingerprint, version, now) })
+}
+
+// lift ends the block of a request. The caller holds mu.
+func (t *Tracker) lift(f Fingerprint, now time.Time) {
+	t.clear(f, now)
+	if _, ok := t.recorded[f]; ok {
+		t.lifted[f] = now
+	}
+}
+
+// clear forgets a request. Ends that were explained by it may count against others. The caller
+// holds mu.
+func (t *Tracker) clear(f Fingerprint, now time.Time) {
+	_, refused := t.found[f]
+	delete(t.found, f)
+	t.detector.clear(f)
+	if !refused && t.recorded[f].Suspect {
+		return
+	}
+	for other := range t.detector.suspects {
+		t.judge(other, now)
+	}
+}
+
+// addEnd records the end of a target under a request. The caller holds mu.
+func (t *Tracker) addEnd(f Fingerprint, e end, now time.Time) {
+	if block, ok := t.block(f, now); ok {
+		t.detector.explain(e.target, f, now)
+		// The block holds without a further end, but for another version.
+		if known := block.Covers(e.target.Version); !known {
+			block.add(e.target, e.request)
+			t.find(block, now)
+		}
+		return
+	}
+	t.detector.add(f, e, now)
+	t.judge(f, now)
+}
+
+// judge refuses a request if enough targets have ended under it. The caller holds mu.
+func (t *Tracker) judge(f Fingerprint, now time.Time) {
+	if block, ok := t.detector.takeBlock(f, now); ok {
+		t.find(block, now)
+		t.Logged(block)
+	}
+}
+
+// find adds or changes a block. The caller holds mu.
+func (t *Tracker) find(block Block, now time.Time) {
+	delete(t.lifted, block.Fingerprint)
+	t.found[block.Fingerprint] = activeBlock{Block: block, since: now}
+	if len(t.found) > maxBlocks {
+		delete(t.found, oldestBlock(t.found))
+	}
+	t.anyBlock.Store(true)
+}
+
+func oldestBlock(blocks map[Fingerprint]activeBlock) Fingerprint {
+	var oldest activeBlock
+	for _, b := range blocks {
+		if oldest.since.IsZero() || b.since.Before(oldest.since) {
+			oldest = b
+		}
+	}
+	return oldest.Fingerprint
+}
+
+// AddEvents records what another host has observed.
+func (t *Tracker) AddEvents(events []Event, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range events {
+		endedAt := now.Add(-e.EndAge)
+		switch {
+		case e.Responded:
+			t.remember(e.Fingerprint, response{version: e.Target.Version, at: endedAt})
+			if block, ok := t.block(e.Fingerprint, now); !ok || t.respondedToBlock(block, now) {
+				t.lift(e.Fingerprint, now)
+			}
+		case !t.responded(e.Fingerprint, e.Target.Version, endedAt):
+			t.addEnd(e.Fingerprint, end{target: e.Target, request: e.Request, sentAt: now.Add(-e.SentAge), endedAt: endedAt}, now)
+		}
+	}
+}
+
+// report adds an event for other hosts. The caller holds mu.
+func (t *Tracker) report(e ownEvent) {
+	t.events = append(t.events, e)
+	if excess := len(t.events) - maxEvents; excess >= maxEvents {
+		t.events = slices.Clone(t.events[excess:])
+		t.dropped += excess
+	}
+}
+
+// Events returns what this host has observed after the first n events, and the number of the
+// events up to the last one returned.
+func (t *Tracker) Events(n int, now time.Time) (events []Event, count int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	from := max(n-t.dropped, 0)
+	to := min(len(t.events), from+maxEventsPerReport)
+	for _, e := range t.events[min(from, to):to] {
+		e.SentAge, e.EndAge = now.Sub(e.sentAt), now.Sub(e.endedAt)
+		if e.EndAge <= suspectRetention {
+			events = append(events, e.Event)
+		}
+	}
+	return events, t.dropped + to
+}
+
+// Find returns the block of a request, if it is refused.
+func (t *Tracker) Find(f Fingerprint, now time.Time) (Block, bool) {
+	if !t.anyBlock.Load() {
+		return Block{}, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.block(f, now)
+}
+
+// block returns the block of a request. The caller holds mu.
+func (t *Tracker) block(f Fingerprint, now time.Time) (Block, bool) {
+	if _, ok := t.lifted[f]; ok {
+		return Block{}, false
+	}
+	if b, ok := t.found[f]; ok && t.role != Follower && now.Sub(b.since) <= blockRetention {
+		return b.Block, true
+	}
+	b, ok := t.recorded[f]
+	if !ok || b.Suspect || now.Sub(b.since) > blockRetention {
+		return Block{}, false
+	}
+	return b.Block, true
+}
+
+// SetRole sets the role of this host among the hosts.
+func (t *Tracker) SetRole(role Role) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.role = role
+}
+
+// AnyBlock reports whether any request may be refused.
+func (t *Tracker) AnyBlock() bool { return t.anyBlock.Load() }
+
+// Blocks returns the requests that are refused, by fingerprint.
+func (t *Tracker) Blocks(now time.Time) []Block {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.blocks(now)
+}
+
+func (t *Tracker) blocks(now time.Time) []Block {
+	var all []Block
+	for f := range t.recorded {
+		if b, ok := t.block(f, now); ok {
+			all = append(all, b)
+		}
+	}
+	for f := range t.found {
+		if _, ok := t.recorded[f]; ok {
+			continue
+		}
+		if b, ok := t.block(f, now); ok {
+			all = append(all, b)
+		}
+	}
+	slices.SortFunc(all, compareBlocks)
+	return all[:min(len(all), maxBlocks)]
+}
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -126,6 +126,9 @@
 	// Yields reports whether this host has no path to targets that another host
 	// reaches, so that another one should lead. It is set before Run.
 	Yields func() bool
+	// Unrecorded returns the record of the requests that are refused, and whether it differs
+	// from the one in the store. It is set before Run.
+	Unrecorded func() (record []byte, differs bool)
 	// HandleUnanswered is called with the service of each order that its target did not
 	// answer. It is set before Run.
 	HandleUnanswered func(service string)
@@ -165,6 +168,10 @@
 	// the offset at which the leader's last write was to be stored.
 	writtenAt     time.Time
 	writtenOffset int64
+	// blockedWrittenAt is the time of the last write of the requests that are refused, and
+	// blockedOffset the offset at which that was to be stored.
+	blockedWrittenAt time.Time
+	blockedOffset    int64
 	// fencedEpoch is the last epoch of this host in which a target reported a
 	// higher fencing token.
 	fencedEpoch int64
@@ -211,6 +218,7 @@
 		Hosts:            func() int { return 1 },
 		Yields:           func() bool { return false },
 		HandleUnanswered: func(string) {},
+		Unrecorded:       func() ([]byte, bool) { return nil, false },
 		PredecessorEnded: func(context.Context, owner.LeaderProcess, int64) (ProcessEnd, bool) { return ProcessEnd{}, false },
 	}
 	c.sender = newSender(func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/io/gateway/cluster_test.go
+++ b/io/gateway/cluster_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +48,10 @@
 	slots int
 	// ends holds the ends of targets by requests whose paths contain fatalPath.
 	ends []fatalSend
+	// mended is set once no request ends targets any more.
+	mended atomic.Bool
+	// version is the version of the software of targets that start.
+	version string
 }
 
 type target struct {
@@ -145,7 +150,7 @@
 	x := &target{id: id, stop: make(chan struct{})}
 	x.Target = keyholder.New(keyholder.Options{
 		ID: id, Service: service, Address: l.Addr().String(), Domain: domain, Slots: c.slots, Queue: 8,
-		ServiceTime: 5 * time.Millisecond, Keyed: service == keyedService,
+		ServiceTime: 5 * time.Millisecond, Keyed: service == keyedService, Version: c.version,
 	}, c.audit)
 	x.server = &http.Server{Handler: c.endOnFatalPath(x)}
 	go func() { _ = x.server.Serve(l) }()
--- a/io/gateway/create.go
+++ b/io/gateway/create.go
@@ -6,6 +6,7 @@
 	"pineturn/core/owner"
 	"pineturn/core/peers"
 	"pineturn/core/placement"
+	"pineturn/core/poison"
 	"pineturn/core/ratelimit"
 	"pineturn/io/coordinator"
 	"pineturn/io/hostlink"
@@ -34,7 +35,8 @@
 	if !g.settings.FirstStart {
 		g.budget.MarkRestarted(g.started)
 	}
-	g.proxy = proxy.New(g.catalog, g.targets, g.budget, g.pool, g.peers, g.clock)
+	g.poison = poison.NewTracker()
+	g.proxy = proxy.New(g.catalog, g.targets, g.budget, g.poison, g.pool, g.peers, g.clock)
 	g.proxy.HandleRecord = g.recordRequest
 }
 
--- a/io/gateway/fatal_test.go
+++ b/io/gateway/fatal_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -34,7 +34,7 @@
 func (c *testCluster) endOnFatalPath(x *target) http.Handler {
 	handler := x.Handler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !strings.Contains(r.URL.Path, fatalPath) {
+		if !strings.Contains(r.URL.Path, fatalPath) || c.mended.Load() {
 			handler.ServeHTTP(w, r)
 			return
 		}
@@ -102,9 +102,6 @@
 // TestRequestThatEndsTargets guards against a request that ends each target that runs it, and
 // that hosts go on sending to one target after the other.
 func TestRequestThatEndsTargets(t *testing.T) {
-	if os.Getenv("PINETURN_RUN_RED") == "" {
-		t.Skip("listed in KNOWN-RED.txt")
-	}
 	for _, x := range []struct{ name, method, path string }{
 		{name: "idempotent", method: "GET", path: "/cover/" + fatalPath}, {name: "not idempotent", method: "POST", path: "/payout/" + fatalPath},
 	} {
@@ -120,6 +117,48 @@
 					wantStatus(t, c.call(client, h, x.method, x.path[:len(x.path)-1], -1, "order"), http.StatusOK)
 				}
 			})
+			t.Run("a host that starts then refuses it", func(t *testing.T) {
+				h := c.addHost("host-late")
+				before := len(c.fatalEnds(x.path))
+				wantStatus(t, c.call(newClient(t), h, x.method, x.path, -1, "order"), http.StatusServiceUnavailable)
+				if got := len(c.fatalEnds(x.path)); got != before {
+					t.Errorf("targets that ended after the host had started: got %d, want %d", got, before)
+				}
+			})
+			t.Run("targets of another version run it", func(t *testing.T) { c.testMended(t, x.method, x.path) })
 		})
 	}
 }
+
+// testMended checks that targets with another version of their software get the request.
+func (c *pathCluster) testMended(t *testing.T, method, path string) {
+	service := plainService
+	if method == http.MethodPost {
+		service = orderService
+	}
+	c.mended.Store(true)
+	c.version = "v2"
+	c.addTarget("mended", service)
+	client := newClient(t)
+	for _, h := range c.hosts {
+		eventually(t, "request is served by a target of another version", 2*time.Second, func() bool {
+			return c.call(client, h, method, path, -1, "order").status == http.StatusOK
+		})
+	}
+}
+
+// TestRequestThatEndsTargetsWithLeaders guards against a request that goes on ending targets
+// because each leader forgets what the one before it knew.
+func TestRequestThatEndsTargetsWithLeaders(t *testing.T) {
+	t.Parallel()
+	c := newFatalCluster(t)
+	const path = "/payout/" + fatalPath
+	c.sendFatal(t, "POST", path, fatalInterval)
+	leader, _ := c.leaderAndNext()
+	leader.stop()
+	leader.done <- <-leader.done
+	c.hosts = slices.DeleteFunc(c.hosts, func(h *host) bool { return h == leader })
+	c.awaitOtherLeader(t, leader)
+	c.sendFatal(t, "POST", path, knownBound+3*time.Second)
+	c.wantFewEnds(t, path)
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"pineturn/core/owner"
 	"pineturn/core/peers"
 	"pineturn/core/placement"
+	"pineturn/core/poison"
 	"pineturn/core/ratelimit"
 	"pineturn/io/coordinator"
 	"pineturn/io/hostlink"
@@ -63,6 +64,7 @@
 	coordinator  *coordinator.Coordinator
 	pool         *proxy.Pool
 	budget       *budget.Budget
+	poison       *poison.Tracker
 	hosts        *hostcount.Counter
 	limits       *ratelimit.Divider
 	proxy        *proxy.Proxy
@@ -109,6 +111,7 @@
 	g.connectFinder()
 	g.connectLimits()
 	g.connectDepartures()
+	g.connectPoison()
 	g.stop = newStopState(settings.StopTimeout)
 	g.metrics.registerGauges(g)
 	return g, nil
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -95,6 +95,7 @@
 		return 0
 	})
 	gauge("detached_services", "Services whose targets this host can't reach.", func() float64 { return float64(len(g.peers.Self().Detached)) })
+	gauge("blocked_requests", "Requests that are refused because they end targets.", func() float64 { return float64(len(g.poison.Blocks(g.clock.Now()))) })
 	gauge("limited_targets", "Targets that have named a limit of requests.", func() float64 { return float64(g.targets.LimitedTargets()) })
 	gauge("sharing_hosts", "Hosts that are taken to share the retry budget and the limits of targets.", func() float64 { return float64(g.hosts.Hosts()) })
 	gauge("owners_epoch", "Epoch of the assignment of keys as last read.", func() float64 {
@@ -187,7 +188,7 @@
 		return
 	}
 	klog.InfoS("Request ended", "id", r.ID, "service", r.Service, "route", r.Route, "version", r.ConfigVersion,
-		"keyed", r.Keyed, "key", r.Key, "via", r.Via, "relayed", r.Relayed, "target", r.Target, "expected", r.ExpectedLatency, "estimate", r.Estimate, "sends", r.Sends, "status", r.Status,
+		"keyed", r.Keyed, "key", r.Key, "fingerprint", r.Fingerprint, "via", r.Via, "relayed", r.Relayed, "target", r.Target, "expected", r.ExpectedLatency, "estimate", r.Estimate, "sends", r.Sends, "status", r.Status,
 		"reason", r.Reason, "took", r.Latency, "targetsAge", g.catalog.Age(platform.TopicTargets),
 		"ownersAge", g.catalog.Age(platform.TopicOwners), "err", r.Cause)
 }
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -19,6 +19,7 @@
 	"pineturn/core/owner"
 	"pineturn/core/peers"
 	"pineturn/core/placement"
+	"pineturn/core/poison"
 	"pineturn/core/ratelimit"
 	"pineturn/io/metastore"
 	"pineturn/platform"
@@ -124,6 +125,9 @@
 	// Lacks are topics of which the host asks for the newest records, because it can't read
 	// them from the store.
 	Lacks []string `cbor:"11,keyasint,omitempty"`
+	// Poison is what the host has observed of requests that end targets, beyond that of earlier
+	// reports on the link.
+	Poison []poison.Event `cbor:"12,keyasint,omitempty"`
 }
 
 // echo is the time of the last report received on a link.
@@ -171,6 +175,9 @@
 	// HandleDepartures is called with targets that have said to another host that they
 	// leave. It is set before use.
 	HandleDepartures func([]placement.Departure)
+	// HandlePoison is called with what another host has observed of requests that end targets.
+	// It is set before use.
+	HandlePoison func([]poison.Event)
 	// Departures returns the targets that have said that they leave, after the first n,
 	// and the number of all. It is set before use.
 	Departures func(n int) (departures []placement.Departure, count int)
@@ -194,6 +201,7 @@
 	return &Server{
 		incarnation: incarnation, clock: clk, started: clk.Now(), Self: func() peers.Host { return peers.Host{} },
 		HandleLimits: func(string, []ratelimit.Observation) {}, Limits: func(string, *ratelimit.Told) ratelimit.Update { return ratelimit.Update{} },
+		HandlePoison:     func([]poison.Event) {},
 		HandleDepartures: func([]placement.Departure) {}, Departures: func(int) ([]placement.Departure, int) { return nil, 0 },
 		HandleReport: func(owner.Report) {}, HandleOwners: func(platform.Record) {}, Leadership: func() (int64, bool) { return 0, false },
 		Owners:   func() (platform.Record, bool) { return platform.Record{}, false },
@@ -257,6 +265,9 @@
 		if len(message.Departures) > 0 {
 			s.HandleDepartures(message.Departures)
 		}
+		if len(message.Poison) > 0 {
+			s.HandlePoison(message.Poison)
+		}
 		snapshots.request(ctx, message.Lacks)
 		s.HandleReport(message.Report)
 	}
--- a/io/hostlink/link.go
+++ b/io/hostlink/link.go
@@ -14,6 +14,7 @@
 	"pineturn/core/owner"
 	"pineturn/core/peers"
 	"pineturn/core/placement"
+	"pineturn/core/poison"
 	"pineturn/core/ratelimit"
 	"pineturn/platform"
 )
@@ -87,13 +88,15 @@
 	Departures []placement.Departure
 	// Lacks are topics of which this host asks for the newest records.
 	Lacks []string
+	// Poison is what this host has observed of requests that end targets.
+	Poison []poison.Event
 }
 
 // Report sends a report of this host to the other host, with its news.
 func (l *Link) Report(ctx context.Context, report owner.Report, news News) error {
 	message := reportMessage{
 		Report: report, SentAt: l.clock.Now().Sub(l.dialedAt), Limits: news.Limits, FollowsLimits: true, Unpacks: true, Departures: news.Departures,
-		Lacks: news.Lacks,
+		Lacks: news.Lacks, Poison: news.Poison,
 	}
 	if news.Self.Address != "" {
 		message.Self = &news.Self
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -11,6 +11,7 @@
 	"pineturn/core/owner"
 	"pineturn/core/peers"
 	"pineturn/core/placement"
+	"pineturn/core/poison"
 	"pineturn/core/ratelimit"
 )
 
@@ -69,6 +70,9 @@
 	// Departures returns the targets that have said to this host that they leave, after
 	// the first n, and the number of all.
 	Departures func(n int) (departures []placement.Departure, count int)
+	// Poison returns what this host has observed of requests that end targets, after the first n
+	// events, and the number of events up to the last one returned.
+	Poison func(n int) (events []poison.Event, count int)
 	// Lacks returns the topics of which this host needs the newest records from the leader.
 	Lacks func() []string
 	// HandleFeed is called with each feed that the leader relays.
@@ -92,7 +96,10 @@
 	lacksSentAt time.Time
 	// departures is the number of departures that were reported on the link.
 	departures int
-	dialedAt   time.Time
+	// poison is the number of events of requests that end targets that were reported on the
+	// link.
+	poison   int
+	dialedAt time.Time
 	// dialedIncarnation is the incarnation that was last dialed.
 	dialedIncarnation string
 	done              chan struct{}
@@ -105,6 +112,7 @@
 		WhileLeading: func() {}, Self: func() peers.Host { return peers.Host{} },
 		Limits: func() []ratelimit.Observation { return nil }, LimitsChanged: func() bool { return false },
 		Departures: func(int) ([]placement.Departure, int) { return nil, 0 },
+		Poison:     func(int) ([]poison.Event, int) { return nil, 0 },
 		Lacks:      func() []string { return nil },
 	}
 }
@@ -171,7 +179,8 @@
 	}
 	limitsChanged := r.LimitsChanged()
 	departures, _ := r.Departures(r.departures)
-	if self := r.Self(); limitsChanged || len(departures) > 0 || r.lacksDue() || !self.Equal(r.sentSelf) {
+	events, _ := r.Poison(r.poison)
+	if self := r.Self(); limitsChanged || len(departures) > 0 || len(events) > 0 || r.lacksDue() || !self.Equal(r.sentSelf) {
 		r.send(ctx, leader, owner.Report{}, News{Self: self, Limits: r.Limits()})
 	}
 }
@@ -181,11 +190,12 @@
 	return r.clock.Now().Sub(r.lacksSentAt) >= lacksInterval && len(r.Lacks()) > 0
 }
 
-// send sends a report and news, with all new departures and what is lacking, on the link. It
-// closes the link if that fails.
+// send sends a report and news, with what is new of departures, of requests that end targets and
+// of what is lacking, on the link. It closes the link if that fails.
 func (r *Reporter) send(ctx context.Context, leader Leader, report owner.Report, news News) {
 	r.sentSelf = news.Self
 	news.Departures, r.departures = r.Departures(r.departures)
+	news.Poison, r.poison = r.Poison(r.poison)
 	if r.lacksDue() {
 		news.Lacks, r.lacksSentAt = r.Lacks(), r.clock.Now()
 	}
@@ -210,7 +220,7 @@
 		return false
 	}
 	r.link, r.linkDone, r.departures = link, make(chan struct{}), 0
-	r.lacksSentAt = time.Time{}
+	r.lacksSentAt, r.poison = time.Time{}, 0
 	// A report is due at once: the ages of watermarks are bounded closely only
 	// after the other host has echoed one.
 	r.dialedAt, r.sentAt = time.Time{}, time.Time{}
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -67,7 +67,10 @@
 	// changedAt is the time at which a change of owners was last read.
 	changedAt   time.Time
 	broadcaster *broadcaster
-	done        chan struct{}
+	// HandleBlocked is called with each record of the requests that are refused, and with nil
+	// if the store has none. It is set before Run.
+	HandleBlocked func(value []byte)
+	done          chan struct{}
 }
 
 // NewCatalog returns an empty catalog that keeps targets up to date.
@@ -84,6 +87,7 @@
 		entryOffsets:   make(map[string]int64),
 		changed:        make(chan struct{}),
 		broadcaster:    newBroadcaster(),
+		HandleBlocked:  func([]byte) {},
 		done:           make(chan struct{}),
 	}
 	era.begin = catalog.beginEra
@@ -242,9 +246,10 @@
 	}
 }
 
-func (c *Catalog) applyOwners(records []platform.Record, _ bool) {
+func (c *Catalog) applyOwners(records []platform.Record, complete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.applyBlocked(records, complete)
 	for _, r := range records {
 		if r.Key != platform.KeyOwners || len(r.Value) == 0 {
 			continue
@@ -269,6 +274,24 @@
 	}
 }
 
+// applyBlocked passes on the newest record of the requests that are refused. The caller holds
+// mu.
+func (c *Catalog) applyBlocked(records []platform.Record, complete bool) {
+	found := false
+	for _, r := range records {
+		if r.Key != platform.KeyBlocked {
+			continue
+		}
+		found = true
+		if len(r.Value) > 0 && c.recordOffset(platform.TopicOwners, r) {
+			c.HandleBlocked(r.Value)
+		}
+	}
+	if complete && !found {
+		c.HandleBlocked(nil)
+	}
+}
+
 // isNewer reports whether assignment a, read as record r, is newer than another one. An
 // epoch belongs to one leader in one era, and offsets can be compared within an era only.
 func isNewer(a *owner.Assignment, r platform.Record, old *owner.Assignment, oldRecord platform.Record) bool {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"pineturn/core/owner"
 	"pineturn/core/peers"
 	"pineturn/core/placement"
+	"pineturn/core/poison"
 	"pineturn/core/reach"
 	"pineturn/core/routing"
 	"pineturn/platform"
@@ -42,6 +43,7 @@
 	catalog   Catalog
 	targets   *placement.Set
 	budget    *budget.Budget
+	poison    *poison.Tracker
 	pool      *Pool
 	clock     clock.Clock
 	keyCounts keyCounts
@@ -57,7 +59,9 @@
 	peerTransport *http.Transport
 	// detachedMu orders the changes of the services that other hosts take this host to be
 	// detached for.
-	detachedMu  sync.Mutex
+	detachedMu sync.Mutex
+	// ends holds the targets that are being probed because a response of theirs was lost.
+	ends        endProbes
 	limitErrors headerErrors
 	restErrors  headerErrors
 	// stopping is set once requests of other hosts are refused.
@@ -86,6 +90,9 @@
 	// none. Relayed reports that another host relayed the request to this one.
 	Via     string
 	Relayed bool
+	// Fingerprint identifies requests that are the same but for their ids; empty if it was not
+	// needed.
+	Fingerprint string
 	// Target is the last target that the request was sent to, or the owner of its key
 	// if that had no capacity; empty for none.
 	Target string
@@ -107,9 +114,9 @@
 
 // New returns a proxy, which relays requests to the hosts of others while it has no path
 // to their targets. It reports the results of connections through pool.
-func New(catalog Catalog, targets *placement.Set, b *budget.Budget, pool *Pool, others *peers.Table, clk clock.Clock) *Proxy {
+func New(catalog Catalog, targets *placement.Set, b *budget.Budget, fatal *poison.Tracker, pool *Pool, others *peers.Table, clk clock.Clock) *Proxy {
 	p := &Proxy{
-		catalog: catalog, targets: targets, budget: b, pool: pool, clock: clk, loads: owner.NewLoads(clk.Now()),
+		catalog: catalog, targets: targets, budget: b, poison: fatal, pool: pool, clock: clk, loads: owner.NewLoads(clk.Now()),
 		reach: reach.New(), peers: others, peerTransport: newPeerTransport(), done: make(chan struct{}), HandleRecord: func(RequestRecord) {},
 	}
 	pool.HandleDial = p.recordDial
@@ -169,6 +176,10 @@
 	// those of all such hosts.
 	via        string
 	triedHosts []string
+	// fingerprint returns the fingerprint of the request. fingerprinted is set once it has been
+	// called.
+	fingerprint   func() poison.Fingerprint
+	fingerprinted atomic.Bool
 }
 
 func (q *request) attemptRequest() attempt.Request {
@@ -204,6 +215,7 @@
 	var hasQuery bool
 	q.path, q.query, hasQuery = strings.Cut(r.RequestURI, "?")
 	q.emptyQuery = hasQuery && q.query == ""
+	q.fingerprint = sync.OnceValue(q.newFingerprint)
 	return q
 }
 
@@ -287,5 +299,8 @@
 	if q.match.Route != nil {
 		r.Route = q.match.Route.Name
 	}
+	if q.fingerprinted.Load() && reason != reasonResponded {
+		r.Fingerprint = q.fingerprint().String()
+	}
 	return r
 }
--- a/io/proxy/relay_test.go
+++ b/io/proxy/relay_test.go
@@ -17,6 +17,7 @@
 	"pineturn/core/owner"
 	"pineturn/core/peers"
 	"pineturn/core/placement"
+	"pineturn/core/poison"
 	"pineturn/core/routing"
 )
 
@@ -53,7 +54,7 @@
 	table.Put(hosts, clk.Now())
 	catalog := &testCatalog{table: routing.NewTable(config), changed: make(chan struct{})}
 	b := budget.New(1, 100, 10*time.Second, oneHost(clk.Now()))
-	return New(catalog, placement.NewSet("a"), b, NewPool(), table, clk)
+	return New(catalog, placement.NewSet("a"), b, poison.NewTracker(), NewPool(), table, clk)
 }
 
 // oneHost returns the count of a single host.
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -57,6 +57,10 @@
 // sendOnce sends a request to a target, or to another host if this one has no path to the
 // targets.
 func (p *Proxy) sendOnce(ctx context.Context, q *request) (sendResult, error) {
+	block, blocked := p.blockOf(q)
+	if blocked && !p.excludeBlocked(q, block) {
+		return sendResult{}, q.refuseFatal()
+	}
 	if host, ok := p.peer(q); ok {
 		if !p.renewRetry(q) {
 			return sendResult{}, q.failOrRefuse(reasonOverBudget, q.match.Route.Objective/2, nil)
@@ -70,6 +74,9 @@
 	if err != nil {
 		return sendResult{}, err
 	}
+	if blocked && owner != "" && p.covers(block, owner) {
+		return sendResult{}, q.refuseFatal()
+	}
 	choice, err := p.chooseTarget(ctx, q, owner)
 	if err != nil {
 		return sendResult{}, err
@@ -171,6 +178,7 @@
 		s.err = errors.Wrapf(err, "send to target %s", choice.Entry.ID)
 		s.result = classifySendError(err)
 		s.targetFull = choice.TargetFull(nil)
+		p.recordLost(ctx, q, choice, s, sentAt)
 		p.endChoice(ctx, choice, s, nil)
 		return s
 	}
@@ -182,6 +190,7 @@
 		s.result = attempt.Unknown
 		p.discardConnections(choice.Entry.ID, resp)
 		s.targetFull = choice.TargetFull(nil)
+		p.recordLost(ctx, q, choice, s, sentAt)
 		p.endChoice(ctx, choice, s, nil)
 		return s
 	}
@@ -190,6 +199,7 @@
 	}
 	s.response = r
 	s.result = classifyResponse(r)
+	p.recordResponded(q, choice, s)
 	p.observe(s, sentAt)
 	report := loadReport(r.info.Load)
 	s.targetFull = choice.TargetFull(report)
@@ -227,6 +237,7 @@
 	case !ok || errors.Is(err, context.Canceled):
 	case err != nil:
 		p.reach.Failed(entry.Service, p.clock.Now())
+		p.recordRefused(entry, err)
 	default:
 		p.reach.Connected(entry.Service, p.clock.Now())
 	}
--- a/io/standin/keyholder/keyholder.go
+++ b/io/standin/keyholder/keyholder.go
@@ -4,6 +4,7 @@
 package keyholder
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -37,6 +38,8 @@
 	// Born is the start time of the target in Unix milliseconds; 0 omits it
 	// from the entry.
 	Born int64
+	// Version is the version of the target's software; empty for v1.
+	Version string
 }
 
 // Fault selects the faults that a target injects. The zero value injects none.
@@ -130,9 +133,9 @@
 	if t.options.Born > 0 {
 		born = fmt.Sprintf(`"born":%d,`, t.options.Born)
 	}
-	return fmt.Appendf(nil, `{%s"address":%q,"info":{"service":%q,"version":"v1","zone":%q,"capacity":%d},`+
+	return fmt.Appendf(nil, `{%s"address":%q,"info":{"service":%q,"version":%q,"zone":%q,"capacity":%d},`+
 		`"status":{"state":%q,"sequence":%d,"warmup_left_s":0}}`,
-		born, t.options.Address, t.options.Service, t.options.Domain, t.options.Slots, state, sequence)
+		born, t.options.Address, t.options.Service, cmp.Or(t.options.Version, "v1"), t.options.Domain, t.options.Slots, state, sequence)
 }
 
 // Handler returns the handler of grants, releases and all other requests.
