--- a/io/gateway/cluster_test.go
+++ b/io/gateway/cluster_test.go
@@ -48,6 +48,8 @@
 	slots int
 	// ends holds the ends of targets by requests whose paths contain fatalPath.
 	ends []fatalSend
+	// nextReadRefused holds the IP addresses of hosts whose next read the store refuses.
+	nextReadRefused map[string]bool
 	// mended is set once no request ends targets any more.
 	mended atomic.Bool
 	// version is the version of the software of targets that start.
@@ -72,7 +74,7 @@
 
 func newTestCluster(t *testing.T) *testCluster {
 	t.Helper()
-	c := &testCluster{t: t, store: platformstore.New(), audit: &keyholder.Audit{}, targets: make(map[string]*target), callerTimeout: 2 * time.Second, slots: 4}
+	c := &testCluster{t: t, store: platformstore.New(), audit: &keyholder.Audit{}, targets: make(map[string]*target), nextReadRefused: make(map[string]bool), callerTimeout: 2 * time.Second, slots: 4}
 	c.configure(1)
 	t.Cleanup(c.close)
 	return c
@@ -212,7 +214,7 @@
 		path: filepath.Join(c.t.TempDir(), "settings.toml"), done: make(chan error, 1),
 	}
 	settings := platformstore.HostSettings{
-		Name: name, Domain: domain, IP: ip, Port: freePort(c.t, ip), CallerAddress: h.front, ReadyAddress: h.ready, StoreAddress: c.serve(storeHandlerOf(c.store, ip), ip), RetryBudgetExtra: 160,
+		Name: name, Domain: domain, IP: ip, Port: freePort(c.t, ip), CallerAddress: h.front, ReadyAddress: h.ready, StoreAddress: c.serve(c.storeHandler(ip), ip), RetryBudgetExtra: 160,
 	}
 	if err := os.WriteFile(h.path, settings.Encode(), 0o600); err != nil {
 		c.t.Fatal(err)
@@ -235,16 +237,31 @@
 	return h
 }
 
-// storeHandlerOf returns a handler of the store for the host with the given IP address alone.
-// All hosts of a test connect from the same address.
-func storeHandlerOf(store *platformstore.Store, ip string) http.Handler {
-	handler := store.Handler()
+// storeHandler returns a handler of the store for the host with the given IP address alone. All
+// hosts of a test connect from the same address.
+func (c *testCluster) storeHandler(ip string) http.Handler {
+	handler := c.store.Handler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.RemoteAddr = net.JoinHostPort(ip, "0")
+		if c.refusesNextRead(ip, r) {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
+// refusesNextRead reports whether a request is the next read of a host, which is refused.
+func (c *testCluster) refusesNextRead(ip string, r *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.URL.Path != "/v1/log-read" || !c.nextReadRefused[ip] {
+		return false
+	}
+	delete(c.nextReadRefused, ip)
+	return true
+}
+
 // exited fails the test if the host has ended by itself; otherwise it returns
 // false.
 func (h *host) exited(t *testing.T) bool {
--- a/io/gateway/refused_test.go
+++ b/io/gateway/refused_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -60,6 +61,18 @@
 	})
 }
 
+// end ends a host without a stop.
+func (c *testCluster) end(t *testing.T, h *host) {
+	t.Helper()
+	if err := h.gateway.peerServer.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-h.done; !errors.Is(err, http.ErrServerClosed) {
+		t.Errorf("%s without a server for other hosts: got error %v, want %v", h.gateway.settings.Name, err, http.ErrServerClosed)
+	}
+	h.done <- nil
+}
+
 // leaderAndNext returns the leader and a host that does not lead.
 func (c *pathCluster) leaderAndNext() (leader, next *host) {
 	i := leaderIndex(c.hosts)
@@ -87,6 +100,25 @@
 	}
 }
 
+// TestChangeWithoutLeader guards against hosts that get a change too late after the leader has
+// ended, because the first read of their own is refused as one of too many.
+func TestChangeWithoutLeader(t *testing.T) {
+	t.Parallel()
+	c := newPathCluster(t)
+	c.awaitServed(t)
+	leader, _ := c.leaderAndNext()
+	others := slices.DeleteFunc(slices.Clone(c.hosts), func(h *host) bool { return h == leader })
+	c.mu.Lock()
+	for _, h := range others {
+		ip, _, _ := strings.Cut(h.front, ":")
+		c.nextReadRefused[ip] = true
+	}
+	c.mu.Unlock()
+	c.end(t, leader)
+	c.configure(2)
+	c.wantVersion(t, 2, updateBound, others...)
+}
+
 // TestMissedChangeAtRefusedHosts guards against hosts that the store refuses and that never
 // get a change that was made while nobody relayed it to them.
 func TestMissedChangeAtRefusedHosts(t *testing.T) {
@@ -106,13 +138,7 @@
 		c.awaitServed(t)
 		leader, next := c.leaderAndNext()
 		c.refuse("silent", leader, next)
-		if err := leader.gateway.peerServer.Close(); err != nil {
-			t.Fatal(err)
-		}
-		if err := <-leader.done; !errors.Is(err, http.ErrServerClosed) {
-			t.Errorf("leader without a server for other hosts: got error %v, want %v", err, http.ErrServerClosed)
-		}
-		leader.done <- nil
+		c.end(t, leader)
 		time.Sleep(readsEnd)
 		c.configure(2)
 		c.wantVersion(t, 2, updateBound+unstableBound, next)
