Keep relayed requests from falling back to an older configuration

Change: the response of a relayed request states the version if it is newer than the one asked for. The relaying host asks for that version from then on, and reads the configuration at once.

Measured: TestNewerConfigOfPeer fails without it (asks for 7, want 9; no read).

Older builds: an older host that relays passes the header on to its caller when a newer one served it by a newer version; one that serves states nothing, and the relaying host goes on as before.

--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -140,6 +140,12 @@
 	}
 }
 
+// ReadConfig makes this host read the configuration now: another host has a newer one.
+func (c *Catalog) ReadConfig() {
+	c.configConsumer.requestRead()
+	c.store.retryNow()
+}
+
 func (c *Catalog) consumers() []*Consumer {
 	return []*Consumer{c.configConsumer, c.targetConsumer, c.ownerConsumer}
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -36,6 +36,8 @@
 	Changed() <-chan struct{}
 	// ChangedAt returns the time of the last change of owners that was read.
 	ChangedAt() time.Time
+	// ReadConfig makes this host read the configuration from the store now.
+	ReadConfig()
 }
 
 // Proxy forwards requests. Its function fields must be set before use.
@@ -57,6 +59,9 @@
 	reach         *reach.Detector
 	peers         *peers.Table
 	peerTransport *http.Transport
+	// peerVersion is the newest version of the configuration by which another host has served
+	// a relayed request.
+	peerVersion atomic.Int64
 	// detachedMu orders the changes of the services that other hosts take this host to be
 	// detached for.
 	detachedMu sync.Mutex
@@ -170,8 +175,10 @@
 	expectedLatency time.Duration
 	// estimate is what was assumed of lastTarget when it had no capacity.
 	estimate *placement.Estimate
-	// relayed is set if another host relayed the request to this one.
-	relayed bool
+	// relayed is set if another host relayed the request to this one, and askedVersion the
+	// version of the configuration that it asked for.
+	relayed      bool
+	askedVersion int64
 	// via is the address of the host that the request was last relayed to, triedHosts
 	// those of all such hosts.
 	via        string
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -20,8 +20,8 @@
 // Headers of requests that are relayed to another host, and of its responses. They
 // reach neither targets nor callers.
 const (
-	// headerRelayVersion holds the version of the configuration that the relaying host
-	// routed the request by.
+	// headerRelayVersion holds, in a request, the version of the configuration that the other
+	// host must have, and in a response the newer one that it has served the request by.
 	headerRelayVersion = "Pineturn-Relay-Version"
 	// headerRelayService holds the service that the relaying host selected among those of
 	// the route.
@@ -107,7 +107,7 @@
 
 func (p *Proxy) relayRequest(ctx context.Context, q *request, host peers.Host) *http.Request {
 	header := platform.RelayHeaders(q.header, q.timeLeft(p.clock.Now())-relayMargin)
-	header.Set(headerRelayVersion, strconv.FormatInt(q.configVersion, 10))
+	header.Set(headerRelayVersion, strconv.FormatInt(max(q.configVersion, p.peerVersion.Load()), 10))
 	header.Set(headerRelayService, q.match.Service.Name)
 	header.Set(headerRelaySends, strconv.Itoa(q.progress.Sends()-1))
 	return q.outgoing(ctx, host.Address, header)
@@ -117,11 +117,12 @@
 func (p *Proxy) relayResult(q *request, host peers.Host, resp *http.Response) sendResult {
 	h := resp.Header
 	outcome, target := relayOutcome(h.Get(headerRelayOutcome)), h.Get(headerRelayTarget)
+	p.recordPeerVersion(q, h.Get(headerRelayVersion))
 	sends, err := strconv.Atoi(h.Get(headerRelaySends))
 	if err != nil {
 		return p.invalidRelay(host, resp, errors.Wrap(err, "number of sends"))
 	}
-	for _, name := range []string{headerRelayOutcome, headerRelayTarget, headerRelaySends} {
+	for _, name := range []string{headerRelayOutcome, headerRelayTarget, headerRelaySends, headerRelayVersion} {
 		h.Del(name)
 	}
 	if outcome == relayResponded {
@@ -155,6 +156,23 @@
 	return s
 }
 
+// recordPeerVersion records the version of the configuration by which another host has served
+// a request, empty if it does not say. If it is newer than this host's, what callers get here
+// must not fall back: further requests are relayed to hosts with this version, and this host
+// reads it.
+func (p *Proxy) recordPeerVersion(q *request, text string) {
+	version, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || version <= q.configVersion {
+		return
+	}
+	for known := p.peerVersion.Load(); version > known; known = p.peerVersion.Load() {
+		if p.peerVersion.CompareAndSwap(known, version) {
+			p.catalog.ReadConfig()
+			return
+		}
+	}
+}
+
 // notRelayed returns the result of a request that another host gave back as not run, after
 // the given number of sends in all. A target may have received and refused it there; a
 // further send is then a retry.
--- a/io/proxy/relay_test.go
+++ b/io/proxy/relay_test.go
@@ -31,8 +31,11 @@
 	table      *routing.Table
 	assignment *owner.Assignment
 	changed    chan struct{}
+	// configReads counts the calls of ReadConfig.
+	configReads atomic.Int64
 }
 
+func (c *testCatalog) ReadConfig()                   { c.configReads.Add(1) }
 func (c *testCatalog) Table() *routing.Table         { return c.table }
 func (c *testCatalog) Assignment() *owner.Assignment { return c.assignment }
 func (c *testCatalog) Changed() <-chan struct{}      { return c.changed }
@@ -73,6 +76,8 @@
 	peers.Host
 	mu       sync.Mutex
 	requests []*http.Request
+	// version is the version of the configuration that the host states; empty for none.
+	version string
 	// leaving is set if the target of the responses leaves.
 	leaving atomic.Bool
 }
@@ -95,6 +100,9 @@
 		}
 		h.Set(headerRelayOutcome, string(outcome))
 		h.Set(headerRelaySends, "1")
+		if peer.version != "" {
+			h.Set(headerRelayVersion, peer.version)
+		}
 		h.Set(headerRelayTarget, "t1")
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, "body")
@@ -239,6 +247,14 @@
 	t.Run("older configuration", func(t *testing.T) {
 		assertRelayOutcome(t, get(newTestProxy(6).RelayHandler(), "/read/1", relayed("7")), relayUnavailable)
 	})
+	t.Run("newer configuration", func(t *testing.T) {
+		for version, want := range map[string]string{"6": "7", "7": ""} {
+			got := get(newTestProxy(7).RelayHandler(), "/read/1", relayed(version)).Header().Get(headerRelayVersion)
+			if got != want {
+				t.Errorf("version stated to a host with version %s: got %q, want %q", version, got, want)
+			}
+		}
+	})
 	t.Run("stopping", func(t *testing.T) {
 		p := newTestProxy(7)
 		p.RefuseRelayed()
@@ -263,3 +279,31 @@
 		assertStatus(t, get(p.Handler(), "/read/1", nil), 503)
 	})
 }
+
+// TestNewerConfigOfPeer guards against callers that see a newer configuration through one host
+// and then an older one through another.
+func TestNewerConfigOfPeer(t *testing.T) {
+	for _, x := range []struct {
+		name, version, want string
+		wantReads           int64
+	}{
+		{name: "newer", version: "9", want: "9", wantReads: 1}, {name: "the same", version: "7", want: "7"}, {name: "older", version: "6", want: "7"},
+		{name: "none, an older build", want: "7"}, {name: "no number", version: "x", want: "7"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			peer := newPeer(t, "a", 200, relayResponded)
+			peer.version = x.version
+			p := newTestProxy(7, peer.Host)
+			detach(p)
+			for range 2 {
+				assertStatus(t, get(p.Handler(), "/read/1", nil), http.StatusOK)
+			}
+			if got := peer.received()[1].Header.Get(headerRelayVersion); got != x.want {
+				t.Errorf("version that the next host must have: got %q, want %q", got, x.want)
+			}
+			if got := p.catalog.(*testCatalog).configReads.Load(); got != x.wantReads {
+				t.Errorf("reads of the configuration at once: got %d, want %d", got, x.wantReads)
+			}
+		})
+	}
+}
--- a/io/proxy/relayed.go
+++ b/io/proxy/relayed.go
@@ -31,6 +31,7 @@
 	if err != nil {
 		return nil, q.fail(http.StatusBadRequest, reasonRelayFailed, errors.Wrap(err, "configuration version"))
 	}
+	q.askedVersion = version
 	sends, err := strconv.Atoi(r.Header.Get(headerRelaySends))
 	if err != nil {
 		return nil, q.fail(http.StatusBadRequest, reasonRelayFailed, errors.Wrap(err, "number of sends"))
@@ -78,6 +79,9 @@
 	h.Set(headerRelayOutcome, string(outcome))
 	h.Set(headerRelayTarget, q.lastTarget)
 	h.Set(headerRelaySends, strconv.Itoa(q.progress.Sends()))
+	if q.configVersion > q.askedVersion {
+		h.Set(headerRelayVersion, strconv.FormatInt(q.configVersion, 10))
+	}
 }
 
 // relayOutcome returns the outcome of a relayed request that ended with a failure.
