Record the ends of targets under requests from the first one, also without a leader

An end that only the leader had heard of was lost with it.

Change: a request is recorded as a suspect from its first end on, at most 32 of these, the ones with most ends and the latest first; a host without a leader for 3 s writes the record itself, at the offset that it has read. A request that is refused here and still a suspect in the record is not taken over as one again. What is to be recorded is compared only after a change, or once a second.

--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"bytes"
+	"cmp"
 	"slices"
 	"time"
 )
@@ -68,7 +70,7 @@
 // suspect returns what is known of a request.
 func (d *detector) suspect(f Fingerprint, now time.Time) *suspect {
 	s := d.suspects[f]
-	if s == nil {
+	if s == nil || now.Sub(s.seenAt) > suspectRetention {
 		d.makeRoom(now)
 		s = &suspect{seenAt: now}
 		d.suspects[f] = s
@@ -122,18 +124,37 @@
 	return block
 }
 
-// suspected returns the requests of which all hosts are told.
-func (d *detector) suspected(now time.Time) []Block {
-	var all []Block
+// suspected returns the requests that are recorded although they are not refused yet, at most
+// limit: those under which most targets have ended, the latest first.
+func (d *detector) suspected(limit int, now time.Time) []Block {
+	type ranked struct {
+		Fingerprint
+		ends   int
+		seenAt time.Time
+	}
+	var all []ranked
 	for f, s := range d.suspects {
-		if now.Sub(s.seenAt) <= suspectRetention && d.successive(f) >= endsToSuspect {
-			block := d.block(f)
-			block.Suspect = true
-			all = append(all, block)
+		if n := d.successive(f); n > 0 && now.Sub(s.seenAt) <= suspectRetention {
+			all = append(all, ranked{f, n, s.seenAt})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.ends, a.ends), b.seenAt.Compare(a.seenAt), bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]))
+	})
+	var blocks []Block
+	singles := 0
+	for _, r := range all[:min(len(all), limit)] {
+		if r.ends == 1 {
+			singles++
 		}
+		if singles > maxSingles {
+			break
+		}
+		block := d.block(r.Fingerprint)
+		block.Suspect = true
+		blocks = append(blocks, block)
 	}
-	slices.SortFunc(all, compareBlocks)
-	return all
+	return blocks
 }
 
 // explain records that a target has ended under a request that is refused for it.
@@ -151,8 +172,12 @@
 	}
 }
 
-// makeRoom forgets what is old, and the oldest request if there are too many.
+// makeRoom forgets what is old if there is too much, and then the oldest request if there are
+// still too many.
 func (d *detector) makeRoom(now time.Time) {
+	if len(d.suspects) < maxSuspects && len(d.explained) < maxSuspects {
+		return
+	}
 	for target, x := range d.explained {
 		if now.Sub(x.at) > suspectRetention {
 			delete(d.explained, target)
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -13,16 +13,24 @@
 
 const (
 	// endsToBlock is the number of targets, one after the other, that must have ended under a
-	// request until it is refused, and endsToSuspect that from which all hosts are told of it.
-	endsToBlock   = 3
-	endsToSuspect = 2
+	// request until it is refused.
+	endsToBlock = 3
+	// isolationDelay is the time without a leader after which a host records what it has found
+	// itself.
+	isolationDelay = 3 * time.Second
 	// suspectRetention is how long the end of a target under a request is remembered.
 	suspectRetention = 10 * time.Minute
 	// blockRetention is how long a request is refused after the last sign of it.
 	blockRetention = time.Hour
+	// compareInterval is the time after which what a host knows is compared with the record
+	// although nothing has happened: it may have expired.
+	compareInterval = time.Second
 	// maxSuspects and maxBlocks bound the requests that are remembered.
 	maxSuspects = 4096
 	maxBlocks   = 128
+	// maxSingles bounds the requests in the record under which one target has ended: each end
+	// of a target leaves some, most of them by chance.
+	maxSingles = 32
 	// maxNamed bounds the targets and versions that a block names.
 	maxNamed = 8
 )
--- a/core/poison/recorded.go
+++ b/core/poison/recorded.go
@@ -10,6 +10,7 @@
 func (t *Tracker) SetRecord(blocks []Block, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.changed = true
 	before := t.recorded
 	t.recorded = make(map[Fingerprint]activeBlock, len(blocks))
 	for _, b := range blocks {
@@ -33,11 +34,13 @@
 	}
 	t.anyBlock.Store(len(t.recorded)+len(t.found) > 0)
 	for f, b := range t.recorded {
-		if b.Suspect {
+		_, found := t.found[f]
+		switch {
+		case !b.Suspect:
+			t.explain(b.Block, now)
+		case !found:
 			t.detector.merge(b.Block, now)
 			t.judge(f, now)
-		} else {
-			t.explain(b.Block, now)
 		}
 		t.contest(f, now)
 	}
@@ -61,29 +64,40 @@
 			t.found[f] = b
 		}
 	}
-	t.recorded = make(map[Fingerprint]activeBlock)
+	t.recorded, t.changed = make(map[Fingerprint]activeBlock), true
 }
 
-// Unrecorded returns the blocks and suspicions that are to be recorded, and whether they differ
-// from the record last read.
+// Unrecorded returns the blocks and suspicions that are to be recorded by this host, and whether
+// they differ from the record last read.
 func (t *Tracker) Unrecorded(now time.Time) (blocks []Block, differ bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.recorded)+len(t.found)+len(t.detector.suspects) == 0 {
+	if !t.changed && now.Sub(t.comparedAt) < compareInterval || !t.records(now) || len(t.recorded)+len(t.found)+len(t.detector.suspects) == 0 {
 		return nil, false
 	}
+	t.comparedAt = now
 	blocks = t.blocks(now)
-	suspected := t.detector.suspected(now)
-	blocks = append(blocks, suspected[:min(len(suspected), maxBlocks-len(blocks))]...)
+	blocks = append(blocks, t.detector.suspected(maxBlocks-len(blocks), now)...)
+	t.changed = t.differ(blocks)
+	return blocks, t.changed
+}
+
+// differ reports whether the record differs from blocks. The caller holds mu.
+func (t *Tracker) differ(blocks []Block) bool {
 	if len(blocks) != len(t.recorded) {
-		return blocks, true
+		return true
 	}
 	for _, b := range blocks {
 		if recorded, ok := t.recorded[b.Fingerprint]; !ok || !equalBlocks(recorded.Block, b) {
-			return blocks, true
+			return true
 		}
 	}
-	return blocks, false
+	return false
+}
+
+// records reports whether this host writes the record. The caller holds mu.
+func (t *Tracker) records(now time.Time) bool {
+	return t.role == Leader || t.role == Alone && !t.aloneSince.IsZero() && now.Sub(t.aloneSince) >= isolationDelay
 }
 
 func equalBlocks(a, b Block) bool {
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -59,7 +59,8 @@
 
 // Roles of hosts.
 const (
-	// Alone is a host that no leader tells of the record. It refuses what it has found itself.
+	// Alone is a host that no leader tells of the record. It refuses what it has found itself,
+	// and records it after some time.
 	Alone Role = iota
 	// Follower is a host that refuses what is recorded: others may have a response to what it
 	// has found.
@@ -86,6 +87,12 @@
 	dropped  int
 	detector *detector
 	role     Role
+	// changed is set if what is to be recorded may have changed since comparedAt, when it was
+	// last compared with the record.
+	changed    bool
+	comparedAt time.Time
+	// aloneSince is the time since when this host is alone, or zero if it is not.
+	aloneSince time.Time
 	// recorded holds the record last read, found the blocks that were found here and are not
 	// recorded yet, lifted the requests to which a target has responded since.
 	recorded map[Fingerprint]activeBlock
@@ -207,7 +214,7 @@
 func (t *Tracker) lift(f Fingerprint, now time.Time) {
 	t.clear(f, now)
 	if _, ok := t.recorded[f]; ok {
-		t.lifted[f] = now
+		t.lifted[f], t.changed = now, true
 	}
 }
 
@@ -215,6 +222,7 @@
 // holds mu.
 func (t *Tracker) clear(f Fingerprint, now time.Time) {
 	_, refused := t.found[f]
+	t.changed = true
 	delete(t.found, f)
 	t.detector.clear(f)
 	if !refused && t.recorded[f].Suspect {
@@ -227,7 +235,8 @@
 
 // addEnd records the end of a target under a request. The caller holds mu.
 func (t *Tracker) addEnd(f Fingerprint, e end, now time.Time) {
-	if block, ok := t.block(f, now); ok {
+	t.changed = true
+	if block, ok := t.knownBlock(f, now); ok {
 		t.detector.explain(e.target, f, now)
 		// The block holds without a further end, but for another version.
 		if known := block.Covers(e.target.Version); !known {
@@ -321,14 +330,28 @@
 	return t.block(f, now)
 }
 
-// block returns the block of a request. The caller holds mu.
+// block returns the block of a request that is refused. The caller holds mu.
 func (t *Tracker) block(f Fingerprint, now time.Time) (Block, bool) {
-	if _, ok := t.lifted[f]; ok {
-		return Block{}, false
+	if t.role == Follower {
+		return t.recordedBlock(f, now)
 	}
-	if b, ok := t.found[f]; ok && t.role != Follower && now.Sub(b.since) <= blockRetention {
+	return t.knownBlock(f, now)
+}
+
+// knownBlock returns the block of a request that was found here or is recorded. The caller holds
+// mu.
+func (t *Tracker) knownBlock(f Fingerprint, now time.Time) (Block, bool) {
+	if b, ok := t.found[f]; ok && now.Sub(b.since) <= blockRetention {
 		return b.Block, true
 	}
+	return t.recordedBlock(f, now)
+}
+
+// recordedBlock returns the block of a request that is recorded. The caller holds mu.
+func (t *Tracker) recordedBlock(f Fingerprint, now time.Time) (Block, bool) {
+	if _, ok := t.lifted[f]; ok {
+		return Block{}, false
+	}
 	b, ok := t.recorded[f]
 	if !ok || b.Suspect || now.Sub(b.since) > blockRetention {
 		return Block{}, false
@@ -337,9 +360,15 @@
 }
 
 // SetRole sets the role of this host among the hosts.
-func (t *Tracker) SetRole(role Role) {
+func (t *Tracker) SetRole(role Role, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	switch {
+	case role != Alone:
+		t.aloneSince = time.Time{}
+	case t.aloneSince.IsZero():
+		t.aloneSince = now
+	}
 	t.role = role
 }
 
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -126,8 +126,8 @@
 	// Yields reports whether this host has no path to targets that another host
 	// reaches, so that another one should lead. It is set before Run.
 	Yields func() bool
-	// Unrecorded returns the record of the requests that are refused, and whether it differs
-	// from the one in the store. It is set before Run.
+	// Unrecorded returns the record of the requests that are refused, and whether this host is
+	// to write it: it differs from the one in the store. It is set before Run.
 	Unrecorded func() (record []byte, differs bool)
 	// HandleUnanswered is called with the service of each order that its target did not
 	// answer. It is set before Run.
@@ -306,6 +306,9 @@
 	case c.leader == nil && read && (c.isElected() || c.isSuccessor()):
 		c.claimLeadership(ctx, next, now)
 	}
+	if c.leader == nil && read {
+		c.writeBlocked(ctx, next, now)
+	}
 }
 
 func (c *Coordinator) keyedServices() []string {
--- a/io/gateway/limits.go
+++ b/io/gateway/limits.go
@@ -12,7 +12,7 @@
 	g.reporter.Leading = func() bool {
 		leading := g.coordinator.Leading()
 		g.limits.SetLeading(leading, g.clock.Now())
-		g.poison.SetRole(g.poisonRole(leading))
+		g.poison.SetRole(g.poisonRole(leading), g.clock.Now())
 		return leading
 	}
 	whileLeading := g.reporter.WhileLeading
