Write refused requests only while the store answers, and say what is applied

TestWriteBlockedWithoutStore got a write before, none now. Followers logged blocks that they do not apply. A request that has ended targets of eight versions runs at none.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -92,16 +92,19 @@
 	// which they have.
 	Targets  []Target `cbor:"3,keyasint" json:"targets"`
 	Requests []string `cbor:"4,keyasint" json:"requests"`
-	// Suspect reports that the request is not refused yet: one more target has to end.
-	Suspect bool `cbor:"5,keyasint,omitempty" json:"suspect,omitempty"`
+	// Suspect reports that the request is not refused yet: too few targets have ended.
+	Suspect bool `cbor:"5,keyasint,omitempty" json:"-"`
 }
 
-// Covers reports whether targets of a version must not run the request.
-func (b *Block) Covers(version string) bool { return slices.Contains(b.Versions, version) }
+// Covers reports whether targets of a version must not run the request. A request that has ended
+// targets of maxNamed versions runs at none.
+func (b *Block) Covers(version string) bool {
+	return len(b.Versions) >= maxNamed || slices.Contains(b.Versions, version)
+}
 
 // add adds the end of a target to a block.
 func (b *Block) add(target Target, request string) {
-	if !b.Covers(target.Version) && len(b.Versions) < maxNamed {
+	if !b.Covers(target.Version) {
 		b.Versions = append(slices.Clone(b.Versions), target.Version)
 		slices.Sort(b.Versions)
 	}
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -71,8 +71,9 @@
 
 // Tracker holds what a host knows of requests that end targets. It is safe for concurrent use.
 type Tracker struct {
-	// Logged is called with each block that this host has found. It is set before use.
-	Logged func(Block)
+	// HandleBlock is called with each block that this host has found and applies. It must not
+	// call the tracker, and is set before use.
+	HandleBlock func(Block)
 
 	// anyBlock is set while there is a block, so that others need no lock.
 	anyBlock atomic.Bool
@@ -103,7 +104,7 @@
 // NewTracker returns a tracker that knows of no request.
 func NewTracker() *Tracker {
 	return &Tracker{
-		Logged: func(Block) {}, responses: make(map[Fingerprint]response), lost: make(map[Target][]lostSend), detector: newDetector(),
+		HandleBlock: func(Block) {}, responses: make(map[Fingerprint]response), lost: make(map[Target][]lostSend), detector: newDetector(),
 		recorded: make(map[Fingerprint]activeBlock), found: make(map[Fingerprint]activeBlock), lifted: make(map[Fingerprint]time.Time),
 	}
 }
@@ -238,8 +239,8 @@
 	t.changed = true
 	if block, ok := t.knownBlock(f, now); ok {
 		t.detector.explain(e.target, f, now)
-		// The block holds without a further end, but for another version.
-		if known := block.Covers(e.target.Version); !known {
+		// A further end tells nothing new but of another version.
+		if !block.Covers(e.target.Version) {
 			block.add(e.target, e.request)
 			t.find(block, now)
 		}
@@ -253,7 +254,9 @@
 func (t *Tracker) judge(f Fingerprint, now time.Time) {
 	if block, ok := t.detector.takeBlock(f, now); ok {
 		t.find(block, now)
-		t.Logged(block)
+		if t.role != Follower {
+			t.HandleBlock(block)
+		}
 	}
 }
 
--- a/io/coordinator/blocked.go
+++ b/io/coordinator/blocked.go
@@ -11,8 +11,12 @@
 )
 
 // writeBlocked writes the requests that are refused if they differ from what the store has. Like
-// the assignment, they are written only at the offset up to which this host has read.
-func (c *Coordinator) writeBlocked(ctx context.Context, next int64, now time.Time) {
+// the assignment, they are written only at the offset up to which this host has read, and not
+// while the store is away.
+func (c *Coordinator) writeBlocked(ctx context.Context, next int64, provenAt, now time.Time) {
+	if now.Sub(provenAt) >= maxProofAgeForChanges {
+		return
+	}
 	record, differs := c.Unrecorded()
 	if !differs || now.Sub(c.blockedWrittenAt) < writeRetryInterval && next == c.blockedOffset {
 		return
--- a/io/coordinator/blocked_test.go
+++ b/io/coordinator/blocked_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"pineturn/core/clock"
 	"pineturn/core/owner"
 	"pineturn/platform"
 )
@@ -34,6 +35,24 @@
 	return s.offsets
 }
 
+// staleCatalog has proved the end of its topic long ago.
+type staleCatalog struct{ fakeCatalog }
+
+func (c *staleCatalog) Position() (int64, time.Time) { return 1, clock.Boot{}.Now().Add(-time.Minute) }
+
+// TestWriteBlockedWithoutStore guards against calls of all hosts to a store that is away.
+func TestWriteBlockedWithoutStore(t *testing.T) {
+	store := &blockedStore{err: platform.ErrStatus}
+	catalog := &staleCatalog{fakeCatalog{assignment: &owner.Assignment{Epoch: 4, LeaderIncarnation: "other"}}}
+	c := newCoordinator(&store.fakeStore, &catalog.fakeCatalog)
+	c.store, c.catalog = store, catalog
+	c.Unrecorded = func() ([]byte, bool) { return []byte("record"), true }
+	runUntil(t, c, 200*time.Millisecond)
+	if got := store.writes(); len(got) > 0 {
+		t.Errorf("writes: got %d, want none", len(got))
+	}
+}
+
 // TestWriteBlocked guards against requests that are refused at one host alone, because nobody
 // records them, and against a write each tick while one is under way.
 func TestWriteBlocked(t *testing.T) {
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -307,7 +307,7 @@
 		c.claimLeadership(ctx, next, now)
 	}
 	if c.leader == nil && read {
-		c.writeBlocked(ctx, next, now)
+		c.writeBlocked(ctx, next, provenAt, now)
 	}
 }
 
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -76,7 +76,7 @@
 		logDropped(dropped)
 	}
 	c.writeIfDirty(ctx, next, now)
-	c.writeBlocked(ctx, next, now)
+	c.writeBlocked(ctx, next, provenAt, now)
 	if now.Sub(provenAt) >= owner.MaxProofAgeForRenewal || c.isStopping() && !mayReassign {
 		return
 	}
--- a/io/gateway/poison.go
+++ b/io/gateway/poison.go
@@ -9,7 +9,7 @@
 // connectPoison connects what this host knows of requests that end targets with the leader, which
 // puts together what all hosts have observed, and with the record that all hosts read.
 func (g *Gateway) connectPoison() {
-	g.poison.Logged = func(b poison.Block) {
+	g.poison.HandleBlock = func(b poison.Block) {
 		klog.InfoS("Requests that end targets are refused from now on", "fingerprint", b.Fingerprint, "targets", b.Targets, "versions", b.Versions, "ids", b.Requests)
 	}
 	g.reporter.Poison = func(n int) ([]poison.Event, int) { return g.poison.Events(n, g.clock.Now()) }
@@ -40,8 +40,11 @@
 		klog.ErrorS(err, "Failed to decode the requests that are refused, keeping those known")
 		return
 	}
+	refused := len(g.poison.Blocks(g.clock.Now()))
 	g.poison.SetRecord(blocks, g.clock.Now())
-	klog.InfoS("Requests that are refused changed", "requests", len(blocks))
+	if now := len(g.poison.Blocks(g.clock.Now())); now != refused {
+		klog.InfoS("Requests that are refused changed", "refused", now, "refusedBefore", refused, "recorded", len(blocks))
+	}
 }
 
 // unrecordedBlocks returns the record of the requests that are refused, and whether the store
