--- a/io/hostlink/golden_test.go
+++ b/io/hostlink/golden_test.go
@@ -11,8 +11,11 @@
 
 	"pineturn/core/owner"
 	"pineturn/core/peers"
+	"pineturn/core/placement"
+	"pineturn/core/poison"
 	"pineturn/core/ratelimit"
 	"pineturn/io/metastore"
+	"pineturn/platform"
 )
 
 // landedBuild is the messages that hosts of a landed build send. Their bytes, as that build
@@ -48,7 +51,14 @@
 	limit := ratelimit.Limit{Named: true, PerSecond: 2.8}
 	fourth.feed.Limits = []ratelimit.Share{{Target: "t1", Limit: limit, Age: time.Second, Dealt: true, PerSecond: 0.7, Burst: 1}}
 	fourth.report.Limits = []ratelimit.Observation{{Target: "t1", Limit: limit, Age: time.Second, Demand: 3, Held: 0.7}}
-	return []landedBuild{first, second, third, fourth}
+	fifth := fourth
+	fifth.commit = "5e61baf"
+	fifth.feed.LimitsContinue = true
+	fifth.feed.Departures = []placement.Departure{{Target: "t2", Born: 9}}
+	fifth.feed.Updates = []metastore.Update{{Topic: "topic", From: 2, Next: 3, Era: 1, Packed: []byte("packed"), Base: 1}}
+	fifth.report.FollowsLimits, fifth.report.Unpacks = true, true
+	fifth.report.Departures = []placement.Departure{{Target: "t2", Born: 9}}
+	return []landedBuild{first, second, third, fourth, fifth}
 }
 
 // assertGolden checks that the bytes of a landed build are decoded as want.
@@ -116,3 +126,45 @@
 		t.Errorf("encode %+v: got error %v, want none", message, err)
 	}
 }
+
+// TestMessagesForLandedBuilds guards against new fields that hosts of an older build can't skip.
+func TestMessagesForLandedBuilds(t *testing.T) {
+	type oldHello struct {
+		Incarnation string `cbor:"1,keyasint"`
+		Epoch       int64  `cbor:"3,keyasint,omitempty"`
+	}
+	type oldUpdate struct {
+		Topic string `cbor:"1,keyasint"`
+		Next  int64  `cbor:"3,keyasint"`
+	}
+	type oldReport struct {
+		SentAt time.Duration `cbor:"3,keyasint,omitempty"`
+	}
+	for _, x := range []struct {
+		name            string
+		sent, got, want any
+	}{
+		{
+			name: "hello with owners", sent: hello{Incarnation: "p1", Epoch: 7, Owners: &platform.Record{Key: platform.KeyOwners, Value: []byte("owners")}},
+			got: &oldHello{}, want: &oldHello{Incarnation: "p1", Epoch: 7},
+		},
+		{
+			name: "complete update", sent: metastore.Update{Topic: "topic", Next: 3, Complete: true}, got: &oldUpdate{}, want: &oldUpdate{Topic: "topic", Next: 3},
+		},
+		{
+			name: "report of what is lacking, and of requests that end targets",
+			sent: reportMessage{SentAt: time.Second, Lacks: []string{"topic"}, Poison: []poison.Event{{Request: "r1", Target: poison.Target{ID: "t1"}}}},
+			got:  &oldReport{}, want: &oldReport{SentAt: time.Second},
+		},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			data, err := cbor.Marshal(x.sent)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := cbor.Unmarshal(data, x.got); err != nil || !reflect.DeepEqual(x.got, x.want) {
+				t.Errorf("message at an older build: got %+v, error %v, want %+v", x.got, err, x.want)
+			}
+		})
+	}
+}
