Split the tracker of requests that end targets, and one word for them

Files of package poison by what they hold: sends, events, responses, blocks. The files and names of the proxy and of the tests of the gateway use the package's word. No change of behaviour.

--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -7,19 +7,8 @@
 	"time"
 )
 
-const (
-	// responseMemory is how long a response to a request is remembered. A target that ended
-	// under the request meanwhile has another reason.
-	responseMemory = time.Minute
-	// maxResponses bounds the requests of which a response is remembered.
-	maxResponses = 4096
-	// lostMemory is how long after a lost response its target may be found to have ended.
-	lostMemory = time.Second
-	// maxEvents events are kept for other hosts, and up to twice as many at times;
-	// maxEventsPerReport bounds those that one report carries.
-	maxEvents          = 4096
-	maxEventsPerReport = 256
-)
+// lostMemory is how long after a lost response its target may be found to have ended.
+const lostMemory = time.Second
 
 // Send is a request that was sent to a target.
 type Send struct {
@@ -36,18 +25,6 @@
 	lostAt time.Time
 }
 
-// response is the last response of a target to a request.
-type response struct {
-	version string
-	at      time.Time
-}
-
-// ownEvent is an event that this host has observed.
-type ownEvent struct {
-	Event
-	sentAt, endedAt time.Time
-}
-
 // activeBlock is a block and the time of its last sign.
 type activeBlock struct {
 	Block
@@ -82,8 +59,10 @@
 	responses map[Fingerprint]response
 	// responseOrder holds the keys of responses by age, the oldest first.
 	responseOrder []Fingerprint
-	lost          map[Target][]lostSend
-	events        []ownEvent
+	// lost holds the sends whose target may have ended.
+	lost map[Target][]lostSend
+	// events holds what this host has observed, the oldest first.
+	events []ownEvent
 	// dropped is the number of events that are not kept any more.
 	dropped  int
 	detector *detector
@@ -98,14 +77,14 @@
 	// recorded yet, lifted the requests to which a target has responded since.
 	recorded map[Fingerprint]activeBlock
 	found    map[Fingerprint]activeBlock
-	lifted   map[Fingerprint]time.Time
+	lifted   map[Fingerprint]bool
 }
 
 // NewTracker returns a tracker that knows of no request.
 func NewTracker() *Tracker {
 	return &Tracker{
 		HandleBlock: func(Block) {}, responses: make(map[Fingerprint]response), lost: make(map[Target][]lostSend), detector: newDetector(),
-		recorded: make(map[Fingerprint]activeBlock), found: make(map[Fingerprint]activeBlock), lifted: make(map[Fingerprint]time.Time),
+		recorded: make(map[Fingerprint]activeBlock), found: make(map[Fingerprint]activeBlock), lifted: make(map[Fingerprint]bool),
 	}
 }
 
@@ -159,38 +138,6 @@
 	return ended
 }
 
-// responded reports whether a target of a version has responded to a request after some time, or
-// shortly before. The caller holds mu.
-func (t *Tracker) responded(f Fingerprint, version string, at time.Time) bool {
-	r, ok := t.responses[f]
-	return ok && r.version == version && at.Sub(r.at) <= responseMemory
-}
-
-// Responded records that a target of a version has responded to a request, which it has run.
-func (t *Tracker) Responded(f Fingerprint, version string, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.remember(f, response{version: version, at: now})
-	t.contest(f, now)
-}
-
-// remember remembers the last response to a request. The caller holds mu.
-func (t *Tracker) remember(f Fingerprint, r response) {
-	known, ok := t.responses[f]
-	if ok && known.at.After(r.at) {
-		return
-	}
-	t.responses[f] = r
-	if ok {
-		return
-	}
-	t.responseOrder = append(t.responseOrder, f)
-	if len(t.responseOrder) > maxResponses {
-		delete(t.responses, t.responseOrder[0])
-		t.responseOrder = t.responseOrder[1:]
-	}
-}
-
 // contest lifts the block of a request, and forgets it as a suspect, if a target of a version
 // that it covers has responded. The caller holds mu.
 func (t *Tracker) contest(f Fingerprint, now time.Time) {
@@ -215,7 +162,7 @@
 func (t *Tracker) lift(f Fingerprint, now time.Time) {
 	t.clear(f, now)
 	if _, ok := t.recorded[f]; ok {
-		t.lifted[f], t.changed = now, true
+		t.lifted[f], t.changed = true, true
 	}
 }
 
@@ -280,88 +227,6 @@
 	return oldest.Fingerprint
 }
 
-// AddEvents records what another host has observed.
-func (t *Tracker) AddEvents(events []Event, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, e := range events {
-		endedAt := now.Add(-e.EndAge)
-		switch {
-		case e.Responded:
-			t.remember(e.Fingerprint, response{version: e.Target.Version, at: endedAt})
-			if block, ok := t.block(e.Fingerprint, now); !ok || t.respondedToBlock(block, now) {
-				t.lift(e.Fingerprint, now)
-			}
-		case !t.responded(e.Fingerprint, e.Target.Version, endedAt):
-			t.addEnd(e.Fingerprint, end{target: e.Target, request: e.Request, sentAt: now.Add(-e.SentAge), endedAt: endedAt}, now)
-		}
-	}
-}
-
-// report adds an event for other hosts. The caller holds mu.
-func (t *Tracker) report(e ownEvent) {
-	t.events = append(t.events, e)
-	if excess := len(t.events) - maxEvents; excess >= maxEvents {
-		t.events = slices.Clone(t.events[excess:])
-		t.dropped += excess
-	}
-}
-
-// Events returns what this host has observed after the first n events, and the number of the
-// events up to the last one returned.
-func (t *Tracker) Events(n int, now time.Time) (events []Event, count int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	from := max(n-t.dropped, 0)
-	to := min(len(t.events), from+maxEventsPerReport)
-	for _, e := range t.events[min(from, to):to] {
-		e.SentAge, e.EndAge = now.Sub(e.sentAt), now.Sub(e.endedAt)
-		if e.EndAge <= suspectRetention {
-			events = append(events, e.Event)
-		}
-	}
-	return events, t.dropped + to
-}
-
-// Find returns the block of a request, if it is refused.
-func (t *Tracker) Find(f Fingerprint, now time.Time) (Block, bool) {
-	if !t.anyBlock.Load() {
-		return Block{}, false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.block(f, now)
-}
-
-// block returns the block of a request that is refused. The caller holds mu.
-func (t *Tracker) block(f Fingerprint, now time.Time) (Block, bool) {
-	if t.role == Follower {
-		return t.recordedBlock(f, now)
-	}
-	return t.knownBlock(f, now)
-}
-
-// knownBlock returns the block of a request that was found here or is recorded. The caller holds
-// mu.
-func (t *Tracker) knownBlock(f Fingerprint, now time.Time) (Block, bool) {
-	if b, ok := t.found[f]; ok && now.Sub(b.since) <= blockRetention {
-		return b.Block, true
-	}
-	return t.recordedBlock(f, now)
-}
-
-// recordedBlock returns the block of a request that is recorded. The caller holds mu.
-func (t *Tracker) recordedBlock(f Fingerprint, now time.Time) (Block, bool) {
-	if _, ok := t.lifted[f]; ok {
-		return Block{}, false
-	}
-	b, ok := t.recorded[f]
-	if !ok || b.Suspect || now.Sub(b.since) > blockRetention {
-		return Block{}, false
-	}
-	return b.Block, true
-}
-
 // SetRole sets the role of this host among the hosts.
 func (t *Tracker) SetRole(role Role, now time.Time) {
 	t.mu.Lock()
@@ -374,32 +239,3 @@
 	}
 	t.role = role
 }
-
-// AnyBlock reports whether any request may be refused.
-func (t *Tracker) AnyBlock() bool { return t.anyBlock.Load() }
-
-// Blocks returns the requests that are refused, by fingerprint.
-func (t *Tracker) Blocks(now time.Time) []Block {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.blocks(now)
-}
-
-func (t *Tracker) blocks(now time.Time) []Block {
-	var all []Block
-	for f := range t.recorded {
-		if b, ok := t.block(f, now); ok {
-			all = append(all, b)
-		}
-	}
-	for f := range t.found {
-		if _, ok := t.recorded[f]; ok {
-			continue
-		}
-		if b, ok := t.block(f, now); ok {
-			all = append(all, b)
-		}
-	}
-	slices.SortFunc(all, compareBlocks)
-	return all[:min(len(all), maxBlocks)]
-}
--- a/io/gateway/cluster_test.go
+++ b/io/gateway/cluster_test.go
@@ -46,8 +46,8 @@
 	callerTimeout time.Duration
 	// slots is the number of requests that a target runs at once.
 	slots int
-	// ends holds the ends of targets by requests whose paths contain fatalPath.
-	ends []fatalSend
+	// ends holds the ends of targets by requests whose paths contain poisonPath.
+	ends []poisonSend
 	// nextReadRefused holds the IP addresses of hosts whose next read the store refuses.
 	nextReadRefused map[string]bool
 	// mended is set once no request ends targets any more.
@@ -154,7 +154,7 @@
 		ID: id, Service: service, Address: l.Addr().String(), Domain: domain, Slots: c.slots, Queue: 8,
 		ServiceTime: 5 * time.Millisecond, Keyed: service == keyedService, Version: c.version,
 	}, c.audit)
-	x.server = &http.Server{Handler: c.endOnFatalPath(x)}
+	x.server = &http.Server{Handler: c.endOnPoison(x)}
 	go func() { _ = x.server.Serve(l) }()
 	c.store.PutTarget(id, x.Entry(1, false))
 	c.mu.Lock()
--- a/io/gateway/fatal_test.go
+++ b/io/gateway/poison_test.go
@@ -10,47 +10,47 @@
 )
 
 const (
-	// fatalPath is a part of the paths of requests that end each target that begins to run
+	// poisonPath is a part of the paths of requests that end each target that begins to run
 	// them.
-	fatalPath = "fatal"
+	poisonPath = "poison"
 	// endsToKnow is the number of ended targets after which a request is known to end them,
 	// and knownBound the time after which no host sends it any more.
 	endsToKnow = 3
 	knownBound = 3 * time.Second
-	// fatalInterval is the time between two of these requests.
-	fatalInterval = 400 * time.Millisecond
-	// fatalTargets is the number of targets of a service in these tests.
-	fatalTargets = 14
+	// poisonInterval is the time between two of these requests.
+	poisonInterval = 400 * time.Millisecond
+	// poisonTargets is the number of targets of a service in these tests.
+	poisonTargets = 14
 )
 
-// fatalSend is a request that has ended a target.
-type fatalSend struct {
+// poisonSend is a request that has ended a target.
+type poisonSend struct {
 	target, path string
 	at           time.Time
 }
 
-// endOnFatalPath wraps the handler of a target, which ends without a response when it begins to
-// run a request with fatalPath.
-func (c *testCluster) endOnFatalPath(x *target) http.Handler {
+// endOnPoison wraps the handler of a target, which ends without a response when it begins to
+// run a request with poisonPath.
+func (c *testCluster) endOnPoison(x *target) http.Handler {
 	handler := x.Handler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !strings.Contains(r.URL.Path, fatalPath) || c.mended.Load() {
+		if !strings.Contains(r.URL.Path, poisonPath) || c.mended.Load() {
 			handler.ServeHTTP(w, r)
 			return
 		}
 		c.mu.Lock()
-		c.ends = append(c.ends, fatalSend{target: x.id, path: r.URL.Path, at: time.Now()})
+		c.ends = append(c.ends, poisonSend{target: x.id, path: r.URL.Path, at: time.Now()})
 		c.mu.Unlock()
 		x.end()
 		panic(http.ErrAbortHandler)
 	})
 }
 
-// fatalEnds returns the ends of targets by requests with a path.
-func (c *testCluster) fatalEnds(path string) []fatalSend {
+// poisonEnds returns the ends of targets by requests with a path.
+func (c *testCluster) poisonEnds(path string) []poisonSend {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var ends []fatalSend
+	var ends []poisonSend
 	for _, e := range c.ends {
 		if e.path == path {
 			ends = append(ends, e)
@@ -59,11 +59,11 @@
 	return ends
 }
 
-// newFatalCluster returns a cluster with many targets of the services without keys.
-func newFatalCluster(t *testing.T) *pathCluster {
+// newPoisonCluster returns a cluster with many targets of the services without keys.
+func newPoisonCluster(t *testing.T) *pathCluster {
 	t.Helper()
 	c := newPathCluster(t)
-	for i := range fatalTargets {
+	for i := range poisonTargets {
 		c.addTarget(fmt.Sprint(plainService, i), plainService)
 		c.addTarget(fmt.Sprint(orderService, i), orderService)
 	}
@@ -71,12 +71,12 @@
 	return c
 }
 
-// sendFatal sends a request to the hosts in turn for a time, and returns the responses.
-func (c *pathCluster) sendFatal(t *testing.T, method, path string, d time.Duration) []response {
+// sendPoison sends a request to the hosts in turn for a time, and returns the responses.
+func (c *pathCluster) sendPoison(t *testing.T, method, path string, d time.Duration) []response {
 	t.Helper()
 	client := newClient(t)
 	var responses []response
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(fatalInterval) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(poisonInterval) {
 		responses = append(responses, c.call(client, c.hosts[len(responses)%len(c.hosts)], method, path, -1, "order"))
 	}
 	return responses
@@ -86,7 +86,7 @@
 // it had ended endsToKnow.
 func (c *testCluster) wantFewEnds(t *testing.T, path string) {
 	t.Helper()
-	ends := c.fatalEnds(path)
+	ends := c.poisonEnds(path)
 	if len(ends) < endsToKnow {
 		t.Fatalf("targets that ended: got %d, want at least %d", len(ends), endsToKnow)
 	}
@@ -103,12 +103,12 @@
 // that hosts go on sending to one target after the other.
 func TestRequestThatEndsTargets(t *testing.T) {
 	for _, x := range []struct{ name, method, path string }{
-		{name: "idempotent", method: "GET", path: "/cover/" + fatalPath}, {name: "not idempotent", method: "POST", path: "/payout/" + fatalPath},
+		{name: "idempotent", method: "GET", path: "/cover/" + poisonPath}, {name: "not idempotent", method: "POST", path: "/payout/" + poisonPath},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
-			c := newFatalCluster(t)
-			responses := c.sendFatal(t, x.method, x.path, knownBound+4*time.Second)
+			c := newPoisonCluster(t)
+			responses := c.sendPoison(t, x.method, x.path, knownBound+4*time.Second)
 			c.wantFewEnds(t, x.path)
 			wantStatus(t, responses[len(responses)-1], http.StatusServiceUnavailable)
 			t.Run("others are served", func(t *testing.T) {
@@ -119,9 +119,9 @@
 			})
 			t.Run("a host that starts then refuses it", func(t *testing.T) {
 				h := c.addHost("host-late")
-				before := len(c.fatalEnds(x.path))
+				before := len(c.poisonEnds(x.path))
 				wantStatus(t, c.call(newClient(t), h, x.method, x.path, -1, "order"), http.StatusServiceUnavailable)
-				if got := len(c.fatalEnds(x.path)); got != before {
+				if got := len(c.poisonEnds(x.path)); got != before {
 					t.Errorf("targets that ended after the host had started: got %d, want %d", got, before)
 				}
 			})
@@ -151,14 +151,14 @@
 // because each leader forgets what the one before it knew.
 func TestRequestThatEndsTargetsWithLeaders(t *testing.T) {
 	t.Parallel()
-	c := newFatalCluster(t)
-	const path = "/payout/" + fatalPath
-	c.sendFatal(t, "POST", path, fatalInterval)
+	c := newPoisonCluster(t)
+	const path = "/payout/" + poisonPath
+	c.sendPoison(t, "POST", path, poisonInterval)
 	leader, _ := c.leaderAndNext()
 	leader.stop()
 	leader.done <- <-leader.done
 	c.hosts = slices.DeleteFunc(c.hosts, func(h *host) bool { return h == leader })
 	c.awaitOtherLeader(t, leader)
-	c.sendFatal(t, "POST", path, knownBound+3*time.Second)
+	c.sendPoison(t, "POST", path, knownBound+3*time.Second)
 	c.wantFewEnds(t, path)
 }
--- a/io/proxy/fatal.go
+++ b/io/proxy/poison.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// fatalRetryAfter is the time after which the caller of a request that ends targets may
+	// poisonRetryAfter is the time after which the caller of a request that ends targets may
 	// retry: it is refused until the software of its targets has changed.
-	fatalRetryAfter = time.Minute
+	poisonRetryAfter = time.Minute
 	// endProbePause is the time after a probe that found a target alive in which lost responses
 	// cause no further one. Targets may reset connections while they are full.
 	endProbePause = 500 * time.Millisecond
@@ -68,8 +68,8 @@
 	return ok && block.Covers(entry.Version)
 }
 
-// refuseFatal refuses a request that ends targets.
-func (q *request) refuseFatal() error { return q.refuseFor(reasonEndsTargets, fatalRetryAfter, nil) }
+// refusePoison refuses a request that ends targets.
+func (q *request) refusePoison() error { return q.refuseFor(reasonEndsTargets, poisonRetryAfter, nil) }
 
 // poisonTarget returns an entry as package poison knows it.
 func poisonTarget(e placement.Entry) poison.Target {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -119,9 +119,9 @@
 
 // New returns a proxy, which relays requests to the hosts of others while it has no path
 // to their targets. It reports the results of connections through pool.
-func New(catalog Catalog, targets *placement.Set, b *budget.Budget, fatal *poison.Tracker, pool *Pool, others *peers.Table, clk clock.Clock) *Proxy {
+func New(catalog Catalog, targets *placement.Set, b *budget.Budget, tracker *poison.Tracker, pool *Pool, others *peers.Table, clk clock.Clock) *Proxy {
 	p := &Proxy{
-		catalog: catalog, targets: targets, budget: b, poison: fatal, pool: pool, clock: clk, loads: owner.NewLoads(clk.Now()),
+		catalog: catalog, targets: targets, budget: b, poison: tracker, pool: pool, clock: clk, loads: owner.NewLoads(clk.Now()),
 		reach: reach.New(), peers: others, peerTransport: newPeerTransport(), done: make(chan struct{}), HandleRecord: func(RequestRecord) {},
 	}
 	pool.HandleDial = p.recordDial
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -59,7 +59,7 @@
 func (p *Proxy) sendOnce(ctx context.Context, q *request) (sendResult, error) {
 	block, blocked := p.blockOf(q)
 	if blocked && !p.excludeBlocked(q, block) {
-		return sendResult{}, q.refuseFatal()
+		return sendResult{}, q.refusePoison()
 	}
 	if host, ok := p.peer(q); ok {
 		if !p.renewRetry(q) {
@@ -75,7 +75,7 @@
 		return sendResult{}, err
 	}
 	if blocked && owner != "" && p.covers(block, owner) {
-		return sendResult{}, q.refuseFatal()
+		return sendResult{}, q.refusePoison()
 	}
 	choice, err := p.chooseTarget(ctx, q, owner)
 	if err != nil {
