Read the load header of targets field by field

Cause: the header counted as missing unless it had exactly three fields. Targets that say in a fourth one how long work takes on their machine were thus without any report, and hosts knew nothing of their load. Change: each field is read on its own; one that is new, missing or malformed costs only itself. Requests count only if both running and waiting are known.

--- a/core/placement/result.go
+++ b/core/placement/result.go
@@ -34,10 +34,13 @@
 	NotSent
 )
 
-// Report is the load that a target reports with a response: its numbers of
-// running and waiting requests.
+// Report is the load that a target reports with a response.
 type Report struct {
+	// Running and Waiting are its numbers of running and waiting requests.
 	Running, Waiting int
+	// Slowdown is how many times as long as usual work takes on the target's machine now, 0
+	// if unknown.
+	Slowdown float64
 }
 
 // others returns the number of requests that the target still has after the response: a
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -289,12 +289,12 @@
 	choice.End(placementResult(ctx, s), report, p.clock.Now())
 }
 
-// loadReport converts a target's load report, nil if it sent none.
+// loadReport converts a target's load report, nil if it sent none that counts its requests.
 func loadReport(load *platform.Load) *placement.Report {
-	if load == nil {
+	if load == nil || !load.Counted {
 		return nil
 	}
-	return &placement.Report{Running: load.Running, Waiting: load.Waiting}
+	return &placement.Report{Running: load.Running, Waiting: load.Waiting, Slowdown: load.Slowdown}
 }
 
 func placementResult(ctx context.Context, s sendResult) placement.Result {
