Clear a suspected request only of the ends of targets whose version responded

Cause: any response to a request that was only under suspicion cleared it, whatever the version of the target. While two versions of a service ran side by side, and one ended under the request, the responses of the other kept it from ever being refused (TestResponsesOfOtherVersions, listed as known to be red). Only the last response to a request was remembered, whichever version it was from. Change: responses are remembered by request and version; a response takes away the ends of targets of its version only. A request that is refused is lifted as before. Messages between hosts stay as they are: an older build clears the whole request.

--- a/core/poison/detector.go
+++ b/core/poison/detector.go
@@ -172,6 +172,17 @@
 	}
 }
 
+// clearVersion forgets the ends of targets of a version under a request, and reports whether
+// others are left.
+func (d *detector) clearVersion(f Fingerprint, version string) bool {
+	s := d.suspects[f]
+	if s == nil {
+		return false
+	}
+	s.ends = slices.DeleteFunc(s.ends, func(e end) bool { return e.target.Version == version })
+	return len(s.ends) > 0
+}
+
 // makeRoom forgets what is old if there is too much, and then the oldest request if there are
 // still too many.
 func (d *detector) makeRoom(now time.Time) {
--- a/core/poison/events.go
+++ b/core/poison/events.go
@@ -26,16 +26,25 @@
 		endedAt := now.Add(-e.EndAge)
 		switch {
 		case e.Responded:
-			t.remember(e.Fingerprint, response{version: e.Target.Version, at: endedAt})
-			if block, ok := t.block(e.Fingerprint, now); !ok || t.respondedToBlock(block, now) {
-				t.lift(e.Fingerprint, now)
-			}
+			t.addResponse(responder{e.Fingerprint, e.Target.Version}, endedAt, now)
 		case !t.responded(e.Fingerprint, e.Target.Version, endedAt):
 			t.addEnd(e.Fingerprint, end{target: e.Target, request: e.Request, sentAt: now.Add(-e.SentAge), endedAt: endedAt}, now)
 		}
 	}
 }
 
+// addResponse records a response to another host. The caller holds mu.
+func (t *Tracker) addResponse(r responder, at, now time.Time) {
+	t.remember(r, at)
+	block, refused := t.block(r.request, now)
+	switch {
+	case !refused:
+		t.clearVersion(r, now)
+	case t.respondedToBlock(block, now):
+		t.lift(r.request, now)
+	}
+}
+
 // report adds an event for other hosts. The caller holds mu.
 func (t *Tracker) report(e ownEvent) {
 	t.events = append(t.events, e)
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 )
@@ -312,9 +311,6 @@
 // TestResponsesOfOtherVersions guards against a request that goes on ending targets of one version
 // because targets of another version respond to it meanwhile.
 func TestResponsesOfOtherVersions(t *testing.T) {
-	if os.Getenv("PINETURN_RUN_RED") == "" {
-		t.Skip("listed in KNOWN-RED.txt")
-	}
 	x := newLeader()
 	for i := range endsToBlock {
 		now := start.Add(time.Duration(i) * time.Second)
--- a/core/poison/recorded.go
+++ b/core/poison/recorded.go
@@ -42,7 +42,11 @@
 			t.detector.merge(b.Block, now)
 			t.judge(f, now)
 		}
-		t.contest(f, now)
+		for _, version := range b.Versions {
+			if r := (responder{f, version}); t.responded(f, version, now) {
+				t.contest(r, now)
+			}
+		}
 	}
 }
 
--- a/core/poison/responses.go
+++ b/core/poison/responses.go
@@ -10,38 +10,39 @@
 	maxResponses = 4096
 )
 
-// response is the last response of a target to a request.
-type response struct {
+// responder is a request with the version of targets that respond to it.
+type responder struct {
+	request Fingerprint
 	version string
-	at      time.Time
 }
 
 // responded reports whether a target of a version has responded to a request after some time, or
 // shortly before. The caller holds mu.
 func (t *Tracker) responded(f Fingerprint, version string, at time.Time) bool {
-	r, ok := t.responses[f]
-	return ok && r.version == version && at.Sub(r.at) <= responseMemory
+	last, ok := t.responses[responder{f, version}]
+	return ok && at.Sub(last) <= responseMemory
 }
 
 // Responded records that a target of a version has responded to a request, which it has run.
 func (t *Tracker) Responded(f Fingerprint, version string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.remember(f, response{version: version, at: now})
-	t.contest(f, now)
+	r := responder{f, version}
+	t.remember(r, now)
+	t.contest(r, now)
 }
 
-// remember remembers the last response to a request. The caller holds mu.
-func (t *Tracker) remember(f Fingerprint, r response) {
-	known, ok := t.responses[f]
-	if ok && known.at.After(r.at) {
+// remember remembers the last response of a version to a request. The caller holds mu.
+func (t *Tracker) remember(r responder, at time.Time) {
+	last, ok := t.responses[r]
+	if ok && last.After(at) {
 		return
 	}
-	t.responses[f] = r
+	t.responses[r] = at
 	if ok {
 		return
 	}
-	t.responseOrder = append(t.responseOrder, f)
+	t.responseOrder = append(t.responseOrder, r)
 	if len(t.responseOrder) > maxResponses {
 		delete(t.responses, t.responseOrder[0])
 		t.responseOrder = t.responseOrder[1:]
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -55,10 +55,11 @@
 	// anyBlock is set while there is a block, so that others need no lock.
 	anyBlock atomic.Bool
 
-	mu        sync.Mutex
-	responses map[Fingerprint]response
+	mu sync.Mutex
+	// responses holds the times of the last responses.
+	responses map[responder]time.Time
 	// responseOrder holds the keys of responses by age, the oldest first.
-	responseOrder []Fingerprint
+	responseOrder []responder
 	// lost holds the sends whose target may have ended.
 	lost map[Target][]lostSend
 	// events holds what this host has observed, the oldest first.
@@ -83,7 +84,7 @@
 // NewTracker returns a tracker that knows of no request.
 func NewTracker() *Tracker {
 	return &Tracker{
-		HandleBlock: func(Block) {}, responses: make(map[Fingerprint]response), lost: make(map[Target][]lostSend), detector: newDetector(),
+		HandleBlock: func(Block) {}, responses: make(map[responder]time.Time), lost: make(map[Target][]lostSend), detector: newDetector(),
 		recorded: make(map[Fingerprint]activeBlock), found: make(map[Fingerprint]activeBlock), lifted: make(map[Fingerprint]bool),
 	}
 }
@@ -138,20 +139,39 @@
 	return ended
 }
 
-// contest lifts the block of a request, and forgets it as a suspect, if a target of a version
-// that it covers has responded. The caller holds mu.
-func (t *Tracker) contest(f Fingerprint, now time.Time) {
-	block, blocked := t.block(f, now)
-	if recorded, ok := t.recorded[f]; ok && recorded.Suspect && !blocked {
-		block, blocked = recorded.Block, true
+// contest lifts the block of a request that is refused, if a target of a version that it covers
+// has responded. A request that is under suspicion is cleared of the ends of that version. The
+// caller holds mu.
+func (t *Tracker) contest(r responder, now time.Time) {
+	block, refused := t.block(r.request, now)
+	recorded, known := t.recorded[r.request]
+	switch {
+	case refused:
+		if !t.respondedToBlock(block, now) {
+			return
+		}
+		t.reportResponse(r)
+		t.lift(r.request, now)
+	case known && recorded.Suspect && recorded.Covers(r.version) || t.detector.suspects[r.request] != nil:
+		t.reportResponse(r)
+		t.clearVersion(r, now)
 	}
-	suspected := t.detector.suspects[f] != nil
-	if blocked && !t.respondedToBlock(block, now) || !blocked && !suspected {
+}
+
+// reportResponse tells other hosts of the last response of a version. The caller holds mu.
+func (t *Tracker) reportResponse(r responder) {
+	at := t.responses[r]
+	t.report(ownEvent{Event: Event{Fingerprint: r.request, Responded: true, Target: Target{Version: r.version}}, sentAt: at, endedAt: at})
+}
+
+// clearVersion clears a request of the ends of targets of a version that has responded to it.
+// The caller holds mu.
+func (t *Tracker) clearVersion(r responder, now time.Time) {
+	if t.detector.clearVersion(r.request, r.version) {
+		t.changed = true
 		return
 	}
-	r := t.responses[f]
-	t.report(ownEvent{Event: Event{Fingerprint: f, Responded: true, Target: Target{Version: r.version}}, sentAt: r.at, endedAt: r.at})
-	t.lift(f, now)
+	t.lift(r.request, now)
 }
 
 func (t *Tracker) respondedToBlock(block Block, now time.Time) bool {
