Drain failure domains on the operator's request

Cause: a request to drain a failure domain was a key of the operator's topic that nothing read. Targets there went on getting all kinds of requests and kept their keys. Each host keeps the drained domains with the configuration, by offset and era; only a record without a value, or a complete list that ends after the request, ends one. Targets there get nothing, but for requests for keys that they own, until .75 of the bound after the last proof that the request was not there. What has no other target is refused at once with Retry-After. The leader counts such targets as draining; of many ranges that move at once, the busiest ones now move first. Updates are read within half of the bound on drains where one is set. State, metrics (drained_domains) and pinectl platform state show the domains. Tests of core/owner, core/placement, io/metastore, and io/gateway (72.9 s for TestDrainedDomain and TestAllDomainsDrained) pass.

--- a/core/dump/dump.go
+++ b/core/dump/dump.go
@@ -38,10 +38,25 @@
 	Requests map[string]int `json:"requests_in_flight"`
 	// Blocked lists the requests that are refused because they end targets.
 	Blocked []poison.Block `json:"blocked_requests"`
+	// DrainedDomains lists the failure domains that the operator drains.
+	DrainedDomains []DrainedDomain `json:"drained_domains,omitempty"`
 	// Peers lists the other hosts that the host knows.
 	Peers []peers.Host `json:"peers"`
 }
 
+// DrainedDomain is a failure domain that the operator drains.
+type DrainedDomain struct {
+	Domain string `json:"domain"`
+	// SinceS is the time in seconds since the host learned of the request, Offset and Era are
+	// those of the request's newest record in the store.
+	SinceS float64 `json:"since_s"`
+	Offset int64   `json:"offset"`
+	Era    int64   `json:"era,omitempty"`
+	// OwnersForS is the time in seconds for which the host still sends requests to the owners
+	// of keys in the domain, 0 if it sends none.
+	OwnersForS float64 `json:"owners_for_s"`
+}
+
 // Range is a range of keys with its owner.
 type Range struct {
 	// First is the first key of the range.
--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -41,7 +42,7 @@
 		return
 	}
 	util := l.utilization(service, assignable, loads)
-	for _, r := range slices.Clone(l.services[service]) {
+	for _, r := range l.byLoad(service, loads) {
 		l.reassign(service, r, targets, assignable, util, loads, now)
 	}
 	if l.noNewPredecessorLeases(now) {
@@ -49,6 +50,18 @@
 	}
 }
 
+// byLoad returns the ranges of a service, those with the most load first. Many may move at once,
+// and the targets with the most room are to get the busiest ones.
+func (l *Leader) byLoad(service string, loads *Loads) []*rangeState {
+	ranges := slices.Clone(l.services[service])
+	load := make(map[*rangeState]float64, len(ranges))
+	for _, r := range ranges {
+		load[r] = loads.RangeLoad(service, r.first, r.last)
+	}
+	slices.SortStableFunc(ranges, func(a, b *rangeState) int { return cmp.Compare(load[b], load[a]) })
+	return ranges
+}
+
 // fullyAssigned reports whether each assignable target owns a range and all
 // ranges are owned by assignable targets.
 func (l *Leader) fullyAssigned(service string, assignable []Target) bool {
--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -44,6 +44,9 @@
 	// Resting means that all targets that would take the request have asked this host for
 	// no requests for some time.
 	Resting
+	// Drained means that all targets that would take the request are in failure domains that
+	// are drained.
+	Drained
 )
 
 // Choice is a target selected for one request, which counts as in flight there
@@ -99,9 +102,10 @@
 	limit := maxDepth(criteria, svc.yields(criteria.Rank, now))
 	var best, limited candidate
 	var rest restState
+	drain := drainState{domains: s.drained}
 	status := NoTarget
 	for _, t := range svc.targets {
-		if !t.serves(criteria, now) || rest.add(t, now) || !t.isAvailable(criteria, now) {
+		if !t.serves(criteria, now) || drain.add(t, criteria, now) || rest.add(t, now) || !t.isAvailable(criteria, now) {
 			continue
 		}
 		c := s.estimate(svc, t, now, mean)
@@ -122,6 +126,9 @@
 		if status = recordRefused(svc, criteria, status, limited, now); status == NoTarget && rest.decides() {
 			status = Resting
 		}
+		if status == NoTarget && drain.decides() {
+			status = Drained
+		}
 		return nil, status
 	}
 	t := best.choice.target
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -27,6 +27,8 @@
 	// which targets have asked for no requests.
 	departures departures
 	rests      rests
+	// drained holds the failure domains that are drained.
+	drained drainedDomains
 	// Hosts returns the number of hosts that share the limits of targets. It is set
 	// before use.
 	Hosts func() int
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -181,7 +181,7 @@
 		c.entries[removed.ID] = removed.Entry
 	}
 	for _, e := range c.targets.Entries("") {
-		target := ownerTarget(e, e.Draining)
+		target := ownerTarget(e, e.Draining || c.targets.DrainsDomain(e.Domain))
 		target.WarmingUp = c.targets.WarmingUp(e.ID, c.clock.Now())
 		target.Limit = c.targets.Limit(e.ID)
 		targets[e.ID] = target
@@ -190,7 +190,8 @@
 	return targets
 }
 
-// ownerTarget converts an entry. A target that was removed counts as draining.
+// ownerTarget converts an entry. A target that was removed, or whose failure domain is drained,
+// counts as draining.
 func ownerTarget(e placement.Entry, draining bool) owner.Target {
 	return owner.Target{
 		Incarnation: owner.Incarnation{Target: e.ID, Born: e.Born}, Service: e.Service, Slots: e.Slots, Draining: draining,
--- a/io/gateway/create.go
+++ b/io/gateway/create.go
@@ -56,6 +56,7 @@
 	g.catalog.SetReadTimes(g.ownerReadWait, g.readWait, g.batchDelay)
 	g.catalog.SetDefers(func() bool { return !g.coordinator.Leading() })
 	g.catalog.SetRelayAge(relayAge(g.settings.UpdateBound))
+	g.catalog.SetDomainDrainBound(g.settings.DomainDrainBound)
 }
 
 // connectLinks creates the server of links from other hosts, whose leader this host may be.
--- /dev/null
+++ b/io/gateway/domain_test.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"pineturn/io/standin/platformstore"
+)
+
+const (
+	// domainBound is the bound on drains of failure domains in these tests, domainMoved the time
+	// from the request within which all keys have moved.
+	domainBound = 3 * time.Second
+	domainMoved = 2500 * time.Millisecond
+	// domainDuration is how long a domain is drained.
+	domainDuration = 5 * time.Second
+)
+
+// domainCluster is a cluster with targets of each service in two failure domains, of which b can
+// be drained.
+type domainCluster struct {
+	*testCluster
+	// drainable are the targets in domain b.
+	drainable []*target
+	hosts     []*host
+}
+
+func newDomainCluster(t *testing.T) *domainCluster {
+	t.Helper()
+	c := &domainCluster{testCluster: newTestCluster(t)}
+	for _, kind := range requestKinds {
+		for i := range 2 {
+			c.addTargetIn("a", fmt.Sprint(kind.service, "-a", i), kind.service)
+			c.drainable = append(c.drainable, c.addTargetIn("b", fmt.Sprint(kind.service, "-b", i), kind.service))
+		}
+	}
+	for i := range 3 {
+		c.start(fmt.Sprint("host-", i))
+	}
+	eventually(t, "all keys are served", 10*time.Second, func() bool {
+		client := newClient(t)
+		for _, h := range c.hosts {
+			for key := 0; key < 1<<16; key += 4096 {
+				if c.call(client, h, "GET", "/records/x", key, "").status != http.StatusOK {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	return c
+}
+
+func (c *domainCluster) start(name string) {
+	c.hosts = append(c.hosts, c.addHostIn("a", name, func(g *Gateway) { g.catalog.SetDomainDrainBound(domainBound) }))
+}
+
+// wantEmpty checks that no request reached a target of the drained domain from a time until
+// another.
+func (c *domainCluster) wantEmpty(t *testing.T, from, until time.Time) {
+	t.Helper()
+	for _, x := range c.drainable {
+		wantNoArrivals(t, x, from, until)
+	}
+}
+
+// TestDrainedDomain guards against requests that reach targets of a failure domain later than the
+// bound after the operator's request, from hosts that were there, that start meanwhile or that
+// lead next, and against keys that stay there.
+func TestDrainedDomain(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// disturb is called right after the request.
+		disturb func(c *domainCluster)
+		served  bool
+	}{
+		{"undisturbed", func(*domainCluster) {}, true},
+		{"a host starts", func(c *domainCluster) { c.start("host-9") }, true},
+		{"log expired", func(c *domainCluster) { c.store.ExpireAll() }, true},
+		{"asked twice, and another domain", func(c *domainCluster) {
+			c.store.Drain("b")
+			c.store.Drain("unknown")
+		}, true},
+		{"leader stops", func(c *domainCluster) { c.hosts[leaderIndex(c.hosts)].stop() }, false},
+		{"store busy", func(c *domainCluster) {
+			time.Sleep(storeHead)
+			c.store.SetFault(platformstore.Fault{Mode: "busy"})
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDomainCluster(t)
+			finish := d.startLoad(d.hosts, light)
+			time.Sleep(settleTime)
+			asked := time.Now()
+			d.store.Drain("b")
+			c.disturb(d)
+			time.Sleep(domainDuration - time.Since(asked))
+			tries, ended := finish(), time.Now()
+			d.store.SetFault(platformstore.Fault{})
+			d.wantEmpty(t, asked.Add(domainBound), ended)
+			if c.served {
+				for _, kind := range requestKinds {
+					wantShare(t, tries, kind.service, asked.Add(domainMoved), ended)
+				}
+			}
+			wantPayoutsAtMostOnce(t, d.audit.Runs())
+			wantOneOwner(t, d.audit)
+		})
+	}
+}
+
+// storeHead is the time from a request until the hosts have read it.
+const storeHead = 100 * time.Millisecond
+
+// TestAllDomainsDrained guards against requests that are held, or sent, when no target is left,
+// and against targets that stay empty once they are taken back.
+func TestAllDomainsDrained(t *testing.T) {
+	c := newDomainCluster(t)
+	c.store.Drain("a")
+	c.store.Drain("b")
+	time.Sleep(domainBound)
+	client := newClient(t)
+	for _, kind := range requestKinds {
+		got := c.callKind(client, c.hosts[0], kind, 1)
+		wantStatus(t, got.response, http.StatusServiceUnavailable)
+		if got.latency > 50*time.Millisecond || got.header.Get("Retry-After") == "" {
+			t.Errorf("%s: got a refusal after %v with Retry-After %q, want one at once with it", kind.service, got.latency, got.header.Get("Retry-After"))
+		}
+	}
+	if got := c.hosts[0].gateway.dump().DrainedDomains; len(got) != 2 || got[0].Domain != "a" {
+		t.Errorf("state: got %+v, want both domains", got)
+	}
+	c.store.EndDrain("a")
+	c.store.EndDrain("b")
+	eventually(t, "targets of all kinds serve", 5*time.Second, func() bool {
+		for n, kind := range requestKinds {
+			if c.callKind(client, c.hosts[0], kind, n).status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/io/gateway/dump.go
+++ b/io/gateway/dump.go
@@ -19,6 +19,7 @@
 		Ready: g.catalog.Ready(), Stopping: g.stop.stopping(), Leading: g.coordinator.Leading(),
 		AgesS: make(map[string]float64), Targets: g.targets.States(now), Keys: make(map[string][]dump.Range),
 		Requests: make(map[string]int), Peers: g.peers.Hosts(now), Blocked: g.poison.Blocks(now),
+		DrainedDomains: g.dumpDrains(now),
 	}
 	for topic, name := range ageNames {
 		d.AgesS[name] = g.catalog.Age(topic).Seconds()
@@ -49,6 +50,18 @@
 	return dumped
 }
 
+// dumpDrains returns the failure domains that are drained.
+func (g *Gateway) dumpDrains(now time.Time) []dump.DrainedDomain {
+	var dumped []dump.DrainedDomain
+	for _, d := range g.catalog.DomainDrains() {
+		dumped = append(dumped, dump.DrainedDomain{
+			Domain: d.Domain, SinceS: now.Sub(d.Since).Seconds(), Offset: d.Offset, Era: d.Era,
+			OwnersForS: max(d.OwnersUntil.Sub(now), 0).Seconds(),
+		})
+	}
+	return dumped
+}
+
 // movingRanges returns the number of ranges of keys that still have a former
 // owner.
 func (g *Gateway) movingRanges() int {
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -59,6 +59,7 @@
 	// id.
 	entryOffsets map[string]int64
 	eras         *eras
+	drains       drains
 	// era is the current era, rereading whether the targets in it are still to be read.
 	era         int64
 	rereading   bool
@@ -85,6 +86,7 @@
 		unconfirmed:    make(map[string]deferral),
 		offsets:        make(map[string]int64),
 		entryOffsets:   make(map[string]int64),
+		drains:         drains{byDomain: make(map[string]DomainDrain)},
 		changed:        make(chan struct{}),
 		broadcaster:    newBroadcaster(),
 		HandleBlocked:  func([]byte) {},
@@ -96,6 +98,7 @@
 		consumer.Publish = catalog.broadcaster.publish
 	}
 	catalog.configConsumer.Apply = catalog.applyConfig
+	catalog.configConsumer.HandleList = catalog.applyDrainList
 	catalog.targetConsumer.Apply = catalog.applyTargets
 	catalog.targetConsumer.BatchDelay = func() time.Duration { return defaultBatchDelay }
 	catalog.ownerConsumer.Apply = catalog.applyOwners
@@ -232,9 +235,12 @@
 	return true
 }
 
-func (c *Catalog) applyConfig(records []platform.Record, _ bool) {
+func (c *Catalog) applyConfig(records []platform.Record, complete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !complete {
+		c.applyDrains(records)
+	}
 	for _, r := range records {
 		if r.Key != platform.KeyConfig || len(r.Value) == 0 || !c.recordOffset(platform.TopicConfig, r) {
 			continue
@@ -325,5 +331,6 @@
 		"targetsOffset", targets, "ownersOffset", owners, "droppedOffsets", len(c.offsets))
 	c.rereading = true
 	c.offsets, c.entryOffsets = make(map[string]int64), make(map[string]int64)
+	c.drains.listEnd = 0
 	c.store.recordNewEra()
 }
--- a/io/metastore/consumer.go
+++ b/io/metastore/consumer.go
@@ -61,6 +61,9 @@
 	// Apply is called with new records. If complete is set, they are the newest
 	// record of every key.
 	Apply func(records []platform.Record, complete bool)
+	// HandleList is called before Apply with the newest record of every key, and the offset
+	// before which all records count in them.
+	HandleList func(records []platform.Record, end int64)
 
 	// applyMu is held while records are applied. It is taken before mu.
 	applyMu sync.Mutex
@@ -100,8 +103,9 @@
 	return &Consumer{
 		Topic: topic, Clock: store.clock, next: -1, reached: -1, store: store, eras: era, done: make(chan struct{}),
 		interrupt: func() {}, RelayAge: defaultRelayAge,
-		Defers:  func() bool { return false },
-		Publish: func(Update) {}, BatchDelay: func() time.Duration { return 0 },
+		Defers:     func() bool { return false },
+		HandleList: func([]platform.Record, int64) {},
+		Publish:    func(Update) {}, BatchDelay: func() time.Duration { return 0 },
 	}
 }
 
@@ -216,6 +220,7 @@
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
 	applied := c.eras.apply(batch.Era, func() {
+		c.HandleList(batch.Records, batch.Next)
 		c.Apply(batch.Records, true)
 		c.keep(batch.Records)
 		c.advance(batch.Next, sent)
--- a/io/metastore/snapshot.go
+++ b/io/metastore/snapshot.go
@@ -124,6 +124,7 @@
 	if next, _ := c.Position(); u.Next < next {
 		return
 	}
+	c.HandleList(u.Records, u.Next)
 	c.Apply(u.Records, true)
 	c.keep(u.Records)
 	c.mu.Lock()
--- a/io/pinectl/platform.go
+++ b/io/pinectl/platform.go
@@ -90,6 +90,9 @@
 	for _, name := range slices.Sorted(maps.Keys(state.AgesS)) {
 		table = append(table, []string{"age of " + name, fmt.Sprintf("%.2f s", state.AgesS[name])})
 	}
+	for _, d := range state.DrainedDomains {
+		table = append(table, []string{"drained domain " + d.Domain, fmt.Sprintf("for %.1f s, offset %d, owners of keys for %.1f s more", d.SinceS, d.Offset, d.OwnersForS)})
+	}
 	for _, service := range slices.Sorted(maps.Keys(state.Requests)) {
 		table = append(table, []string{"requests in flight to " + service, toString(state.Requests[service])})
 	}
--- a/io/proxy/choose.go
+++ b/io/proxy/choose.go
@@ -101,6 +101,8 @@
 		case placement.Resting:
 			wait := p.targets.SendWait(criteria, p.clock.Now())
 			return nil, q.refuseFor(reasonTargetRests, attempt.RetryNotBefore(wait, q.callerTimeout()), nil)
+		case placement.Drained:
+			return nil, q.refuseFor(reasonDomainDrained, attempt.RetryNotBefore(placement.DrainWait(criteria), q.callerTimeout()), nil)
 		}
 		reason := reasonNoCapacity
 		if verdict == placement.NoTarget {
--- a/io/proxy/failure.go
+++ b/io/proxy/failure.go
@@ -20,6 +20,7 @@
 	reasonNoOwner        = "no-owner"
 	reasonTargetLimit    = "target-limited"
 	reasonTargetRests    = "target-rests"
+	reasonDomainDrained  = "domain-drained"
 	reasonEndsTargets    = "ends-targets"
 	reasonMoving         = "key-moving"
 	reasonOverBudget     = "over-retry-budget"
--- a/io/proxy/probe.go
+++ b/io/proxy/probe.go
@@ -84,11 +84,11 @@
 }
 
 // probeTargets returns up to probesPerRound random targets of a service that are not
-// draining.
+// draining, nor in a failure domain that is drained.
 func (p *Proxy) probeTargets(service string) []placement.Entry {
 	var entries []placement.Entry
 	for _, e := range p.targets.Entries(service) {
-		if !e.Draining {
+		if !e.Draining && !p.targets.DrainsDomain(e.Domain) {
 			entries = append(entries, e)
 		}
 	}
--- a/io/standin/platformstore/config.go
+++ b/io/standin/platformstore/config.go
@@ -15,6 +15,7 @@
 	configTopic  = "keyed.op"
 	targetsTopic = "keyed.servers"
 	configKey    = "config"
+	drainPrefix  = "evacuate/"
 )
 
 // Route is a route of a configuration. It matches requests whose path begins
@@ -83,6 +84,12 @@
 // the target.
 func (s *Store) PutTarget(id string, entry []byte) { s.Put(targetsTopic, id, entry) }
 
+// Drain requests that a failure domain be drained, as the operator does.
+func (s *Store) Drain(domain string) { s.Put(configTopic, drainPrefix+domain, []byte("{}")) }
+
+// EndDrain removes the request to drain a failure domain.
+func (s *Store) EndDrain(domain string) { s.Put(configTopic, drainPrefix+domain, nil) }
+
 // ExpireAll deletes the records of all topics, as retention does. The newest
 // record of each key remains readable.
 func (s *Store) ExpireAll() {
