Keep requests within the regions that their route allows

Cause: allowed_regions of routes was not decoded, so a request could run in any region. Change: routes name regions, the settings the region of each failure domain. Targets elsewhere are left out of choices, retries and hedges; if no other is left, the request is refused at once (region-not-allowed). Routes without regions are served as before.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -15,6 +15,8 @@
 	Owner string
 	// Exclude lists the IDs of targets to which the request was already sent.
 	Exclude []string
+	// Allows reports whether targets in a failure domain may run the request; nil for any.
+	Allows func(domain string) bool
 	// NonIdempotent requests are queued less deeply than others, as a full
 	// target may break the connection and so lose the request's outcome.
 	NonIdempotent bool
@@ -44,6 +46,9 @@
 	// Resting means that all targets that would take the request have asked this host for
 	// no requests for some time.
 	Resting
+	// Forbidden means that all targets that would take the request are in regions that it may
+	// not go to.
+	Forbidden
 	// Drained means that all targets that would take the request are in failure domains that
 	// are drained.
 	Drained
@@ -103,9 +108,10 @@
 	var best, limited candidate
 	var rest restState
 	drain := drainState{domains: s.drained}
+	var region regionState
 	status := NoTarget
 	for _, t := range svc.targets {
-		if !t.serves(criteria, now) || drain.add(t, criteria, now) || rest.add(t, now) || !t.isAvailable(criteria, now) {
+		if !t.serves(criteria, now) || region.add(t, criteria) || drain.add(t, criteria, now) || rest.add(t, now) || !t.isAvailable(criteria, now) {
 			continue
 		}
 		c := s.estimate(svc, t, now, mean)
@@ -126,7 +132,10 @@
 		if status = recordRefused(svc, criteria, status, limited, now); status == NoTarget && rest.decides() {
 			status = Resting
 		}
-		if status == NoTarget && drain.decides() {
+		switch {
+		case status == NoTarget && region.decides():
+			status = Forbidden
+		case status == NoTarget && drain.decides():
 			status = Drained
 		}
 		return nil, status
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -32,7 +32,14 @@
 	Rank int
 	// MaxAttempts is the highest number of targets to which a request is sent.
 	MaxAttempts int
-	Parts       []Part
+	// Regions are the regions to which requests may go, with their bodies; nil for any.
+	Regions []string
+	Parts   []Part
+}
+
+// AllowsRegion reports whether requests may go to a region.
+func (r *Route) AllowsRegion(region string) bool {
+	return r.Regions == nil || slices.Contains(r.Regions, region)
 }
 
 // Service is a set of targets that serve the same requests.
--- a/io/gateway/create.go
+++ b/io/gateway/create.go
@@ -38,6 +38,7 @@
 	g.poison = poison.NewTracker()
 	g.proxy = proxy.New(g.catalog, g.targets, g.budget, g.poison, g.pool, g.peers, g.clock)
 	g.proxy.HandleRecord = g.recordRequest
+	g.proxy.Regions = g.settings.Regions
 }
 
 // createCoordinator creates what takes part in the election and leads.
--- a/io/proxy/choose.go
+++ b/io/proxy/choose.go
@@ -101,6 +101,8 @@
 		case placement.Resting:
 			wait := p.targets.SendWait(criteria, p.clock.Now())
 			return nil, q.refuseFor(reasonTargetRests, attempt.RetryNotBefore(wait, q.callerTimeout()), nil)
+		case placement.Forbidden:
+			return nil, q.refuseFor(reasonRegionForbidden, 0, nil)
 		case placement.Drained:
 			return nil, q.refuseFor(reasonDomainDrained, attempt.RetryNotBefore(placement.DrainWait(criteria), q.callerTimeout()), nil)
 		}
@@ -129,8 +131,18 @@
 }
 
 func (p *Proxy) criteria(q *request, owner string) placement.Criteria {
-	return placement.Criteria{
+	criteria := placement.Criteria{
 		Service: q.match.Service.Name, Owner: owner, Exclude: q.excluded,
 		NonIdempotent: !q.match.Route.Idempotent, Rank: q.match.Route.Rank, Counted: q.demandCounted,
 	}
+	if q.match.Route.Regions != nil {
+		criteria.Allows = func(domain string) bool { return p.allowsDomain(q, domain) }
+	}
+	return criteria
+}
+
+// allowsDomain reports whether a request may go to a failure domain. One whose region is not
+// known is in none that a route names.
+func (p *Proxy) allowsDomain(q *request, domain string) bool {
+	return q.match.Route.AllowsRegion(p.Regions[domain])
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -72,6 +72,8 @@
 	// stopping is set once requests of other hosts are refused.
 	stopping atomic.Bool
 	done     chan struct{}
+	// Regions holds the region of each failure domain.
+	Regions map[string]string
 	// HandleRecord is called for each request once its response has been written
 	// or cut off.
 	HandleRecord func(RequestRecord)
