Tell hosts the whole list of hosts by changes, with their cores

Cause: feeds list a random 16 of the other hosts, by a seed of each link, so that hosts can't compute the same choice among all of them; the whole list at each change would cost bytes with the cube of the hosts while they restart in turn. Hosts say their cores. An older build ignores both fields: it is sent the sample as before, and without cores it is not chosen.

--- a/core/hostcount/hostcount.go
+++ b/core/hostcount/hostcount.go
@@ -55,3 +55,13 @@
 	defer c.mu.Unlock()
 	return max(c.recent, c.earlier, 1)
 }
+
+// Counted returns the number of hosts as far as it was counted, 0 before the first count.
+func (c *Counter) Counted() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.settled {
+		return c.recent
+	}
+	return max(c.recent, c.earlier)
+}
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -1,5 +1,9 @@
 // Package peers holds what a host knows of the other hosts, and decides to which of
-// them it relays a request whose targets it can't reach itself. It does no I/O.
+// them it relays a request: to the one that holds the queue of the owner of the request's
+// key, or to any one while this host can't reach the targets itself. It does no I/O.
+//
+// Holder answers the load pattern of many hosts that share few owners of hot keys: each of
+// them sees too few requests of an owner to know how full it is.
 package peers
 
 import (
@@ -35,12 +39,15 @@
 	// Detached holds the names of the services whose targets the host can't reach,
 	// sorted.
 	Detached []string `cbor:"4,keyasint,omitempty" json:"detached,omitempty"`
+	// Cores is the number of processor cores that the host may use, which may be a
+	// fraction. A host of an older build does not say it and holds no queue.
+	Cores float64 `cbor:"5,keyasint,omitempty" json:"cores,omitempty"`
 }
 
 // Equal reports whether two hosts have the same values.
 func (h Host) Equal(other Host) bool {
 	return h.Address == other.Address && h.Domain == other.Domain && h.Incarnation == other.Incarnation &&
-		slices.Equal(h.Detached, other.Detached)
+		h.Cores == other.Cores && slices.Equal(h.Detached, other.Detached)
 }
 
 // Table holds this host and the other hosts that it knows. It is safe for concurrent
@@ -52,14 +59,22 @@
 	mu    sync.Mutex
 	self  Host
 	hosts map[string]*entry
+	// stopping is set once this host holds no queues any more.
+	stopping bool
+	// holders holds the hosts that may hold queues by failure domain; nil after a change.
+	holders map[string][]*entry
 }
 
 // entry is another host.
 type entry struct {
 	Host
 	// missingSince is the time of the first of the latest lists without the host, or
-	// zero if it is in the latest list.
+	// zero if it is in the latest list. gone is set if the leader has said that the host
+	// is linked no more.
 	missingSince time.Time
+	gone         bool
+	// seed is the hash of the address.
+	seed uint64
 	// backoff is the latest backoff, or zero if the host has served since, and
 	// failedUntil its end.
 	backoff     time.Duration
@@ -115,17 +130,41 @@
 	t.forget(now)
 }
 
+// Apply applies changes of the list of hosts. A host that is gone holds no queue from now on.
+func (t *Table) Apply(changes Changes, now time.Time) {
+	if changes.Whole {
+		t.Put(changes.Hosts, now)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range changes.Hosts {
+		if h.Address != t.self.Address {
+			t.put(h)
+		}
+	}
+	for _, address := range changes.Gone {
+		if e := t.hosts[address]; e != nil && !e.gone {
+			e.missingSince, e.gone, t.holders = now, true, nil
+		}
+	}
+	t.forget(now)
+}
+
 // put replaces what is known of one host. The caller holds mu.
 func (t *Table) put(h Host) {
 	e := t.hosts[h.Address]
 	if e == nil || e.Incarnation != h.Incarnation {
-		t.hosts[h.Address] = &entry{Host: h}
+		t.hosts[h.Address], t.holders = &entry{Host: h, seed: hash(h.Address)}, nil
 		return
 	}
+	if e.gone || e.Cores != h.Cores || e.Domain != h.Domain {
+		t.holders = nil
+	}
 	if !e.Equal(h) {
 		e.Host, e.detachedUntil = h, nil
 	}
-	e.missingSince = time.Time{}
+	e.missingSince, e.gone = time.Time{}, false
 }
 
 // forget removes the hosts that have been missing for forgetDelay. The caller holds
@@ -134,6 +173,7 @@
 	for address, e := range t.hosts {
 		if !e.missingSince.IsZero() && now.Sub(e.missingSince) >= forgetDelay {
 			delete(t.hosts, address)
+			t.holders = nil
 		}
 	}
 }
--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -89,6 +89,9 @@
 	// Departures are targets that have said that they leave, beyond those of earlier feeds
 	// on the link.
 	Departures []placement.Departure `cbor:"9,keyasint,omitempty"`
+	// PeerChanges is what is new of the list of all hosts, in the place of Peers. The
+	// receiver understands it.
+	PeerChanges *peers.Changes `cbor:"20,keyasint,omitempty"`
 	// Delay is the longest time that the feed can have been on its way. The receiver
 	// sets it.
 	Delay time.Duration `cbor:"-"`
@@ -128,6 +131,8 @@
 	// Poison is what the host has observed of requests that end targets, beyond that of earlier
 	// reports on the link.
 	Poison []poison.Event `cbor:"12,keyasint,omitempty"`
+	// FollowsPeers reports that the host understands PeerChanges.
+	FollowsPeers bool `cbor:"20,keyasint,omitempty"`
 }
 
 // echo is the time of the last report received on a link.
@@ -258,7 +263,9 @@
 		if message.Self != nil {
 			s.linked.put(link, *message.Self)
 		}
-		s.linked.setFeatures(link, features{followsLimits: message.FollowsLimits, unpacks: message.Unpacks})
+		s.linked.setFeatures(link, features{
+			followsLimits: message.FollowsLimits, unpacks: message.Unpacks, followsPeers: message.FollowsPeers,
+		})
 		if len(message.Limits) > 0 {
 			s.HandleLimits(s.linked.get(link).Address, message.Limits)
 		}
@@ -288,6 +295,7 @@
 	list := peerList{seed: maphash.MakeSeed()}
 	limits := limitFeed{next: s.Limits}
 	departures := 0
+	peersRevision := int64(0)
 	tick := time.NewTimer(feedInterval)
 	defer tick.Stop()
 	for {
@@ -315,7 +323,12 @@
 		message.Hosts = s.Hosts()
 		hosts, version := s.linked.all(s.Self())
 		receiver := s.linked.get(link)
-		message.Peers = list.next(hosts, version, receiver)
+		if s.linked.features(link).followsPeers && len(hosts) > maxPeersPerFeed {
+			message.PeerChanges, peersRevision = s.linked.changes(peersRevision)
+			list = peerList{seed: list.seed}
+		} else {
+			message.Peers, peersRevision = list.next(hosts, version, receiver), 0
+		}
 		message.Limits, message.LimitsContinue = limits.update(receiver.Address, s.linked.features(link).followsLimits)
 		message.Departures, departures = s.Departures(departures)
 		if err := write(ctx, conn, message); err != nil {
--- a/io/hostlink/link.go
+++ b/io/hostlink/link.go
@@ -95,7 +95,7 @@
 // Report sends a report of this host to the other host, with its news.
 func (l *Link) Report(ctx context.Context, report owner.Report, news News) error {
 	message := reportMessage{
-		Report: report, SentAt: l.clock.Now().Sub(l.dialedAt), Limits: news.Limits, FollowsLimits: true, Unpacks: true, Departures: news.Departures,
+		Report: report, SentAt: l.clock.Now().Sub(l.dialedAt), Limits: news.Limits, FollowsLimits: true, FollowsPeers: true, Unpacks: true, Departures: news.Departures,
 		Lacks: news.Lacks, Poison: news.Poison,
 	}
 	if news.Self.Address != "" {
--- a/io/hostlink/peers.go
+++ b/io/hostlink/peers.go
@@ -20,6 +20,8 @@
 	// followsLimits reports that it understands LimitsContinue, unpacks that it
 	// understands packed updates.
 	followsLimits, unpacks bool
+	// followsPeers reports that it understands PeerChanges.
+	followsPeers bool
 }
 
 // linkedHosts holds the last Host of each open link.
@@ -37,6 +39,8 @@
 	list    []peers.Host
 	version int
 	changed bool
+	// log holds the changes of list.
+	log peers.Log
 }
 
 // open returns the number of a new link.
@@ -117,9 +121,17 @@
 	l.list = slices.SortedFunc(maps.Values(hosts), func(a, b peers.Host) int { return cmp.Compare(a.Address, b.Address) })
 	l.self, l.changed = self, false
 	l.version++
+	l.log.Set(l.list)
 	return l.list, l.version
 }
 
+// changes returns what has changed of the list of all since a revision, and the revision now.
+func (l *linkedHosts) changes(revision int64) (*peers.Changes, int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.log.Since(revision)
+}
+
 // peerList is the list of hosts that the feeds on one link carry.
 type peerList struct {
 	seed maphash.Seed
