Relay keyed requests to the host that holds the queue of their owner

A holder takes them by the same version of the configuration only, as the relaying host must not fall back. A holder that does not answer is probed after 0.25 s; idempotent requests leave it. An older build ignores the new header and serves the request.

--- a/core/dump/dump.go
+++ b/core/dump/dump.go
@@ -38,6 +38,9 @@
 	Requests map[string]int `json:"requests_in_flight"`
 	// Blocked lists the requests that are refused because they end targets.
 	Blocked []poison.Block `json:"blocked_requests"`
+	// OwnerQueue is set while keyed requests are relayed to the hosts that hold the queues of
+	// their owners.
+	OwnerQueue bool `json:"owner_queue"`
 	// Peers lists the other hosts that the host knows.
 	Peers []peers.Host `json:"peers"`
 }
--- a/io/gateway/create.go
+++ b/io/gateway/create.go
@@ -2,6 +2,7 @@
 
 import (
 	"pineturn/core/budget"
+	"pineturn/core/feature"
 	"pineturn/core/hostcount"
 	"pineturn/core/owner"
 	"pineturn/core/peers"
@@ -24,7 +25,7 @@
 	g.targets = placement.NewSet(g.settings.Domain)
 	g.targets.Hosts = g.hosts.Hosts
 	g.catalog = metastore.NewCatalog(g.clock, g.targets)
-	g.peers = peers.New(peers.Host{Address: peerAddress(g.settings), Domain: g.settings.Domain, Incarnation: g.incarnation})
+	g.peers = peers.New(peers.Host{Address: peerAddress(g.settings), Domain: g.settings.Domain, Incarnation: g.incarnation, Cores: g.settings.Cores})
 }
 
 // createProxy creates what serves callers' requests.
@@ -38,6 +39,14 @@
 	g.poison = poison.NewTracker()
 	g.proxy = proxy.New(g.catalog, g.targets, g.budget, g.poison, g.pool, g.peers, g.clock)
 	g.proxy.HandleRecord = g.recordRequest
+	g.useOwnerQueue(feature.Auto)
+}
+
+// useOwnerQueue sets whether keyed requests are relayed to the holder of their owner's queue. It
+// is called before the host runs.
+func (g *Gateway) useOwnerQueue(setting feature.Setting) {
+	g.ownerQueue = feature.New(setting, minQueueHosts, g.hosts.Counted)
+	g.proxy.OwnerQueue = g.ownerQueue.Enabled
 }
 
 // createCoordinator creates what takes part in the election and leads.
@@ -109,6 +118,9 @@
 	if len(feed.Peers) > 0 {
 		g.peers.Put(feed.Peers, now)
 	}
+	if feed.PeerChanges != nil {
+		g.peers.Apply(*feed.PeerChanges, now)
+	}
 	g.catalog.ApplyRelayed(feed.Updates, feed.Watermarks)
 }
 
--- a/io/gateway/dump.go
+++ b/io/gateway/dump.go
@@ -18,7 +18,7 @@
 		Host: g.settings.Name, Incarnation: g.incarnation, UptimeS: now.Sub(g.started).Seconds(),
 		Ready: g.catalog.Ready(), Stopping: g.stop.stopping(), Leading: g.coordinator.Leading(),
 		AgesS: make(map[string]float64), Targets: g.targets.States(now), Keys: make(map[string][]dump.Range),
-		Requests: make(map[string]int), Peers: g.peers.Hosts(now), Blocked: g.poison.Blocks(now),
+		Requests: make(map[string]int), Peers: g.peers.Hosts(now), OwnerQueue: g.ownerQueue.Enabled(), Blocked: g.poison.Blocks(now),
 	}
 	for topic, name := range ageNames {
 		d.AgesS[name] = g.catalog.Age(topic).Seconds()
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"pineturn/core/budget"
 	"pineturn/core/clock"
+	"pineturn/core/feature"
 	"pineturn/core/hostcount"
 	"pineturn/core/owner"
 	"pineturn/core/peers"
@@ -68,6 +69,7 @@
 	hosts        *hostcount.Counter
 	limits       *ratelimit.Divider
 	proxy        *proxy.Proxy
+	ownerQueue   *feature.Switch
 	metrics      *metrics
 	incarnation  string
 	started      time.Time
--- a/io/gateway/main.go
+++ b/io/gateway/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
+	"pineturn/core/feature"
 	"pineturn/io/logsink"
 	"pineturn/platform"
 )
@@ -19,6 +20,11 @@
 // defaultAdminPort is the default port for metrics and the state dump.
 const defaultAdminPort = 9464
 
+// minQueueHosts is the number of hosts in service from which on the queue of an owner is at one
+// host by default. Fewer hosts each see enough of an owner's requests to know how full it is, and
+// are spared the hop.
+const minQueueHosts = 24
+
 // Command returns the command that runs a host on the users' platform.
 func Command() *cli.Command {
 	return &cli.Command{
@@ -27,9 +33,16 @@
 		Flags: []cli.Flag{&cli.IntFlag{
 			Name: "admin-port", Value: defaultAdminPort, Sources: cli.EnvVars("PINETURN_ADMIN_PORT"),
 			Usage: "port on the host's address for metrics and state dumps",
+		}, &cli.StringFlag{
+			Name: "owner-queue", Value: string(feature.Auto), Sources: cli.EnvVars("PINETURN_OWNER_QUEUE"),
+			Usage: fmt.Sprintf("relay keyed requests to the host that holds the queue of their owner: on, off, or auto, from %d hosts on", minQueueHosts),
 		}},
 		Action: func(ctx context.Context, command *cli.Command) error {
-			return run(ctx, command.Int("admin-port"))
+			ownerQueue, err := feature.Parse(command.String("owner-queue"))
+			if err != nil {
+				return errors.Wrap(err, "owner queue")
+			}
+			return run(ctx, command.Int("admin-port"), ownerQueue)
 		},
 		Commands: []*cli.Command{{
 			Name: "check", Usage: "validate a settings file of the platform without starting a host", ArgsUsage: "FILE",
@@ -60,7 +73,7 @@
 	klog.CopyStandardLogTo("INFO")
 }
 
-func run(ctx context.Context, adminPort int) error {
+func run(ctx context.Context, adminPort int, ownerQueue feature.Setting) error {
 	sink := logsink.New(os.Stdout)
 	configureLogging(sink)
 	defer sink.Close()
@@ -77,6 +90,7 @@
 	if err != nil {
 		return err
 	}
+	g.useOwnerQueue(ownerQueue)
 	reload := make(chan struct{}, 1)
 	go func() {
 		for range sighup {
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -95,6 +95,12 @@
 		return 0
 	})
 	gauge("detached_services", "Services whose targets this host can't reach.", func() float64 { return float64(len(g.peers.Self().Detached)) })
+	gauge("owner_queue", "1 while keyed requests are relayed to the hosts that hold the queues of their owners.", func() float64 {
+		if g.ownerQueue.Enabled() {
+			return 1
+		}
+		return 0
+	})
 	gauge("blocked_requests", "Requests that are refused because they end targets.", func() float64 { return float64(len(g.poison.Blocks(g.clock.Now()))) })
 	gauge("limited_targets", "Targets that have named a limit of requests.", func() float64 { return float64(g.targets.LimitedTargets()) })
 	gauge("sharing_hosts", "Hosts that are taken to share the retry budget and the limits of targets.", func() float64 { return float64(g.hosts.Hosts()) })
--- a/io/proxy/failure.go
+++ b/io/proxy/failure.go
@@ -14,6 +14,7 @@
 	reasonResponded      = "answered"
 	reasonResponseCutOff = "answer-cut-off"
 	reasonNoConfig       = "no-configuration"
+	reasonNewerConfig    = "newer-configuration"
 	reasonNoRoute        = "no-route"
 	reasonNoTarget       = "no-target"
 	reasonNoCapacity     = "no-room"
--- /dev/null
+++ b/io/proxy/peerprobe.go
@@ -0,0 +1,75 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"pineturn/core/peers"
+)
+
+const (
+	// peerPatience is the time without a response after which another host is probed, and
+	// again after each probe that it has answered.
+	peerPatience = 250 * time.Millisecond
+	// peerProbeTimeout limits the time for the answer to a probe.
+	peerProbeTimeout = 200 * time.Millisecond
+	// peerProbePath is a path that other hosts answer at once, those of older builds with
+	// status 404.
+	peerProbePath = "/alive"
+)
+
+var errPeerSilent = errors.New("host does not answer")
+
+// watchPeer probes the host that a request is relayed to while there is no response, as the host
+// may be paused. If it is, a request that may be sent again is cancelled. The caller calls stop
+// once the response has begun.
+func (p *Proxy) watchPeer(ctx context.Context, q *request, host peers.Host) (watched context.Context, stop func()) {
+	if q.queueOwner == "" || !q.match.Route.Idempotent || !q.body.replayable() {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	ended := make(chan struct{})
+	timer := time.AfterFunc(peerPatience, func() {
+		for p.probePeer(host.Address) {
+			select {
+			case <-ended:
+				return
+			case <-time.After(peerPatience):
+			}
+		}
+		select {
+		case <-ended:
+		default:
+			cancel(errPeerSilent)
+		}
+	})
+	return ctx, func() {
+		timer.Stop()
+		close(ended)
+	}
+}
+
+// probePeer reports whether another host answers. Requests that wait for the same host share a
+// probe.
+func (p *Proxy) probePeer(address string) bool {
+	alive, _, _ := p.peerProbes.Do(address, func() (any, error) {
+		ctx, cancel := context.WithTimeout(p.shutdownCtx, peerProbeTimeout)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+peerProbePath, nil)
+		if err != nil {
+			return false, errors.Wrapf(err, "probe host %s", address)
+		}
+		resp, err := p.peerTransport.RoundTrip(req)
+		if err != nil {
+			klog.InfoS("Host does not answer", "address", address, "err", err)
+			return false, nil
+		}
+		discard(resp)
+		return true, nil
+	})
+	return alive == true
+}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
+	"golang.org/x/sync/singleflight"
 
 	"pineturn/core/attempt"
 	"pineturn/core/budget"
@@ -59,6 +60,10 @@
 	reach         *reach.Detector
 	peers         *peers.Table
 	peerTransport *http.Transport
+	peerProbes    singleflight.Group
+	// OwnerQueue reports whether keyed requests are relayed to the host that holds the queue of
+	// their owner. It is set before use.
+	OwnerQueue func() bool
 	// peerVersion is the newest version of the configuration by which another host has served
 	// a relayed request.
 	peerVersion atomic.Int64
@@ -123,6 +128,7 @@
 	p := &Proxy{
 		catalog: catalog, targets: targets, budget: b, poison: tracker, pool: pool, clock: clk, loads: owner.NewLoads(clk.Now()),
 		reach: reach.New(), peers: others, peerTransport: newPeerTransport(), done: make(chan struct{}), HandleRecord: func(RequestRecord) {},
+		OwnerQueue: func() bool { return false },
 	}
 	pool.HandleDial = p.recordDial
 	p.shutdownCtx, p.cancelAll = context.WithCancel(context.Background())
@@ -136,7 +142,10 @@
 
 // RefuseRelayed refuses requests that other hosts relay from now on, because this host
 // stops.
-func (p *Proxy) RefuseRelayed() { p.stopping.Store(true) }
+func (p *Proxy) RefuseRelayed() {
+	p.stopping.Store(true)
+	p.peers.Stop()
+}
 
 // Handler returns the HTTP handler for callers' requests.
 func (p *Proxy) Handler() http.Handler {
@@ -180,9 +189,11 @@
 	relayed      bool
 	askedVersion int64
 	// via is the address of the host that the request was last relayed to, triedHosts
-	// those of all such hosts.
+	// those of all such hosts. queueOwner is the owner of the key if that host holds the
+	// owner's queue.
 	via        string
 	triedHosts []string
+	queueOwner string
 	// fingerprint returns the fingerprint of the request. fingerprinted is set once it has been
 	// called.
 	fingerprint   func() poison.Fingerprint
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -28,6 +28,9 @@
 	headerRelayService = "Pineturn-Relay-Service"
 	// headerRelaySends holds the number of sends of the request to targets so far.
 	headerRelaySends = "Pineturn-Relay-Sends"
+	// headerRelayOwner holds the owner of the request's key in a request that is relayed to the
+	// host that holds the owner's queue.
+	headerRelayOwner = "Pineturn-Relay-Owner"
 	// headerRelayOutcome holds a relayOutcome, headerRelayTarget the last target of the
 	// request.
 	headerRelayOutcome = "Pineturn-Relay-Outcome"
@@ -44,8 +47,8 @@
 	relayRefused relayOutcome = "refused"
 	// relayDetached means the same, because the host can't reach the targets itself.
 	relayDetached relayOutcome = "detached"
-	// relayUnavailable means the same, because the host stops, or has an older
-	// configuration than the relaying host.
+	// relayUnavailable means the same, because the host stops, has an older configuration
+	// than the relaying host, or has a newer one and only holds the queue of the owner.
 	relayUnavailable relayOutcome = "unavailable"
 	// relayFailed means that the request failed, and that a target may have run it.
 	relayFailed relayOutcome = "failed"
@@ -56,8 +59,13 @@
 	peerConnectTimeout = 250 * time.Millisecond
 	// peerUserTimeout is how long data sent to another host may stay unacknowledged.
 	peerUserTimeout = time.Second
-	// maxIdlePeerConns limits the number of idle connections to one host.
-	maxIdlePeerConns = 16
+	// maxIdlePeerConns limits the number of idle connections to one host, maxAllIdlePeerConns
+	// that to all. Each host relays to most others, to each of them seldom.
+	maxIdlePeerConns    = 4
+	maxAllIdlePeerConns = 256
+	// idlePeerTimeout is how long an idle connection to another host is kept open. It is
+	// shorter than that host keeps it.
+	idlePeerTimeout = 60 * time.Second
 	// relayMargin is the part of a request's remaining time that is kept for the way back
 	// from the other host.
 	relayMargin = 20 * time.Millisecond
@@ -76,28 +84,57 @@
 		},
 	}
 	t := newTransport(socket.DiscardOnClose(dialer.DialContext))
-	t.MaxIdleConnsPerHost = maxIdlePeerConns
+	t.MaxIdleConnsPerHost, t.MaxIdleConns, t.IdleConnTimeout = maxIdlePeerConns, maxAllIdlePeerConns, idlePeerTimeout
 	return t
 }
 
-// peer returns the host to which a request is relayed. It returns false if the request
-// is sent to a target directly: the path to the targets is intact, no other host is known
-// to have one, or another host has relayed the request already.
+// peer returns the host to which a request is relayed: the one that holds the queue of its
+// owner or, if the path to the targets is lost, any other. It returns false if the request is
+// sent to a target directly: there is no such host, or another one has relayed the request
+// already.
 func (p *Proxy) peer(q *request) (peers.Host, bool) {
-	if q.relayed || !p.reach.IsLost(q.match.Service.Name) {
+	q.queueOwner = ""
+	if q.relayed {
+		return peers.Host{}, false
+	}
+	if host, ok := p.holder(q); ok {
+		return host, true
+	}
+	if !p.reach.IsLost(q.match.Service.Name) {
 		return peers.Host{}, false
 	}
 	return p.peers.Pick(q.match.Service.Name, q.triedHosts, p.clock.Now())
 }
 
+// holder returns the host that holds the queue of the owner of a request's key, if that is
+// another one. A request whose relay to a holder came to nothing is sent directly.
+func (p *Proxy) holder(q *request) (peers.Host, bool) {
+	if len(q.triedHosts) > 0 || !q.keyed() || !p.OwnerQueue() {
+		return peers.Host{}, false
+	}
+	target, _ := p.currentOwner(q)
+	entry, ok := p.targets.Entry(target)
+	if !ok {
+		return peers.Host{}, false
+	}
+	host, ok := p.peers.Holder(entry.ID, entry.Domain, entry.Service, p.clock.Now())
+	if ok {
+		q.queueOwner = entry.ID
+	}
+	return host, ok
+}
+
 // relay sends a request to another host, which sends it to a target.
 func (p *Proxy) relay(ctx context.Context, q *request, host peers.Host) sendResult {
 	q.progress.RecordSend()
 	q.triedHosts = append(q.triedHosts, host.Address)
 	q.via = host.Address
+	caller := ctx
+	ctx, stop := p.watchPeer(ctx, q, host)
+	defer stop()
 	resp, err := p.peerTransport.RoundTrip(p.relayRequest(ctx, q, host))
 	if err != nil {
-		if ctx.Err() == nil {
+		if caller.Err() == nil {
 			p.peers.MarkFailed(host.Address, p.clock.Now())
 		}
 		return sendResult{result: classifySendError(err), err: errors.Wrapf(err, "relay to host %s", host.Address)}
@@ -107,7 +144,12 @@
 
 func (p *Proxy) relayRequest(ctx context.Context, q *request, host peers.Host) *http.Request {
 	header := platform.RelayHeaders(q.header, q.timeLeft(p.clock.Now())-relayMargin)
-	header.Set(headerRelayVersion, strconv.FormatInt(max(q.configVersion, p.peerVersion.Load()), 10))
+	version := max(q.configVersion, p.peerVersion.Load())
+	if q.queueOwner != "" {
+		version = q.configVersion
+		header.Set(headerRelayOwner, q.queueOwner)
+	}
+	header.Set(headerRelayVersion, strconv.FormatInt(version, 10))
 	header.Set(headerRelayService, q.match.Service.Name)
 	header.Set(headerRelaySends, strconv.Itoa(q.progress.Sends()-1))
 	return q.outgoing(ctx, host.Address, header)
@@ -140,6 +182,10 @@
 	case relayRefused:
 		p.peers.MarkServed(host.Address)
 		s.result = attempt.NotRun
+		if p.ownerDiffers(q, target) {
+			s.result = q.notRelayed(sends)
+			break
+		}
 		s.final = q.refuseFor(reasonRelayRefused, platform.RetryAfter(h), s.err)
 	case relayFailed:
 		q.progress.RecordSends(sends - q.progress.Sends())
@@ -156,6 +202,17 @@
 	return s
 }
 
+// ownerDiffers reports whether the holder of an owner's queue has refused a request on behalf of a
+// target that is not the owner of its key by what is known here: one of the two hosts has not
+// read the latest owners yet.
+func (p *Proxy) ownerDiffers(q *request, target string) bool {
+	if q.queueOwner == "" || target == "" {
+		return false
+	}
+	known, reason := p.currentOwner(q)
+	return reason == "" && known != target
+}
+
 // recordPeerVersion records the version of the configuration by which another host has served
 // a request, empty if it does not say. If it is newer than this host's, what callers get here
 // must not fall back: further requests are relayed to hosts with this version, and this host
--- a/io/proxy/relay_test.go
+++ b/io/proxy/relay_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -78,6 +79,8 @@
 	requests []*http.Request
 	// version is the version of the configuration that the host states; empty for none.
 	version string
+	// target is the target that the host states, t1 if empty.
+	target string
 	// leaving is set if the target of the responses leaves.
 	leaving atomic.Bool
 }
@@ -103,7 +106,7 @@
 		if peer.version != "" {
 			h.Set(headerRelayVersion, peer.version)
 		}
-		h.Set(headerRelayTarget, "t1")
+		h.Set(headerRelayTarget, cmp.Or(peer.target, "t1"))
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, "body")
 	}))
--- a/io/proxy/relayed.go
+++ b/io/proxy/relayed.go
@@ -37,13 +37,20 @@
 		return nil, q.fail(http.StatusBadRequest, reasonRelayFailed, errors.Wrap(err, "number of sends"))
 	}
 	service := r.Header.Get(headerRelayService)
-	for _, name := range []string{headerRelayVersion, headerRelaySends, headerRelayService} {
+	queueOwner := r.Header.Get(headerRelayOwner)
+	for _, name := range []string{headerRelayVersion, headerRelaySends, headerRelayService, headerRelayOwner} {
 		q.header.Del(name)
 	}
 	table := p.catalog.Table()
 	if table == nil || table.Config().Version < version {
 		return nil, q.refuseFor(reasonNoConfig, configLoadTime, errOlderConfig)
 	}
+	if queueOwner != "" && table.Config().Version > version {
+		// The relaying host goes on by its own configuration, which must not fall back from one
+		// that this host has served its request by.
+		q.configVersion = table.Config().Version
+		return nil, q.refuseFor(reasonNewerConfig, 0, nil)
+	}
 	if p.stopping.Load() {
 		return nil, q.refuseFor(reasonStopping, 0, nil)
 	}
@@ -91,7 +98,7 @@
 		return relayFailed
 	case f.reason == reasonDetached:
 		return relayDetached
-	case f.reason == reasonStopping || f.reason == reasonNoConfig:
+	case f.reason == reasonStopping || f.reason == reasonNoConfig || f.reason == reasonNewerConfig:
 		return relayUnavailable
 	}
 	return relayRefused
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -62,6 +62,9 @@
 		return sendResult{}, q.refusePoison()
 	}
 	if host, ok := p.peer(q); ok {
+		if blocked && q.queueOwner != "" && p.covers(block, q.queueOwner) {
+			return sendResult{}, q.refusePoison()
+		}
 		if !p.renewRetry(q) {
 			return sendResult{}, q.failOrRefuse(reasonOverBudget, q.match.Route.Objective/2, nil)
 		}
