--- a/core/dump/dump.go
+++ b/core/dump/dump.go
@@ -40,6 +40,9 @@
 	Blocked []poison.Block `json:"blocked_requests"`
 	// DrainedDomains lists the failure domains that the operator drains.
 	DrainedDomains []DrainedDomain `json:"drained_domains,omitempty"`
+	// OwnerQueue is set while keyed requests are relayed to the hosts that hold the queues of
+	// their owners.
+	OwnerQueue bool `json:"owner_queue"`
 	// Peers lists the other hosts that the host knows.
 	Peers []peers.Host `json:"peers"`
 }
