Relay requests only to hosts in regions that their route allows

Cause: a relay sends a request's body to another host, which may be in a region that the route does not allow. Change: no relay to such a host; the request is sent directly, or refused where no target is allowed. Measured: TestRelayWithinRegions (failed without the check: one request relayed, want none).

--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -98,12 +98,19 @@
 		return peers.Host{}, false
 	}
 	if host, ok := p.holder(q); ok {
-		return host, true
+		return host, p.mayRelay(q, host)
 	}
 	if !p.reach.IsLost(q.match.Service.Name) {
 		return peers.Host{}, false
 	}
-	return p.peers.Pick(q.match.Service.Name, q.triedHosts, p.clock.Now())
+	host, ok := p.peers.Pick(q.match.Service.Name, q.triedHosts, p.clock.Now())
+	return host, ok && p.mayRelay(q, host)
+}
+
+// mayRelay reports whether a request may be sent to another host, as far as the regions go that
+// its route allows.
+func (p *Proxy) mayRelay(q *request, host peers.Host) bool {
+	return q.match.Route.Regions == nil || p.allowsDomain(q, host.Domain)
 }
 
 // holder returns the host that holds the queue of the owner of a request's key, if that is
--- a/io/proxy/relay_test.go
+++ b/io/proxy/relay_test.go
@@ -310,3 +310,29 @@
 		})
 	}
 }
+
+// TestRelayWithinRegions guards against a request that is relayed to a host in a region that its
+// route does not allow.
+func TestRelayWithinRegions(t *testing.T) {
+	for _, c := range []struct {
+		regions []string
+		want    int
+	}{
+		{nil, 1}, {[]string{"r1", "r2"}, 1}, {[]string{"r1"}, 0},
+	} {
+		t.Run(strings.Join(c.regions, ","), func(t *testing.T) {
+			peer := newPeer(t, "b", http.StatusOK, relayResponded)
+			p := newTestProxy(7, peer.Host)
+			p.Regions = map[string]string{"a": "r1", "b": "r2"}
+			detach(p)
+			routes := p.catalog.Table().Config().Routes
+			for i := range routes {
+				routes[i].Regions = c.regions
+			}
+			get(p.Handler(), "/read/1", nil)
+			if got := len(peer.received()); got != c.want {
+				t.Errorf("relayed requests: got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
