Handle pipelined requests while the one before them is handled

Cause: the server of callers handles one request of a connection at a time. A caller that sends further requests without waiting had each of them wait for the responses to all before it, so that they came late although targets had room. Change: a connection is split into requests, and the server is given one at a time. Requests without a body and with a safe method that follow the one being handled are begun at once, up to eight; the server writes their responses in order when it comes to them. While a host stops none is begun early, and a connection is closed only once those that were are answered.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -231,6 +231,7 @@
 	g.start(work, reload)
 	callerListener := listener.New(open.callers)
 	callerListener.Attach(g.callerServer)
+	g.callerServer.Handler = g.stop.closeConnections(callerListener.BeginEarly(g.proxy.Handler()))
 	failed := make(chan error, 4)
 	for server, socket := range map[*http.Server]net.Listener{
 		g.callerServer: callerListener, g.readyServer: open.ready, g.peerServer: open.peers, g.operatorServer: open.operators,
@@ -270,7 +271,7 @@
 	go g.pruneConnections(ctx)
 	go g.logDroppedLines(ctx.Done())
 	g.callerServer = &http.Server{
-		Handler: g.stop.closeConnections(g.proxy.Handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
 	g.readyServer = &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout}
--- a/io/gateway/stop.go
+++ b/io/gateway/stop.go
@@ -48,6 +48,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), g.stop.timeout-exitMargin)
 	defer cancel()
 	g.stop.started.Store(true)
+	callers.StopEarly()
 	g.coordinator.Resign()
 	g.proxy.RefuseRelayed()
 	cancelTimer := time.AfterFunc(cancelDelay(g.stop.timeout), g.proxy.CancelRequests)
@@ -78,10 +79,11 @@
 }
 
 // closeConnections sets "Connection: close" on responses during a stop, so that
-// the caller's next request goes to another host.
+// the caller's next request goes to another host. Requests that were begun early on the same
+// connection are answered first.
 func (s *stopState) closeConnections(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.stopping() {
+		if s.stopping() && !listener.HasEarly(r.Context()) {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- /dev/null
+++ b/io/listener/ahead.go
@@ -0,0 +1,200 @@
+package listener
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+)
+
+const (
+	// maxAhead is the number of bytes that are read of a caller beyond the request that is being
+	// handled.
+	maxAhead = 16 << 10
+	// maxHead is the size of a request's head, in bytes, up to which it is looked at. The server
+	// has a limit of its own.
+	maxHead = 64 << 10
+	// readSize is the size of one read, in bytes.
+	readSize = 4 << 10
+	// maxEarly is the number of requests of one connection that are begun early.
+	maxEarly = 8
+)
+
+var headEnd = []byte("\r\n\r\n")
+
+// ahead splits what a caller sends into requests, and gives the server one request at a time. What
+// is read beyond it are requests that the caller has sent without waiting for the response
+// (pipelining): those that may be are begun early, while the server handles the one before them.
+// It is guarded by the lock of its connection, but for source, which only the server reads from.
+type ahead struct {
+	// source is the connection to the caller.
+	source net.Conn
+	// begin begins a request early.
+	begin func(*http.Request) *early
+	// plain is set once the requests can't be told apart. All is passed on from then on.
+	plain bool
+	// buffered holds what was read and not passed on, scanned the number of its bytes that belong
+	// to requests that were begun early.
+	buffered []byte
+	scanned  int
+	// head is what was passed on of the current request's head. whole is set once that is all of
+	// it, and bodyLeft is then the number of bytes of its body that were not passed on.
+	head     []byte
+	whole    bool
+	bodyLeft int64
+	// queue holds the requests that were begun early, in the order of the caller.
+	queue []*early
+}
+
+// next prepares for the next request.
+func (a *ahead) next() { a.head, a.whole, a.bodyLeft = a.head[:0], false, 0 }
+
+// pending reports whether data is buffered, or requests have been begun early.
+func (a *ahead) pending() bool { return len(a.buffered) > 0 || len(a.queue) > 0 }
+
+// deliver passes on buffered bytes that belong to the current request. It returns 0 if there are
+// none.
+func (a *ahead) deliver(data []byte) int {
+	limit := min(len(a.buffered), len(data))
+	switch {
+	case a.plain:
+	case a.whole:
+		limit = int(min(int64(limit), a.bodyLeft))
+		a.bodyLeft -= int64(limit)
+	default:
+		limit = a.passHead(limit)
+	}
+	n := copy(data, a.buffered[:limit])
+	a.buffered = append(a.buffered[:0], a.buffered[n:]...)
+	a.scanned = max(a.scanned-n, 0)
+	return n
+}
+
+// passHead adds up to limit buffered bytes to the current head and returns how many belong to it.
+func (a *ahead) passHead(limit int) int {
+	known := len(a.head)
+	a.head = append(a.head, a.buffered[:limit]...)
+	end := bytes.Index(a.head[max(known-len(headEnd)+1, 0):], headEnd)
+	if end < 0 {
+		a.plain = len(a.head) > maxHead
+		return limit
+	}
+	a.head = a.head[:max(known-len(headEnd)+1, 0)+end+len(headEnd)]
+	r, ok := parseHead(a.head)
+	if !ok || r.ContentLength < 0 {
+		a.plain = true
+		return limit
+	}
+	a.whole, a.bodyLeft = true, r.ContentLength
+	return len(a.head) - known
+}
+
+// parseHead parses the head of a request. It returns false for one of which the server may see
+// another end.
+func parseHead(head []byte) (*http.Request, bool) {
+	if bytes.Count(head, []byte("\n")) != bytes.Count(head, []byte("\r\n")) || head[0] == '\r' {
+		return nil, false
+	}
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	return r, err == nil
+}
+
+// beginEarly begins the buffered requests that follow the current one, up to the first that can't
+// be begun early.
+func (a *ahead) beginEarly() {
+	for !a.plain && len(a.queue) < maxEarly {
+		end := bytes.Index(a.buffered[a.scanned:], headEnd)
+		if end < 0 {
+			return
+		}
+		head := a.buffered[a.scanned : a.scanned+end+len(headEnd)]
+		r, ok := parseHead(head)
+		if !ok || !repeatable(r) {
+			return
+		}
+		e := a.begin(r)
+		if e == nil {
+			return
+		}
+		e.head = bytes.Clone(head)
+		a.queue = append(a.queue, e)
+		a.scanned += len(head)
+	}
+}
+
+// repeatable reports whether a request may be begun although its response may never be delivered:
+// it has no body, and its method is safe. The caller sends it again if the connection ends.
+func repeatable(r *http.Request) bool {
+	safe := r.Method == http.MethodGet || r.Method == http.MethodHead
+	return safe && r.ProtoAtLeast(1, 1) && r.Host != "" && r.ContentLength == 0 && len(r.TransferEncoding) == 0 &&
+		r.Header.Get("Connection") == "" && r.Header.Get("Upgrade") == "" && r.Header.Get("Expect") == ""
+}
+
+// take returns the current request as it was begun early, or nil.
+func (a *ahead) take() *early {
+	if len(a.queue) == 0 || !a.whole || !bytes.Equal(a.queue[0].head, a.head) {
+		return nil
+	}
+	e := a.queue[0]
+	a.queue = a.queue[1:]
+	return e
+}
+
+// follow reports whether requests after the current one have been begun.
+func (a *ahead) follow() bool {
+	others := len(a.queue)
+	if others > 0 && bytes.Equal(a.queue[0].head, a.head) {
+		others--
+	}
+	return others > 0
+}
+
+// cancel cancels the requests that were begun early.
+func (a *ahead) cancel() {
+	for _, e := range a.queue {
+		e.cancel()
+	}
+}
+
+// BeginEarly has the requests that callers send without waiting for a response handled at once by
+// handler. The responses are still sent in their order, by the handler that BeginEarly returns. It
+// must be called before the server serves.
+func (l *Listener) BeginEarly(handler http.Handler) http.Handler {
+	l.early = handler
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e := takeEarly(r.Context())
+		if e == nil {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		stop := context.AfterFunc(r.Context(), e.cancel)
+		defer stop()
+		e.respond(w)
+	})
+}
+
+// StopEarly begins no further requests early.
+func (l *Listener) StopEarly() { l.earlyStopped.Store(true) }
+
+func takeEarly(ctx context.Context) *early {
+	c, ok := callerConn(ctx)
+	if !ok || c.ahead == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ahead.take()
+}
+
+// HasEarly reports whether requests that follow the one with this context on its connection have
+// been begun. The connection must not be closed before their responses.
+func HasEarly(ctx context.Context) bool {
+	c, ok := callerConn(ctx)
+	if !ok || c.ahead == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ahead.follow()
+}
--- a/io/listener/listener.go
+++ b/io/listener/listener.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,10 @@
 	net.Listener
 	drained   chan struct{}
 	drainOnce sync.Once
+	// early handles requests that callers send without waiting for a response; nil if none is
+	// handled before its turn. earlyStopped is set once no more are.
+	early        http.Handler
+	earlyStopped atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*Conn]bool
@@ -64,7 +69,11 @@
 		}
 	}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, conn)
+		ctx = context.WithValue(ctx, connKey{}, conn)
+		if c, ok := unwrap(conn); ok {
+			c.setContext(ctx)
+		}
+		return ctx
 	}
 }
 
@@ -83,12 +92,17 @@
 // the request with this context arrived on. It returns false for connections of
 // other listeners.
 func CallerDisconnected(ctx context.Context) bool {
+	c, ok := callerConn(ctx)
+	return ok && c.remoteClosed()
+}
+
+// callerConn returns the connection that the request with this context arrived on.
+func callerConn(ctx context.Context) (*Conn, bool) {
 	conn, ok := ctx.Value(connKey{}).(net.Conn)
 	if !ok {
-		return false
+		return nil, false
 	}
-	c, ok := unwrap(conn)
-	return ok && c.remoteClosed()
+	return unwrap(conn)
 }
 
 // Accept returns the next connection. It returns net.ErrClosed once Drain has closed
@@ -101,7 +115,10 @@
 		}
 		return nil, err
 	}
-	c := &Conn{Conn: conn, listener: l, opened: time.Now()}
+	c := &Conn{Conn: conn, listener: l, opened: time.Now(), deadlineSet: make(chan struct{})}
+	if l.early != nil {
+		c.ahead = &ahead{source: conn, begin: c.begin}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = true
@@ -162,11 +179,22 @@
 	dataRead bool
 	// closed is set when the connection was closed as idle.
 	closed bool
+	// ahead splits what the caller sends into requests; nil if none is begun early. ctx is the
+	// context of the connection.
+	ahead *ahead
+	ctx   context.Context
+	// deadline is the time at which reads fail, zero for none. deadlineSet is closed and replaced
+	// when it is set.
+	deadline    time.Time
+	deadlineSet chan struct{}
 }
 
 // Read reads data from the caller. It returns net.ErrClosed once the connection
 // was closed as idle, so that no request is read and then dropped.
 func (c *Conn) Read(data []byte) (int, error) {
+	if c.ahead != nil {
+		return c.readSplit(data)
+	}
 	n, err := c.Conn.Read(data)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -182,6 +210,7 @@
 // Close removes the connection from its listener and closes it.
 func (c *Conn) Close() error {
 	c.listener.untrack(c)
+	c.endEarly()
 	return c.Conn.Close()
 }
 
@@ -190,6 +219,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.served, c.active, c.dataRead = true, false, false
+	if c.ahead != nil {
+		c.ahead.next()
+		c.dataRead = c.ahead.pending()
+	}
 }
 
 // markActive records that a request is being handled.
--- /dev/null
+++ b/io/listener/split.go
@@ -0,0 +1,119 @@
+package listener
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+)
+
+func (c *Conn) setContext(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ctx = ctx
+}
+
+// begin begins a request early. The caller holds mu.
+func (c *Conn) begin(r *http.Request) *early {
+	if c.ctx == nil || c.listener.earlyStopped.Load() {
+		return nil
+	}
+	r.RemoteAddr = c.RemoteAddr().String()
+	return beginRequest(c.ctx, c.listener.early, r)
+}
+
+// endEarly cancels the requests that were begun early and not answered, as the connection is
+// closed.
+func (c *Conn) endEarly() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ahead != nil {
+		c.ahead.cancel()
+		c.closed = true
+		c.signal()
+	}
+}
+
+// signal wakes a read that waits for a new deadline. The caller holds mu.
+func (c *Conn) signal() {
+	close(c.deadlineSet)
+	c.deadlineSet = make(chan struct{})
+}
+
+// readSplit reads data of the current request. While the server handles a request that it has read
+// completely, it reads to learn whether the caller leaves: then what follows is read ahead, and
+// the read ends with an error only.
+func (c *Conn) readSplit(data []byte) (int, error) {
+	var buffer [readSize]byte
+	for {
+		n, room, err := c.passOn(data)
+		if n > 0 || err != nil {
+			return n, err
+		}
+		if room == 0 {
+			if err := c.awaitDeadline(); err != nil {
+				return 0, err
+			}
+			continue
+		}
+		n, err = c.Conn.Read(buffer[:min(room, readSize)])
+		if err = c.keep(buffer[:n], err); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// passOn passes on buffered data of the current request. It returns 0 and the number of bytes that
+// may be read if there is none.
+func (c *Conn) passOn(data []byte) (n, room int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.ahead
+	if c.closed {
+		return 0, 0, net.ErrClosed
+	}
+	if !c.active || !a.whole || a.bodyLeft > 0 || a.plain {
+		return a.deliver(data), readSize, nil
+	}
+	a.beginEarly()
+	return 0, max(maxAhead-len(a.buffered), 0), nil
+}
+
+// SetReadDeadline sets the time at which reads fail, also a read that waits because enough is
+// read ahead.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.deadline = t
+	c.signal()
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// awaitDeadline waits for a new deadline or the end of the connection, and returns an error if the
+// deadline has passed.
+func (c *Conn) awaitDeadline() error {
+	c.mu.Lock()
+	deadline, set := c.deadline, c.deadlineSet
+	c.mu.Unlock()
+	if !deadline.IsZero() && !time.Now().Before(deadline) {
+		return os.ErrDeadlineExceeded
+	}
+	<-set
+	return nil
+}
+
+// keep buffers data that was read.
+func (c *Conn) keep(data []byte, err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	if len(data) > 0 {
+		c.dataRead = true
+		c.ahead.buffered = append(c.ahead.buffered, data...)
+		return nil
+	}
+	return err
+}
