--- a/io/metastore/drain.go
+++ b/io/metastore/drain.go
@@ -119,7 +119,7 @@
 // that the topic had no further record, so the bound counts from then. The caller holds mu.
 func (c *Catalog) beginDrain(domain string, offset int64) {
 	now := c.clock.Now()
-	age := c.configConsumer.age()
+	age := min(c.configConsumer.age(), c.drains.bound)
 	d := DomainDrain{Domain: domain, Since: now, Offset: offset, Era: c.era}
 	d.OwnersUntil = now.Add(time.Duration(ownersShare*float64(c.drains.bound)) - age)
 	c.drains.byDomain[domain] = d
--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -87,6 +87,7 @@
 	windows       []Window
 	published     map[int]time.Time
 	drainStarted  map[string]time.Time
+	domainDrains  []domainDrain
 	newestVersion map[[2]int]int
 	violations    []string
 	counts        map[string]int
@@ -192,6 +193,7 @@
 func (c *Checker) addRun(run keyholder.Run) {
 	c.counts["runs"]++
 	c.runs[run.ID] = append(c.runs[run.ID], run)
+	c.checkDomainDrains(run)
 	at, draining := c.drainStarted[run.Target]
 	if draining && run.At.After(at.Add(drainBound)) && c.faultFree(at, run.At) {
 		c.addViolation("request %s reached target %s %v after the start of its drain", run.ID, run.Target, run.At.Sub(at))
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -121,6 +121,17 @@
 			addAsked(c, 1, 0, keyholder.Event{Resting: true})
 			addAsked(c, 17, 1, keyholder.Event{Resting: true})
 		}, "17 requests in that time, at most 16 allowed"},
+		{"drained domain, in time", func(c *Checker) {
+			c.DomainDrained(domainOf("t1"), at(0))
+			addRun(c, "r1", "t1", -1, 4.9)
+			addRun(c, "r2", "t2", -1, 8)
+			c.DomainTakenBack(domainOf("t1"), at(9))
+			addRun(c, "r3", "t1", -1, 9.1)
+		}, ""},
+		{"drained domain, late", func(c *Checker) {
+			c.DomainDrained(domainOf("t1"), at(0))
+			addRun(c, "r1", "t1", -1, 5.1)
+		}, "5.1s after the start of the drain of domain b"},
 		{"two owners", func(c *Checker) {
 			addGrant(c, "t1", 0, 99, 1, 0, 4)
 			addGrant(c, "t2", 50, 60, 2, 3, 7)
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -65,6 +65,8 @@
 		return s.publishConfig()
 	case TargetDrain, TargetKill, TargetPause, TargetLimit, TargetLeave, TargetRest:
 		return s.runTargetStep(ctx, step, maxDuration)
+	case DomainDrain:
+		return s.withWindow(systemWindow, maxDuration, func() error { return s.drainDomain(ctx, step) })
 	case ServiceLose:
 		return s.withWindow(systemWindow, maxDuration, func() error { s.loseResponses(ctx, step); return nil })
 	case LinkCut, LinkSilent, LinkStall, LinkSlow:
--- a/io/soak/steps.go
+++ b/io/soak/steps.go
@@ -34,6 +34,8 @@
 	// all requests and ask for a rest.
 	TargetLeave Kind = "target-leave"
 	TargetRest  Kind = "target-rest"
+	// DomainDrain drains a failure domain on the operator's request, and takes it back.
+	DomainDrain Kind = "domain-drain"
 	// ServiceLose makes all targets of a service lose all responses.
 	ServiceLose Kind = "service-lose"
 	// LinkCut resets the connections of a host to the store and refuses new ones.
@@ -65,13 +67,13 @@
 	StoreBusy, StoreReset, StoreSilent, StoreLost, StoreExpire, StoreRebalance,
 }
 
-// requested are what targets ask for in their responses. They are drawn apart from the others,
+// requested are what targets ask for in their responses, and the operator in the store. They are drawn apart from the others,
 // so that the steps of a seed stay as they were.
-var requested = []Kind{TargetLeave, TargetRest}
+var requested = []Kind{TargetLeave, TargetRest, DomainDrain}
 
 // Planned reports whether the kind is a planned operation, which must not affect
 // callers.
-func (k Kind) Planned() bool { return slices.Contains(planned, k) }
+func (k Kind) Planned() bool { return k == DomainDrain || slices.Contains(planned, k) }
 
 // Step is one fault or planned operation.
 type Step struct {
--- a/io/soak/system.go
+++ b/io/soak/system.go
@@ -275,7 +275,7 @@
 // the target.
 func (t *target) entry(draining bool) []byte {
 	return keyholder.New(keyholder.Options{
-		ID: t.id, Service: t.service, Address: t.address, Domain: "a", Slots: 2, Born: t.startedMs,
+		ID: t.id, Service: t.service, Address: t.address, Domain: domainOf(t.id), Slots: 2, Born: t.startedMs,
 	}, nil).Entry(1, draining)
 }
 
