Read what targets bear while they are cold

Cause: warmup_s and warmup_per_s of services, warmup_overage and warmup_slack of the settings and X-Warmup-Ms of health responses were not decoded.

--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -46,6 +46,10 @@
 	// WarmUp is how long requests for a key are slow at a new owner that received
 	// the key without a handover.
 	WarmUp time.Duration
+	// ColdTime is how long a target is cold after its start. Until then it bears ColdRate
+	// requests a second from all hosts together. Both are zero if there is no such limit.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Limits are the limits on callers' requests and connections.
