Let a limit state what hosts save up, for bounds of one second

Cause: what all hosts may save up fits windows of four seconds. A cold target counts in windows of one second. Change: ratelimit.Bound is what a cold target may get in a second, its Limit the rate and the burst by which hosts keep to it. Limit.Burst is a new optional field: an older leader ignores it and lets hosts save up its default, an older host only passes it on. Where other leaders deal the rest, the burst is cut like the rate. Limits without it are divided as before.

--- a/core/ratelimit/division.go
+++ b/core/ratelimit/division.go
@@ -265,7 +265,7 @@
 	if x.isSettled(total, now) {
 		return
 	}
-	x.setBurst(saved(total) / float64(max(len(chosen), 1)))
+	x.setBurst(x.mostSaved(total) / float64(max(len(chosen), 1)))
 	for p := range x.all {
 		if p.wanted < p.rate {
 			p.reserved, p.reservedUntil = p.held(now), now.Add(reserveTime)
@@ -297,9 +297,19 @@
 	}
 }
 
-// saved returns the number of requests that all hosts together may save up.
+// saved returns the number of requests that all hosts together may save up, unless the limit
+// states less.
 func saved(total float64) float64 { return burstTime.Seconds()*total + burstRequests }
 
+// mostSaved returns the number of requests that all hosts together may save up while a total is
+// dealt. It is less where the total is only a part of the limit, as others have another leader.
+func (x *division) mostSaved(total float64) float64 {
+	if x.limit.Burst > 0 {
+		return max(x.limit.Burst*min(total/x.limit.PerSecond, 1), 1)
+	}
+	return saved(total)
+}
+
 // isUsed reports whether the parts meet demand and add up to no more than the total.
 func (x *division) isUsed(total float64, now time.Time) bool {
 	used := 0.0
@@ -331,7 +341,7 @@
 // sharers returns the parts of the hosts with the most demand, and its sum: as many as have
 // wantedDemand. The list is valid until the next call.
 func (x *division) sharers(total float64) (chosen []*part, demand float64) {
-	heaviest, n := x.heaviest(int(saved(total))), 0
+	heaviest, n := x.heaviest(int(x.mostSaved(total))), 0
 	for _, p := range heaviest {
 		if demand >= wantedDemand*total {
 			break
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -19,6 +19,9 @@
 	Named bool `cbor:"1,keyasint,omitempty" json:"named"`
 	// PerSecond is the limit, 0 or more.
 	PerSecond float64 `cbor:"2,keyasint,omitempty" json:"per_second"`
+	// Burst is the number of requests that all hosts together may save up at most; zero for
+	// the default. Older hosts don't know it and use the default.
+	Burst float64 `cbor:"3,keyasint,omitempty" json:"burst,omitempty"`
 }
 
 // Observation is what a host knows of the limit of a target, as reported to the leader.
--- a/core/ratelimit/sim_test.go
+++ b/core/ratelimit/sim_test.go
@@ -44,12 +44,19 @@
 	// leaderOf holds the leader of each host; -1 for none.
 	leaderOf []int
 	sends    []time.Duration
+	// now is the time of the present step.
+	now time.Duration
 	// inFlight are the requests without a response.
 	inFlight []request
+	// cold is set if hosts have the limit from an entry: one that starts again has it at
+	// once.
+	cold bool
 }
 
 type simHost struct {
-	pacer    Pacer
+	pacer Pacer
+	// knownAt is the time from which the host knows the target.
+	knownAt  time.Duration
 	counter  *hostcount.Counter
 	divider  *Divider
 	shares   Shares
@@ -86,6 +93,9 @@
 	h.counter.Set(len(s.hosts), simStart.Add(-hostcount.SettleTime))
 	h.counter.Set(len(s.hosts), simStart)
 	h.divider = NewDivider(h.counter)
+	if s.cold {
+		h.pacer.Learn(s.limit, simStart.Add(s.now), simStart.Add(s.now))
+	}
 	s.hosts[i] = h
 }
 
@@ -102,6 +112,7 @@
 
 func (s *sim) run(events map[time.Duration]func()) {
 	for at := time.Duration(0); at < simEnd; at += step {
+		s.now = at
 		if event := events[at]; event != nil {
 			event()
 		}
@@ -119,6 +130,9 @@
 		return
 	}
 	h, now := s.hosts[i], simStart.Add(at)
+	if at < h.knownAt {
+		return
+	}
 	if h.pacer.Limit().Named {
 		h.pacer.RecordDemand(now)
 	}
