Keep to the rate of cold targets

Cause: a cold target got its usual requests from each host, in sum more than it bears in a second; it crashed with its keys' work. What it bears is divided among the hosts like a limit that it has named, under a name of its own; the lower one of both decides, also for the leader's balance of keys. Requests for keys of a cold owner beyond it are refused at once, others go to other targets.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"pineturn/core/ratelimit"
 )
 
 // Criteria are the requirements that a request places on its target.
@@ -61,6 +63,8 @@
 	// slot, this request included.
 	depth float64
 	sent  time.Time
+	// cold has counted the request if the target was cold; nil otherwise.
+	cold *ratelimit.Pacer
 }
 
 const (
@@ -116,10 +120,10 @@
 		}
 	}
 	if !criteria.Counted {
-		recordDemand(best, limited, now)
+		s.recordDemand(best, limited, now)
 	}
 	if best.choice == nil {
-		if status = recordRefused(svc, criteria, status, limited, now); status == NoTarget && rest.decides() {
+		if status = s.recordRefused(svc, criteria, status, limited, now); status == NoTarget && rest.decides() {
 			status = Resting
 		}
 		return nil, status
@@ -127,15 +131,21 @@
 	t := best.choice.target
 	t.inFlight++
 	t.pacer.Take()
+	if s.isCold(t, now) {
+		best.choice.cold = s.coldPacer(t, now)
+		best.choice.cold.Take()
+	}
 	best.choice.toOwner = criteria.Owner != ""
 	return best.choice, Chosen
 }
 
 // recordRefused records a request that no target takes now and returns its status. Where
 // targets are full, one of them may have room sooner than a limited one.
-func recordRefused(svc *serviceState, criteria Criteria, status ChoiceStatus, limited candidate, now time.Time) ChoiceStatus {
+func (s *Set) recordRefused(svc *serviceState, criteria Criteria, status ChoiceStatus, limited candidate, now time.Time) ChoiceStatus {
 	if limited.choice != nil {
-		limited.choice.target.pacer.RecordRefused(criteria.Rank, now)
+		for p := range s.pacers(limited.choice.target, now) {
+			p.RecordRefused(criteria.Rank, now)
+		}
 	}
 	switch {
 	case status == NoCapacity:
--- a/core/placement/limits.go
+++ b/core/placement/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -11,20 +12,69 @@
 // withinRateLimit reports whether this host may send a request to a target now, as far as
 // the limit goes that the target has named.
 func (s *Set) withinRateLimit(t *Target, criteria Criteria, now time.Time) bool {
-	if !t.pacer.Limit().Named {
-		return true
+	for p := range s.pacers(t, now) {
+		if criteria.Optional || p.Yields(criteria.Rank, now) || p.Wait(now, s.sharing(t)) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// pacers calls visit with the pacers of the limits that hold for a target: the one that it has
+// named, and that of a cold one.
+func (s *Set) pacers(t *Target, now time.Time) iter.Seq[*ratelimit.Pacer] {
+	return func(visit func(*ratelimit.Pacer) bool) {
+		if t.pacer.Limit().Named && !visit(&t.pacer) {
+			return
+		}
+		if s.isCold(t, now) {
+			visit(s.coldPacer(t, now))
+		}
+	}
+}
+
+// sharing returns the number of hosts that are taken to share the limits of a target while this
+// one has no part of them.
+func (s *Set) sharing(t *Target) int {
+	if s.Sender(t.entry.ID) {
+		return 1
+	}
+	return s.Hosts()
+}
+
+// limited reports whether a limit holds for a target.
+func (s *Set) limited(t *Target, now time.Time) bool {
+	return t.pacer.Limit().Named || s.isCold(t, now)
+}
+
+// limitWait returns the time until this host may send a request to a target, as far as limits
+// go.
+func (s *Set) limitWait(t *Target, now time.Time) time.Duration {
+	wait := time.Duration(0)
+	for p := range s.pacers(t, now) {
+		wait = max(wait, p.Wait(now, s.sharing(t)))
 	}
-	return !criteria.Optional && !t.pacer.Yields(criteria.Rank, now) && t.pacer.Wait(now, s.Hosts()) == 0
+	if s.isCold(t, now) && !t.cold.lost && !t.pacer.Limit().Named {
+		wait = min(wait, t.cold.end.Sub(now))
+	}
+	return wait
 }
 
 // recordDemand counts a request for the limited target that it would be sent to without
 // limits, if any.
-func recordDemand(best, limited candidate, now time.Time) {
+func (s *Set) recordDemand(best, limited candidate, now time.Time) {
 	if limited.choice != nil && (best.choice == nil || limited.cost < best.cost) {
 		best = limited
 	}
-	if best.choice != nil && best.choice.target.pacer.Limit().Named {
-		best.choice.target.pacer.RecordDemand(now)
+	if best.choice == nil {
+		return
+	}
+	t := best.choice.target
+	if t.pacer.Limit().Named {
+		t.pacer.RecordDemand(now)
+	}
+	if s.isCold(t, now) {
+		s.recordColdDemand(t, now)
 	}
 }
 
@@ -57,6 +107,9 @@
 			s.informOfLimit(t, now)
 		}
 	})
+	for _, t := range s.targets {
+		s.informOfColdShare(t, now)
+	}
 }
 
 // informOfLimit tells a target's state what the leader has said of its limit.
@@ -66,6 +119,13 @@
 	}
 }
 
+// informOfColdShare tells a cold target's state what the leader has said of this host's part.
+func (s *Set) informOfColdShare(t *Target, now time.Time) {
+	if s.isCold(t, now) && s.shares.Inform(coldName(&t.entry), s.coldPacer(t, now), now) {
+		s.service(t.entry.Service).notifyWaiters()
+	}
+}
+
 // Limits returns what this host reports of the limits of targets, by target.
 func (s *Set) Limits(now time.Time) []ratelimit.Observation {
 	s.mu.Lock()
@@ -75,6 +135,11 @@
 		if o, ok := t.pacer.Observation(id, now, s.Hosts()); ok {
 			known = append(known, o)
 		}
+		if s.isCold(t, now) {
+			if o, ok := s.coldPacer(t, now).Observation(coldName(&t.entry), now, s.sharing(t)); ok {
+				known = append(known, o)
+			}
+		}
 	}
 	slices.SortFunc(known, func(a, b ratelimit.Observation) int { return cmp.Compare(a.Target, b.Target) })
 	return known
@@ -103,12 +168,18 @@
 	return changed
 }
 
-// Limit returns the limit that a target has named.
-func (s *Set) Limit(id string) ratelimit.Limit {
+// Limit returns the limit of a target, the lower one of what it has named and what it bears
+// while it is cold.
+func (s *Set) Limit(id string, now time.Time) ratelimit.Limit {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var lowest ratelimit.Limit
 	if t := s.targets[id]; t != nil {
-		return t.pacer.Limit()
+		for p := range s.pacers(t, now) {
+			if limit := p.Limit(); !lowest.Named || limit.PerSecond < lowest.PerSecond {
+				lowest = limit
+			}
+		}
 	}
-	return ratelimit.Limit{}
+	return lowest
 }
--- a/core/placement/limits_test.go
+++ b/core/placement/limits_test.go
@@ -88,7 +88,7 @@
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	assertNamed := func(t *testing.T, want bool) {
 		t.Helper()
-		if got := s.Limit("t1").Named; got != want {
+		if got := s.Limit("t1", start).Named; got != want {
 			t.Errorf("limit is named: got %t, want %t", got, want)
 		}
 	}
--- a/core/placement/rest.go
+++ b/core/placement/rest.go
@@ -69,10 +69,10 @@
 	defer s.mu.Unlock()
 	shortest := time.Hour
 	for _, t := range s.service(criteria.Service).targets {
-		if !t.serves(criteria, now) || !t.resting(now) && !t.pacer.Limit().Named {
+		if !t.serves(criteria, now) || !t.resting(now) && !s.limited(t, now) {
 			continue
 		}
-		shortest = min(shortest, max(t.pacer.Wait(now, s.Hosts()), t.restUntil.Sub(now)))
+		shortest = min(shortest, max(s.limitWait(t, now), t.restUntil.Sub(now)))
 	}
 	return shortest
 }
--- a/core/placement/result.go
+++ b/core/placement/result.go
@@ -95,6 +95,7 @@
 	if c.toOwner && (result == Shed || result == ConnectionLost) && c.TargetFull(report) {
 		t.recordOwnerShed(now)
 	}
+	c.recordCold(t, result, now)
 	switch result {
 	case Complete:
 		c.recordResponseTime(svc, t, took)
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -30,6 +30,11 @@
 	// Hosts returns the number of hosts that share the limits of targets. It is set
 	// before use.
 	Hosts func() int
+	// Sender reports whether this host sends nearly all requests for the keys of a target,
+	// as the others relay theirs to it. It is set before use.
+	Sender func(target string) bool
+	// Cold returns what a target of a service bears while it is cold. It is set before use.
+	Cold func(service string) Cold
 }
 
 // serviceState holds the targets of one service and their common measurements.
@@ -55,6 +60,7 @@
 	return &Set{
 		domain: domain, targets: make(map[string]*Target), services: make(map[string]*serviceState),
 		rests: make(rests), changed: make(chan struct{}), Hosts: func() int { return 1 },
+		Sender: func(string) bool { return false }, Cold: func(string) Cold { return Cold{} },
 	}
 }
 
@@ -97,6 +103,7 @@
 		}
 		old.entry = entry
 		old.warmEnd = now.Add(entry.WarmUp)
+		s.applyWarmUp(old, &entry, now)
 		s.notifyChanged()
 		return true
 	}
@@ -106,6 +113,7 @@
 	t := &Target{entry: entry, warmEnd: now.Add(entry.WarmUp), relativeTime: 1, restUntil: s.rests[owner.Incarnation{Target: entry.ID, Born: entry.Born}]}
 	s.targets[entry.ID] = t
 	s.informOfLimit(t, now)
+	s.applyWarmUp(t, &entry, now)
 	svc := s.service(entry.Service)
 	svc.targets = append(svc.targets, t)
 	svc.notifyWaiters()
@@ -190,6 +198,12 @@
 	// and LimitShare this host's part of it; nil and 0 without one.
 	Limit      *float64 `json:"limit,omitempty"`
 	LimitShare float64  `json:"limit_share,omitempty"`
+	// ColdS is the time in seconds for which the target is cold, or taken to be, ColdRate
+	// the requests a second that it gets from all hosts until then, and ColdShare this
+	// host's part of them; 0 unless it is cold.
+	ColdS     float64 `json:"cold_s,omitempty"`
+	ColdRate  float64 `json:"cold_rate,omitempty"`
+	ColdShare float64 `json:"cold_share,omitempty"`
 	// RestS is the time in seconds for which the target wants no requests.
 	RestS float64 `json:"rest_s,omitempty"`
 }
@@ -210,6 +224,10 @@
 		if limit := t.pacer.Limit(); limit.Named {
 			state.Limit, state.LimitShare = &limit.PerSecond, t.pacer.Rate(now, s.Hosts())
 		}
+		if s.isCold(t, now) {
+			p := s.coldPacer(t, now)
+			state.ColdS, state.ColdRate, state.ColdShare = max(t.cold.end.Sub(now), 0).Seconds(), p.Limit().PerSecond, p.Rate(now, s.sharing(t))
+		}
 		if t.resting(now) {
 			state.RestS = t.restUntil.Sub(now).Seconds()
 		}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -82,6 +82,7 @@
 	consecutiveSheds int
 	// pacer keeps this host within its part of the limit that the target has named.
 	pacer ratelimit.Pacer
+	cold  coldState
 	// ownerStats covers the responses to requests for the target's own keys since
 	// the last call of TakeProcessingStats.
 	ownerStats owner.ProcessingStats
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -182,8 +182,8 @@
 	}
 	for _, e := range c.targets.Entries("") {
 		target := ownerTarget(e, e.Draining)
-		target.WarmingUp = c.targets.WarmingUp(e.ID, c.clock.Now())
-		target.Limit = c.targets.Limit(e.ID)
+		now := c.clock.Now()
+		target.WarmingUp, target.Limit = c.targets.WarmingUp(e.ID, now), c.targets.Limit(e.ID, now)
 		targets[e.ID] = target
 		c.entries[e.ID] = e
 	}
--- a/io/gateway/create.go
+++ b/io/gateway/create.go
@@ -24,6 +24,7 @@
 	g.targets = placement.NewSet(g.settings.Domain)
 	g.targets.Hosts = g.hosts.Hosts
 	g.catalog = metastore.NewCatalog(g.clock, g.targets)
+	g.targets.Cold = g.coldBound
 	g.peers = peers.New(peers.Host{Address: peerAddress(g.settings), Domain: g.settings.Domain, Incarnation: g.incarnation})
 }
 
--- a/io/gateway/limits.go
+++ b/io/gateway/limits.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "pineturn/core/ratelimit"
+import (
+	"pineturn/core/placement"
+	"pineturn/core/ratelimit"
+)
 
 // connectLimits connects what this host knows of the limits of targets with the leader, which
 // divides them, and with the hosts that are linked to this one.
@@ -35,3 +38,16 @@
 	g.limits.AddReport(self, g.targets.Limits(now), now)
 	g.targets.ApplyLimits(g.nextLimits(self, told), now, now)
 }
+
+// coldBound returns what a target of a service bears while it is cold.
+func (g *Gateway) coldBound(service string) placement.Cold {
+	table := g.catalog.Table()
+	if table == nil {
+		return placement.Cold{}
+	}
+	configured := table.Config().Services[service]
+	return placement.Cold{
+		Time:  configured.ColdTime,
+		Bound: ratelimit.Bound{PerSecond: configured.ColdRate, Overage: g.settings.ColdOverage, Slack: g.settings.ColdSlack},
+	}
+}
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -97,6 +97,7 @@
 	gauge("detached_services", "Services whose targets this host can't reach.", func() float64 { return float64(len(g.peers.Self().Detached)) })
 	gauge("blocked_requests", "Requests that are refused because they end targets.", func() float64 { return float64(len(g.poison.Blocks(g.clock.Now()))) })
 	gauge("limited_targets", "Targets that have named a limit of requests.", func() float64 { return float64(g.targets.LimitedTargets()) })
+	gauge("cold_targets", "Targets that are cold, or taken to be, with a bound on their requests.", func() float64 { return float64(g.targets.ColdTargets(g.clock.Now())) })
 	gauge("sharing_hosts", "Hosts that are taken to share the retry budget and the limits of targets.", func() float64 { return float64(g.hosts.Hosts()) })
 	gauge("owners_epoch", "Epoch of the assignment of keys as last read.", func() float64 {
 		if a := g.catalog.Assignment(); a != nil {
--- a/io/proxy/observe_test.go
+++ b/io/proxy/observe_test.go
@@ -25,7 +25,7 @@
 			get(p.Handler(), "/read/1", nil)
 			time.Sleep(2 * time.Millisecond)
 		}
-		if got := p.targets.Limit("t1"); served == before || !got.Named || got.PerSecond != limit {
+		if got := p.targets.Limit("t1", time.Now()); served == before || !got.Named || got.PerSecond != limit {
 			t.Errorf("limit after %d responses, the last with %q: got %+v, want %v", served, text, got, limit)
 		}
 	}
--- a/io/proxy/poison.go
+++ b/io/proxy/poison.go
@@ -116,10 +116,13 @@
 	p.ends.end(entry.ID, err == nil, p.clock.Now())
 }
 
-// recordRefused records that a target has ended if it has refused a connection just after its
-// responses were lost. Where all targets refuse, the path to them is lost instead.
+// recordRefused records that a target takes no connections, and that it has ended if it has
+// refused one just after its responses were lost. Where all targets refuse, the path to them is lost instead.
 func (p *Proxy) recordRefused(entry placement.Entry, err error) {
 	now := p.clock.Now()
+	if err != nil && !p.reach.IsLost(entry.Service) {
+		p.targets.ObserveLost(entry.ID, now)
+	}
 	if !errors.Is(err, syscall.ECONNREFUSED) || !p.poison.Awaits(entry.ID, now) || p.reach.IsLost(entry.Service) {
 		return
 	}
