--- a/io/gateway/cluster_test.go
+++ b/io/gateway/cluster_test.go
@@ -54,6 +54,10 @@
 	mended atomic.Bool
 	// version is the version of the software of targets that start.
 	version string
+	// coldTime and coldRate are what the configuration states of cold targets, coldLeft is
+	// how long those that start are cold.
+	coldTime, coldLeft time.Duration
+	coldRate           float64
 }
 
 type target struct {
@@ -129,7 +133,10 @@
 			{Name: fmt.Sprint("v", version), Service: plainService, Idempotent: true, Timeout: time.Second},
 			{Name: slowRoute, Service: plainService, Idempotent: true, Timeout: 20 * time.Second},
 		},
-		Services: []platformstore.Service{{Name: plainService}, {Name: orderService}, {Name: keyedService, Keyed: true}},
+		Services: []platformstore.Service{
+			{Name: plainService, ColdTime: c.coldTime, ColdRate: c.coldRate}, {Name: orderService, ColdTime: c.coldTime, ColdRate: c.coldRate},
+			{Name: keyedService, Keyed: true, ColdTime: c.coldTime, ColdRate: c.coldRate},
+		},
 	}
 	if err := c.store.Configure(config); err != nil {
 		c.t.Fatal(err)
@@ -153,7 +160,9 @@
 	x.Target = keyholder.New(keyholder.Options{
 		ID: id, Service: service, Address: l.Addr().String(), Domain: domain, Slots: c.slots, Queue: 8,
 		ServiceTime: 5 * time.Millisecond, Keyed: service == keyedService, Version: c.version,
+		ColdRate: int(c.coldRate*1.5 + 8),
 	}, c.audit)
+	x.SetCold(c.coldLeft)
 	x.server = &http.Server{Handler: c.endOnPoison(x)}
 	go func() { _ = x.server.Serve(l) }()
 	c.store.PutTarget(id, x.Entry(1, false))
@@ -215,6 +224,7 @@
 	}
 	settings := platformstore.HostSettings{
 		Name: name, Domain: domain, IP: ip, Port: freePort(c.t, ip), CallerAddress: h.front, ReadyAddress: h.ready, StoreAddress: c.serve(c.storeHandler(ip), ip), RetryBudgetExtra: 160,
+		ColdOverage: 1.5, ColdSlack: 8,
 	}
 	if err := os.WriteFile(h.path, settings.Encode(), 0o600); err != nil {
 		c.t.Fatal(err)
--- a/io/standin/keyholder/keyholder.go
+++ b/io/standin/keyholder/keyholder.go
@@ -40,6 +40,9 @@
 	Born int64
 	// Version is the version of the target's software; empty for v1.
 	Version string
+	// ColdRate is the number of requests that the target bears in any one second while it is
+	// cold. It ends itself at more. Zero for any number.
+	ColdRate int
 }
 
 // Fault selects the faults that a target injects. The zero value injects none.
@@ -80,6 +83,11 @@
 	leases       map[int]*lease
 	runningByKey map[int]int
 	arrivals     []Arrival
+	// coldFrom and coldUntil are the begin and the end of the time for which the target is
+	// cold.
+	coldFrom, coldUntil time.Time
+	// crashed is set once the target got more than ColdRate while it was cold.
+	crashed bool
 }
 
 // New returns a target that owns no keys and reports to audit.
@@ -134,8 +142,8 @@
 		born = fmt.Sprintf(`"born":%d,`, t.options.Born)
 	}
 	return fmt.Appendf(nil, `{%s"address":%q,"info":{"service":%q,"version":%q,"zone":%q,"capacity":%d},`+
-		`"status":{"state":%q,"sequence":%d,"warmup_left_s":0}}`,
-		born, t.options.Address, t.options.Service, cmp.Or(t.options.Version, "v1"), t.options.Domain, t.options.Slots, state, sequence)
+		`"status":{"state":%q,"sequence":%d,"warmup_left_s":%.3f}}`,
+		born, t.options.Address, t.options.Service, cmp.Or(t.options.Version, "v1"), t.options.Domain, t.options.Slots, state, sequence, t.coldLeft().Seconds())
 }
 
 // Handler returns the handler of grants, releases and all other requests.
@@ -143,6 +151,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/grant", t.serveGrant)
 	mux.HandleFunc("POST /v1/release", t.serveRelease)
+	mux.HandleFunc("GET "+HealthPath, t.serveHealth)
 	mux.HandleFunc("/", t.serveRequest)
 	return mux
 }
@@ -178,6 +187,9 @@
 		t.respondNotRun(w, r, http.StatusMisdirectedRequest)
 		return
 	}
+	if t.crash() {
+		panic(http.ErrAbortHandler)
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- a/io/standin/platformstore/config.go
+++ b/io/standin/platformstore/config.go
@@ -32,6 +32,10 @@
 	Name string
 	// Keyed services are sharded by key.
 	Keyed bool
+	// ColdTime is how long targets are cold after a start, ColdRate the requests a second
+	// that they bear until then; 0 for no bound.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Config is a version of the operator's configuration. HostName is the HTTP host
@@ -61,6 +65,9 @@
 		if s.Keyed {
 			service["sharding"] = true
 		}
+		if s.ColdRate > 0 {
+			service["warmup_s"], service["warmup_per_s"] = s.ColdTime.Seconds(), s.ColdRate
+		}
 		services = append(services, service)
 	}
 	return json.Marshal(map[string]any{
@@ -110,11 +117,15 @@
 	// RetryBudgetExtra is the number of retries allowed beyond 20 % of the
 	// requests.
 	RetryBudgetExtra int
+	// ColdOverage and ColdSlack bound the requests for cold targets.
+	ColdOverage, ColdSlack float64
 }
 
 // Encode returns the settings file in TOML.
 func (h HostSettings) Encode() []byte {
 	return fmt.Appendf(nil, "node = %q\nzone = %q\nip = %q\ninternal_ports = [%d, %d]\n"+
-		"[listen]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[bounds]\nretry_budget_ratio = 0.2\nretry_budget_extra = %d\n",
-		h.Name, cmp.Or(h.Domain, "a"), h.IP, h.Port, h.Port, h.CallerAddress, h.ReadyAddress, h.StoreAddress, h.RetryBudgetExtra)
+		"[listen]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[bounds]\nretry_budget_ratio = 0.2\nretry_budget_extra = %d\n"+
+		"warmup_overage = %v\nwarmup_slack = %v\n",
+		h.Name, cmp.Or(h.Domain, "a"), h.IP, h.Port, h.Port, h.CallerAddress, h.ReadyAddress, h.StoreAddress, h.RetryBudgetExtra,
+		cmp.Or(h.ColdOverage, 1), h.ColdSlack)
 }
