--- a/core/placement/limits.go
+++ b/core/placement/limits.go
@@ -36,7 +36,7 @@
 // sharing returns the number of hosts that are taken to share the limits of a target while this
 // one has no part of them.
 func (s *Set) sharing(t *Target) int {
-	if s.Sender(t.entry.ID) {
+	if s.Sender(&t.entry) {
 		return 1
 	}
 	return s.Hosts()
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -27,12 +27,14 @@
 	// which targets have asked for no requests.
 	departures departures
 	rests      rests
+	// drained holds the failure domains that are drained.
+	drained drainedDomains
 	// Hosts returns the number of hosts that share the limits of targets. It is set
 	// before use.
 	Hosts func() int
-	// Sender reports whether this host sends nearly all requests for the keys of a target,
-	// as the others relay theirs to it. It is set before use.
-	Sender func(target string) bool
+	// Sender reports whether this host sends nearly all requests for a target, as the
+	// others relay theirs to it. It is set before use and must not call the set.
+	Sender func(target *Entry) bool
 	// Cold returns what a target of a service bears while it is cold. It is set before use.
 	Cold func(service string) Cold
 }
@@ -60,7 +62,7 @@
 	return &Set{
 		domain: domain, targets: make(map[string]*Target), services: make(map[string]*serviceState),
 		rests: make(rests), changed: make(chan struct{}), Hosts: func() int { return 1 },
-		Sender: func(string) bool { return false }, Cold: func(string) Cold { return Cold{} },
+		Sender: func(*Entry) bool { return false }, Cold: func(string) Cold { return Cold{} },
 	}
 }
 
--- a/io/gateway/limits.go
+++ b/io/gateway/limits.go
@@ -51,3 +51,14 @@
 		Bound: ratelimit.Bound{PerSecond: configured.ColdRate, Overage: g.settings.ColdOverage, Slack: g.settings.ColdSlack},
 	}
 }
+
+// sendsAll reports whether this host sends nearly all requests for a target, because it holds the
+// queue of the owner.
+func (g *Gateway) sendsAll(target *placement.Entry) bool {
+	table := g.catalog.Table()
+	if table == nil || target.Domain != g.settings.Domain || !g.ownerQueue.Enabled() || !table.Config().Services[target.Service].Keyed {
+		return false
+	}
+	_, other := g.peers.Holder(target.ID, target.Domain, target.Service, g.clock.Now())
+	return !other
+}
