--- a/io/metastore/drain.go
+++ b/io/metastore/drain.go
@@ -137,6 +137,8 @@
 // there. The caller holds mu.
 func (c *Catalog) endDrain(d DomainDrain, at int64) bool {
 	delete(c.drains.byDomain, d.Domain)
+	// Targets without requests may have become cold.
+	c.targets.SuspectCold(d.Domain, c.clock.Now())
 	klog.InfoS("Failure domain is drained no more", "domain", d.Domain, "offset", d.Offset, "endedAt", at, "after", c.clock.Now().Sub(d.Since))
 	return true
 }
