State the lock order of the table of targets with the table of hosts

Cause: whether this host sends all requests of a target is asked while the table of targets is locked, and takes the lock of the table of hosts; the comment said that no lock is taken there. Change: the comment states the order. The table of hosts calls nothing of the table of targets. Measured: nothing to measure; comment only.

--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -11,7 +11,8 @@
 )
 
 // Set is the table of all targets. It is safe for concurrent use. In the lock
-// order its mutex comes last: no other lock is acquired while it is held.
+// order its mutex comes before that of peers.Table, which Sender takes, and after
+// all others.
 type Set struct {
 	mu       sync.Mutex
 	domain   string
