Learn the speed of targets and how many requests each takes well

Cause: nothing knows how long a target takes by itself, how that depends on its load, or that it has changed, other than moving averages with one weight.

Change: core/concurrency has an estimator a target: logarithms of processing times relative to the service, a second estimate of few responses that replaces the usual one when they differ by more than chance, a curve of the processing time by load, and refusals. Targets with few responses count as the service says. Nothing uses it yet.

--- a/core/concurrency/concurrency.go
+++ b/core/concurrency/concurrency.go
@@ -2,10 +2,14 @@
 // up to which it stays fast, and how long it takes for one. It does no I/O.
 //
 // It answers the load pattern of a service whose targets differ in speed, of which some slow
-// down long before they are full, and others change while they are in use.
+// down long before they are full, and others change while they are in use. Each host learns
+// alone, from few requests to each target.
 package concurrency
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Estimate is what is known of a target at one time.
 type Estimate struct {
@@ -32,3 +36,122 @@
 	// Refused reports that the target refused the request because it was full.
 	Refused bool
 }
+
+const (
+	// slowSamples and fastSamples are the numbers of responses after which the weight of an
+	// earlier one has halved, in the usual estimate of a speed and in the one that notices
+	// changes. slowHalfLife and fastHalfLife are the times after which it has halved as well.
+	slowSamples  = 30.0
+	fastSamples  = 3.0
+	slowHalfLife = 15 * time.Second
+	fastHalfLife = time.Second
+	// priorSamples is the number of responses that the mean of the service counts as.
+	priorSamples = 2.0
+	// minKnownSamples is the number of responses from which a target is known.
+	minKnownSamples = 4.0
+	// changeErrors is the number of standard errors, and minChange the least logarithm of
+	// the ratio, by which recent responses must differ from the usual ones to replace them.
+	changeErrors = 3.5
+	minChange    = 0.3
+	// minChangeSamples is the number of recent responses from which they can do so: a few
+	// that are slow by chance are no change.
+	minChangeSamples = 2.0
+	// outlierSpreads bounds how far a response counts as off the estimate, in spreads.
+	outlierSpreads = 2.5
+	// maxRelativeTime and its inverse bound the relative processing time of a target.
+	maxRelativeTime = 20.0
+)
+
+// Estimator learns from the responses of one incarnation of a target. It is not safe for
+// concurrent use.
+type Estimator struct {
+	service *Service
+	slots   float64
+	// usual and recent are the logarithms of the processing times, relative to the service.
+	usual, recent average
+	// relativeTime is the processing time divided by the mean of the service.
+	relativeTime float64
+	// atLoad holds how the processing time depends on the load.
+	atLoad curve
+	// refusedAt is the number in progress at which the target refused a request last.
+	refusedAt   float64
+	refusedTime time.Time
+	updated     time.Time
+}
+
+// New returns the estimator of a target with a number of slots.
+func New(slots int, service *Service) *Estimator {
+	return &Estimator{service: service, slots: float64(max(slots, 1)), relativeTime: 1}
+}
+
+// Record records a response.
+func (e *Estimator) Record(sample Sample, now time.Time) {
+	if sample.Refused {
+		e.refusedAt, e.refusedTime = sample.InProgress, now
+		return
+	}
+	load := loadIndex(sample.InProgress / e.slots)
+	depth := min(max(sample.InProgress/e.slots, 1), maxDepth)
+	measured := math.Log(max(sample.Took.Seconds()/depth, time.Millisecond.Seconds())) - slowdownShare*math.Log(max(sample.Slowdown, 1))
+	// What the wait took away is less certain the longer it was, and what runs on a slowed
+	// machine says less of the target.
+	weight := 1 / (depth * max(sample.Slowdown, 1))
+	byLoad := e.offByLoad(load)
+	e.service.record(measured-byLoad, weight)
+	e.decay(now)
+	bound := outlierSpreads * e.service.spread
+	usual := math.Log(e.relativeTime)
+	off := min(max(measured-byLoad-e.service.log.mean()-usual, -bound), bound)
+	e.usual.add(usual+off, weight, slowSamples)
+	e.recent.add(usual+off, weight, fastSamples)
+	if e.changed() {
+		e.usual = e.recent
+	}
+	e.service.spread += spreadWeight * weight * (normalDeviation*math.Abs(off) - e.service.spread)
+	e.service.spread = max(e.service.spread, minSpread)
+	e.setRelativeTime()
+	e.atLoad[load].add(byLoad+off, 1, curveSamples)
+	e.service.atLoad[load].add(byLoad+off, 1, curveSamples)
+}
+
+// changed reports whether recent responses differ from the usual ones by more than chance.
+func (e *Estimator) changed() bool {
+	if e.recent.weight < minChangeSamples || e.usual.weight <= e.recent.weight {
+		return false
+	}
+	off := math.Abs(e.recent.mean() - e.usual.mean())
+	return off > max(minChange, changeErrors*e.service.spread/math.Sqrt(2*e.recent.weight))
+}
+
+// decay lets the earlier responses lose weight with time.
+func (e *Estimator) decay(now time.Time) {
+	if elapsed := now.Sub(e.updated); !e.updated.IsZero() && elapsed > 0 {
+		e.usual.decay(elapsed, slowHalfLife)
+		e.recent.decay(elapsed, fastHalfLife)
+		e.atLoad.decay(elapsed)
+	}
+	e.updated = now
+}
+
+func (e *Estimator) setRelativeTime() {
+	relative := math.Exp(e.usual.sum / (e.usual.weight + priorSamples))
+	e.relativeTime = min(max(relative, 1/maxRelativeTime), maxRelativeTime)
+}
+
+// Estimate returns what is known now. Without responses for long, it returns to what is known
+// of the service.
+func (e *Estimator) Estimate(now time.Time) Estimate {
+	weight := e.usual.weight
+	if elapsed := now.Sub(e.updated); elapsed > slowHalfLife/8 && weight > 0 {
+		e.decay(now)
+		e.setRelativeTime()
+	}
+	limit := e.limit(now)
+	return Estimate{
+		Limit: limit, Known: weight >= minKnownSamples,
+		ProcessingTime: time.Duration(float64(e.service.ProcessingTime()) * e.relativeTime),
+	}
+}
+
+// RelativeTime returns the processing time divided by the mean of the service.
+func (e *Estimator) RelativeTime() float64 { return e.relativeTime }
