--- a/core/concurrency/concurrency.go
+++ b/core/concurrency/concurrency.go
@@ -58,6 +58,9 @@
 	minChangeSamples = 2.0
 	// outlierSpreads bounds how far a response counts as off the estimate, in spreads.
 	outlierSpreads = 2.5
+	// slowdownHalfLife is the age at which what a target says of its machine has lost half
+	// of its weight. It changes many times a second.
+	slowdownHalfLife = 200 * time.Millisecond
 	// maxRelativeTime and its inverse bound the relative processing time of a target.
 	maxRelativeTime = 20.0
 )
@@ -73,6 +76,11 @@
 	relativeTime float64
 	// atLoad holds how the processing time depends on the load.
 	atLoad curve
+	// loadLimit is the limit per slot that atLoad shows.
+	loadLimit float64
+	// slowdown is the last one that the target has said, at a time.
+	slowdown     float64
+	slowdownTime time.Time
 	// refusedAt is the number in progress at which the target refused a request last.
 	refusedAt   float64
 	refusedTime time.Time
@@ -81,11 +89,15 @@
 
 // New returns the estimator of a target with a number of slots.
 func New(slots int, service *Service) *Estimator {
-	return &Estimator{service: service, slots: float64(max(slots, 1)), relativeTime: 1}
+	return &Estimator{service: service, slots: float64(max(slots, 1)), relativeTime: 1, loadLimit: maxDepth}
 }
 
 // Record records a response.
 func (e *Estimator) Record(sample Sample, now time.Time) {
+	if sample.Slowdown > 0 {
+		e.slowdown, e.slowdownTime = sample.Slowdown, now
+		e.service.slowdown.add(sample.Slowdown, 1, serviceSamples)
+	}
 	if sample.Refused {
 		e.refusedAt, e.refusedTime = sample.InProgress, now
 		return
@@ -112,6 +124,7 @@
 	e.setRelativeTime()
 	e.atLoad[load].add(byLoad+off, 1, curveSamples)
 	e.service.atLoad[load].add(byLoad+off, 1, curveSamples)
+	e.loadLimit = e.learnLimit()
 }
 
 // changed reports whether recent responses differ from the usual ones by more than chance.
@@ -146,11 +159,19 @@
 		e.decay(now)
 		e.setRelativeTime()
 	}
-	limit := e.limit(now)
-	return Estimate{
-		Limit: limit, Known: weight >= minKnownSamples,
-		ProcessingTime: time.Duration(float64(e.service.ProcessingTime()) * e.relativeTime),
+	processingTime := float64(e.service.ProcessingTime()) * e.relativeTime * e.slowdownAt(now)
+	return Estimate{Limit: e.limit(now), Known: weight >= minKnownSamples, ProcessingTime: time.Duration(processingTime)}
+}
+
+// slowdownAt returns how many times as long as on average work takes now at the target's
+// machine, as far as the age of what it said allows.
+func (e *Estimator) slowdownAt(now time.Time) float64 {
+	age := now.Sub(e.slowdownTime)
+	if e.slowdown == 0 || age > 5*slowdownHalfLife {
+		return 1
 	}
+	weight := math.Exp2(-float64(age) / float64(slowdownHalfLife))
+	return 1 + weight*(e.slowdown/e.service.slowdown.mean()-1)
 }
 
 // RelativeTime returns the processing time divided by the mean of the service.
--- a/core/concurrency/limit.go
+++ b/core/concurrency/limit.go
@@ -59,8 +59,8 @@
 // limit returns the number of requests in progress up to which the target stays fast: that
 // beyond which it responds to fewer requests a second than with fewer in progress.
 func (e *Estimator) limit(now time.Time) float64 {
-	limit := e.loadLimit() * e.slots
-	if e.refusedTime.IsZero() {
+	limit := e.loadLimit * e.slots
+	if e.refusedTime.IsZero() || now.Sub(e.refusedTime) > 10*refusalHalfLife {
 		return limit
 	}
 	weight := math.Exp2(-float64(now.Sub(e.refusedTime)) / float64(refusalHalfLife))
@@ -68,8 +68,8 @@
 	return min(limit, refused+(limit-min(limit, refused))*(1-weight))
 }
 
-// loadLimit returns the limit per slot that the processing times by load show.
-func (e *Estimator) loadLimit() float64 {
+// learnLimit returns the limit per slot that the processing times by load show.
+func (e *Estimator) learnLimit() float64 {
 	best, limit, last := 0.0, maxDepth, 0.0
 	for i := range loads {
 		off, known := e.offAt(i)
--- a/core/concurrency/service.go
+++ b/core/concurrency/service.go
@@ -30,6 +30,8 @@
 	// log is the mean of the logarithms of the processing times in seconds, excess the mean
 	// processing time divided by the one that log stands for.
 	log, excess average
+	// slowdown is the mean of what the targets say of their machines.
+	slowdown average
 	// spread is the standard deviation of the logarithms for one target.
 	spread float64
 	atLoad curve
--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -2,9 +2,10 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
+
+	"pineturn/core/concurrency"
 )
 
 // Criteria are the requirements that a request places on its target.
@@ -25,6 +26,8 @@
 	Optional bool
 	// Counted requests count no more for the demand for a target.
 	Counted bool
+	// Objective is the latency objective of the request, 0 for none.
+	Objective time.Duration
 }
 
 // ChoiceStatus is the result of Set.Choose.
@@ -61,6 +64,8 @@
 	// slot, this request included.
 	depth float64
 	sent  time.Time
+	// learned is what was learned of the target, if choices follow it.
+	learned concurrency.Estimate
 }
 
 const (
@@ -105,42 +110,43 @@
 			continue
 		}
 		c := s.estimate(svc, t, now, mean)
-		if c.depth > limit || criteria.Owner != "" && t.inOwnerBackoff(now) {
+		if c.depth > s.targetMaxDepth(svc, &c, criteria, limit) || criteria.Owner != "" && t.inOwnerBackoff(now) {
 			status = NoCapacity
 			continue
 		}
 		if s.withinRateLimit(t, criteria, now) {
-			best.improve(c, s.cost(c, now))
+			best.improve(c, s.cost(&c, now))
 		} else {
-			limited.improve(c, s.cost(c, now))
+			limited.improve(c, s.cost(&c, now))
 		}
 	}
 	if !criteria.Counted {
 		recordDemand(best, limited, now)
 	}
-	if best.choice == nil {
+	if best.choice.target == nil {
 		if status = recordRefused(svc, criteria, status, limited, now); status == NoTarget && rest.decides() {
 			status = Resting
 		}
 		return nil, status
 	}
-	t := best.choice.target
-	t.inFlight++
-	t.pacer.Take()
-	best.choice.toOwner = criteria.Owner != ""
-	return best.choice, Chosen
+	chosen := best.choice
+	chosen.target.inFlight++
+	chosen.target.pending = append(chosen.target.pending, &chosen)
+	chosen.target.pacer.Take()
+	chosen.toOwner = criteria.Owner != ""
+	return &chosen, Chosen
 }
 
 // recordRefused records a request that no target takes now and returns its status. Where
 // targets are full, one of them may have room sooner than a limited one.
 func recordRefused(svc *serviceState, criteria Criteria, status ChoiceStatus, limited candidate, now time.Time) ChoiceStatus {
-	if limited.choice != nil {
+	if limited.choice.target != nil {
 		limited.choice.target.pacer.RecordRefused(criteria.Rank, now)
 	}
 	switch {
 	case status == NoCapacity:
 		svc.recordNoCapacity(criteria.Rank, now)
-	case limited.choice != nil:
+	case limited.choice.target != nil:
 		status = Limited
 	}
 	return status
@@ -148,18 +154,18 @@
 
 // candidate is the choice with the lowest cost so far.
 type candidate struct {
-	choice *Choice
+	choice Choice
 	cost   float64
 }
 
-func (b *candidate) improve(choice *Choice, cost float64) {
-	if b.choice == nil || cost < b.cost {
+func (b *candidate) improve(choice Choice, cost float64) {
+	if b.choice.target == nil || cost < b.cost {
 		b.choice, b.cost = choice, cost
 	}
 }
 
 func (s *Set) cost(c *Choice, now time.Time) float64 {
-	cost := float64(c.ExpectedLatency) * (1 + jitter*rand.Float64())
+	cost := float64(c.ExpectedLatency) * (1 + jitter*s.Rand())
 	if c.Entry.Domain != s.domain {
 		cost += float64(crossDomainCost)
 	}
@@ -230,10 +236,15 @@
 	return !slices.Contains(criteria.Exclude, t.entry.ID) && (criteria.Owner != "" || !now.Before(t.backoffUntil))
 }
 
-func (s *Set) estimate(svc *serviceState, t *Target, now time.Time, mean float64) *Choice {
-	slots := float64(t.entry.Slots)
-	depth := (float64(t.inFlight) + t.otherHostsLoadAt(now, mean) + 1) / slots
+// estimate returns the choice of a target for a request.
+func (s *Set) estimate(svc *serviceState, t *Target, now time.Time, mean float64) Choice {
+	c := Choice{Entry: t.entry, set: s, target: t, sent: now}
+	if s.Learns() {
+		c.estimateLearned(now, mean)
+		return c
+	}
+	c.depth = (float64(t.inFlight) + t.otherHostsLoadAt(now, mean, reportHalfLife, averageHalfLife) + 1) / float64(t.entry.Slots)
 	processingTime := float64(svc.meanProcessingTime) * t.processingTimeFactor(now)
-	expected := processingTime * (1 + max(0, depth-1))
-	return &Choice{Entry: t.entry, ExpectedLatency: time.Duration(expected), set: s, target: t, depth: depth, sent: now}
+	c.ExpectedLatency = time.Duration(processingTime * (1 + max(0, c.depth-1)))
+	return c
 }
--- /dev/null
+++ b/core/placement/learned.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"pineturn/core/concurrency"
+)
+
+// averagePeriods is the number of processing times of a target after which the average of its
+// own reports and the mean of its service weigh the same in the load estimate.
+const averagePeriods = 6
+
+// Concurrency returns what is known of how long a target takes and of how many requests it
+// takes well. A target that is unknown, or of which nothing is learned, has the limit of a
+// choice and the mean processing time of its service.
+func (s *Set) Concurrency(target string, now time.Time) concurrency.Estimate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[target]
+	switch {
+	case t == nil:
+		return concurrency.Estimate{Limit: idempotentMaxDepth, ProcessingTime: initialProcessingTime}
+	case s.Learns():
+		return t.learned.Estimate(now)
+	}
+	processingTime := float64(s.service(t.entry.Service).meanProcessingTime) * t.processingTimeFactor(now)
+	return concurrency.Estimate{Limit: idempotentMaxDepth * float64(t.entry.Slots), ProcessingTime: time.Duration(processingTime)}
+}
+
+// estimateLearned sets the depth and the expected latency of a choice by what was learned of
+// the target. The requests of other hosts end as fast as the target processes them.
+func (c *Choice) estimateLearned(now time.Time, mean float64) {
+	t := c.target
+	slots := float64(t.entry.Slots)
+	c.learned = t.learned.Estimate(now)
+	p := c.learned.ProcessingTime
+	c.depth = (float64(t.inFlight) + t.otherHostsLoadAt(now, mean, p, averagePeriods*p) + 1) / slots
+	expected := float64(p) * max(1, c.depth)
+	if len(t.pending) > 0 {
+		// A request takes at least as long as the oldest one has waited by now.
+		oldest := t.pending[0]
+		expected = max(expected, float64(now.Sub(oldest.sent))*max(1, c.depth)/max(1, oldest.depth))
+	}
+	if now.Before(t.warmEnd) {
+		expected *= coldFactor
+	}
+	// Beyond the limit all requests at the target take longer by the new one.
+	c.ExpectedLatency = time.Duration(expected * max(1, c.depth*slots/c.learned.Limit))
+}
+
+// targetMaxDepth returns the highest number of requests per slot at which a target is selected,
+// limit at one as fast as its service. Where other targets may run the request as well, it
+// waits no longer at a slow one than at the others, unless it is served in time.
+func (s *Set) targetMaxDepth(svc *serviceState, c *Choice, criteria Criteria, limit float64) float64 {
+	if criteria.Owner != "" || !c.learned.Known {
+		return limit
+	}
+	processingTime := float64(c.learned.ProcessingTime)
+	even := limit * float64(svc.learned.ProcessingTime()) / processingTime
+	inTime := float64(criteria.Objective) / processingTime
+	return min(max(even, inTime, 1), limit)
+}
+
+// removePending removes a request that has ended.
+func (t *Target) removePending(c *Choice) {
+	if i := slices.Index(t.pending, c); i >= 0 {
+		t.pending = slices.Delete(t.pending, i, i+1)
+	}
+}
+
+// learn records the result of a send for what is learned of the target. Errors say nothing of
+// how long requests take, and neither do responses of a target that warms up.
+func (c *Choice) learn(result Result, report *Report, now time.Time) {
+	t := c.target
+	if !c.set.Learns() || c.sent.Before(t.warmEnd) {
+		return
+	}
+	sample := concurrency.Sample{InProgress: c.depth * float64(t.entry.Slots), Took: now.Sub(c.sent)}
+	if report != nil {
+		sample.Slowdown = report.Slowdown
+	}
+	switch result {
+	case Complete:
+		if report != nil {
+			sample.InProgress = (sample.InProgress + float64(report.Running+report.Waiting)) / 2
+		}
+	case Shed:
+		if !c.TargetFull(report) {
+			return
+		}
+		sample.Refused = true
+		if report != nil {
+			sample.InProgress = float64(report.Running + report.Waiting + 1)
+		}
+	case Abandoned, Superseded:
+		if sample.Took <= 2*c.ExpectedLatency {
+			return
+		}
+	default:
+		return
+	}
+	t.learned.Record(sample, now)
+}
--- a/core/placement/limits.go
+++ b/core/placement/limits.go
@@ -20,10 +20,10 @@
 // recordDemand counts a request for the limited target that it would be sent to without
 // limits, if any.
 func recordDemand(best, limited candidate, now time.Time) {
-	if limited.choice != nil && (best.choice == nil || limited.cost < best.cost) {
+	if limited.choice.target != nil && (best.choice.target == nil || limited.cost < best.cost) {
 		best = limited
 	}
-	if best.choice != nil && best.choice.target.pacer.Limit().Named {
+	if best.choice.target != nil && best.choice.target.pacer.Limit().Named {
 		best.choice.target.pacer.RecordDemand(now)
 	}
 }
--- a/core/placement/result.go
+++ b/core/placement/result.go
@@ -86,12 +86,14 @@
 	defer s.mu.Unlock()
 	t := c.target
 	t.inFlight--
+	t.removePending(c)
 	svc := s.service(t.entry.Service)
 	defer svc.notifyWaiters()
 	if report != nil {
 		t.report(float64(max(0, report.others(result)-t.inFlight)), now)
 	}
 	took := now.Sub(c.sent)
+	c.learn(result, report, now)
 	if c.toOwner && (result == Shed || result == ConnectionLost) && c.TargetFull(report) {
 		t.recordOwnerShed(now)
 	}
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"pineturn/core/concurrency"
 	"pineturn/core/owner"
 	"pineturn/core/ratelimit"
 )
@@ -30,6 +32,11 @@
 	// Hosts returns the number of hosts that share the limits of targets. It is set
 	// before use.
 	Hosts func() int
+	// Learns reports whether choices follow what was learned of each target. It is set
+	// before use.
+	Learns func() bool
+	// Rand returns a random number of at least 0 and less than 1.
+	Rand func() float64
 }
 
 // serviceState holds the targets of one service and their common measurements.
@@ -38,6 +45,8 @@
 	// meanProcessingTime is the moving average of the time per request, without
 	// the time in the target's queue.
 	meanProcessingTime time.Duration
+	// learned is what was learned of the targets together.
+	learned *concurrency.Service
 	// refusedRank is the highest priority of the requests that found no capacity
 	// within the yield period before refusedRankAt, the time of the last one of it. Zero
 	// is the highest priority.
@@ -55,6 +64,7 @@
 	return &Set{
 		domain: domain, targets: make(map[string]*Target), services: make(map[string]*serviceState),
 		rests: make(rests), changed: make(chan struct{}), Hosts: func() int { return 1 },
+		Learns: func() bool { return false }, Rand: rand.Float64,
 	}
 }
 
@@ -73,7 +83,7 @@
 func (s *Set) service(service string) *serviceState {
 	svc := s.services[service]
 	if svc == nil {
-		svc = &serviceState{meanProcessingTime: initialProcessingTime}
+		svc = &serviceState{meanProcessingTime: initialProcessingTime, learned: concurrency.NewService()}
 		s.services[service] = svc
 	}
 	return svc
@@ -103,10 +113,13 @@
 	if old != nil {
 		s.detach(old)
 	}
-	t := &Target{entry: entry, warmEnd: now.Add(entry.WarmUp), relativeTime: 1, restUntil: s.rests[owner.Incarnation{Target: entry.ID, Born: entry.Born}]}
+	svc := s.service(entry.Service)
+	t := &Target{
+		entry: entry, warmEnd: now.Add(entry.WarmUp), relativeTime: 1, restUntil: s.rests[owner.Incarnation{Target: entry.ID, Born: entry.Born}],
+		learned: concurrency.New(entry.Slots, svc.learned),
+	}
 	s.targets[entry.ID] = t
 	s.informOfLimit(t, now)
-	svc := s.service(entry.Service)
 	svc.targets = append(svc.targets, t)
 	svc.notifyWaiters()
 	s.notifyChanged()
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"pineturn/core/concurrency"
 	"pineturn/core/owner"
 	"pineturn/core/ratelimit"
 )
@@ -52,6 +53,8 @@
 	warmEnd time.Time
 	// inFlight is the number of this host's requests without a response.
 	inFlight int
+	// pending holds this host's requests without a response, the oldest first.
+	pending []*Choice
 	// waiting is the number of this host's requests that wait for capacity at the
 	// target, the owner of their keys.
 	waiting int
@@ -65,6 +68,8 @@
 	// relativeTime is the moving average of the processing time per request
 	// divided by the mean of the service.
 	relativeTime float64
+	// learned is what was learned of the target.
+	learned *concurrency.Estimator
 	// failureScore is the sum of the weights of recent failures at
 	// failureScoreTime. It decays exponentially.
 	failureScore     float64
@@ -94,8 +99,9 @@
 // With the age of the last report, the estimate moves from that report to the
 // average of the target's reports and then to mean, the mean of the service. The
 // average keeps the estimate of a target with a hot key above that of the others
-// when its last report is old.
-func (t *Target) otherHostsLoadAt(now time.Time, mean float64) float64 {
+// when its last report is old. reportHalfLife and averageHalfLife are the ages of a
+// report at which half of either step is done.
+func (t *Target) otherHostsLoadAt(now time.Time, mean float64, reportHalfLife, averageHalfLife time.Duration) float64 {
 	if t.reported.IsZero() {
 		return mean
 	}
