Weigh the owners of keys by what hosts have learned of targets

Cause: the leader takes a target's speed from the mean of its responses with a half-life of 6 s and a prior of 4: a target that changes shows for seconds only in part, and what a queue or a slowed machine adds counts as its speed.

Two optional fields of the report: an older leader ignores them, an older host does not send them and is weighed as before.

Measured: TestLearnedProcessingTime; golden files unchanged.

--- a/core/owner/loads.go
+++ b/core/owner/loads.go
@@ -136,7 +136,7 @@
 	}
 	for _, targets := range l.processing {
 		for _, stats := range targets {
-			report.Processing = append(report.Processing, *stats)
+			report.Processing = append(report.Processing, stats.report())
 		}
 	}
 	return report
