--- a/core/placement/model_test.go
+++ b/core/placement/model_test.go
@@ -61,18 +61,18 @@
 type cluster struct {
 	load
 	// rand draws the load, choices what hosts decide by chance.
-	rand    *rand.Rand
-	choices *rand.Rand
-	now     time.Time
-	events  events
-	sets    []*Set
-	waiting [][]*call
-	backs   []*backend
-	result  result
+	rand         *rand.Rand
+	choices      *rand.Rand
+	now          time.Time
+	events       events
+	sets         []*Set
+	waiting      [][]*call
+	modelTargets []*modelTarget
+	result       result
 }
 
-// backend is a target of the model.
-type backend struct {
+// modelTarget is a target of the model.
+type modelTarget struct {
 	id      string
 	domain  int
 	speed   float64
@@ -116,13 +116,13 @@
 func play(l load, seed uint64, change func(*Set)) *result {
 	c := &cluster{load: l, rand: rand.New(rand.NewPCG(seed, 3)), choices: rand.New(rand.NewPCG(seed, 4)), now: start, waiting: make([][]*call, l.hosts)}
 	for i := range l.targets {
-		c.backs = append(c.backs, &backend{id: strconv.Itoa(i), domain: i % modelDomains, speed: l.speeds[i/modelDomains%len(l.speeds)], noise: c.rand.Uint64(), slow: c.rand.Float64() < l.slowShare})
+		c.modelTargets = append(c.modelTargets, &modelTarget{id: strconv.Itoa(i), domain: i % modelDomains, speed: l.speeds[i/modelDomains%len(l.speeds)], noise: c.rand.Uint64(), slow: c.rand.Float64() < l.slowShare})
 	}
 	for i := range l.hosts {
 		s := NewSet(strconv.Itoa(i % modelDomains))
 		s.Rand = c.choices.Float64
 		change(s)
-		for _, b := range c.backs {
+		for _, b := range c.modelTargets {
 			s.Put(Entry{ID: b.id, Service: service, Domain: strconv.Itoa(b.domain), Slots: modelSlots, Sequence: 1}, start)
 		}
 		c.sets = append(c.sets, s)
@@ -204,7 +204,7 @@
 
 func (c *cluster) send(q *call, choice *Choice) {
 	i, _ := strconv.Atoi(choice.Entry.ID)
-	b := c.backs[i]
+	b := c.modelTargets[i]
 	delay := 200 * time.Microsecond
 	if b.domain != q.host%modelDomains {
 		delay = 1400 * time.Microsecond
@@ -237,7 +237,7 @@
 	})
 }
 
-func (c *cluster) startNext(b *backend) {
+func (c *cluster) startNext(b *modelTarget) {
 	for b.running < modelSlots && len(b.queue) > 0 {
 		next := b.queue[0]
 		b.queue = b.queue[1:]
@@ -256,12 +256,12 @@
 	c.poll(q.host)
 }
 
-func (c *cluster) report(b *backend) Report {
+func (c *cluster) report(b *modelTarget) Report {
 	return Report{Running: b.running, Waiting: len(b.queue), Slowdown: b.slowdown(c.now)}
 }
 
 // slowdown returns how much longer work takes on the machine of a target at a time.
-func (b *backend) slowdown(now time.Time) float64 {
+func (b *modelTarget) slowdown(now time.Time) float64 {
 	period := uint64(now.Sub(start) / noisePeriod)
 	if rand.New(rand.NewPCG(b.noise, period)).Float64() < noiseShare {
 		return noiseFactor
@@ -279,7 +279,7 @@
 }
 
 // workAt returns how long a request takes that begins now.
-func (c *cluster) workAt(b *backend, work float64) time.Duration {
+func (c *cluster) workAt(b *modelTarget, work float64) time.Duration {
 	left := work / b.speed
 	if since := c.now.Sub(start); b.slow && since > 4*time.Second && since < 9*time.Second {
 		left *= 5
@@ -300,14 +300,14 @@
 }
 
 var loads = []load{
-	{name: "rutas", hosts: 91, targets: 93, perSecond: 316, work: 400 * time.Millisecond, spread: 0.8, tail: 0.01, speeds: []float64{0.7, 0.7, 1.6}, objective: 2500 * time.Millisecond, burst: 1.7},
-	{name: "cupdesk", hosts: 83, targets: 50, perSecond: 272, work: 250 * time.Millisecond, spread: 0.8, tail: 0.03, speeds: []float64{0.6, 1, 1.6}, objective: time.Second, nonIdempotent: true, burst: 1.4},
-	{name: "ghostvault", hosts: 83, targets: 75, perSecond: 210, work: 470 * time.Millisecond, spread: 0.8, tail: 0.03, speeds: []float64{0.7, 0.7, 1.6}, objective: 1500 * time.Millisecond, burst: 1.4},
-	{name: "standings", hosts: 83, targets: 10, perSecond: 173, work: 75 * time.Millisecond, spread: 0.8, tail: 0.03, speeds: []float64{0.6, 1, 1.4}, objective: 400 * time.Millisecond, burst: 1.4},
-	{name: "rutas, slow", hosts: 91, targets: 93, perSecond: 316, work: 400 * time.Millisecond, spread: 0.8, tail: 0.01, speeds: []float64{0.7, 0.7, 1.6}, objective: 2500 * time.Millisecond, burst: 1.7, slowShare: 0.12},
-	{name: "cupdesk, slow", hosts: 83, targets: 50, perSecond: 272, work: 250 * time.Millisecond, spread: 0.8, tail: 0.03, speeds: []float64{0.6, 1, 1.6}, objective: time.Second, nonIdempotent: true, burst: 1.4, slowShare: 0.12},
-	{name: "rutas, overload", hosts: 91, targets: 93, perSecond: 316, work: 400 * time.Millisecond, spread: 0.8, tail: 0.01, speeds: []float64{0.7, 0.7, 1.6}, objective: 2500 * time.Millisecond, burst: 2.8, overload: true},
-	{name: "cupdesk, overload", hosts: 83, targets: 50, perSecond: 272, work: 250 * time.Millisecond, spread: 0.8, tail: 0.03, speeds: []float64{0.6, 1, 1.6}, objective: time.Second, nonIdempotent: true, burst: 2.4, overload: true},
+	{name: "91 hosts", hosts: 91, targets: 93, perSecond: 316, work: 400 * time.Millisecond, spread: 0.8, tail: 0.01, speeds: []float64{0.7, 0.7, 1.6}, objective: 2500 * time.Millisecond, burst: 1.7},
+	{name: "non-idempotent", hosts: 83, targets: 50, perSecond: 272, work: 250 * time.Millisecond, spread: 0.8, tail: 0.03, speeds: []float64{0.6, 1, 1.6}, objective: time.Second, nonIdempotent: true, burst: 1.4},
+	{name: "long requests", hosts: 83, targets: 75, perSecond: 210, work: 470 * time.Millisecond, spread: 0.8, tail: 0.03, speeds: []float64{0.7, 0.7, 1.6}, objective: 1500 * time.Millisecond, burst: 1.4},
+	{name: "few targets", hosts: 83, targets: 10, perSecond: 173, work: 75 * time.Millisecond, spread: 0.8, tail: 0.03, speeds: []float64{0.6, 1, 1.4}, objective: 400 * time.Millisecond, burst: 1.4},
+	{name: "some targets become slow", hosts: 91, targets: 93, perSecond: 316, work: 400 * time.Millisecond, spread: 0.8, tail: 0.01, speeds: []float64{0.7, 0.7, 1.6}, objective: 2500 * time.Millisecond, burst: 1.7, slowShare: 0.12},
+	{name: "non-idempotent, some targets become slow", hosts: 83, targets: 50, perSecond: 272, work: 250 * time.Millisecond, spread: 0.8, tail: 0.03, speeds: []float64{0.6, 1, 1.6}, objective: time.Second, nonIdempotent: true, burst: 1.4, slowShare: 0.12},
+	{name: "overload", hosts: 91, targets: 93, perSecond: 316, work: 400 * time.Millisecond, spread: 0.8, tail: 0.01, speeds: []float64{0.7, 0.7, 1.6}, objective: 2500 * time.Millisecond, burst: 2.8, overload: true},
+	{name: "non-idempotent, overload", hosts: 83, targets: 50, perSecond: 272, work: 250 * time.Millisecond, spread: 0.8, tail: 0.03, speeds: []float64{0.6, 1, 1.6}, objective: time.Second, nonIdempotent: true, burst: 2.4, overload: true},
 	{name: "36 hosts", hosts: 36, targets: 40, perSecond: 190, work: 250 * time.Millisecond, spread: 0.5, speeds: []float64{0.5, 1, 1.6}, objective: time.Second, burst: 1.4},
 	{name: "9 hosts", hosts: 9, targets: 12, perSecond: 58, work: 250 * time.Millisecond, spread: 0.5, speeds: []float64{0.5, 1, 1.6}, objective: time.Second, burst: 1.4},
 	{name: "slow when full", hosts: 36, targets: 40, perSecond: 120, work: 250 * time.Millisecond, spread: 0.5, speeds: []float64{1}, objective: time.Second, burst: 1.4, fullFactor: 2},
