--- a/core/concurrency/service.go
+++ b/core/concurrency/service.go
@@ -32,6 +32,8 @@
 	log, excess average
 	// slowdown is the mean of what the targets say of their machines.
 	slowdown average
+	// processingTime is the mean time for a request that does not wait.
+	processingTime time.Duration
 	// spread is the standard deviation of the logarithms for one target.
 	spread float64
 	atLoad curve
@@ -39,7 +41,7 @@
 
 // NewService returns a service without responses.
 func NewService() *Service {
-	s := &Service{spread: initialSpread}
+	s := &Service{spread: initialSpread, processingTime: initialProcessingTime}
 	s.log.add(math.Log(initialProcessingTime.Seconds()), 1, serviceSamples)
 	s.excess.add(1, 1, serviceSamples)
 	return s
@@ -52,9 +54,8 @@
 	}
 	s.log.add(measured, weight, serviceSamples)
 	s.excess.add(min(math.Exp(measured-s.log.mean()), maxExcess), weight, serviceSamples)
+	s.processingTime = time.Duration(math.Exp(s.log.mean()) * s.excess.mean() * float64(time.Second))
 }
 
 // ProcessingTime returns the mean time for a request that does not wait.
-func (s *Service) ProcessingTime() time.Duration {
-	return time.Duration(math.Exp(s.log.mean()) * s.excess.mean() * float64(time.Second))
-}
+func (s *Service) ProcessingTime() time.Duration { return s.processingTime }
