Keep the expected latency apart from what a rough picture of the load costs

Cause: hedges and the detection of lost paths wait by the expected latency, which had grown for targets with free slots.

Change: only the cost of a choice grows below the slots. A target that closes a connection while full counts as one that refuses.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -72,7 +72,7 @@
 	// slot, this request included.
 	depth float64
 	sent  time.Time
-	// learned is what was learned of the target, if choices follow it.
+	// learned is what was learned of the target, zero if choices do not follow it.
 	learned concurrency.Estimate
 }
 
@@ -181,7 +181,7 @@
 }
 
 func (s *Set) cost(c *Choice, now time.Time) float64 {
-	cost := float64(c.ExpectedLatency) * (1 + jitter*s.Rand())
+	cost := float64(c.ExpectedLatency) * c.roughness() * (1 + jitter*s.Rand())
 	if c.Entry.Domain != s.domain {
 		cost += float64(crossDomainCost)
 	}
--- a/core/placement/learned.go
+++ b/core/placement/learned.go
@@ -37,8 +37,7 @@
 	c.learned = t.learned.Estimate(b.now)
 	p := c.learned.ProcessingTime
 	c.depth = (float64(t.inFlight) + t.otherHostsLoadAt(b.now, b.meanLoad, p, averagePeriods*p) + 1) / slots
-	// The load is known roughly: a target may have no free slot before all seem in use.
-	expected := float64(p) * math.Hypot(1, c.depth)
+	expected := float64(p) * max(1, c.depth)
 	if len(t.pending) > 0 {
 		// A request takes at least as long as the oldest one has waited by now.
 		oldest := t.pending[0]
@@ -51,6 +50,15 @@
 	c.ExpectedLatency = time.Duration(expected * max(1, c.depth*slots/c.learned.Limit))
 }
 
+// roughness returns the factor by which the cost of a choice exceeds its expected latency as the
+// load is known roughly: a target may have no free slot before all seem in use.
+func (c *Choice) roughness() float64 {
+	if c.learned.Limit == 0 {
+		return 1
+	}
+	return math.Hypot(1, c.depth) / max(1, c.depth)
+}
+
 // maxDepth returns the highest number of requests per slot at which a target is selected,
 // limit at one as fast as its service. Where other targets may run the request as well, it
 // waits no longer at a slow one than at the others, unless it is served in time.
@@ -87,7 +95,7 @@
 		if report != nil {
 			sample.InProgress = (sample.InProgress + float64(report.Running+report.Waiting)) / 2
 		}
-	case Shed:
+	case Shed, ConnectionLost:
 		if !c.TargetFull(report) {
 			return
 		}
