--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
+	"pineturn/core/concurrency"
 	"pineturn/core/ratelimit"
 )
 
@@ -29,6 +29,8 @@
 	Optional bool
 	// Counted requests count no more for the demand for a target.
 	Counted bool
+	// Objective is the latency objective of the request, 0 for none.
+	Objective time.Duration
 }
 
 // ChoiceStatus is the result of Set.Choose.
@@ -73,6 +75,8 @@
 	sent  time.Time
 	// cold has counted the request if the target was cold; nil otherwise.
 	cold *ratelimit.Pacer
+	// learned is what was learned of the target, zero if choices do not follow it.
+	learned concurrency.Estimate
 }
 
 const (
@@ -107,7 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	svc := s.service(criteria.Service)
-	mean := svc.meanOtherHostsLoad(now)
+	basis := s.basis(svc, now)
 	limit := maxDepth(criteria, svc.yields(criteria.Rank, now))
 	var best, limited candidate
 	var rest restState
@@ -118,21 +122,21 @@
 		if !t.serves(criteria, now) || region.add(t, criteria) || drain.add(t, criteria, now) || rest.add(t, now) || !t.isAvailable(criteria, now) {
 			continue
 		}
-		c := s.estimate(svc, t, now, mean)
-		if c.depth > limit || criteria.Owner != "" && t.inOwnerBackoff(now) {
+		c := s.estimate(t, basis)
+		if c.depth > c.maxDepth(criteria, limit, svc) || criteria.Owner != "" && t.inOwnerBackoff(now) {
 			status = NoCapacity
 			continue
 		}
 		if s.withinRateLimit(t, criteria, now) {
-			best.improve(c, s.cost(c, now))
+			best.improve(c, s.cost(&c, now))
 		} else {
-			limited.improve(c, s.cost(c, now))
+			limited.improve(c, s.cost(&c, now))
 		}
 	}
 	if !criteria.Counted {
 		s.recordDemand(best, limited, now)
 	}
-	if best.choice == nil {
+	if best.choice.target == nil {
 		if status = s.recordRefused(svc, criteria, status, limited, now); status == NoTarget && rest.decides() {
 			status = Resting
 		}
@@ -144,21 +148,22 @@
 		}
 		return nil, status
 	}
-	t := best.choice.target
-	t.inFlight++
-	t.pacer.Take()
-	if s.isCold(t, now) {
-		best.choice.cold = s.coldPacer(t, now)
-		best.choice.cold.Take()
+	chosen := best.choice
+	chosen.target.inFlight++
+	chosen.target.pending = append(chosen.target.pending, &chosen)
+	chosen.target.pacer.Take()
+	if s.isCold(chosen.target, now) {
+		chosen.cold = s.coldPacer(chosen.target, now)
+		chosen.cold.Take()
 	}
-	best.choice.toOwner = criteria.Owner != ""
-	return best.choice, Chosen
+	chosen.toOwner = criteria.Owner != ""
+	return &chosen, Chosen
 }
 
 // recordRefused records a request that no target takes now and returns its status. Where
 // targets are full, one of them may have room sooner than a limited one.
 func (s *Set) recordRefused(svc *serviceState, criteria Criteria, status ChoiceStatus, limited candidate, now time.Time) ChoiceStatus {
-	if limited.choice != nil {
+	if limited.choice.target != nil {
 		for p := range s.pacers(limited.choice.target, now) {
 			p.RecordRefused(criteria.Rank, now)
 		}
@@ -166,7 +171,7 @@
 	switch {
 	case status == NoCapacity:
 		svc.recordNoCapacity(criteria.Rank, now)
-	case limited.choice != nil:
+	case limited.choice.target != nil:
 		status = Limited
 	}
 	return status
@@ -174,18 +179,18 @@
 
 // candidate is the choice with the lowest cost so far.
 type candidate struct {
-	choice *Choice
+	choice Choice
 	cost   float64
 }
 
-func (b *candidate) improve(choice *Choice, cost float64) {
-	if b.choice == nil || cost < b.cost {
+func (b *candidate) improve(choice Choice, cost float64) {
+	if b.choice.target == nil || cost < b.cost {
 		b.choice, b.cost = choice, cost
 	}
 }
 
 func (s *Set) cost(c *Choice, now time.Time) float64 {
-	cost := float64(c.ExpectedLatency) * (1 + jitter*rand.Float64())
+	cost := float64(c.ExpectedLatency) * c.roughness() * (1 + jitter*s.Rand())
 	if c.Entry.Domain != s.domain {
 		cost += float64(crossDomainCost)
 	}
@@ -222,7 +227,7 @@
 	}
 	svc := s.service(criteria.Service)
 	e := Estimate{
-		Depth: s.estimate(svc, t, now, svc.meanOtherHostsLoad(now)).depth, Limit: maxDepth(criteria, svc.yields(criteria.Rank, now)), Backoff: t.inOwnerBackoff(now),
+		Depth: s.estimate(t, s.basis(svc, now)).depth, Limit: maxDepth(criteria, svc.yields(criteria.Rank, now)), Backoff: t.inOwnerBackoff(now),
 	}
 	if !t.reported.IsZero() {
 		e.ReportAge = now.Sub(t.reported)
@@ -256,10 +261,29 @@
 	return !slices.Contains(criteria.Exclude, t.entry.ID) && (criteria.Owner != "" || !now.Before(t.backoffUntil))
 }
 
-func (s *Set) estimate(svc *serviceState, t *Target, now time.Time, mean float64) *Choice {
-	slots := float64(t.entry.Slots)
-	depth := (float64(t.inFlight) + t.otherHostsLoadAt(now, mean) + 1) / slots
-	processingTime := float64(svc.meanProcessingTime) * t.processingTimeFactor(now)
-	expected := processingTime * (1 + max(0, depth-1))
-	return &Choice{Entry: t.entry, ExpectedLatency: time.Duration(expected), set: s, target: t, depth: depth, sent: now}
+// basis is what the estimates of the targets of a service have in common.
+type basis struct {
+	now     time.Time
+	service *serviceState
+	// meanLoad is the mean number of other hosts' requests at a target.
+	meanLoad float64
+	// learns reports that the estimates follow what was learned of each target.
+	learns bool
+}
+
+func (s *Set) basis(svc *serviceState, now time.Time) basis {
+	return basis{now: now, service: svc, meanLoad: svc.meanOtherHostsLoad(now), learns: s.Learns()}
+}
+
+// estimate returns the choice of a target for a request.
+func (s *Set) estimate(t *Target, b basis) Choice {
+	c := Choice{Entry: t.entry, set: s, target: t, sent: b.now}
+	if b.learns {
+		c.estimateLearned(b)
+		return c
+	}
+	c.depth = (float64(t.inFlight) + t.otherHostsLoadAt(b.now, b.meanLoad, reportHalfLife, averageHalfLife) + 1) / float64(t.entry.Slots)
+	processingTime := float64(b.service.meanProcessingTime) * t.processingTimeFactor(b.now)
+	c.ExpectedLatency = time.Duration(processingTime * (1 + max(0, c.depth-1)))
+	return c
 }
--- a/core/placement/limits.go
+++ b/core/placement/limits.go
@@ -63,10 +63,10 @@
 // recordDemand counts a request for the limited target that it would be sent to without
 // limits, if any.
 func (s *Set) recordDemand(best, limited candidate, now time.Time) {
-	if limited.choice != nil && (best.choice == nil || limited.cost < best.cost) {
+	if limited.choice.target != nil && (best.choice.target == nil || limited.cost < best.cost) {
 		best = limited
 	}
-	if best.choice == nil {
+	if best.choice.target == nil {
 		return
 	}
 	t := best.choice.target
