Order requests in the queue of an owner: in time first, then urgent

Change: core/ownerqueue: no more requests in progress than slots; the others wait in the order in time, rank, returned as told, earliest; what can't be answered before its deadline is refused at once, with a Retry-After of its own place. Requests that return are recognised by fingerprint; their objective counts from the first arrival.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -21,6 +21,8 @@
 	// Rank is the priority of the request; zero is the highest. Requests leave room for
 	// those of a higher priority.
 	Rank int
+	// Queued requests have waited for their turn at Owner: no depth keeps them from it.
+	Queued bool
 	// Optional sends, hedges, leave out the targets that have named a limit.
 	Optional bool
 	// Counted requests count no more for the demand for a target.
@@ -61,6 +63,8 @@
 	// slot, this request included.
 	depth float64
 	sent  time.Time
+	// HandleEnd is called after End, unless it is nil. It is set before End.
+	HandleEnd func()
 }
 
 const (
@@ -105,7 +109,7 @@
 			continue
 		}
 		c := s.estimate(svc, t, now, mean)
-		if c.depth > limit || criteria.Owner != "" && t.inOwnerBackoff(now) {
+		if c.depth > limit && !criteria.Queued || criteria.Owner != "" && t.inOwnerBackoff(now) {
 			status = NoCapacity
 			continue
 		}
--- /dev/null
+++ b/core/placement/ownerload.go
@@ -0,0 +1,30 @@
+package placement
+
+import "time"
+
+// OwnerLoad is what this host knows of the load of a target.
+type OwnerLoad struct {
+	// Slots is the number of requests that the target runs concurrently.
+	Slots int
+	// OtherHosts is the number of other hosts' requests there, ProcessingTime how long a request
+	// takes that does not wait.
+	OtherHosts     float64
+	ProcessingTime time.Duration
+}
+
+// OwnerLoad returns the load of a target, as far as it is known by the target's own reports. It
+// returns false if the target is not present.
+func (s *Set) OwnerLoad(id string, now time.Time) (OwnerLoad, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[id]
+	if t == nil {
+		return OwnerLoad{}, false
+	}
+	load := OwnerLoad{Slots: t.entry.Slots}
+	load.ProcessingTime = time.Duration(float64(s.service(t.entry.Service).meanProcessingTime) * t.processingTimeFactor(now))
+	if !t.reported.IsZero() {
+		load.OtherHosts = t.otherHostsLoad * decay(now.Sub(t.reported), reportHalfLife)
+	}
+	return load, true
+}
--- a/core/placement/result.go
+++ b/core/placement/result.go
@@ -81,6 +81,9 @@
 // End records the result of the send and the load report that came with it, nil
 // if there was none.
 func (c *Choice) End(result Result, report *Report, now time.Time) {
+	if c.HandleEnd != nil {
+		defer c.HandleEnd()
+	}
 	s := c.set
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -29,10 +29,12 @@
 // metrics are the metrics of this host, whose names start with pineturn_, and
 // the rate limiters of its request log.
 type metrics struct {
-	registry       *prometheus.Registry
-	requests       *prometheus.CounterVec
-	latency        *prometheus.HistogramVec
-	relays         *prometheus.CounterVec
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	relays   *prometheus.CounterVec
+	// queueWaits is the time of requests in queues of owners.
+	queueWaits     *prometheus.HistogramVec
 	retries        *prometheus.CounterVec
 	storeCalls     *prometheus.CounterVec
 	storeLatency   *prometheus.HistogramVec
@@ -59,6 +61,9 @@
 		relays: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pineturn_relayed_requests_total", Help: "Requests relayed to or by other hosts, by direction, service and reason.",
 		}, []string{"direction", "service", "reason"}),
+		queueWaits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "pineturn_owner_queue_seconds", Help: "Time of requests in the queues of owners that this host holds.", Buckets: latencyBuckets,
+		}, []string{"service"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pineturn_retries_total", Help: "Retries and hedges of requests, by service and decision of the retry budget.",
 		}, []string{"service", "decision"}),
@@ -71,7 +76,7 @@
 		failureLimiter: logsink.NewRateLimiter(failureLinesPerSecond), successLimiter: logsink.NewRateLimiter(successLinesPerSecond),
 		services: make(map[string]bool),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.relays, m.retries, m.storeCalls, m.storeLatency)
+	m.registry.MustRegister(m.requests, m.latency, m.relays, m.queueWaits, m.retries, m.storeCalls, m.storeLatency)
 	return m
 }
 
@@ -101,6 +106,14 @@
 		}
 		return 0
 	})
+	gauge("owner_queue_waiting", "Requests that wait in the queues of owners that this host holds.", func() float64 {
+		waiting, _ := g.proxy.QueuedRequests()
+		return float64(waiting)
+	})
+	gauge("owner_queue_running", "Requests of these queues that are in progress at the owners.", func() float64 {
+		_, running := g.proxy.QueuedRequests()
+		return float64(running)
+	})
 	gauge("blocked_requests", "Requests that are refused because they end targets.", func() float64 { return float64(len(g.poison.Blocks(g.clock.Now()))) })
 	gauge("limited_targets", "Targets that have named a limit of requests.", func() float64 { return float64(g.targets.LimitedTargets()) })
 	gauge("sharing_hosts", "Hosts that are taken to share the retry budget and the limits of targets.", func() float64 { return float64(g.hosts.Hosts()) })
@@ -175,6 +188,9 @@
 	if !r.Relayed {
 		g.countRequest(service, r)
 	}
+	if r.Waited > 0 {
+		g.metrics.queueWaits.WithLabelValues(service).Observe(r.Waited.Seconds())
+	}
 	g.logRequest(r)
 }
 
@@ -194,7 +210,7 @@
 		return
 	}
 	klog.InfoS("Request ended", "id", r.ID, "service", r.Service, "route", r.Route, "version", r.ConfigVersion,
-		"keyed", r.Keyed, "key", r.Key, "fingerprint", r.Fingerprint, "via", r.Via, "relayed", r.Relayed, "target", r.Target, "expected", r.ExpectedLatency, "estimate", r.Estimate, "sends", r.Sends, "status", r.Status,
+		"keyed", r.Keyed, "key", r.Key, "fingerprint", r.Fingerprint, "via", r.Via, "relayed", r.Relayed, "target", r.Target, "expected", r.ExpectedLatency, "estimate", r.Estimate, "queued", r.Waited, "sends", r.Sends, "status", r.Status,
 		"reason", r.Reason, "took", r.Latency, "targetsAge", g.catalog.Age(platform.TopicTargets),
 		"ownersAge", g.catalog.Age(platform.TopicOwners), "err", r.Cause)
 }
--- a/io/proxy/choose.go
+++ b/io/proxy/choose.go
@@ -130,5 +130,6 @@
 	return placement.Criteria{
 		Service: q.match.Service.Name, Owner: owner, Exclude: q.excluded,
 		NonIdempotent: !q.match.Route.Idempotent, Rank: q.match.Route.Rank, Counted: q.demandCounted,
+		Queued: q.queued,
 	}
 }
--- a/io/proxy/holder_test.go
+++ b/io/proxy/holder_test.go
@@ -27,7 +27,7 @@
 
 // newKeyedProxy is like newTestProxy for a service with keys, which all belong to the target t1 in
 // the failure domain of this host. It counts the requests to the target, which handler responds to.
-func newKeyedProxy(t *testing.T, version int64, handler http.HandlerFunc, hosts ...peers.Host) (p *Proxy, received *atomic.Int64) {
+func newKeyedProxy(t testing.TB, version int64, handler http.HandlerFunc, hosts ...peers.Host) (p *Proxy, received *atomic.Int64) {
 	t.Helper()
 	p = newTestProxy(version, hosts...)
 	catalog := p.catalog.(*testCatalog)
--- /dev/null
+++ b/io/proxy/ownerqueue.go
@@ -0,0 +1,215 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pineturn/core/concurrency"
+	"pineturn/core/ownerqueue"
+	"pineturn/core/placement"
+	"pineturn/core/poison"
+)
+
+// queuePollInterval is the time between checks of a queue while no request of this host ends at its
+// target.
+const queuePollInterval = 100 * time.Millisecond
+
+// errOwnerChanged means that the key of a waiting request has another owner now.
+var errOwnerChanged = errors.New("owner of the key has changed")
+
+// ownerQueues holds the queues of the owners to which this host sends.
+type ownerQueues struct {
+	// load returns what is known of a target. It is set before use.
+	load func(target string, now time.Time) (ownerqueue.Target, bool)
+
+	mu     sync.Mutex
+	queues map[string]*ownerqueue.Queue
+	// ready holds a channel for each ticket that waits. It is closed when that changes.
+	ready    map[*ownerqueue.Ticket]chan struct{}
+	refusals ownerqueue.Refusals[poison.Fingerprint]
+}
+
+func newOwnerQueues() ownerQueues {
+	return ownerQueues{queues: make(map[string]*ownerqueue.Queue), ready: make(map[*ownerqueue.Ticket]chan struct{})}
+}
+
+// submit adds a request to the queue of a target. It returns false if the target is not known.
+func (o *ownerQueues) submit(target string, r ownerqueue.Request, now time.Time) (*ownerqueue.Ticket, <-chan struct{}, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known, ok := o.load(target, now)
+	if !ok {
+		return nil, nil, false
+	}
+	q := o.queues[target]
+	if q == nil {
+		q = ownerqueue.New()
+		o.queues[target] = q
+	}
+	q.SetTarget(known)
+	t, ready := q.Submit(r, now), make(chan struct{})
+	o.ready[t] = ready
+	if _, refused := t.Refused(); refused {
+		o.notify(t)
+	}
+	o.start(target, q, now)
+	return t, ready, true
+}
+
+// poll starts the requests of a queue for which there is room now.
+func (o *ownerQueues) poll(target string, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if q := o.queues[target]; q != nil {
+		o.start(target, q, now)
+	}
+}
+
+// start starts requests of a queue and removes an empty one. The caller holds mu.
+func (o *ownerQueues) start(target string, q *ownerqueue.Queue, now time.Time) {
+	if known, ok := o.load(target, now); ok {
+		q.SetTarget(known)
+	}
+	for _, t := range q.Start(now) {
+		o.notify(t)
+	}
+	if waiting, running := q.Len(); waiting+running == 0 {
+		delete(o.queues, target)
+	}
+}
+
+func (o *ownerQueues) notify(t *ownerqueue.Ticket) {
+	if ready := o.ready[t]; ready != nil {
+		close(ready)
+		delete(o.ready, t)
+	}
+}
+
+// state returns what has become of a ticket.
+func (o *ownerQueues) state(t *ownerqueue.Ticket) (running bool, retryAfter time.Duration, refused bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	retryAfter, refused = t.Refused()
+	return t.Running(), retryAfter, refused
+}
+
+// end ends a request and starts others in its place.
+func (o *ownerQueues) end(target string, t *ownerqueue.Ticket, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.ready, t)
+	if q := o.queues[target]; q != nil {
+		q.End(t)
+		o.start(target, q, now)
+	}
+}
+
+// arrive returns when a request has arrived first, and whether it was refused here and has returned
+// when it was told to.
+func (o *ownerQueues) arrive(q *request) (first time.Time, returned bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.refusals.Take(q.fingerprint(), q.started)
+}
+
+func (o *ownerQueues) recordRefusal(q *request, retryAfter time.Duration, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refusals.Record(q.fingerprint(), q.firstArrival, now.Add(retryAfter), q.started.Add(q.callerTimeout()), now)
+}
+
+// lengths returns the numbers of requests that wait in this host's queues of owners, and that are in
+// progress at these.
+func (o *ownerQueues) lengths() (waiting, running int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, q := range o.queues {
+		w, r := q.Len()
+		waiting, running = waiting+w, running+r
+	}
+	return waiting, running
+}
+
+// QueuedRequests returns the numbers of requests that wait in the queues of owners that this host
+// holds, and that are in progress at the owners.
+func (p *Proxy) QueuedRequests() (waiting, running int) { return p.queues.lengths() }
+
+// targetOfQueue returns what is known of a target for its queue.
+func (p *Proxy) targetOfQueue(target string, now time.Time) (ownerqueue.Target, bool) {
+	load, ok := p.targets.OwnerLoad(target, now)
+	return ownerqueue.Target{
+		Slots: load.Slots, OtherHosts: load.OtherHosts,
+		Estimate: concurrency.Estimate{Limit: float64(load.Slots), ProcessingTime: load.ProcessingTime},
+	}, ok
+}
+
+// waitInQueue waits in the queue of the owner of a request's key until the request may be sent. The
+// caller passes the ticket to the queue's end, also with an error; the ticket is nil if the owner
+// is not known here.
+func (p *Proxy) waitInQueue(ctx context.Context, q *request, owner string) (*ownerqueue.Ticket, error) {
+	if q.firstArrival.IsZero() {
+		q.firstArrival, q.returned = p.queues.arrive(q)
+	}
+	route := q.match.Route
+	ticket, ready, ok := p.queues.submit(owner, ownerqueue.Request{
+		Rank: route.Rank, Objective: q.firstArrival.Add(route.Objective), Deadline: q.deadline, Idempotent: route.Idempotent, Returned: q.returned,
+	}, p.clock.Now())
+	if !ok {
+		return nil, nil
+	}
+	entered := p.clock.Now()
+	defer func() { q.waited += p.clock.Now().Sub(entered) }()
+	for {
+		changed := p.catalog.Changed()
+		if target, reason := p.currentOwner(q); reason != reasonNoOwner && target != owner {
+			return ticket, errOwnerChanged
+		}
+		timer := time.NewTimer(queuePollInterval)
+		select {
+		case <-ready:
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+			p.queues.poll(owner, p.clock.Now())
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return ticket, q.failOrRefuse(reasonNoCapacity, route.Objective/2, ctx.Err())
+		}
+		running, retryAfter, refused := p.queues.state(ticket)
+		switch {
+		case running:
+			return ticket, nil
+		case refused:
+			p.recordEstimate(q, owner)
+			p.queues.recordRefusal(q, retryAfter, p.clock.Now())
+			return ticket, q.refuseFor(reasonNoCapacity, retryAfter, nil)
+		}
+	}
+}
+
+// chooseQueued reserves capacity at the owner of a request's key after its turn in the owner's
+// queue.
+func (p *Proxy) chooseQueued(ctx context.Context, q *request, owner string) (*placement.Choice, error) {
+	ticket, err := p.waitInQueue(ctx, q, owner)
+	if ticket == nil && err == nil {
+		return p.chooseTarget(ctx, q, owner)
+	}
+	end := func() { p.queues.end(owner, ticket, p.clock.Now()) }
+	if err != nil {
+		end()
+		return nil, err
+	}
+	q.queued = true
+	choice, err := p.chooseTarget(ctx, q, owner)
+	q.queued = false
+	if err != nil {
+		end()
+		return nil, err
+	}
+	choice.HandleEnd = end
+	return choice, nil
+}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -64,6 +64,7 @@
 	// OwnerQueue reports whether keyed requests are relayed to the host that holds the queue of
 	// their owner. It is set before use.
 	OwnerQueue func() bool
+	queues     ownerQueues
 	// peerVersion is the newest version of the configuration by which another host has served
 	// a relayed request.
 	peerVersion atomic.Int64
@@ -106,6 +107,8 @@
 	// Target is the last target that the request was sent to, or the owner of its key
 	// if that had no capacity; empty for none.
 	Target string
+	// Waited is how long the request has waited at this host in the queue of an owner.
+	Waited time.Duration
 	// Estimate is what was assumed of an owner without capacity; nil for none.
 	Estimate *placement.Estimate
 	// ExpectedLatency is the estimated time to the response of Target.
@@ -128,8 +131,9 @@
 	p := &Proxy{
 		catalog: catalog, targets: targets, budget: b, poison: tracker, pool: pool, clock: clk, loads: owner.NewLoads(clk.Now()),
 		reach: reach.New(), peers: others, peerTransport: newPeerTransport(), done: make(chan struct{}), HandleRecord: func(RequestRecord) {},
-		OwnerQueue: func() bool { return false },
+		OwnerQueue: func() bool { return false }, queues: newOwnerQueues(),
 	}
+	p.queues.load = p.targetOfQueue
 	pool.HandleDial = p.recordDial
 	p.shutdownCtx, p.cancelAll = context.WithCancel(context.Background())
 	return p
@@ -194,6 +198,14 @@
 	via        string
 	triedHosts []string
 	queueOwner string
+	// firstArrival is when the request has arrived first, in an attempt that was refused here
+	// maybe; zero before it is known. returned is set if it has returned when it was told to.
+	firstArrival time.Time
+	returned     bool
+	// waited is how long the request has waited in queues of owners.
+	waited time.Duration
+	// queued is set while the request has its turn in the queue of the owner of its key.
+	queued bool
 	// fingerprint returns the fingerprint of the request. fingerprinted is set once it has been
 	// called.
 	fingerprint   func() poison.Fingerprint
@@ -311,7 +323,7 @@
 
 func (q *request) record(status int, reason string, cause error, now time.Time) RequestRecord {
 	r := RequestRecord{
-		ID: q.ID, ConfigVersion: q.configVersion, Keyed: q.keyed(), Key: q.Key, Via: q.via, Relayed: q.relayed, Target: q.lastTarget, ExpectedLatency: q.expectedLatency, Estimate: q.estimate, Sends: q.progress.Sends(),
+		ID: q.ID, ConfigVersion: q.configVersion, Keyed: q.keyed(), Key: q.Key, Via: q.via, Relayed: q.relayed, Target: q.lastTarget, ExpectedLatency: q.expectedLatency, Estimate: q.estimate, Waited: q.waited, Sends: q.progress.Sends(),
 		Status: status, Reason: reason, Latency: now.Sub(q.started), Cause: cause, Service: q.match.Service.Name,
 	}
 	if q.match.Route != nil {
--- a/io/proxy/relay_test.go
+++ b/io/proxy/relay_test.go
@@ -32,15 +32,28 @@
 	table      *routing.Table
 	assignment *owner.Assignment
 	changed    chan struct{}
+	// mu guards assignment and changed where they change during a test.
+	mu sync.Mutex
 	// configReads counts the calls of ReadConfig.
 	configReads atomic.Int64
 }
 
-func (c *testCatalog) ReadConfig()                   { c.configReads.Add(1) }
-func (c *testCatalog) Table() *routing.Table         { return c.table }
-func (c *testCatalog) Assignment() *owner.Assignment { return c.assignment }
-func (c *testCatalog) Changed() <-chan struct{}      { return c.changed }
-func (c *testCatalog) ChangedAt() time.Time          { return time.Time{} }
+func (c *testCatalog) ReadConfig()           { c.configReads.Add(1) }
+func (c *testCatalog) Table() *routing.Table { return c.table }
+
+func (c *testCatalog) Assignment() *owner.Assignment {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.assignment
+}
+
+func (c *testCatalog) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+func (c *testCatalog) ChangedAt() time.Time { return time.Time{} }
 
 // newTestProxy returns a proxy with one route for idempotent requests, /read/, and one for
 // others, /write/, and without targets. It knows the given hosts.
--- a/io/proxy/retry_test.go
+++ b/io/proxy/retry_test.go
@@ -14,7 +14,7 @@
 )
 
 // newTestTarget runs a target of testService that handles requests, and adds it to a proxy.
-func newTestTarget(t *testing.T, p *Proxy, id string, handler http.HandlerFunc) {
+func newTestTarget(t testing.TB, p *Proxy, id string, handler http.HandlerFunc) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -80,7 +80,14 @@
 	if blocked && owner != "" && p.covers(block, owner) {
 		return sendResult{}, q.refusePoison()
 	}
-	choice, err := p.chooseTarget(ctx, q, owner)
+	choose := p.chooseTarget
+	if owner != "" && p.OwnerQueue() {
+		choose = p.chooseQueued
+	}
+	choice, err := choose(ctx, q, owner)
+	if errors.Is(err, errOwnerChanged) {
+		return p.sendOnce(ctx, q)
+	}
 	if err != nil {
 		return sendResult{}, err
 	}
