--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -25,6 +25,8 @@
 	// Rank is the priority of the request; zero is the highest. Requests leave room for
 	// those of a higher priority.
 	Rank int
+	// Queued requests have waited for their turn at Owner: no depth keeps them from it.
+	Queued bool
 	// Optional sends, hedges, leave out the targets that have named a limit.
 	Optional bool
 	// Counted requests count no more for the demand for a target.
@@ -77,6 +79,8 @@
 	cold *ratelimit.Pacer
 	// learned is what was learned of the target, zero if choices do not follow it.
 	learned concurrency.Estimate
+	// HandleEnd is called after End, unless it is nil. It is set before End.
+	HandleEnd func()
 }
 
 const (
@@ -123,7 +127,8 @@
 			continue
 		}
 		c := s.estimate(t, basis)
-		if c.depth > c.maxDepth(criteria, limit, svc) || criteria.Owner != "" && t.inOwnerBackoff(now) {
+		tooDeep := !criteria.Queued && c.depth > c.maxDepth(criteria, limit, svc)
+		if tooDeep || criteria.Owner != "" && t.inOwnerBackoff(now) {
 			status = NoCapacity
 			continue
 		}
--- a/core/placement/learned.go
+++ b/core/placement/learned.go
@@ -12,21 +12,19 @@
 // own reports and the mean of its service weigh the same in the load estimate.
 const averagePeriods = 6
 
-// Concurrency returns what is known of how long a target takes and of how many requests it
-// takes well. A target that is unknown, or of which nothing is learned, has the limit of a
-// choice and the mean processing time of its service.
-func (s *Set) Concurrency(target string, now time.Time) concurrency.Estimate {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.targets[target]
-	switch {
-	case t == nil:
-		return concurrency.Estimate{Limit: idempotentMaxDepth, ProcessingTime: initialProcessingTime}
-	case s.Learns():
-		return t.learned.Estimate(now)
+// concurrency returns what is known of how long a target takes and of how many requests it takes
+// well. A target of which nothing is learned has the limit of a choice and the mean processing
+// time of its service.
+func (s *Set) concurrency(t *Target, now time.Time) concurrency.Estimate {
+	if !s.Learns() {
+		processingTime := float64(s.service(t.entry.Service).meanProcessingTime) * t.processingTimeFactor(now)
+		return concurrency.Estimate{Limit: idempotentMaxDepth * float64(t.entry.Slots), ProcessingTime: time.Duration(processingTime)}
 	}
-	processingTime := float64(s.service(t.entry.Service).meanProcessingTime) * t.processingTimeFactor(now)
-	return concurrency.Estimate{Limit: idempotentMaxDepth * float64(t.entry.Slots), ProcessingTime: time.Duration(processingTime)}
+	learned := t.learned.Estimate(now)
+	if now.Before(t.warmEnd) {
+		learned.ProcessingTime = time.Duration(coldFactor * float64(learned.ProcessingTime))
+	}
+	return learned
 }
 
 // estimateLearned sets the depth and the expected latency of a choice by what was learned of
