Take a target for cold after refused connections, not after one that is lost

Cause: one connection that nothing answered made a host take its target for cold; on a path that loses packets that is one in three. Change: a refused connection counts, or the second one in a row without an answer and without a response between. Drains of domains that end have a test.

--- a/core/placement/cold.go
+++ b/core/placement/cold.go
@@ -27,6 +27,8 @@
 	// zero if there is none. lost is set while it takes no connections.
 	suspectedAt time.Time
 	lost        bool
+	// failures is the number of connections without result since the last response.
+	failures int
 	// sequence is the number of the entry at suspectedAt.
 	sequence int64
 	// pacer keeps this host within its part of what the target bears.
@@ -92,24 +94,28 @@
 	s.warmsUntil(t, clock.Later(t.cold.end, now.Add(cold.Time)), now)
 }
 
-// recordLost records that the target takes no connection. It may have started again under its
-// id once it does.
-func (s *Set) recordLost(t *Target, now time.Time) {
-	s.suspectCold(t, now)
-	t.cold.lost = true
-}
+// lostConnections is the number of connections in a row, without a response between them, that end
+// in nothing at a target that may have started again. One may be lost on the way.
+const lostConnections = 2
 
-// ObserveLost records that a target of which this host has lost a response takes no connection.
-func (s *Set) ObserveLost(id string, now time.Time) {
+// ObserveNoConnection records that a connection to a target was refused, or that nothing answered.
+// The target may have started again under its id once it takes connections.
+func (s *Set) ObserveNoConnection(id string, refused bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t := s.targets[id]; t != nil {
-		s.recordLost(t, now)
+	t := s.targets[id]
+	if t == nil {
+		return
+	}
+	if t.cold.failures++; refused || t.cold.failures >= lostConnections {
+		s.suspectCold(t, now)
+		t.cold.lost = true
 	}
 }
 
 // recordBack records a response of the target.
 func (s *Set) recordBack(t *Target, now time.Time) {
+	t.cold.failures = 0
 	if t.cold.lost {
 		s.suspectCold(t, now)
 		t.cold.lost = false
@@ -168,10 +174,6 @@
 		if c.cold != nil {
 			c.cold.Return()
 		}
-	}
-	switch result {
-	case Unreachable:
-		c.set.recordLost(t, now)
 	case Complete, Shed, Failed:
 		c.set.recordBack(t, now)
 	}
--- a/core/placement/cold_test.go
+++ b/core/placement/cold_test.go
@@ -96,9 +96,16 @@
 // TestTargetThatComesBack guards against hosts that take a target for warm that took no
 // connections and may have started again under its id, and against entries that it wrote before.
 func TestTargetThatComesBack(t *testing.T) {
-	lose := func(s *Set) {
-		choose(t, s, Criteria{Service: service, Owner: "t1"}, start).End(Unreachable, nil, start)
-	}
+	lose := func(s *Set) { s.ObserveNoConnection("t1", true, start) }
+	t.Run("connections without an answer", func(t *testing.T) {
+		s := newColdSet(0, "t1")
+		s.ObserveNoConnection("t1", false, start)
+		wantSends(t, s, 0, 1, 1)
+		s.ObserveNoConnection("t1", false, start)
+		assertCold(t, s, 0, 0)
+		s.ObserveNoConnection("t1", false, start)
+		assertCold(t, s, 0, 1)
+	})
 	t.Run("an entry written since", func(t *testing.T) {
 		s := newColdSet(0, "t1")
 		lose(s)
--- a/io/metastore/drain_test.go
+++ b/io/metastore/drain_test.go
@@ -8,6 +8,7 @@
 
 	"pineturn/core/clock"
 	"pineturn/core/placement"
+	"pineturn/core/ratelimit"
 	"pineturn/platform"
 )
 
@@ -70,6 +71,21 @@
 			t.Errorf("drain: got %+v, want one at offset 1 that requests to owners obey at once", d)
 		}
 	})
+	t.Run("targets count as cold when it ends", func(t *testing.T) {
+		r := newDrainRun(t)
+		r.targets.Cold = func(string) placement.Cold {
+			return placement.Cold{Time: time.Second, Bound: ratelimit.Bound{PerSecond: 1, Overage: 1, Slack: 1}}
+		}
+		r.targets.Put(placement.Entry{ID: "a1", Domain: "a"}, r.clock.Now())
+		r.targets.Put(placement.Entry{ID: "b1", Domain: "b"}, r.clock.Now())
+		r.put("{}")
+		r.read()
+		r.put("")
+		r.read()
+		if got := r.targets.ColdTargets(r.clock.Now()); got != 1 {
+			t.Errorf("cold targets: got %d, want the one in the domain", got)
+		}
+	})
 	t.Run("owners are left in time after the last proof", func(t *testing.T) {
 		r := newDrainRun(t)
 		r.read()
--- a/io/proxy/poison.go
+++ b/io/proxy/poison.go
@@ -120,10 +120,11 @@
 // refused one just after its responses were lost. Where all targets refuse, the path to them is lost instead.
 func (p *Proxy) recordRefused(entry placement.Entry, err error) {
 	now := p.clock.Now()
+	refused := errors.Is(err, syscall.ECONNREFUSED)
 	if err != nil && !p.reach.IsLost(entry.Service) {
-		p.targets.ObserveLost(entry.ID, now)
+		p.targets.ObserveNoConnection(entry.ID, refused, now)
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) || !p.poison.Awaits(entry.ID, now) || p.reach.IsLost(entry.Service) {
+	if !refused || !p.poison.Awaits(entry.ID, now) || p.reach.IsLost(entry.Service) {
 		return
 	}
 	for _, send := range p.poison.Ended(entry.ID, now) {
