Learn nothing from targets that have become cold again

Cause: a target may become cold while it runs; its responses then counted as its usual speed.

Change: responses to requests that were sent to a cold target are left out.

Measured: go test ./core/placement.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -148,16 +148,21 @@
 		}
 		return nil, status
 	}
-	chosen := best.choice
-	chosen.target.inFlight++
-	chosen.target.pending = append(chosen.target.pending, &chosen)
-	chosen.target.pacer.Take()
-	if s.isCold(chosen.target, now) {
-		chosen.cold = s.coldPacer(chosen.target, now)
-		chosen.cold.Take()
+	return s.start(best.choice, criteria, now), Chosen
+}
+
+// start counts a chosen request as in flight.
+func (s *Set) start(c Choice, criteria Criteria, now time.Time) *Choice {
+	t := c.target
+	t.inFlight++
+	t.pending = append(t.pending, &c)
+	t.pacer.Take()
+	if s.isCold(t, now) {
+		c.cold = s.coldPacer(t, now)
+		c.cold.Take()
 	}
-	chosen.toOwner = criteria.Owner != ""
-	return &chosen, Chosen
+	c.toOwner = criteria.Owner != ""
+	return &c
 }
 
 // recordRefused records a request that no target takes now and returns its status. Where
--- a/core/placement/learned.go
+++ b/core/placement/learned.go
@@ -83,7 +83,7 @@
 // how long requests take, and neither do responses of a target that warms up.
 func (c *Choice) learn(result Result, report *Report, now time.Time) {
 	t := c.target
-	if !c.set.Learns() || c.sent.Before(t.warmEnd) {
+	if !c.set.Learns() || c.sent.Before(t.warmEnd) || c.cold != nil {
 		return
 	}
 	sample := concurrency.Sample{InProgress: c.depth * float64(t.entry.Slots), Took: now.Sub(c.sent)}
