--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -73,7 +73,9 @@
 	acceptedAt   time.Time
 	lastAttempt  time.Time
 	failingSince time.Time
-	inFlight     bool
+	// movedAt is when this leader last changed the owner; zero if it has not.
+	movedAt  time.Time
+	inFlight bool
 	// handoverData is the data that the former owner returned when it released the
 	// range. It is passed to the owner with the first grant. Only targets interpret
 	// it.
@@ -142,6 +144,8 @@
 	unsaved               bool
 	// incomplete reports that there may be earlier leaders that no record names.
 	incomplete bool
+	// fine reports whether the initial assignment consists of many small ranges.
+	fine bool
 	// unaccounted is the end of the latest grant of this process under an earlier epoch
 	// that a target may still apply; zero if there is none.
 	unaccounted time.Time
--- a/core/owner/loads.go
+++ b/core/owner/loads.go
@@ -11,9 +11,14 @@
 	// of the load by which a step shows. Loads are in requests per second.
 	loadHalfLife = 4 * time.Second
 	stepHalfLife = time.Second
+	// regionHalfLife is used instead of stepHalfLife where regions of keys are judged: the
+	// sums of many keys are smooth enough for it.
+	regionHalfLife = 500 * time.Millisecond
 	// stepDeviations is the difference between the two loads of a key, in standard
 	// deviations of the second one, from which it counts as a step.
 	stepDeviations = 3.0
+	// regionDeviations is used instead where regions of keys are judged: there are many.
+	regionDeviations = 4.0
 	// maxTrackedKeys bounds the number of keys tracked per service.
 	maxTrackedKeys = Keys / 2
 	// minTrackedLoad is the load in requests per second below which a key is no
@@ -28,12 +33,24 @@
 	baseLoad = 1.0
 )
 
-// loadPerCount and stepLoadPerCount are the amounts that one request adds to the loads
-// of a key. With the exponential decay, a steady rate of r requests per second gives a
-// load of r.
-const (
-	loadPerCount     = math.Ln2 / (float64(loadHalfLife) / float64(time.Second))
-	stepLoadPerCount = math.Ln2 / (float64(stepHalfLife) / float64(time.Second))
+// loadPerCount is the amount that one request adds to the load of a key. With the exponential
+// decay, a steady rate of r requests per second gives a load of r.
+const loadPerCount = math.Ln2 / (float64(loadHalfLife) / float64(time.Second))
+
+// perCount returns what loadPerCount is for a half-life.
+func perCount(halfLife time.Duration) float64 { return math.Ln2 / halfLife.Seconds() }
+
+// stepRule is how a step in a load is found: the half-life of the recent load, and its difference
+// to the other one in standard deviations.
+type stepRule struct {
+	halfLife   time.Duration
+	deviations float64
+}
+
+// Rules for single keys, and where the sums of regions of keys are judged too.
+var (
+	keyRule    = stepRule{halfLife: stepHalfLife, deviations: stepDeviations}
+	regionRule = stepRule{halfLife: regionHalfLife, deviations: regionDeviations}
 )
 
 // keyRate is the load of a key as averaged over two spans of time.
@@ -45,15 +62,21 @@
 // load differs from it by more than requests at random times do. A key that becomes hot,
 // or cools down, thus shows within about a second, while the loads of other keys stay
 // smooth.
-func (r keyRate) load() float64 {
-	// The variance of an average over requests at random times.
-	variance := max(r.steady, r.recent) * stepLoadPerCount / 2
-	if difference := r.recent - r.steady; difference*difference > stepDeviations*stepDeviations*variance {
+func (r keyRate) load(rule stepRule) float64 {
+	if r.stepped(rule) {
 		return r.recent
 	}
 	return r.steady
 }
 
+// stepped reports whether the two averages differ by more than requests at random times do.
+func (r keyRate) stepped(rule stepRule) bool {
+	// The variance of an average over requests at random times.
+	variance := max(r.steady, r.recent) * perCount(rule.halfLife) / 2
+	difference := r.recent - r.steady
+	return difference*difference > rule.deviations*rule.deviations*variance
+}
+
 // KeyCount is the number of requests for a key of a service.
 type KeyCount struct {
 	Service string `cbor:"1,keyasint"`
@@ -89,24 +112,35 @@
 	sorted     map[string][]keyLoad
 	processing targetStats
 	decayedAt  time.Time
+	// rule is how steps are found, and byRegion whether adjacent keys are judged together too.
+	rule     stepRule
+	byRegion bool
 }
 
 // NewLoads returns empty loads.
 func NewLoads(now time.Time) *Loads {
-	return &Loads{services: make(map[string]map[uint16]keyRate), prefixSums: make(map[string][]float32), sorted: make(map[string][]keyLoad), processing: make(targetStats), decayedAt: now}
+	return &Loads{services: make(map[string]map[uint16]keyRate), prefixSums: make(map[string][]float32), sorted: make(map[string][]keyLoad), processing: make(targetStats), decayedAt: now, rule: keyRule}
 }
 
 // Add adds a report. Under a steady rate of r requests per second, the load of
 // a key converges to r.
-func (l *Loads) Add(report Report) {
+func (l *Loads) Add(report Report) { l.add(report, 0) }
+
+// AddAt adds a report that arrived at a time since the last call of Decay. The next call
+// does not count that part of the time against its requests.
+func (l *Loads) AddAt(report Report, now time.Time) { l.add(report, max(now.Sub(l.decayedAt), 0)) }
+
+func (l *Loads) add(report Report, sinceDecay time.Duration) {
 	l.forgetDerived()
+	steadyPerCount := loadPerCount * math.Exp2(sinceDecay.Seconds()/loadHalfLife.Seconds())
 	for _, stats := range report.Processing {
 		l.processing.add(stats)
 	}
-	recentPerCount := stepLoadPerCount
+	recentPerCount := perCount(l.rule.halfLife)
 	if report.Full {
 		recentPerCount = loadPerCount
 	}
+	recentPerCount *= math.Exp2(sinceDecay.Seconds() / l.rule.halfLife.Seconds())
 	for _, c := range report.Counts {
 		keys := l.services[c.Service]
 		if keys == nil {
@@ -117,7 +151,7 @@
 		if !known && len(keys) >= maxTrackedKeys {
 			continue
 		}
-		rate.steady += c.Count * loadPerCount
+		rate.steady += c.Count * steadyPerCount
 		rate.recent += c.Count * recentPerCount
 		keys[c.Key] = rate
 	}
@@ -129,7 +163,7 @@
 	report := Report{Full: true}
 	for service, keys := range l.services {
 		for key, rate := range keys {
-			if load := rate.load(); load >= minReportedLoad {
+			if load := rate.load(l.rule); load >= minReportedLoad {
 				report.Counts = append(report.Counts, KeyCount{Service: service, Key: key, Count: load / loadPerCount})
 			}
 		}
@@ -148,7 +182,7 @@
 	l.forgetDerived()
 	l.processing.decay(now.Sub(l.decayedAt))
 	elapsed := now.Sub(l.decayedAt).Seconds()
-	steadyFactor, recentFactor := math.Exp2(-elapsed/loadHalfLife.Seconds()), math.Exp2(-elapsed/stepHalfLife.Seconds())
+	steadyFactor, recentFactor := math.Exp2(-elapsed/loadHalfLife.Seconds()), math.Exp2(-elapsed/l.rule.halfLife.Seconds())
 	l.decayedAt = now
 	for _, keys := range l.services {
 		for key, rate := range keys {
@@ -175,8 +209,9 @@
 		return sums
 	}
 	sums := make([]float32, Keys+1)
+	stepped := l.steppedRegions(service)
 	for key, rate := range l.services[service] {
-		sums[int(key)+1] = float32(rate.load())
+		sums[int(key)+1] = float32(stepped.load(key, rate))
 	}
 	for i := range Keys {
 		sums[i+1] += sums[i]
@@ -202,8 +237,9 @@
 		return keys
 	}
 	keys := make([]keyLoad, 0, len(l.services[service]))
+	stepped := l.steppedRegions(service)
 	for key, rate := range l.services[service] {
-		keys = append(keys, keyLoad{key: key, load: rate.load()})
+		keys = append(keys, keyLoad{key: key, load: stepped.load(key, rate)})
 	}
 	slices.SortFunc(keys, func(a, b keyLoad) int { return int(a.key) - int(b.key) })
 	l.sorted[service] = keys
--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -16,6 +16,8 @@
 	// assignment, unless one range per target is more: the leader renews each
 	// range separately.
 	maxInitialRanges = 64
+	// maxFineRanges is used instead of maxInitialRanges where keys are assigned finely.
+	maxFineRanges = 1024
 	// maxTransferFraction is the largest fraction of the utilization of a
 	// target that a new target gets from it.
 	maxTransferFraction = 0.75
@@ -126,10 +128,18 @@
 	return unreachable
 }
 
+// AssignFinely sets whether the initial assignment consists of more and smaller ranges, so that
+// a region of busy keys lies at several targets from the start.
+func (l *Leader) AssignFinely(on bool) { l.fine = on }
+
 // assignAll makes the initial assignment: ranges of equal size, assigned to the
 // targets in turn.
 func (l *Leader) assignAll(service string, assignable []Target) {
-	n := len(assignable) * min(max(maxInitialRanges/len(assignable), 1), maxInitialRangesPerTarget)
+	ranges := maxInitialRanges
+	if l.fine {
+		ranges = maxFineRanges
+	}
+	n := len(assignable) * min(max(ranges/len(assignable), 1), maxInitialRangesPerTarget)
 	for i := range n {
 		first, last := i*Keys/n, (i+1)*Keys/n-1
 		l.services[service] = append(l.services[service], &rangeState{
--- a/core/owner/ranges.go
+++ b/core/owner/ranges.go
@@ -22,16 +22,16 @@
 	}
 	for _, r := range l.services[service] {
 		if r.first >= first && r.last <= last && r.owner != to {
-			l.changeOwner(r, to)
+			l.changeOwner(r, to, now)
 		}
 	}
 	return true
 }
 
-func (l *Leader) changeOwner(r *rangeState, to Incarnation) {
+func (l *Leader) changeOwner(r *rangeState, to Incarnation, now time.Time) {
 	previous := *r
 	holdsNothing := r.lastSent.IsZero() && !r.inherited || r.ownerEnded
-	*r = rangeState{first: r.first, last: r.last, owner: to, fencingToken: l.nextFencingToken(), inherited: r.inherited && !r.granted, confirmed: r.confirmed}
+	*r = rangeState{first: r.first, last: r.last, owner: to, fencingToken: l.nextFencingToken(), inherited: r.inherited && !r.granted, confirmed: r.confirmed, movedAt: now}
 	if !holdsNothing {
 		r.former = []*formerOwner{{state: &previous}}
 	}
@@ -74,6 +74,7 @@
 	r.unaccounted = clock.Later(r.unaccounted, right.unaccounted)
 	r.acceptedAt = clock.Earlier(r.acceptedAt, right.acceptedAt)
 	r.lastAttempt = clock.Earlier(r.lastAttempt, right.lastAttempt)
+	r.movedAt = clock.Earlier(r.movedAt, right.movedAt)
 }
 
 // split divides the range that contains a key, so that a range starts at the
