Switch for spreading keys: rounds, reports and writes as soon as hosts allow

Where it is on, the leader runs Spread when it may write again, but not within 250 ms, a full round each second; the first assignment has up to 4 ranges a target; hosts report each 4 ms times hosts, 0.4 to 1.5 s. pineturn_key_moves_total by reason, pineturn_unservable_key_load, and the log line of a round say what moved and why. Older builds: reports and records are the same, only more frequent; an older leader balances as before. The switch is by host: the leader's counts for moves, each host's own for its reports.

--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -49,8 +49,6 @@
 	joinPollInterval = 100 * time.Millisecond
 	// tickInterval is the time between runs of tick.
 	tickInterval = 50 * time.Millisecond
-	// balanceInterval is the time between two rounds of rebalancing.
-	balanceInterval = time.Second
 	// initialAssignDelay is the time between the first target's appearance and
 	// the first assignment of keys. It lets the other targets appear.
 	initialAssignDelay = 1500 * time.Millisecond
@@ -129,6 +127,11 @@
 	// Unrecorded returns the record of the requests that are refused, and whether this host is
 	// to write it: it differs from the one in the store. It is set before Run.
 	Unrecorded func() (record []byte, differs bool)
+	// SpreadKeys reports whether hot regions of keys are spread soon and finely, and HandleMoves is
+	// called with what a round has moved for that; it must not call this coordinator. They are set
+	// before Run.
+	SpreadKeys  func() bool
+	HandleMoves func(service string, moves owner.Moves)
 	// HandleUnanswered is called with the service of each order that its target did not
 	// answer. It is set before Run.
 	HandleUnanswered func(service string)
@@ -164,10 +167,14 @@
 	// balancedAt is the time of the last round of rebalancing, or the time at
 	// which this host became the leader.
 	balancedAt time.Time
+	// spreadAt is the time of the last full round that spread keys.
+	spreadAt time.Time
 	// writtenAt is the time of the last write of an assignment, and writtenOffset
 	// the offset at which the leader's last write was to be stored.
 	writtenAt     time.Time
 	writtenOffset int64
+	// written is the assignment that was last written, nil once it has been read back.
+	written *owner.Assignment
 	// blockedWrittenAt is the time of the last write of the requests that are refused, and
 	// blockedOffset the offset at which that was to be stored.
 	blockedWrittenAt time.Time
@@ -218,6 +225,8 @@
 		Hosts:            func() int { return 1 },
 		Yields:           func() bool { return false },
 		HandleUnanswered: func(string) {},
+		SpreadKeys:       func() bool { return false },
+		HandleMoves:      func(string, owner.Moves) {},
 		Unrecorded:       func() ([]byte, bool) { return nil, false },
 		PredecessorEnded: func(context.Context, owner.LeaderProcess, int64) (ProcessEnd, bool) { return ProcessEnd{}, false },
 	}
@@ -240,10 +249,15 @@
 // AddReport adds a host's report to the loads that rebalancing uses. A host that is
 // about to lead may receive reports before it has read its record back.
 func (c *Coordinator) AddReport(report owner.Report) {
+	now, spread := c.clock.Now(), c.SpreadKeys()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.leading {
-		c.loads.Decay(c.clock.Now())
+		c.loads.Decay(now)
+	}
+	if spread {
+		c.loads.AddAt(report, now)
+		return
 	}
 	c.loads.Add(report)
 }
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -67,7 +67,10 @@
 	}
 	targets := c.currentTargets()
 	c.queryPredecessors(ctx, now)
-	c.writeIfDirty(ctx, next, now)
+	c.markStored(next)
+	if !c.roundDue(now) {
+		c.writeIfDirty(ctx, next, now)
+	}
 	mayReassign := now.Sub(provenAt) < maxProofAgeForChanges
 	if mayReassign {
 		c.reassign(targets, now)
@@ -98,28 +101,6 @@
 	klog.InfoS("Target reported a higher fencing token, no more grants are sent", "epoch", c.fencedEpoch)
 }
 
-func (c *Coordinator) reassign(targets map[string]owner.Target, now time.Time) {
-	balance := now.Sub(c.balancedAt) >= balanceInterval && !c.leader.Unsaved()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if balance {
-		c.balancedAt = now
-		c.loads.Decay(now)
-		c.sender.retain(incarnationsOf(targets))
-	}
-	for _, service := range c.keyedServices() {
-		if !c.leader.Assigned(service) && !c.initialDelayElapsed(targets, service, now) {
-			continue
-		}
-		c.leader.Assign(service, targets, c.loads, now)
-		if balance {
-			if n := c.leader.Balance(service, targets, c.loads, now); n > 0 {
-				klog.InfoS("Rebalancing moves ranges of keys", "service", service, "moves", n)
-			}
-		}
-	}
-}
-
 func incarnationsOf(targets map[string]owner.Target) map[owner.Incarnation]bool {
 	incarnations := make(map[owner.Incarnation]bool, len(targets))
 	for _, t := range targets {
@@ -155,13 +136,29 @@
 	if now.Sub(c.writtenAt) < writeRetryInterval && next == c.writtenOffset {
 		return
 	}
-	if now.Sub(c.writtenAt) < time.Duration(c.Hosts())*writeIntervalPerHost {
+	if now.Sub(c.writtenAt) < c.writeInterval() {
 		return
 	}
-	c.writtenAt, c.writtenOffset = now, next
+	c.writtenAt, c.writtenOffset, c.written = now, next, record
 	c.append(ctx, record, next)
 }
 
+// writeInterval returns the time between two writes of the assignment.
+func (c *Coordinator) writeInterval() time.Duration {
+	return time.Duration(c.Hosts()) * writeIntervalPerHost
+}
+
+// markStored tells the leader that its last write is the newest record in the store, once that
+// has been read back: changes since need not delay those that are in it. No earlier write can
+// follow, as each names the offset at which it is to be stored.
+func (c *Coordinator) markStored(next int64) {
+	if !c.SpreadKeys() || c.written == nil || next <= c.writtenOffset || !equalAssignments(c.written, c.catalog.Assignment()) {
+		return
+	}
+	c.leader.MarkStored(c.written)
+	c.written = nil
+}
+
 func equalAssignments(a, b *owner.Assignment) bool {
 	first, err := a.Encode()
 	if err != nil {
--- a/io/coordinator/leadership.go
+++ b/io/coordinator/leadership.go
@@ -116,12 +116,12 @@
 			return
 		}
 		c.leader = owner.NewLeader(a, c.maxLease, now)
-		c.balancedAt = now
+		c.balancedAt, c.written = now, nil
 		c.catalog.ReadAtOnce()
 		klog.InfoS("This host is the leader", "epoch", a.Epoch)
 	case c.leader != nil && own && a.Epoch > c.leader.Epoch() && a.Era > c.leader.Era():
 		klog.InfoS("This host leads on in a new era of the store", "epoch", a.Epoch, "epochBefore", c.leader.Epoch(), "era", a.Era)
-		c.leader = c.leader.Succeed(a, c.lastProof(), now)
+		c.leader, c.written = c.leader.Succeed(a, c.lastProof(), now), nil
 	case c.leader != nil && (!own || a.Epoch != c.leader.Epoch()):
 		klog.InfoS("Another host is the leader", "leader", a.Leader, "epoch", a.Epoch, "epochHere", c.leader.Epoch())
 		c.stopLeading()
--- a/io/gateway/main.go
+++ b/io/gateway/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
+	"pineturn/core/feature"
 	"pineturn/io/logsink"
 	"pineturn/platform"
 )
@@ -27,9 +28,16 @@
 		Flags: []cli.Flag{&cli.IntFlag{
 			Name: "admin-port", Value: defaultAdminPort, Sources: cli.EnvVars("PINETURN_ADMIN_PORT"),
 			Usage: "port on the host's address for metrics and state dumps",
+		}, &cli.StringFlag{
+			Name: "spread-keys", Value: string(feature.Auto), Sources: cli.EnvVars("PINETURN_SPREAD_KEYS"),
+			Usage: fmt.Sprintf("spread regions of hot keys soon and finely over their owners: on, off, or auto, from %d hosts on", minSpreadHosts),
 		}},
 		Action: func(ctx context.Context, command *cli.Command) error {
-			return run(ctx, command.Int("admin-port"))
+			spreadKeys, err := feature.Parse(command.String("spread-keys"))
+			if err != nil {
+				return errors.Wrap(err, "spread keys")
+			}
+			return run(ctx, command.Int("admin-port"), spreadKeys)
 		},
 		Commands: []*cli.Command{{
 			Name: "check", Usage: "validate a settings file of the platform without starting a host", ArgsUsage: "FILE",
@@ -60,7 +68,7 @@
 	klog.CopyStandardLogTo("INFO")
 }
 
-func run(ctx context.Context, adminPort int) error {
+func run(ctx context.Context, adminPort int, spreadKeys feature.Setting) error {
 	sink := logsink.New(os.Stdout)
 	configureLogging(sink)
 	defer sink.Close()
@@ -77,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	g.useSpreadKeys(spreadKeys)
 	reload := make(chan struct{}, 1)
 	go func() {
 		for range sighup {
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -34,6 +34,8 @@
 	latency        *prometheus.HistogramVec
 	relays         *prometheus.CounterVec
 	retries        *prometheus.CounterVec
+	moves          *prometheus.CounterVec
+	unservable     *prometheus.GaugeVec
 	storeCalls     *prometheus.CounterVec
 	storeLatency   *prometheus.HistogramVec
 	failureLimiter *logsink.RateLimiter
@@ -62,6 +64,13 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pineturn_retries_total", Help: "Retries and hedges of requests, by service and decision of the retry budget.",
 		}, []string{"service", "decision"}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pineturn_key_moves_total", Help: "Ranges of keys that this host moved as the leader to spread load, by service and reason.",
+		}, []string{"service", "reason"}),
+		unservable: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "pineturn_unservable_key_load",
+			Help: "Requests per second for single keys beyond what any target serves, by service, when this host last led.",
+		}, []string{"service"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pineturn_store_calls_total", Help: "Calls to the platform's store, by call and outcome.",
 		}, []string{"call", "outcome"}),
@@ -71,7 +80,7 @@
 		failureLimiter: logsink.NewRateLimiter(failureLinesPerSecond), successLimiter: logsink.NewRateLimiter(successLinesPerSecond),
 		services: make(map[string]bool),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.relays, m.retries, m.storeCalls, m.storeLatency)
+	m.registry.MustRegister(m.requests, m.latency, m.relays, m.retries, m.moves, m.unservable, m.storeCalls, m.storeLatency)
 	return m
 }
 
--- a/io/hostlink/reporter.go
+++ b/io/hostlink/reporter.go
@@ -24,6 +24,10 @@
 	reportIntervalPerHost = 10 * time.Millisecond
 	// maxReportInterval bounds the time between two reports.
 	maxReportInterval = 1500 * time.Millisecond
+	// minFrequentInterval is the shortest time between two reports where they are frequent, and
+	// frequentIntervalPerHost the time for each linked host, which bounds what the leader receives.
+	minFrequentInterval     = 400 * time.Millisecond
+	frequentIntervalPerHost = 4 * time.Millisecond
 	// idleReportInterval is the time after which a report is sent although it is
 	// empty. It is below the time after which the leader closes the link.
 	idleReportInterval = 5 * time.Second
@@ -75,6 +79,8 @@
 	Poison func(n int) (events []poison.Event, count int)
 	// Lacks returns the topics of which this host needs the newest records from the leader.
 	Lacks func() []string
+	// Frequent reports whether the leader needs reports soon, to spread the keys that become busy.
+	Frequent func() bool
 	// HandleFeed is called with each feed that the leader relays.
 	HandleFeed func(Feed)
 
@@ -114,12 +120,16 @@
 		Departures: func(int) ([]placement.Departure, int) { return nil, 0 },
 		Poison:     func(int) ([]poison.Event, int) { return nil, 0 },
 		Lacks:      func() []string { return nil },
+		Frequent:   func() bool { return false },
 	}
 }
 
 // Done is closed when Run has returned.
 func (r *Reporter) Done() <-chan struct{} { return r.done }
 
+// Hosts returns the number of linked hosts that the leader last told.
+func (r *Reporter) Hosts() int { return int(r.hosts.Load()) }
+
 // Run reports until the context ends.
 func (r *Reporter) Run(ctx context.Context) {
 	defer close(r.done)
@@ -149,9 +159,8 @@
 	if leading {
 		r.WhileLeading()
 	}
-	interval := min(reportInterval+time.Duration(r.hosts.Load())*reportIntervalPerHost, maxReportInterval)
 	now := r.clock.Now()
-	if now.Sub(r.sentAt) < interval {
+	if now.Sub(r.sentAt) < r.interval() {
 		r.reportSelf(ctx, leader)
 		return
 	}
@@ -171,6 +180,15 @@
 	r.send(ctx, leader, report, News{Self: r.Self(), Limits: limits})
 }
 
+// interval returns the time between two reports.
+func (r *Reporter) interval() time.Duration {
+	hosts := time.Duration(r.hosts.Load())
+	if r.Frequent() {
+		return min(max(hosts*frequentIntervalPerHost, minFrequentInterval), maxReportInterval)
+	}
+	return min(reportInterval+hosts*reportIntervalPerHost, maxReportInterval)
+}
+
 // reportSelf sends a report without counts if this host, or a limit of a target, has changed
 // since the last report on the link, or a target has said that it leaves.
 func (r *Reporter) reportSelf(ctx context.Context, leader Leader) {
