--- a/core/owner/pieces.go
+++ b/core/owner/pieces.go
@@ -104,7 +104,7 @@
 // movePiece moves a window of a run, unless there are too many ranges already.
 func (s *spreader) movePiece(run int, w keyWindow, from, to Incarnation) bool {
 	w = s.runs[from][run].widen(w)
-	if len(s.leader.services[s.service]) >= maxSpreadRangesPerTarget*len(s.assignable) || !s.move(w, from, to) {
+	if len(s.leader.services[s.service]) >= s.mostRanges() || !s.move(w, from, to) {
 		return false
 	}
 	s.cut(from, run, w)
@@ -154,7 +154,7 @@
 // many ranges: the record and the number of renewals grow with them.
 func (s *spreader) join() {
 	ranges := s.leader.services[s.service]
-	excess := len(ranges) - joinedRangesPerTarget*len(s.assignable)
+	excess := len(ranges) - min(joinedRangesPerTarget*len(s.assignable), s.mostRanges()/2)
 	most := max(minSpreadMoves, int(joinsPerTarget*float64(len(s.assignable))))
 	responsive := make(map[Incarnation]bool, len(s.responsive))
 	for _, t := range s.responsive {
--- a/core/owner/spread.go
+++ b/core/owner/spread.go
@@ -37,6 +37,9 @@
 	// beside them.
 	maxSpreadRangesPerTarget = 8
 	joinedRangesPerTarget    = 4
+	// maxSpreadRanges is the number of ranges from which none is split either, unless two per
+	// target are more: each is renewed separately, and part of the record.
+	maxSpreadRanges = 2048
 	// joinsPerTarget is the number of joined ranges of one round for each target.
 	joinsPerTarget = 0.25
 	// edgeLoad is the load that may go along with a piece, as a part of its load, so that no
@@ -142,6 +145,12 @@
 	return s
 }
 
+// mostRanges returns the number of ranges from which none is split any more.
+func (s *spreader) mostRanges() int {
+	n := len(s.assignable)
+	return min(maxSpreadRangesPerTarget*n, max(maxSpreadRanges, 2*n))
+}
+
 // overloadedTargets returns the targets to relieve, the most overloaded first.
 func (s *spreader) overloadedTargets(full bool) []Incarnation {
 	var overloaded []Incarnation
