--- a/io/listener/early.go
+++ b/io/listener/early.go
@@ -44,7 +44,7 @@
 func (e *early) handle(handler http.Handler, r *http.Request) {
 	defer func() {
 		p := recover()
-		if err, ok := p.(error); p != nil && !(ok && errors.Is(err, http.ErrAbortHandler)) {
+		if err, _ := p.(error); p != nil && !errors.Is(err, http.ErrAbortHandler) {
 			klog.ErrorS(nil, "Handler of a request that was begun early has panicked", "panic", p)
 		}
 		e.update(func() { e.ended, e.aborted = true, p != nil })
