--- a/core/owner/spread.go
+++ b/core/owner/spread.go
@@ -131,6 +131,7 @@
 		},
 		runs: make(map[Incarnation][]keyRun, len(assignable)),
 	}
+	s.util.round()
 	s.mean = s.util.mean()
 	s.goal = max(s.mean*fillRatio, idleUtilization*fillRatio/spreadRatio)
 	s.receivers = slices.DeleteFunc(slices.Clone(s.responsive), func(t Target) bool { return t.WarmingUp })
@@ -145,6 +146,16 @@
 	return s
 }
 
+// round rounds the figures of targets, so that equal loads lead to equal moves whatever the order in
+// which they were summed.
+func (u utilization) round() {
+	for _, figures := range []map[Incarnation]float64{u.byTarget, u.perRequest} {
+		for target, x := range figures {
+			figures[target] = float64(float32(x))
+		}
+	}
+}
+
 // mostRanges returns the number of ranges from which none is split any more.
 func (s *spreader) mostRanges() int {
 	n := len(s.assignable)
