--- /dev/null
+++ b/io/coordinator/rebalance_test.go
@@ -0,0 +1,44 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	"pineturn/core/owner"
+)
+
+// TestReportWhileSpreading guards against a lock that is taken twice: whether keys are spread may
+// depend on whether this host leads.
+func TestReportWhileSpreading(t *testing.T) {
+	c := newCoordinator(&fakeStore{}, &fakeCatalog{})
+	c.SpreadKeys = func() bool { return !c.Leading() }
+	added := make(chan struct{})
+	go func() {
+		defer close(added)
+		c.AddReport(owner.Report{Counts: []owner.KeyCount{{Service: "records", Key: 7, Count: 1}}})
+	}()
+	select {
+	case <-added:
+	case <-time.After(time.Second):
+		t.Fatal("report: got none added within 1 s, want one")
+	}
+}
+
+// TestStoredOnceRead guards against a write that counts as stored because an earlier record is
+// equal to it: another one may be on its way to the store until its own offset is read.
+func TestStoredOnceRead(t *testing.T) {
+	record := &owner.Assignment{Epoch: 1, LeaderIncarnation: "new", Services: map[string][]owner.Range{}}
+	c := newCoordinator(&fakeStore{}, &fakeCatalog{assignment: record})
+	c.leader = owner.NewLeader(record, owner.MaxLeaseDuration, time.Now())
+	c.SpreadKeys = func() bool { return true }
+	c.written, c.writtenOffset = record, 5
+	for _, x := range []struct {
+		next   int64
+		stored bool
+	}{{5, false}, {6, true}} {
+		c.markStored(x.next)
+		if got := c.written == nil; got != x.stored {
+			t.Errorf("write at offset 5, read up to %d: got stored %t, want %t", x.next, got, x.stored)
+		}
+	}
+}
--- a/io/hostlink/reporter_test.go
+++ b/io/hostlink/reporter_test.go
@@ -66,3 +66,23 @@
 		t.Errorf("first report to the new leader: got it after %v, want it within %v", got, redialDelay/2)
 	}
 }
+
+// TestReportInterval guards against reports that overwhelm the leader of many hosts, and against
+// more frequent ones where keys are not spread.
+func TestReportInterval(t *testing.T) {
+	for _, x := range []struct {
+		hosts    int64
+		frequent bool
+		want     time.Duration
+	}{
+		{9, false, 790 * time.Millisecond}, {91, false, 1500 * time.Millisecond},
+		{36, true, 400 * time.Millisecond}, {195, true, 780 * time.Millisecond}, {1000, true, 1500 * time.Millisecond},
+	} {
+		r := NewReporter(clock.Boot{})
+		r.hosts.Store(x.hosts)
+		r.Frequent = func() bool { return x.frequent }
+		if got := r.interval(); got != x.want {
+			t.Errorf("%d hosts, frequent %t: got a report each %v, want each %v", x.hosts, x.frequent, got, x.want)
+		}
+	}
+}
