--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
+
+	"pineturn/core/concurrency"
+	"pineturn/core/ratelimit"
 )
 
 // Criteria are the requirements that a request places on its target.
@@ -15,16 +17,22 @@
 	Owner string
 	// Exclude lists the IDs of targets to which the request was already sent.
 	Exclude []string
+	// Allows reports whether targets in a failure domain may run the request; nil for any.
+	Allows func(domain string) bool
 	// NonIdempotent requests are queued less deeply than others, as a full
 	// target may break the connection and so lose the request's outcome.
 	NonIdempotent bool
 	// Rank is the priority of the request; zero is the highest. Requests leave room for
 	// those of a higher priority.
 	Rank int
+	// Queued requests have waited for their turn at Owner: no depth keeps them from it.
+	Queued bool
 	// Optional sends, hedges, leave out the targets that have named a limit.
 	Optional bool
 	// Counted requests count no more for the demand for a target.
 	Counted bool
+	// Objective is the latency objective of the request, 0 for none.
+	Objective time.Duration
 }
 
 // ChoiceStatus is the result of Set.Choose.
@@ -44,6 +52,12 @@
 	// Resting means that all targets that would take the request have asked this host for
 	// no requests for some time.
 	Resting
+	// Forbidden means that all targets that would take the request are in regions that it may
+	// not go to.
+	Forbidden
+	// Drained means that all targets that would take the request are in failure domains that
+	// are drained.
+	Drained
 )
 
 // Choice is a target selected for one request, which counts as in flight there
@@ -61,6 +75,12 @@
 	// slot, this request included.
 	depth float64
 	sent  time.Time
+	// cold has counted the request if the target was cold; nil otherwise.
+	cold *ratelimit.Pacer
+	// learned is what was learned of the target, zero if choices do not follow it.
+	learned concurrency.Estimate
+	// HandleEnd is called after End, unless it is nil. It is set before End.
+	HandleEnd func()
 }
 
 const (
@@ -95,52 +115,73 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	svc := s.service(criteria.Service)
-	mean := svc.meanOtherHostsLoad(now)
+	basis := s.basis(svc, now)
 	limit := maxDepth(criteria, svc.yields(criteria.Rank, now))
 	var best, limited candidate
 	var rest restState
+	drain := drainState{domains: s.drained}
+	var region regionState
 	status := NoTarget
 	for _, t := range svc.targets {
-		if !t.serves(criteria, now) || rest.add(t, now) || !t.isAvailable(criteria, now) {
+		if !t.serves(criteria, now) || region.add(t, criteria) || drain.add(t, criteria, now) || rest.add(t, now) || !t.isAvailable(criteria, now) {
 			continue
 		}
-		c := s.estimate(svc, t, now, mean)
-		if c.depth > limit || criteria.Owner != "" && t.inOwnerBackoff(now) {
+		c := s.estimate(t, basis)
+		tooDeep := !criteria.Queued && c.depth > c.maxDepth(criteria, limit, svc)
+		if tooDeep || criteria.Owner != "" && t.inOwnerBackoff(now) {
 			status = NoCapacity
 			continue
 		}
 		if s.withinRateLimit(t, criteria, now) {
-			best.improve(c, s.cost(c, now))
+			best.improve(c, s.cost(&c, now))
 		} else {
-			limited.improve(c, s.cost(c, now))
+			limited.improve(c, s.cost(&c, now))
 		}
 	}
 	if !criteria.Counted {
-		recordDemand(best, limited, now)
+		s.recordDemand(best, limited, now)
 	}
-	if best.choice == nil {
-		if status = recordRefused(svc, criteria, status, limited, now); status == NoTarget && rest.decides() {
+	if best.choice.target == nil {
+		if status = s.recordRefused(svc, criteria, status, limited, now); status == NoTarget && rest.decides() {
 			status = Resting
 		}
+		switch {
+		case status == NoTarget && region.decides():
+			status = Forbidden
+		case status == NoTarget && drain.decides():
+			status = Drained
+		}
 		return nil, status
 	}
-	t := best.choice.target
+	return s.start(best.choice, criteria, now), Chosen
+}
+
+// start counts a chosen request as in flight.
+func (s *Set) start(c Choice, criteria Criteria, now time.Time) *Choice {
+	t := c.target
 	t.inFlight++
+	t.pending = append(t.pending, &c)
 	t.pacer.Take()
-	best.choice.toOwner = criteria.Owner != ""
-	return best.choice, Chosen
+	if s.isCold(t, now) {
+		c.cold = s.coldPacer(t, now)
+		c.cold.Take()
+	}
+	c.toOwner = criteria.Owner != ""
+	return &c
 }
 
 // recordRefused records a request that no target takes now and returns its status. Where
 // targets are full, one of them may have room sooner than a limited one.
-func recordRefused(svc *serviceState, criteria Criteria, status ChoiceStatus, limited candidate, now time.Time) ChoiceStatus {
-	if limited.choice != nil {
-		limited.choice.target.pacer.RecordRefused(criteria.Rank, now)
+func (s *Set) recordRefused(svc *serviceState, criteria Criteria, status ChoiceStatus, limited candidate, now time.Time) ChoiceStatus {
+	if limited.choice.target != nil {
+		for p := range s.pacers(limited.choice.target, now) {
+			p.RecordRefused(criteria.Rank, now)
+		}
 	}
 	switch {
 	case status == NoCapacity:
 		svc.recordNoCapacity(criteria.Rank, now)
-	case limited.choice != nil:
+	case limited.choice.target != nil:
 		status = Limited
 	}
 	return status
@@ -148,18 +189,18 @@
 
 // candidate is the choice with the lowest cost so far.
 type candidate struct {
-	choice *Choice
+	choice Choice
 	cost   float64
 }
 
-func (b *candidate) improve(choice *Choice, cost float64) {
-	if b.choice == nil || cost < b.cost {
+func (b *candidate) improve(choice Choice, cost float64) {
+	if b.choice.target == nil || cost < b.cost {
 		b.choice, b.cost = choice, cost
 	}
 }
 
 func (s *Set) cost(c *Choice, now time.Time) float64 {
-	cost := float64(c.ExpectedLatency) * (1 + jitter*rand.Float64())
+	cost := float64(c.ExpectedLatency) * c.roughness() * (1 + jitter*s.Rand())
 	if c.Entry.Domain != s.domain {
 		cost += float64(crossDomainCost)
 	}
@@ -196,7 +237,7 @@
 	}
 	svc := s.service(criteria.Service)
 	e := Estimate{
-		Depth: s.estimate(svc, t, now, svc.meanOtherHostsLoad(now)).depth, Limit: maxDepth(criteria, svc.yields(criteria.Rank, now)), Backoff: t.inOwnerBackoff(now),
+		Depth: s.estimate(t, s.basis(svc, now)).depth, Limit: maxDepth(criteria, svc.yields(criteria.Rank, now)), Backoff: t.inOwnerBackoff(now),
 	}
 	if !t.reported.IsZero() {
 		e.ReportAge = now.Sub(t.reported)
@@ -230,10 +271,29 @@
 	return !slices.Contains(criteria.Exclude, t.entry.ID) && (criteria.Owner != "" || !now.Before(t.backoffUntil))
 }
 
-func (s *Set) estimate(svc *serviceState, t *Target, now time.Time, mean float64) *Choice {
-	slots := float64(t.entry.Slots)
-	depth := (float64(t.inFlight) + t.otherHostsLoadAt(now, mean) + 1) / slots
-	processingTime := float64(svc.meanProcessingTime) * t.processingTimeFactor(now)
-	expected := processingTime * (1 + max(0, depth-1))
-	return &Choice{Entry: t.entry, ExpectedLatency: time.Duration(expected), set: s, target: t, depth: depth, sent: now}
+// basis is what the estimates of the targets of a service have in common.
+type basis struct {
+	now     time.Time
+	service *serviceState
+	// meanLoad is the mean number of other hosts' requests at a target.
+	meanLoad float64
+	// learns reports that the estimates follow what was learned of each target.
+	learns bool
+}
+
+func (s *Set) basis(svc *serviceState, now time.Time) basis {
+	return basis{now: now, service: svc, meanLoad: svc.meanOtherHostsLoad(now), learns: s.Learns()}
+}
+
+// estimate returns the choice of a target for a request.
+func (s *Set) estimate(t *Target, b basis) Choice {
+	c := Choice{Entry: t.entry, set: s, target: t, sent: b.now}
+	if b.learns {
+		c.estimateLearned(b)
+		return c
+	}
+	c.depth = (float64(t.inFlight) + t.otherHostsLoadAt(b.now, b.meanLoad, reportHalfLife, averageHalfLife) + 1) / float64(t.entry.Slots)
+	processingTime := float64(b.service.meanProcessingTime) * t.processingTimeFactor(b.now)
+	c.ExpectedLatency = time.Duration(processingTime * (1 + max(0, c.depth-1)))
+	return c
 }
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -2,16 +2,19 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"pineturn/core/concurrency"
 	"pineturn/core/owner"
 	"pineturn/core/ratelimit"
 )
 
 // Set is the table of all targets. It is safe for concurrent use. In the lock
-// order its mutex comes last: no other lock is acquired while it is held.
+// order its mutex comes before that of peers.Table, which Sender takes, and after
+// all others.
 type Set struct {
 	mu       sync.Mutex
 	domain   string
@@ -27,9 +30,21 @@
 	// which targets have asked for no requests.
 	departures departures
 	rests      rests
+	// drained holds the failure domains that are drained.
+	drained drainedDomains
 	// Hosts returns the number of hosts that share the limits of targets. It is set
 	// before use.
 	Hosts func() int
+	// Sender reports whether this host sends nearly all requests for a target, as the
+	// others relay theirs to it. It is set before use and must not call the set.
+	Sender func(target *Entry) bool
+	// Cold returns what a target of a service bears while it is cold. It is set before use.
+	Cold func(service string) Cold
+	// Learns reports whether choices follow what was learned of each target. It is set
+	// before use.
+	Learns func() bool
+	// Rand returns a random number of at least 0 and less than 1.
+	Rand func() float64
 }
 
 // serviceState holds the targets of one service and their common measurements.
@@ -38,6 +53,8 @@
 	// meanProcessingTime is the moving average of the time per request, without
 	// the time in the target's queue.
 	meanProcessingTime time.Duration
+	// learned is what was learned of the targets together.
+	learned *concurrency.Service
 	// refusedRank is the highest priority of the requests that found no capacity
 	// within the yield period before refusedRankAt, the time of the last one of it. Zero
 	// is the highest priority.
@@ -55,6 +72,8 @@
 	return &Set{
 		domain: domain, targets: make(map[string]*Target), services: make(map[string]*serviceState),
 		rests: make(rests), changed: make(chan struct{}), Hosts: func() int { return 1 },
+		Sender: func(*Entry) bool { return false }, Cold: func(string) Cold { return Cold{} },
+		Learns: func() bool { return false }, Rand: rand.Float64,
 	}
 }
 
@@ -73,7 +92,7 @@
 func (s *Set) service(service string) *serviceState {
 	svc := s.services[service]
 	if svc == nil {
-		svc = &serviceState{meanProcessingTime: initialProcessingTime}
+		svc = &serviceState{meanProcessingTime: initialProcessingTime, learned: concurrency.NewService()}
 		s.services[service] = svc
 	}
 	return svc
@@ -97,16 +116,21 @@
 		}
 		old.entry = entry
 		old.warmEnd = now.Add(entry.WarmUp)
+		s.applyWarmUp(old, &entry, now)
 		s.notifyChanged()
 		return true
 	}
 	if old != nil {
 		s.detach(old)
 	}
-	t := &Target{entry: entry, warmEnd: now.Add(entry.WarmUp), relativeTime: 1, restUntil: s.rests[owner.Incarnation{Target: entry.ID, Born: entry.Born}]}
+	svc := s.service(entry.Service)
+	t := &Target{
+		entry: entry, warmEnd: now.Add(entry.WarmUp), relativeTime: 1, restUntil: s.rests[owner.Incarnation{Target: entry.ID, Born: entry.Born}],
+		learned: concurrency.New(entry.Slots, svc.learned),
+	}
 	s.targets[entry.ID] = t
 	s.informOfLimit(t, now)
-	svc := s.service(entry.Service)
+	s.applyWarmUp(t, &entry, now)
 	svc.targets = append(svc.targets, t)
 	svc.notifyWaiters()
 	s.notifyChanged()
@@ -186,10 +210,20 @@
 	FailureScore float64 `json:"trouble"`
 	// Paused is true during a backoff.
 	Paused bool `json:"paused"`
+	// LearnedLimit and LearnedTimeS are the number of requests in progress up to which the
+	// target stays fast, and its processing time in seconds, as far as they were learned.
+	LearnedLimit float64 `json:"learned_limit,omitempty"`
+	LearnedTimeS float64 `json:"learned_time_s,omitempty"`
 	// Limit is the limit of requests a second that the target has named for all hosts,
 	// and LimitShare this host's part of it; nil and 0 without one.
 	Limit      *float64 `json:"limit,omitempty"`
 	LimitShare float64  `json:"limit_share,omitempty"`
+	// ColdS is the time in seconds for which the target is cold, or taken to be, ColdRate
+	// the requests a second that it gets from all hosts until then, and ColdShare this
+	// host's part of them; 0 unless it is cold.
+	ColdS     float64 `json:"cold_s,omitempty"`
+	ColdRate  float64 `json:"cold_rate,omitempty"`
+	ColdShare float64 `json:"cold_share,omitempty"`
 	// RestS is the time in seconds for which the target wants no requests.
 	RestS float64 `json:"rest_s,omitempty"`
 }
@@ -210,6 +244,13 @@
 		if limit := t.pacer.Limit(); limit.Named {
 			state.Limit, state.LimitShare = &limit.PerSecond, t.pacer.Rate(now, s.Hosts())
 		}
+		if s.isCold(t, now) {
+			p := s.coldPacer(t, now)
+			state.ColdS, state.ColdRate, state.ColdShare = max(t.cold.end.Sub(now), 0).Seconds(), p.Limit().PerSecond, p.Rate(now, s.sharing(t))
+		}
+		if learned := t.learned.Estimate(now); learned.Known && s.Learns() {
+			state.LearnedLimit, state.LearnedTimeS = learned.Limit, learned.ProcessingTime.Seconds()
+		}
 		if t.resting(now) {
 			state.RestS = t.restUntil.Sub(now).Seconds()
 		}
@@ -228,6 +269,9 @@
 	for id, t := range s.targets {
 		if t.ownerStats.Responses > 0 {
 			t.ownerStats.Service, t.ownerStats.Target = t.entry.Service, id
+			if learned := t.learned.Usual(); learned.Known && s.Learns() {
+				t.ownerStats.LearnedSeconds, t.ownerStats.LearnedLimit = learned.ProcessingTime.Seconds(), min(learned.Limit, float64(t.entry.Slots))
+			}
 			all = append(all, t.ownerStats)
 			t.ownerStats = owner.ProcessingStats{}
 		}
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -178,16 +178,17 @@
 		c.entries[removed.ID] = removed.Entry
 	}
 	for _, e := range c.targets.Entries("") {
-		target := ownerTarget(e, e.Draining)
-		target.WarmingUp = c.targets.WarmingUp(e.ID, c.clock.Now())
-		target.Limit = c.targets.Limit(e.ID)
+		target := ownerTarget(e, e.Draining || c.targets.DrainsDomain(e.Domain))
+		now := c.clock.Now()
+		target.WarmingUp, target.Limit = c.targets.WarmingUp(e.ID, now), c.targets.Limit(e.ID, now)
 		targets[e.ID] = target
 		c.entries[e.ID] = e
 	}
 	return targets
 }
 
-// ownerTarget converts an entry. A target that was removed counts as draining.
+// ownerTarget converts an entry. A target that was removed, or whose failure domain is drained,
+// counts as draining.
 func ownerTarget(e placement.Entry, draining bool) owner.Target {
 	return owner.Target{
 		Incarnation: owner.Incarnation{Target: e.ID, Born: e.Born}, Service: e.Service, Slots: e.Slots, Draining: draining,
--- a/io/gateway/create.go
+++ b/io/gateway/create.go
@@ -24,7 +24,8 @@
 	g.targets = placement.NewSet(g.settings.Domain)
 	g.targets.Hosts = g.hosts.Hosts
 	g.catalog = metastore.NewCatalog(g.clock, g.targets)
-	g.peers = peers.New(peers.Host{Address: peerAddress(g.settings), Domain: g.settings.Domain, Incarnation: g.incarnation})
+	g.targets.Cold, g.targets.Sender = g.coldBound, g.sendsAll
+	g.peers = peers.New(peers.Host{Address: peerAddress(g.settings), Domain: g.settings.Domain, Incarnation: g.incarnation, Cores: g.settings.Cores})
 }
 
 // createProxy creates what serves callers' requests.
@@ -38,6 +39,7 @@
 	g.poison = poison.NewTracker()
 	g.proxy = proxy.New(g.catalog, g.targets, g.budget, g.poison, g.pool, g.peers, g.clock)
 	g.proxy.HandleRecord = g.recordRequest
+	g.proxy.Regions = g.settings.Regions
 }
 
 // createCoordinator creates what takes part in the election and leads.
@@ -49,6 +51,7 @@
 	g.coordinator.PredecessorEnded = g.predecessorEnded
 	g.coordinator.Yields = g.yields
 	g.coordinator.HandleUnanswered = g.proxy.RecordUnanswered
+	g.coordinator.HandleMoves = g.metrics.observeMoves
 }
 
 // connectReads sets how this host reads the store, by whether it leads.
@@ -56,6 +59,7 @@
 	g.catalog.SetReadTimes(g.ownerReadWait, g.readWait, g.batchDelay)
 	g.catalog.SetDefers(func() bool { return !g.coordinator.Leading() })
 	g.catalog.SetRelayAge(relayAge(g.settings.UpdateBound))
+	g.catalog.SetDomainDrainBound(g.settings.DomainDrainBound)
 }
 
 // connectLinks creates the server of links from other hosts, whose leader this host may be.
@@ -109,6 +113,9 @@
 	if len(feed.Peers) > 0 {
 		g.peers.Put(feed.Peers, now)
 	}
+	if feed.PeerChanges != nil {
+		g.peers.Apply(*feed.PeerChanges, now)
+	}
 	g.catalog.ApplyRelayed(feed.Updates, feed.Watermarks)
 }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"pineturn/core/budget"
 	"pineturn/core/clock"
+	"pineturn/core/feature"
 	"pineturn/core/hostcount"
 	"pineturn/core/owner"
 	"pineturn/core/peers"
@@ -68,9 +69,12 @@
 	hosts        *hostcount.Counter
 	limits       *ratelimit.Divider
 	proxy        *proxy.Proxy
-	metrics      *metrics
-	incarnation  string
-	started      time.Time
+	ownerQueue   *feature.Switch
+	// learnedConcurrency tells whether requests are sent by what was learned of targets.
+	learnedConcurrency *feature.Switch
+	metrics            *metrics
+	incarnation        string
+	started            time.Time
 	// callerServer serves callers, readyServer the health checks of the load
 	// balancer, peerServer other hosts, and operatorServer operators.
 	callerServer    *http.Server
@@ -112,6 +116,7 @@
 	g.connectLimits()
 	g.connectDepartures()
 	g.connectPoison()
+	g.useFeatures(defaultFeatures)
 	g.stop = newStopState(settings.StopTimeout)
 	g.metrics.registerGauges(g)
 	return g, nil
@@ -229,6 +234,7 @@
 	g.start(work, reload)
 	callerListener := listener.New(open.callers)
 	callerListener.Attach(g.callerServer)
+	g.callerServer.Handler = g.stop.closeConnections(callerListener.BeginEarly(g.proxy.Handler()))
 	failed := make(chan error, 4)
 	for server, socket := range map[*http.Server]net.Listener{
 		g.callerServer: callerListener, g.readyServer: open.ready, g.peerServer: open.peers, g.operatorServer: open.operators,
@@ -268,7 +274,7 @@
 	go g.pruneConnections(ctx)
 	go g.logDroppedLines(ctx.Done())
 	g.callerServer = &http.Server{
-		Handler: g.stop.closeConnections(g.proxy.Handler()), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
 	g.readyServer = &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout}
--- a/io/gateway/main.go
+++ b/io/gateway/main.go
@@ -12,7 +12,6 @@
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
-	"pineturn/core/feature"
 	"pineturn/io/logsink"
 	"pineturn/platform"
 )
@@ -25,19 +24,16 @@
 	return &cli.Command{
 		Name:  "platform",
 		Usage: "run a host on the platform, with the settings file given by the platform",
-		Flags: []cli.Flag{&cli.IntFlag{
+		Flags: append([]cli.Flag{&cli.IntFlag{
 			Name: "admin-port", Value: defaultAdminPort, Sources: cli.EnvVars("PINETURN_ADMIN_PORT"),
 			Usage: "port on the host's address for metrics and state dumps",
-		}, &cli.StringFlag{
-			Name: "spread-keys", Value: string(feature.Auto), Sources: cli.EnvVars("PINETURN_SPREAD_KEYS"),
-			Usage: fmt.Sprintf("spread regions of hot keys soon and finely over their owners: on, off, or auto, from %d hosts on", minSpreadHosts),
-		}},
+		}}, featureFlags()...),
 		Action: func(ctx context.Context, command *cli.Command) error {
-			spreadKeys, err := feature.Parse(command.String("spread-keys"))
+			features, err := parseFeatures(command)
 			if err != nil {
-				return errors.Wrap(err, "spread keys")
+				return err
 			}
-			return run(ctx, command.Int("admin-port"), spreadKeys)
+			return run(ctx, command.Int("admin-port"), features)
 		},
 		Commands: []*cli.Command{{
 			Name: "check", Usage: "validate a settings file of the platform without starting a host", ArgsUsage: "FILE",
@@ -68,7 +64,7 @@
 	klog.CopyStandardLogTo("INFO")
 }
 
-func run(ctx context.Context, adminPort int, spreadKeys feature.Setting) error {
+func run(ctx context.Context, adminPort int, features features) error {
 	sink := logsink.New(os.Stdout)
 	configureLogging(sink)
 	defer sink.Close()
@@ -85,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	g.useSpreadKeys(spreadKeys)
+	g.useFeatures(features)
 	reload := make(chan struct{}, 1)
 	go func() {
 		for range sighup {
--- a/io/gateway/spread.go
+++ b/io/gateway/spread.go
@@ -1,22 +1,6 @@
 package gateway
 
-import (
-	"pineturn/core/feature"
-	"pineturn/core/owner"
-)
-
-// minSpreadHosts is the number of hosts in service from which on keys are spread by default. Fewer
-// hosts serve fewer targets, which one round of rebalancing a second keeps level.
-const minSpreadHosts = 24
-
-// useSpreadKeys sets whether hot regions of keys are spread soon and finely over their owners. It is
-// called before Run.
-func (g *Gateway) useSpreadKeys(setting feature.Setting) {
-	spread := feature.New(setting, minSpreadHosts, g.linkedHosts)
-	g.coordinator.SpreadKeys = spread.Enabled
-	g.coordinator.HandleMoves = g.metrics.observeMoves
-	g.reporter.Frequent = spread.Enabled
-}
+import "pineturn/core/owner"
 
 // linkedHosts returns the number of hosts that are linked to the leader, which this host may be.
 func (g *Gateway) linkedHosts() int {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
+	"golang.org/x/sync/singleflight"
 
 	"pineturn/core/attempt"
 	"pineturn/core/budget"
@@ -59,6 +60,11 @@
 	reach         *reach.Detector
 	peers         *peers.Table
 	peerTransport *http.Transport
+	peerProbes    singleflight.Group
+	// OwnerQueue reports whether keyed requests are relayed to the host that holds the queue of
+	// their owner. It is set before use.
+	OwnerQueue func() bool
+	queues     ownerQueues
 	// peerVersion is the newest version of the configuration by which another host has served
 	// a relayed request.
 	peerVersion atomic.Int64
@@ -72,6 +78,8 @@
 	// stopping is set once requests of other hosts are refused.
 	stopping atomic.Bool
 	done     chan struct{}
+	// Regions holds the region of each failure domain.
+	Regions map[string]string
 	// HandleRecord is called for each request once its response has been written
 	// or cut off.
 	HandleRecord func(RequestRecord)
@@ -101,6 +109,8 @@
 	// Target is the last target that the request was sent to, or the owner of its key
 	// if that had no capacity; empty for none.
 	Target string
+	// Waited is how long the request has waited at this host in the queue of an owner.
+	Waited time.Duration
 	// Estimate is what was assumed of an owner without capacity; nil for none.
 	Estimate *placement.Estimate
 	// ExpectedLatency is the estimated time to the response of Target.
@@ -123,7 +133,9 @@
 	p := &Proxy{
 		catalog: catalog, targets: targets, budget: b, poison: tracker, pool: pool, clock: clk, loads: owner.NewLoads(clk.Now()),
 		reach: reach.New(), peers: others, peerTransport: newPeerTransport(), done: make(chan struct{}), HandleRecord: func(RequestRecord) {},
+		OwnerQueue: func() bool { return false }, queues: newOwnerQueues(),
 	}
+	p.queues.load = p.targetOfQueue
 	pool.HandleDial = p.recordDial
 	p.shutdownCtx, p.cancelAll = context.WithCancel(context.Background())
 	return p
@@ -136,7 +148,10 @@
 
 // RefuseRelayed refuses requests that other hosts relay from now on, because this host
 // stops.
-func (p *Proxy) RefuseRelayed() { p.stopping.Store(true) }
+func (p *Proxy) RefuseRelayed() {
+	p.stopping.Store(true)
+	p.peers.Stop()
+}
 
 // Handler returns the HTTP handler for callers' requests.
 func (p *Proxy) Handler() http.Handler {
@@ -180,9 +195,19 @@
 	relayed      bool
 	askedVersion int64
 	// via is the address of the host that the request was last relayed to, triedHosts
-	// those of all such hosts.
+	// those of all such hosts. queueOwner is the owner of the key if that host holds the
+	// owner's queue.
 	via        string
 	triedHosts []string
+	queueOwner string
+	// firstArrival is when the request has arrived first, in an attempt that was refused here
+	// maybe; zero before it is known. returned is set if it has returned when it was told to.
+	firstArrival time.Time
+	returned     bool
+	// waited is how long the request has waited in queues of owners.
+	waited time.Duration
+	// queued is set while the request has its turn in the queue of the owner of its key.
+	queued bool
 	// fingerprint returns the fingerprint of the request. fingerprinted is set once it has been
 	// called.
 	fingerprint   func() poison.Fingerprint
@@ -300,7 +325,7 @@
 
 func (q *request) record(status int, reason string, cause error, now time.Time) RequestRecord {
 	r := RequestRecord{
-		ID: q.ID, ConfigVersion: q.configVersion, Keyed: q.keyed(), Key: q.Key, Via: q.via, Relayed: q.relayed, Target: q.lastTarget, ExpectedLatency: q.expectedLatency, Estimate: q.estimate, Sends: q.progress.Sends(),
+		ID: q.ID, ConfigVersion: q.configVersion, Keyed: q.keyed(), Key: q.Key, Via: q.via, Relayed: q.relayed, Target: q.lastTarget, ExpectedLatency: q.expectedLatency, Estimate: q.estimate, Waited: q.waited, Sends: q.progress.Sends(),
 		Status: status, Reason: reason, Latency: now.Sub(q.started), Cause: cause, Service: q.match.Service.Name,
 	}
 	if q.match.Route != nil {
--- a/io/proxy/relay_test.go
+++ b/io/proxy/relay_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -31,15 +32,28 @@
 	table      *routing.Table
 	assignment *owner.Assignment
 	changed    chan struct{}
+	// mu guards assignment and changed where they change during a test.
+	mu sync.Mutex
 	// configReads counts the calls of ReadConfig.
 	configReads atomic.Int64
 }
 
-func (c *testCatalog) ReadConfig()                   { c.configReads.Add(1) }
-func (c *testCatalog) Table() *routing.Table         { return c.table }
-func (c *testCatalog) Assignment() *owner.Assignment { return c.assignment }
-func (c *testCatalog) Changed() <-chan struct{}      { return c.changed }
-func (c *testCatalog) ChangedAt() time.Time          { return time.Time{} }
+func (c *testCatalog) ReadConfig()           { c.configReads.Add(1) }
+func (c *testCatalog) Table() *routing.Table { return c.table }
+
+func (c *testCatalog) Assignment() *owner.Assignment {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.assignment
+}
+
+func (c *testCatalog) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+func (c *testCatalog) ChangedAt() time.Time { return time.Time{} }
 
 // newTestProxy returns a proxy with one route for idempotent requests, /read/, and one for
 // others, /write/, and without targets. It knows the given hosts.
@@ -78,6 +92,8 @@
 	requests []*http.Request
 	// version is the version of the configuration that the host states; empty for none.
 	version string
+	// target is the target that the host states, t1 if empty.
+	target string
 	// leaving is set if the target of the responses leaves.
 	leaving atomic.Bool
 }
@@ -103,7 +119,7 @@
 		if peer.version != "" {
 			h.Set(headerRelayVersion, peer.version)
 		}
-		h.Set(headerRelayTarget, "t1")
+		h.Set(headerRelayTarget, cmp.Or(peer.target, "t1"))
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, "body")
 	}))
@@ -307,3 +323,29 @@
 		})
 	}
 }
+
+// TestRelayWithinRegions guards against a request that is relayed to a host in a region that its
+// route does not allow.
+func TestRelayWithinRegions(t *testing.T) {
+	for _, c := range []struct {
+		regions []string
+		want    int
+	}{
+		{nil, 1}, {[]string{"r1", "r2"}, 1}, {[]string{"r1"}, 0},
+	} {
+		t.Run(strings.Join(c.regions, ","), func(t *testing.T) {
+			peer := newPeer(t, "b", http.StatusOK, relayResponded)
+			p := newTestProxy(7, peer.Host)
+			p.Regions = map[string]string{"a": "r1", "b": "r2"}
+			detach(p)
+			routes := p.catalog.Table().Config().Routes
+			for i := range routes {
+				routes[i].Regions = c.regions
+			}
+			get(p.Handler(), "/read/1", nil)
+			if got := len(peer.received()); got != c.want {
+				t.Errorf("relayed requests: got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/io/standin/platformstore/config.go
+++ b/io/standin/platformstore/config.go
@@ -15,6 +15,7 @@
 	configTopic  = "keyed.op"
 	targetsTopic = "keyed.servers"
 	configKey    = "config"
+	drainPrefix  = "evacuate/"
 )
 
 // Route is a route of a configuration. It matches requests whose path begins
@@ -32,6 +33,10 @@
 	Name string
 	// Keyed services are sharded by key.
 	Keyed bool
+	// ColdTime is how long targets are cold after a start, ColdRate the requests a second
+	// that they bear until then; 0 for no bound.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Config is a version of the operator's configuration. HostName is the HTTP host
@@ -61,6 +66,9 @@
 		if s.Keyed {
 			service["sharding"] = true
 		}
+		if s.ColdRate > 0 {
+			service["warmup_s"], service["warmup_per_s"] = s.ColdTime.Seconds(), s.ColdRate
+		}
 		services = append(services, service)
 	}
 	return json.Marshal(map[string]any{
@@ -83,6 +91,12 @@
 // the target.
 func (s *Store) PutTarget(id string, entry []byte) { s.Put(targetsTopic, id, entry) }
 
+// Drain requests that a failure domain be drained, as the operator does.
+func (s *Store) Drain(domain string) { s.Put(configTopic, drainPrefix+domain, []byte("{}")) }
+
+// EndDrain removes the request to drain a failure domain.
+func (s *Store) EndDrain(domain string) { s.Put(configTopic, drainPrefix+domain, nil) }
+
 // ExpireAll deletes the records of all topics, as retention does. The newest
 // record of each key remains readable.
 func (s *Store) ExpireAll() {
@@ -110,11 +124,15 @@
 	// RetryBudgetExtra is the number of retries allowed beyond 20 % of the
 	// requests.
 	RetryBudgetExtra int
+	// ColdOverage and ColdSlack bound the requests for cold targets.
+	ColdOverage, ColdSlack float64
 }
 
 // Encode returns the settings file in TOML.
 func (h HostSettings) Encode() []byte {
 	return fmt.Appendf(nil, "node = %q\nzone = %q\nip = %q\ninternal_ports = [%d, %d]\n"+
-		"[listen]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[bounds]\nretry_budget_ratio = 0.2\nretry_budget_extra = %d\n",
-		h.Name, cmp.Or(h.Domain, "a"), h.IP, h.Port, h.Port, h.CallerAddress, h.ReadyAddress, h.StoreAddress, h.RetryBudgetExtra)
+		"[listen]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[bounds]\nretry_budget_ratio = 0.2\nretry_budget_extra = %d\n"+
+		"warmup_overage = %v\nwarmup_slack = %v\n",
+		h.Name, cmp.Or(h.Domain, "a"), h.IP, h.Port, h.Port, h.CallerAddress, h.ReadyAddress, h.StoreAddress, h.RetryBudgetExtra,
+		cmp.Or(h.ColdOverage, 1), h.ColdSlack)
 }
