--- a/core/concurrency/concurrency.go
+++ b/core/concurrency/concurrency.go
@@ -103,28 +103,40 @@
 		return
 	}
 	load := loadIndex(sample.InProgress / e.slots)
-	depth := min(max(sample.InProgress/e.slots, 1), maxDepth)
-	measured := math.Log(max(sample.Took.Seconds()/depth, time.Millisecond.Seconds())) - slowdownShare*math.Log(max(sample.Slowdown, 1))
-	// What the wait took away is less certain the longer it was, and what runs on a slowed
-	// machine says less of the target.
-	weight := 1 / (depth * max(sample.Slowdown, 1))
+	measured, weight := e.measure(sample)
 	byLoad := e.offByLoad(load)
 	e.service.record(measured-byLoad, weight)
 	e.decay(now)
-	bound := outlierSpreads * e.service.spread
+	off := e.add(measured-byLoad-e.service.log.mean(), weight)
+	e.atLoad[load].add(byLoad+off, 1, curveSamples)
+	e.service.atLoad[load].add(byLoad+off, 1, curveSamples)
+	e.loadLimit = e.learnLimit()
+}
+
+// measure returns the logarithm of the processing time that a response shows, and its weight. What
+// the wait took away is less certain the longer it was, and what runs on a slowed machine says
+// less of the target.
+func (e *Estimator) measure(sample Sample) (measured, weight float64) {
+	depth := min(max(sample.InProgress/e.slots, 1), maxDepth)
+	slowdown := max(sample.Slowdown, 1)
+	seconds := max(sample.Took, time.Millisecond).Seconds() / depth
+	return math.Log(seconds) - slowdownShare*math.Log(slowdown), 1 / (depth * slowdown)
+}
+
+// add adds a processing time relative to the service, as a logarithm, and returns how far it was
+// off the estimate.
+func (e *Estimator) add(relative, weight float64) (off float64) {
 	usual := math.Log(e.relativeTime)
-	off := min(max(measured-byLoad-e.service.log.mean()-usual, -bound), bound)
+	bound := outlierSpreads * e.service.spread
+	off = min(max(relative-usual, -bound), bound)
 	e.usual.add(usual+off, weight, slowSamples)
 	e.recent.add(usual+off, weight, fastSamples)
 	if e.changed() {
 		e.usual = e.recent
 	}
-	e.service.spread += spreadWeight * weight * (normalDeviation*math.Abs(off) - e.service.spread)
-	e.service.spread = max(e.service.spread, minSpread)
 	e.setRelativeTime()
-	e.atLoad[load].add(byLoad+off, 1, curveSamples)
-	e.service.atLoad[load].add(byLoad+off, 1, curveSamples)
-	e.loadLimit = e.learnLimit()
+	e.service.recordOff(off, weight)
+	return off
 }
 
 // changed reports whether recent responses differ from the usual ones by more than chance.
--- a/core/concurrency/service.go
+++ b/core/concurrency/service.go
@@ -57,5 +57,11 @@
 	s.processingTime = time.Duration(math.Exp(s.log.mean()) * s.excess.mean() * float64(time.Second))
 }
 
+// recordOff records how far a response was off the estimate of its target.
+func (s *Service) recordOff(off, weight float64) {
+	s.spread += spreadWeight * weight * (normalDeviation*math.Abs(off) - s.spread)
+	s.spread = max(s.spread, minSpread)
+}
+
 // ProcessingTime returns the mean time for a request that does not wait.
 func (s *Service) ProcessingTime() time.Duration { return s.processingTime }
