Count the objective of relayed requests from their arrival, and loads at both hosts

Cause: the holder of an owner's queue took a relayed request for as old as its own arrival; and a host whose relays come to nothing sent directly by what it last knew of the owner's load. Change: a relayed request states its age, at most a minute; an older build ignores it, and one without it counts as new. The load that a target reports in a relayed response counts at the relaying host, too.

--- a/core/placement/ownerload.go
+++ b/core/placement/ownerload.go
@@ -31,3 +31,13 @@
 	}
 	return load, true
 }
+
+// ObserveReport records the load that a target has reported in a response that another host has
+// relayed.
+func (s *Set) ObserveReport(id string, report Report, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.targets[id]; t != nil {
+		t.report(float64(max(0, report.others(Complete)-t.inFlight)), now)
+	}
+}
--- a/io/proxy/holder_test.go
+++ b/io/proxy/holder_test.go
@@ -219,6 +219,35 @@
 			t.Errorf("records: got %+v and %+v, want one of a relaying host and one of a holder", in, at)
 		}
 	})
+	t.Run("the objective counts from the first host", func(t *testing.T) {
+		_, holder, _ := newHolder(t, respond(http.StatusOK))
+		for _, x := range []struct {
+			age  string
+			want time.Duration
+		}{{"450", 450 * time.Millisecond}, {"", 0}, {"x", 0}, {"-5", 0}} {
+			r := httptest.NewRequest(http.MethodGet, "/read/1", nil)
+			r.Host, r.Header = testHost, keyed(http.Header{headerRelayVersion: {"7"}, headerRelaySends: {"0"}, headerRelayService: {testService}, headerRelayElapsed: {x.age}})
+			message, err := holder.decodeRelayed(t.Context(), r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			q := message.(*request)
+			first, _ := holder.queues.arrive(q)
+			if got := q.started.Sub(first); got != x.want {
+				t.Errorf("age of a request that is stated as %q ms old: got %v, want %v", x.age, got, x.want)
+			}
+		}
+	})
+	t.Run("loads that targets report count at both hosts", func(t *testing.T) {
+		ingress, _, _ := newHolder(t, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Backend-Load", "3,4,4")
+			respond(http.StatusOK)(w, r)
+		})
+		get(ingress.Handler(), "/read/1", keyed(nil))
+		if load, _ := ingress.targets.OwnerLoad("t1", ingress.clock.Now()); load.OtherHosts < 5 || load.OtherHosts > 6 {
+			t.Errorf("requests at the owner, as known to the relaying host: got %.1f, want the 6 beside its own", load.OtherHosts)
+		}
+	})
 	t.Run("attempts of both hosts count", func(t *testing.T) {
 		ingress, _, received := newHolder(t, func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("X-Not-Executed", "1")
--- a/io/proxy/observe.go
+++ b/io/proxy/observe.go
@@ -57,6 +57,9 @@
 // observeRelayed records what a response that another host has relayed says of its target. A
 // limit or a rest is that host's matter.
 func (p *Proxy) observeRelayed(s sendResult) {
+	if report := loadReport(s.response.info.Load); report != nil {
+		p.targets.ObserveReport(s.target, *report, p.clock.Now())
+	}
 	if s.response.info.Leaving && p.targets.ObserveLeaving(s.target, p.clock.Now()) {
 		klog.InfoS("Target has said through another host that it leaves", "target", s.target)
 	}
--- a/io/proxy/ownerqueue.go
+++ b/io/proxy/ownerqueue.go
@@ -111,7 +111,7 @@
 func (o *ownerQueues) arrive(q *request) (first time.Time, returned bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.refusals.Take(q.fingerprint(), q.started)
+	return o.refusals.Take(q.fingerprint(), q.started.Add(-q.elapsed))
 }
 
 func (o *ownerQueues) recordRefusal(q *request, retryAfter time.Duration, now time.Time) {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -200,6 +200,8 @@
 	via        string
 	triedHosts []string
 	queueOwner string
+	// elapsed is the time for which another host that relayed the request had it.
+	elapsed time.Duration
 	// firstArrival is when the request has arrived first, in an attempt that was refused here
 	// maybe; zero before it is known. returned is set if it has returned when it was told to.
 	firstArrival time.Time
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -31,6 +31,9 @@
 	// headerRelayOwner holds the owner of the request's key in a request that is relayed to the
 	// host that holds the owner's queue.
 	headerRelayOwner = "Pineturn-Relay-Owner"
+	// headerRelayElapsed holds, in milliseconds, for how long the relaying host has had the
+	// request: its objective counts from its arrival there.
+	headerRelayElapsed = "Pineturn-Relay-Elapsed"
 	// headerRelayOutcome holds a relayOutcome, headerRelayTarget the last target of the
 	// request.
 	headerRelayOutcome = "Pineturn-Relay-Outcome"
@@ -157,6 +160,7 @@
 		header.Set(headerRelayOwner, q.queueOwner)
 	}
 	header.Set(headerRelayVersion, strconv.FormatInt(version, 10))
+	header.Set(headerRelayElapsed, strconv.FormatInt(p.clock.Now().Sub(q.started).Milliseconds(), 10))
 	header.Set(headerRelayService, q.match.Service.Name)
 	header.Set(headerRelaySends, strconv.Itoa(q.progress.Sends()-1))
 	return q.outgoing(ctx, host.Address, header)
--- a/io/proxy/relayed.go
+++ b/io/proxy/relayed.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -18,6 +19,9 @@
 	return kithttp.NewServer(p.endpoint(), p.decodeRelayed, p.encodeRelayed, kithttp.ServerErrorEncoder(p.encodeRelayedError))
 }
 
+// maxElapsed bounds the time that a relaying host states to have had a request.
+const maxElapsed = time.Minute
+
 // errOlderConfig means that a relayed request was routed by a configuration that this
 // host has not read yet.
 var errOlderConfig = errors.New("configuration is older than the relaying host's")
@@ -38,7 +42,11 @@
 	}
 	service := r.Header.Get(headerRelayService)
 	queueOwner := r.Header.Get(headerRelayOwner)
-	for _, name := range []string{headerRelayVersion, headerRelaySends, headerRelayService, headerRelayOwner} {
+	// Older builds do not state the time, which is short.
+	if ms, err := strconv.Atoi(r.Header.Get(headerRelayElapsed)); err == nil && ms > 0 {
+		q.elapsed = min(time.Duration(ms)*time.Millisecond, maxElapsed)
+	}
+	for _, name := range []string{headerRelayVersion, headerRelaySends, headerRelayService, headerRelayOwner, headerRelayElapsed} {
 		q.header.Del(name)
 	}
 	table := p.catalog.Table()
