--- a/io/metastore/drain_test.go
+++ b/io/metastore/drain_test.go
@@ -111,7 +111,8 @@
 		if got := r.DomainDrains()[0].OwnersUntil.Sub(r.clock.Now()); got != want {
 			t.Errorf("%s: got requests to owners for %v, want %v since the last proof", steps, got, want)
 		}
-	}	t.Run("targets count as cold when it ends", func(t *testing.T) {
+	}
+	t.Run("targets count as cold when it ends", func(t *testing.T) {
 		r := newDrainRun(t)
 		r.targets.Cold = func(string) placement.Cold {
 			return placement.Cold{Time: time.Second, Bound: ratelimit.Bound{PerSecond: 1, Overage: 1, Slack: 1}}
