--- a/core/placement/drain.go
+++ b/core/placement/drain.go
@@ -1,11 +1,6 @@
 package placement
 
-import (
-	"cmp"
-	"maps"
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// drainedWait is the time after which a request whose targets are all in drained failure
@@ -56,11 +51,13 @@
 	return ok
 }
 
-// DrainedDomains returns the drained failure domains, sorted by name.
-func (s *Set) DrainedDomains() []DrainedDomain {
+// IsDrained reports whether the owner of a request's key gets no such request because its failure
+// domain is drained.
+func (s *Set) IsDrained(criteria Criteria, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.SortedFunc(maps.Values(s.drained), func(a, b DrainedDomain) int { return cmp.Compare(a.Domain, b.Domain) })
+	t := s.targets[criteria.Owner]
+	return t != nil && s.drained.excludes(t, criteria, now)
 }
 
 // DrainWait returns the time after which a request that was refused as Drained may be sent again.
--- a/core/placement/result.go
+++ b/core/placement/result.go
@@ -81,20 +81,26 @@
 // End records the result of the send and the load report that came with it, nil
 // if there was none.
 func (c *Choice) End(result Result, report *Report, now time.Time) {
+	if c.HandleEnd != nil {
+		defer c.HandleEnd()
+	}
 	s := c.set
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := c.target
 	t.inFlight--
+	t.removePending(c)
 	svc := s.service(t.entry.Service)
 	defer svc.notifyWaiters()
 	if report != nil {
 		t.report(float64(max(0, report.others(result)-t.inFlight)), now)
 	}
 	took := now.Sub(c.sent)
+	c.learn(result, report, now)
 	if c.toOwner && (result == Shed || result == ConnectionLost) && c.TargetFull(report) {
 		t.recordOwnerShed(now)
 	}
+	c.recordCold(t, result, now)
 	switch result {
 	case Complete:
 		c.recordResponseTime(svc, t, took)
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -32,7 +32,14 @@
 	Rank int
 	// MaxAttempts is the highest number of targets to which a request is sent.
 	MaxAttempts int
-	Parts       []Part
+	// Regions are the regions to which requests may go, with their bodies; nil for any.
+	Regions []string
+	Parts   []Part
+}
+
+// AllowsRegion reports whether requests may go to a region.
+func (r *Route) AllowsRegion(region string) bool {
+	return r.Regions == nil || slices.Contains(r.Regions, region)
 }
 
 // Service is a set of targets that serve the same requests.
@@ -46,6 +53,10 @@
 	// WarmUp is how long requests for a key are slow at a new owner that received
 	// the key without a handover.
 	WarmUp time.Duration
+	// ColdTime is how long a target is cold after its start. Until then it bears ColdRate
+	// requests a second from all hosts together. Both are zero if there is no such limit.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Limits are the limits on callers' requests and connections.
--- a/io/gateway/main.go
+++ b/io/gateway/main.go
@@ -24,12 +24,16 @@
 	return &cli.Command{
 		Name:  "platform",
 		Usage: "run a host on the platform, with the settings file given by the platform",
-		Flags: []cli.Flag{&cli.IntFlag{
+		Flags: append([]cli.Flag{&cli.IntFlag{
 			Name: "admin-port", Value: defaultAdminPort, Sources: cli.EnvVars("PINETURN_ADMIN_PORT"),
 			Usage: "port on the host's address for metrics and state dumps",
-		}},
+		}}, featureFlags()...),
 		Action: func(ctx context.Context, command *cli.Command) error {
-			return run(ctx, command.Int("admin-port"))
+			features, err := parseFeatures(command)
+			if err != nil {
+				return err
+			}
+			return run(ctx, command.Int("admin-port"), features)
 		},
 		Commands: []*cli.Command{{
 			Name: "check", Usage: "validate a settings file of the platform without starting a host", ArgsUsage: "FILE",
@@ -60,7 +64,7 @@
 	klog.CopyStandardLogTo("INFO")
 }
 
-func run(ctx context.Context, adminPort int) error {
+func run(ctx context.Context, adminPort int, features features) error {
 	sink := logsink.New(os.Stdout)
 	configureLogging(sink)
 	defer sink.Close()
@@ -77,6 +81,7 @@
 	if err != nil {
 		return err
 	}
+	g.useFeatures(features)
 	reload := make(chan struct{}, 1)
 	go func() {
 		for range sighup {
