Let the sender of all requests for a cold target use half of its rate before it has a part

Cause: in the second or so before the leader has dealt it a part, the host that sends nearly all requests for a cold target had the fallback of .3 of the rate. Change: a host that is alone, or sends for all others, falls back to .5. Two that disagree on which of them does stay within the bound.

--- a/core/ratelimit/cold_test.go
+++ b/core/ratelimit/cold_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 )
@@ -57,6 +58,9 @@
 				for seed := range seeds(t) {
 					s := newColdSim(rand.New(rand.NewPCG(uint64(seed), uint64(hosts))), hosts, 0.5)
 					s.demand[hosts/2] = demand
+					// Another host takes itself for the sender, too.
+					s.senders = map[int]bool{hosts / 2: true, hosts / 3: true}
+					s.demand[hosts/3] = max(s.demand[hosts/3], demand/20)
 					test(t, s)
 				}
 			})
@@ -74,7 +78,7 @@
 		for _, demand := range s.demand {
 			most, sum = max(most, demand), sum+demand
 		}
-		if most < 0.9*sum && os.Getenv("PINETURN_RUN_RED") == "" {
+		if most < 0.8*sum && os.Getenv("PINETURN_RUN_RED") == "" {
 			t.Skip("listed in KNOWN-RED.txt")
 		}
 		s.limit.PerSecond = min(s.limit.PerSecond, most)
@@ -106,6 +110,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			eachColdSize(t, func(t *testing.T, s *sim) {
+				for sender := range s.senders {
+					s.demand[sender] = slices.Max(s.demand)
+				}
 				heal := func() { s.setLeaders(func(int) int { return 0 }) }
 				s.run(map[time.Duration]func(){
 					2 * time.Second: func() { event(s) }, trouble: func() { event(s) }, trouble + 5*time.Second: heal, trouble + 8*time.Second: func() { event(s) },
--- a/core/ratelimit/pacer.go
+++ b/core/ratelimit/pacer.go
@@ -10,6 +10,9 @@
 	// fallbackFraction is the fraction of a limit that all hosts use together while they
 	// have no parts of it.
 	fallbackFraction = 0.3
+	// soleFraction is the same for a host that is alone, or that sends for all others. Two
+	// hosts that disagree on which of them does stay within the limit.
+	soleFraction = 0.5
 	// longestWait is the wait for a request at a target that takes none.
 	longestWait = time.Hour
 	// yieldTime is how long requests leave what a target takes to those of a higher
@@ -123,7 +126,10 @@
 	if p.shared && now.Before(p.shareEnd) {
 		return p.share
 	}
-	return fallbackFraction * p.limit.PerSecond / float64(max(hosts, 1))
+	if hosts <= 1 {
+		return soleFraction * p.limit.PerSecond
+	}
+	return fallbackFraction * p.limit.PerSecond / float64(hosts)
 }
 
 // fill adds the tokens since the last call.
--- a/core/ratelimit/sim_test.go
+++ b/core/ratelimit/sim_test.go
@@ -48,6 +48,8 @@
 	now time.Duration
 	// inFlight are the requests without a response.
 	inFlight []request
+	// senders are the hosts that take themselves for the one that sends for all others.
+	senders map[int]bool
 	// cold is set if hosts have the limit from an entry: one that starts again has it at
 	// once.
 	cold bool
@@ -136,7 +138,7 @@
 	if h.pacer.Limit().Named {
 		h.pacer.RecordDemand(now)
 	}
-	if h.pacer.Wait(now, h.counter.Hosts()) > 0 {
+	if h.pacer.Wait(now, s.sharing(i)) > 0 {
 		return
 	}
 	h.pacer.Take()
@@ -144,6 +146,14 @@
 	s.inFlight = append(s.inFlight, request{i, at})
 }
 
+// sharing returns the number of hosts that a host takes to share the limit.
+func (s *sim) sharing(i int) int {
+	if s.senders[i] {
+		return 1
+	}
+	return s.hosts[i].counter.Hosts()
+}
+
 func (s *sim) respond(at time.Duration) {
 	for len(s.inFlight) > 0 && s.inFlight[0].sentAt+responseTime <= at {
 		r := s.inFlight[0]
@@ -166,7 +176,7 @@
 	leader := s.hosts[s.leaderOf[i]]
 	if at%linkPoll == 0 && (h.changed || leading || at-h.reported >= reportInterval) {
 		h.reported, h.changed = at, false
-		if o, ok := h.pacer.Observation(target, now, h.counter.Hosts()); ok {
+		if o, ok := h.pacer.Observation(target, now, s.sharing(i)); ok {
 			leader.divider.AddReport(fmt.Sprint(i), []Observation{o}, now)
 		}
 	}
