Name the owner of a request that is refused for its limit in the log

Cause: lines with target-limited did not say which target was limited. Change: the same as for no-room. TestColdTarget compares use with the demand of all hosts where none sends for the others; KNOWN-RED.txt has the figures since the burst is divided like the rate.

--- a/core/ratelimit/cold_test.go
+++ b/core/ratelimit/cold_test.go
@@ -78,10 +78,14 @@
 		for _, demand := range s.demand {
 			most, sum = max(most, demand), sum+demand
 		}
-		if most < 0.8*sum && os.Getenv("PINETURN_RUN_RED") == "" {
-			t.Skip("listed in KNOWN-RED.txt")
+		demand := most
+		if most < 0.8*sum {
+			if os.Getenv("PINETURN_RUN_RED") == "" {
+				t.Skip("listed in KNOWN-RED.txt")
+			}
+			demand = sum
 		}
-		s.limit.PerSecond = min(s.limit.PerSecond, most)
+		s.limit.PerSecond = min(s.limit.PerSecond, demand)
 		s.assertUsed(t, 8*time.Second)
 	})
 }
--- a/io/proxy/choose.go
+++ b/io/proxy/choose.go
@@ -96,6 +96,7 @@
 		}
 		switch verdict {
 		case placement.Limited:
+			p.recordEstimate(q, owner)
 			wait := p.targets.SendWait(criteria, p.clock.Now())
 			return nil, q.failOrRefuse(reasonTargetLimit, max(wait, q.match.Route.Objective/2), nil)
 		case placement.Resting:
