Let each host prefer some targets, which it then knows

Cause: 91 hosts that share 93 targets evenly send each one a request in half a minute: no host knows the load or the speed of any.

Change: each host draws once, for each target, a part by which its cost is raised, up to three times. A host uses few targets until these are loaded.

--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -195,7 +195,7 @@
 }
 
 func (s *Set) cost(c *Choice, now time.Time) float64 {
-	cost := float64(c.ExpectedLatency) * c.roughness() * (1 + jitter*s.Rand())
+	cost := float64(c.ExpectedLatency) * c.learnedCost() * (1 + jitter*s.Rand())
 	if c.Entry.Domain != s.domain {
 		cost += float64(crossDomainCost)
 	}
--- a/core/placement/learned.go
+++ b/core/placement/learned.go
@@ -12,6 +12,10 @@
 // own reports and the mean of its service weigh the same in the load estimate.
 const averagePeriods = 6
 
+// affinitySpread is the largest part by which the cost of a target is raised at a host that
+// prefers others.
+const affinitySpread = 2.0
+
 // Concurrency returns what is known of how long a target takes and of how many requests it
 // takes well. A target that is unknown, or of which nothing is learned, has the limit of a
 // choice and the mean processing time of its service.
@@ -50,13 +54,14 @@
 	c.ExpectedLatency = time.Duration(expected * max(1, c.depth*slots/c.learned.Limit))
 }
 
-// roughness returns the factor by which the cost of a choice exceeds its expected latency as the
-// load is known roughly: a target may have no free slot before all seem in use.
-func (c *Choice) roughness() float64 {
+// learnedCost returns the factor by which the cost of a choice exceeds its expected latency. The
+// load is known roughly: a target may have no free slot before all seem in use. Where many hosts
+// share many targets, each host knows those well that it prefers.
+func (c *Choice) learnedCost() float64 {
 	if c.learned.Limit == 0 {
 		return 1
 	}
-	return math.Hypot(1, c.depth) / max(1, c.depth)
+	return math.Hypot(1, c.depth) / max(1, c.depth) * (1 + affinitySpread*c.target.affinity)
 }
 
 // maxDepth returns the highest number of requests per slot at which a target is selected,
--- a/core/placement/model_test.go
+++ b/core/placement/model_test.go
@@ -335,7 +335,7 @@
 		t.Run(l.name, func(t *testing.T) {
 			without, with := playAll(l, modelSeeds, false), playAll(l, modelSeeds, true)
 			for i, r := range []*result{without, with} {
-				t.Logf("learned %t: in time %.3f, shed %d of %d, refused %d of %d, p99 %.2f s", i == 1, r.inTimeShare(), r.shed, r.sends, r.refused, r.requests, r.p99().Seconds())
+				t.Logf("learned %t: in time %.3f, shed %d of %d, refused %d of %d, p99 %.2f s, p50 %.3f s", i == 1, r.inTimeShare(), r.shed, r.sends, r.refused, r.requests, r.p99().Seconds(), r.took[len(r.took)/2].Seconds())
 			}
 			if got, want := with.inTimeShare(), without.inTimeShare()-inTimeTolerance; got < want {
 				t.Errorf("share in time: got %.3f, want at least %.3f", got, want)
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -68,6 +68,8 @@
 	// relativeTime is the moving average of the processing time per request
 	// divided by the mean of the service.
 	relativeTime float64
+	// affinity is drawn at random, from 0 for a target that this host prefers to 1.
+	affinity float64
 	// learned is what was learned of the target.
 	learned *concurrency.Estimator
 	// failureScore is the sum of the weights of recent failures at
