Prefer targets of the own failure domain among those that a host knows

Change: a target in another domain is drawn at least 0.3 of the way down. The model also plays a load of which most arrives in one domain, and checks how many sends leave theirs.

--- a/core/placement/learned.go
+++ b/core/placement/learned.go
@@ -16,6 +16,10 @@
 // prefers others.
 const affinitySpread = 2.0
 
+// otherDomainAffinity is the least affinity of a target in another failure domain. It keeps most
+// requests in the domain while that has room.
+const otherDomainAffinity = 0.3
+
 // Concurrency returns what is known of how long a target takes and of how many requests it
 // takes well. A target that is unknown, or of which nothing is learned, has the limit of a
 // choice and the mean processing time of its service.
@@ -117,3 +121,12 @@
 	}
 	t.learned.Record(sample, now)
 }
+
+// drawAffinity draws how little this host prefers a target, from 0 to 1: those in its own failure
+// domain before others.
+func (s *Set) drawAffinity(entry *Entry) float64 {
+	if entry.Domain == s.domain {
+		return s.Rand()
+	}
+	return otherDomainAffinity + (1-otherDomainAffinity)*s.Rand()
+}
--- a/core/placement/model_test.go
+++ b/core/placement/model_test.go
@@ -26,14 +26,16 @@
 	fullFactor float64
 	// slowShare is the share of the targets that are five times as slow from 4 s to 9 s.
 	slowShare float64
+	// skew is the share of the requests that go to hosts of the first domain beyond its part.
+	skew float64
 	// overload marks a burst that is beyond what the targets can run.
 	overload bool
 }
 
 // result is how the requests of a model fared.
 type result struct {
-	requests, inTime, refused, sends, shed int
-	took                                   []time.Duration
+	requests, inTime, refused, sends, shed, cross int
+	took                                          []time.Duration
 }
 
 func (r *result) inTimeShare() float64 { return float64(r.inTime) / float64(r.requests) }
@@ -142,7 +144,7 @@
 		return
 	}
 	c.result.requests++
-	c.serve(&call{host: c.rand.IntN(c.hosts), start: c.now, work: c.drawWork()})
+	c.serve(&call{host: c.drawHost(), start: c.now, work: c.drawWork()})
 	rate := c.perSecond
 	if since := c.now.Sub(start); since > 5*time.Second && since < 8*time.Second {
 		rate *= max(c.burst, 1)
@@ -207,6 +209,7 @@
 	b := c.modelTargets[i]
 	delay := 200 * time.Microsecond
 	if b.domain != q.host%modelDomains {
+		c.result.cross++
 		delay = 1400 * time.Microsecond
 	}
 	c.after(delay, func() {
@@ -269,6 +272,15 @@
 	return 1
 }
 
+// drawHost draws the host that a request comes to.
+func (c *cluster) drawHost() int {
+	host := c.rand.IntN(c.hosts)
+	if c.rand.Float64() < c.skew {
+		host -= host % modelDomains
+	}
+	return host
+}
+
 // drawWork draws how long a request takes at a target of speed 1, in seconds.
 func (c *cluster) drawWork() float64 {
 	work := c.work.Seconds() * math.Exp(c.spread*c.rand.NormFloat64()-c.spread*c.spread/2)
@@ -308,6 +320,7 @@
 	{name: "non-idempotent, some targets become slow", hosts: 83, targets: 50, perSecond: 272, work: 250 * time.Millisecond, spread: 0.8, tail: 0.03, speeds: []float64{0.6, 1, 1.6}, objective: time.Second, nonIdempotent: true, burst: 1.4, slowShare: 0.12},
 	{name: "overload", hosts: 91, targets: 93, perSecond: 316, work: 400 * time.Millisecond, spread: 0.8, tail: 0.01, speeds: []float64{0.7, 0.7, 1.6}, objective: 2500 * time.Millisecond, burst: 2.8, overload: true},
 	{name: "non-idempotent, overload", hosts: 83, targets: 50, perSecond: 272, work: 250 * time.Millisecond, spread: 0.8, tail: 0.03, speeds: []float64{0.6, 1, 1.6}, objective: time.Second, nonIdempotent: true, burst: 2.4, overload: true},
+	{name: "most requests in one domain", hosts: 91, targets: 93, perSecond: 316, work: 400 * time.Millisecond, spread: 0.8, tail: 0.01, speeds: []float64{0.7, 0.7, 1.6}, objective: 2500 * time.Millisecond, burst: 1.7, skew: 0.5},
 	{name: "36 hosts", hosts: 36, targets: 40, perSecond: 190, work: 250 * time.Millisecond, spread: 0.5, speeds: []float64{0.5, 1, 1.6}, objective: time.Second, burst: 1.4},
 	{name: "9 hosts", hosts: 9, targets: 12, perSecond: 58, work: 250 * time.Millisecond, spread: 0.5, speeds: []float64{0.5, 1, 1.6}, objective: time.Second, burst: 1.4},
 	{name: "slow when full", hosts: 36, targets: 40, perSecond: 120, work: 250 * time.Millisecond, spread: 0.5, speeds: []float64{1}, objective: time.Second, burst: 1.4, fullFactor: 2},
@@ -323,6 +336,7 @@
 		all.refused += r.refused
 		all.sends += r.sends
 		all.shed += r.shed
+		all.cross += r.cross
 		all.took = append(all.took, r.took...)
 	}
 	return all
@@ -335,7 +349,7 @@
 		t.Run(l.name, func(t *testing.T) {
 			without, with := playAll(l, modelSeeds, false), playAll(l, modelSeeds, true)
 			for i, r := range []*result{without, with} {
-				t.Logf("learned %t: in time %.3f, shed %d of %d, refused %d of %d, p99 %.2f s, p50 %.3f s", i == 1, r.inTimeShare(), r.shed, r.sends, r.refused, r.requests, r.p99().Seconds(), r.took[len(r.took)/2].Seconds())
+				t.Logf("learned %t: in time %.3f, shed %d of %d, refused %d of %d, p99 %.2f s, p50 %.3f s, cross %.2f", i == 1, r.inTimeShare(), r.shed, r.sends, r.refused, r.requests, r.p99().Seconds(), r.took[len(r.took)/2].Seconds(), float64(r.cross)/float64(r.sends))
 			}
 			if got, want := with.inTimeShare(), without.inTimeShare()-inTimeTolerance; got < want {
 				t.Errorf("share in time: got %.3f, want at least %.3f", got, want)
@@ -343,6 +357,9 @@
 			if got, want := float64(with.refused)/float64(with.requests), float64(without.refused)/float64(without.requests)+inTimeTolerance; got > want {
 				t.Errorf("share of refused requests: got %.3f, want at most %.3f", got, want)
 			}
+			if got, want := float64(with.cross)/float64(with.sends), max(float64(without.cross)/float64(without.sends), 1.0/modelDomains); got > want {
+				t.Errorf("share of sends to other failure domains: got %.2f, want at most %.2f", got, want)
+			}
 			if share := float64(with.shed) / float64(with.sends); share > 0.05 && !l.overload {
 				t.Errorf("sends that targets refused: got %.3f, want at most 0.05", share)
 			}
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -126,7 +126,7 @@
 	svc := s.service(entry.Service)
 	t := &Target{
 		entry: entry, warmEnd: now.Add(entry.WarmUp), relativeTime: 1, restUntil: s.rests[owner.Incarnation{Target: entry.ID, Born: entry.Born}],
-		learned: concurrency.New(entry.Slots, svc.learned), affinity: s.Rand(),
+		learned: concurrency.New(entry.Slots, svc.learned), affinity: s.drawAffinity(&entry),
 	}
 	s.targets[entry.ID] = t
 	s.informOfLimit(t, now)
