--- a/core/placement/learned_test.go
+++ b/core/placement/learned_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"pineturn/core/concurrency"
 )
 
 // newLearningSet returns a set whose choices follow what was learned.
@@ -14,7 +16,7 @@
 
 func wantProcessingTime(t *testing.T, s *Set, id string, now time.Time, least, most time.Duration) {
 	t.Helper()
-	if got := s.Concurrency(id, now).ProcessingTime; got < least || got > most {
+	if got := learned(s, id, now).ProcessingTime; got < least || got > most {
 		t.Errorf("processing time of %s: got %v, want %v to %v", id, got, least, most)
 	}
 }
@@ -25,14 +27,14 @@
 		s := newLearningSet("t1", "t2")
 		now := completeRequests(t, s, "t1", 40, usual, start)
 		now = completeRequests(t, s, "t2", 10, 4*usual, now)
-		if slow, fast := s.Concurrency("t2", now).ProcessingTime, s.Concurrency("t1", now).ProcessingTime; slow < 2*fast {
+		if slow, fast := learned(s, "t2", now).ProcessingTime, learned(s, "t1", now).ProcessingTime; slow < 2*fast {
 			t.Errorf("processing time of the slow target: got %v, want at least twice %v", slow, fast)
 		}
 	})
 	t.Run("fast errors say nothing", func(t *testing.T) {
 		s := newLearningSet("t1")
 		now := completeRequests(t, s, "t1", 40, usual, start)
-		before := s.Concurrency("t1", now).ProcessingTime
+		before := learned(s, "t1", now).ProcessingTime
 		for range 20 {
 			choose(t, s, Criteria{Owner: "t1"}, now).End(Failed, &Report{Running: 1}, now.Add(time.Millisecond))
 		}
@@ -45,7 +47,7 @@
 		cold.WarmUp = time.Minute
 		s.Put(cold, now)
 		now = completeRequests(t, s, "t2", 20, 3*usual, now)
-		wantProcessingTime(t, s, "t2", now, usual*9/10, usual*11/10)
+		wantProcessingTime(t, s, "t2", now, coldFactor*usual*9/10, coldFactor*usual*11/10)
 	})
 	t.Run("a restart under the same ID begins as the service", func(t *testing.T) {
 		s := newLearningSet("t1", "t2")
@@ -54,13 +56,13 @@
 		restarted := entry("t2", "a")
 		restarted.Born, restarted.Sequence = 7, 0
 		s.Put(restarted, now)
-		if s.Concurrency("t2", now).Known {
+		if learned(s, "t2", now).Known {
 			t.Error("known after a restart: got true, want false")
 		}
 	})
 	t.Run("without the feature, as before", func(t *testing.T) {
 		s := newSet("t1")
-		if got, want := s.Concurrency("t1", start).Limit, 7.0; got != want {
+		if got, want := learned(s, "t1", start).Limit, 7.0; got != want {
 			t.Errorf("limit: got %v, want %v", got, want)
 		}
 	})
@@ -79,3 +81,9 @@
 		}
 	}
 }
+
+// learned returns what is known of a target.
+func learned(s *Set, id string, now time.Time) concurrency.Estimate {
+	load, _ := s.OwnerLoad(id, now)
+	return load.Estimate
+}
--- a/io/gateway/create.go
+++ b/io/gateway/create.go
@@ -2,7 +2,6 @@
 
 import (
 	"pineturn/core/budget"
-	"pineturn/core/feature"
 	"pineturn/core/hostcount"
 	"pineturn/core/owner"
 	"pineturn/core/peers"
@@ -41,22 +40,6 @@
 	g.proxy = proxy.New(g.catalog, g.targets, g.budget, g.poison, g.pool, g.peers, g.clock)
 	g.proxy.HandleRecord = g.recordRequest
 	g.proxy.Regions = g.settings.Regions
-	g.useOwnerQueue(feature.Auto)
-	g.useLearnedConcurrency(feature.Auto)
-}
-
-// useLearnedConcurrency sets whether requests are sent by what was learned of each target. It is
-// called before the host runs.
-func (g *Gateway) useLearnedConcurrency(setting feature.Setting) {
-	g.learnedConcurrency = feature.New(setting, minLearningHosts, g.hosts.Counted)
-	g.targets.Learns = g.learnedConcurrency.Enabled
-}
-
-// useOwnerQueue sets whether keyed requests are relayed to the holder of their owner's queue. It
-// is called before the host runs.
-func (g *Gateway) useOwnerQueue(setting feature.Setting) {
-	g.ownerQueue = feature.New(setting, minQueueHosts, g.hosts.Counted)
-	g.proxy.OwnerQueue = g.ownerQueue.Enabled
 }
 
 // createCoordinator creates what takes part in the election and leads.
@@ -68,6 +51,7 @@
 	g.coordinator.PredecessorEnded = g.predecessorEnded
 	g.coordinator.Yields = g.yields
 	g.coordinator.HandleUnanswered = g.proxy.RecordUnanswered
+	g.coordinator.HandleMoves = g.metrics.observeMoves
 }
 
 // connectReads sets how this host reads the store, by whether it leads.
