Check a configuration of the platform before it is sent

Cause: automation sends configurations; an entry that never matches, or limits that contradict one another, show only once they are in force. Change: pinectl platform check FILE, offline: errors and warnings with line and path, and with --in-force what changes for callers, compared by what becomes of requests and not by the names of routes. core/review decides, platform/ has the names and lines, and hosts and the check decode with the same code. The state of a host also has services and limits. Measured: TestCheck, TestCompare, TestCheckConfig, TestPlatformCheck.

--- a/core/dump/dump.go
+++ b/core/dump/dump.go
@@ -26,6 +26,9 @@
 	Version int64 `json:"config_version"`
 	// Routes lists the routes of that configuration.
 	Routes []routing.Route `json:"routes"`
+	// Services and Limits are those of that configuration.
+	Services map[string]routing.Service `json:"services,omitempty"`
+	Limits   routing.Limits             `json:"limits"`
 	// Targets lists the host's state for each target.
 	Targets []placement.State `json:"targets"`
 	// Leader is the leader according to the host's current assignment.
--- a/io/gateway/dump.go
+++ b/io/gateway/dump.go
@@ -25,7 +25,8 @@
 		d.AgesS[name] = g.catalog.Age(topic).Seconds()
 	}
 	if table := g.catalog.Table(); table != nil {
-		d.Version, d.Routes = table.Config().Version, table.Config().Routes
+		config := table.Config()
+		d.Version, d.Routes, d.Services, d.Limits = config.Version, config.Routes, config.Services, config.Limits
 	}
 	for _, t := range d.Targets {
 		d.Requests[t.Service] += t.InFlight
--- a/io/pinectl/platform.go
+++ b/io/pinectl/platform.go
@@ -22,10 +22,11 @@
 func (inv *invocation) platformCommands() []*cli.Command {
 	return []*cli.Command{{
 		Name:         "platform",
-		Usage:        "show the state of a host on the users' platform; --server is its admin port",
+		Usage:        "check configurations, and show the state of a host, on the users' platform; --server is its admin port",
 		OnUsageError: onUsageError,
 		Action:       unknownCommand,
 		Commands: []*cli.Command{
+			subcommand("check", "check a configuration before it is sent, and show what it changes", []string{"FILE"}, inv.platformCheck, reviewFlags()...),
 			subcommand("state", "show the host, the age of its data and the leader", nil, inv.platformState),
 			subcommand("targets", "list the targets as the host sees them", nil, inv.platformTargets),
 			subcommand("keys", "list the ranges of keys and their owners", []string{"[SERVICE]"}, inv.platformKeys),
