Record a round of moves in the test of documented metrics

Cause: TestPageMetrics failed: a metric by service exists only once a round has been recorded. Change: the test records one, as it does for the other metrics by service.

--- a/io/gateway/page_test.go
+++ b/io/gateway/page_test.go
@@ -4,6 +4,8 @@
 	"os"
 	"regexp"
 	"testing"
+
+	"pineturn/core/owner"
 )
 
 // TestPageMetrics checks that all metrics named in docs/PLATFORM.md exist.
@@ -17,6 +19,7 @@
 	h.gateway.metrics.requests.WithLabelValues("s", "200", "answered").Inc()
 	h.gateway.metrics.relays.WithLabelValues("out", "s", "answered").Inc()
 	h.gateway.metrics.observeRetry("s", true)
+	h.gateway.metrics.observeMoves("s", owner.Moves{})
 	families, err := h.gateway.metrics.registry.Gather()
 	if err != nil {
 		t.Fatal(err)
