--- a/core/ratelimit/sim_test.go
+++ b/core/ratelimit/sim_test.go
@@ -29,6 +29,8 @@
 	// demandPerHost is the number of requests a second that a host has for the target, on
 	// average.
 	demandPerHost = 5.0
+	// steadyFrom is the time from which all parts are dealt if nothing happens.
+	steadyFrom = 8 * time.Second
 )
 
 var simStart = time.Unix(1000, 0)
@@ -44,6 +46,8 @@
 	// leaderOf holds the leader of each host; -1 for none.
 	leaderOf []int
 	sends    []time.Duration
+	// offered is the number of requests from steadyFrom on, sent or not.
+	offered int
 	// now is the time of the present step.
 	now time.Duration
 	// inFlight are the requests without a response.
@@ -135,6 +139,9 @@
 	if at < h.knownAt {
 		return
 	}
+	if at >= steadyFrom {
+		s.offered++
+	}
 	if h.pacer.Limit().Named {
 		h.pacer.RecordDemand(now)
 	}
