Send less urgent requests to a cold target where enough is saved up

Cause: for a second after one urgent request was refused, as before the first part is dealt, all less urgent ones were refused, also while several could be sent. Change: they leave one saved request to the urgent ones, for limits that state what is saved up. Measured: TestLessUrgentRequestsForColdTarget fails without it (the second request is refused).

--- a/core/placement/cold_test.go
+++ b/core/placement/cold_test.go
@@ -65,6 +65,20 @@
 	wantSends(t, s, coldTime, 20, 20)
 }
 
+// TestLessUrgentRequestsForColdTarget guards against requests of a lower priority that are refused
+// although more than one of a higher one could be sent, and against those that take the last.
+func TestLessUrgentRequestsForColdTarget(t *testing.T) {
+	s := newColdSet(coldTime, "t1")
+	s.ApplyLimits(ratelimit.Update{Shares: []ratelimit.Share{{Target: coldName(&Entry{ID: "t1"}), Limit: s.Cold(service).Bound.Limit(), Dealt: true, PerSecond: 10, Burst: 3}}}, start, start)
+	wantStatus(t, s, Criteria{Service: service, Owner: "t1"}, start, Limited)
+	now := start.Add(300 * time.Millisecond)
+	less := Criteria{Service: service, Owner: "t1", Rank: 1}
+	choose(t, s, less, now)
+	choose(t, s, less, now)
+	wantStatus(t, s, less, now, Limited)
+	choose(t, s, Criteria{Service: service, Owner: "t1"}, now)
+}
+
 // TestColdTargetWithoutBound guards against a change for services that state no bound.
 func TestColdTargetWithoutBound(t *testing.T) {
 	s := newColdSet(coldTime, "t1")
--- a/core/placement/limits.go
+++ b/core/placement/limits.go
@@ -13,7 +13,7 @@
 // the limit goes that the target has named.
 func (s *Set) withinRateLimit(t *Target, criteria Criteria, now time.Time) bool {
 	for p := range s.pacers(t, now) {
-		if criteria.Optional || p.Yields(criteria.Rank, now) || p.Wait(now, s.sharing(t)) > 0 {
+		if criteria.Optional || p.Wait(now, s.sharing(t)) > 0 || p.Yields(criteria.Rank, now) {
 			return false
 		}
 	}
--- a/core/ratelimit/pacer.go
+++ b/core/ratelimit/pacer.go
@@ -185,9 +185,17 @@
 	}
 }
 
+// spareTokens is the number of saved requests from which one of a lower priority may be sent: one is
+// left then for the others.
+const spareTokens = 2
+
 // Yields reports whether a request of a priority leaves what the target takes to others of
-// a higher one.
+// a higher one. Where the limit states what may be saved up, it does not if enough was, at the last
+// call of Wait.
 func (p *Pacer) Yields(rank int, now time.Time) bool {
+	if p.limit.Burst > 0 && p.tokens >= spareTokens {
+		return false
+	}
 	return p.limit.Named && rank > p.refusedRank && !p.refusedAt.IsZero() && now.Sub(p.refusedAt) < yieldTime
 }
 
