Weigh owners by learned processing times only where these have changed

Cause: learned times are of fewer responses than the leader's mean of all hosts, so utilization was less even while nothing changed.

Change: they count where they differ from the mean by more than a half.

--- a/core/owner/processing.go
+++ b/core/owner/processing.go
@@ -13,6 +13,9 @@
 	learnedHalfLife = 1500 * time.Millisecond
 	// minLearnedResponses is the number of responses from which it is used.
 	minLearnedResponses = 1.0
+	// minLearnedChange is the factor from which it counts instead of the mean. The mean of all
+	// responses is steadier, and keys are not to move for less.
+	minLearnedChange = 1.5
 	// priorResponses is the number of responses at the mean of the service with
 	// which the processing time of each target is initialised.
 	priorResponses = 4.0
@@ -141,11 +144,11 @@
 	if stats == nil || all.Seconds <= 0 {
 		return 1
 	}
-	if relative, ok := l.learnedProcessingTime(service, stats); ok {
-		return min(max(relative, minRelativeProcessingTime), maxRelativeProcessingTime)
-	}
 	mean := all.Seconds / all.Responses
 	relative := (stats.Seconds + priorResponses*mean) / (stats.Responses + priorResponses) / mean
+	if learned, ok := l.learnedProcessingTime(service, stats); ok && max(learned/relative, relative/learned) > minLearnedChange {
+		relative = learned
+	}
 	return min(max(relative, minRelativeProcessingTime), maxRelativeProcessingTime)
 }
 
