--- a/core/owner/processing_test.go
+++ b/core/owner/processing_test.go
@@ -31,7 +31,7 @@
 }
 
 // TestLearnedProcessingTime guards against a target whose change of speed shows for seconds only
-// in the mean of its earlier responses.
+// in the mean of its earlier responses, and against keys that move because an estimate wavers.
 func TestLearnedProcessingTime(t *testing.T) {
 	report := func(learned, limit float64) Report {
 		r := uniformReport(4, 1)
@@ -52,6 +52,8 @@
 	}
 	play(report(0.2, 3), 10)
 	wantBetween(t, "relative time before the change", loads.RelativeProcessingTime(testService, "t00"), 0.99, 1.01)
+	play(report(0.25, 3), 5)
+	wantBetween(t, "relative time by an estimate that is a little off", loads.RelativeProcessingTime(testService, "t00"), 0.99, 1.01)
 	play(report(0.8, 3), 2)
 	wantBetween(t, "relative time after the change", loads.RelativeProcessingTime(testService, "t00"), 1.5, 2.5)
 	play(report(0.8, 2), 5)
