--- a/core/owner/spread.go
+++ b/core/owner/spread.go
@@ -10,9 +10,9 @@
 	// spreadRatio is the ratio of the utilization of a target to the mean from which keys
 	// are moved off it, highSpreadRatio the same from highUtilization on, and urgentRatio
 	// the same in the rounds between two full ones.
-	spreadRatio     = 1.3
-	highSpreadRatio = 1.2
-	urgentRatio     = 1.5
+	spreadRatio     = 1.5
+	highSpreadRatio = 1.25
+	urgentRatio     = 1.6
 	// fillRatio is the ratio to the mean up to which targets receive keys, and down to
 	// which keys are moved off.
 	fillRatio = 1.05
