--- a/core/placement/learned.go
+++ b/core/placement/learned.go
@@ -12,6 +12,14 @@
 // own reports and the mean of its service weigh the same in the load estimate.
 const averagePeriods = 6
 
+// affinitySpread is the largest part by which the cost of a target is raised at a host that
+// prefers others.
+const affinitySpread = 2.0
+
+// otherDomainAffinity is the least affinity of a target in another failure domain. It keeps most
+// requests in the domain while that has room.
+const otherDomainAffinity = 0.3
+
 // concurrency returns what is known of how long a target takes and of how many requests it takes
 // well. A target of which nothing is learned has the limit of a choice and the mean processing
 // time of its service.
@@ -48,13 +56,14 @@
 	c.ExpectedLatency = time.Duration(expected * max(1, c.depth*slots/c.learned.Limit))
 }
 
-// roughness returns the factor by which the cost of a choice exceeds its expected latency as the
-// load is known roughly: a target may have no free slot before all seem in use.
-func (c *Choice) roughness() float64 {
+// learnedCost returns the factor by which the cost of a choice exceeds its expected latency. The
+// load is known roughly: a target may have no free slot before all seem in use. Where many hosts
+// share many targets, each host knows those well that it prefers.
+func (c *Choice) learnedCost() float64 {
 	if c.learned.Limit == 0 {
 		return 1
 	}
-	return math.Hypot(1, c.depth) / max(1, c.depth)
+	return math.Hypot(1, c.depth) / max(1, c.depth) * (1 + affinitySpread*c.target.affinity)
 }
 
 // maxDepth returns the highest number of requests per slot at which a target is selected,
@@ -110,3 +119,12 @@
 	}
 	t.learned.Record(sample, now)
 }
+
+// drawAffinity draws how little this host prefers a target, from 0 to 1: those in its own failure
+// domain before others.
+func (s *Set) drawAffinity(entry *Entry) float64 {
+	if entry.Domain == s.domain {
+		return s.Rand()
+	}
+	return otherDomainAffinity + (1-otherDomainAffinity)*s.Rand()
+}
--- a/io/proxy/choose.go
+++ b/io/proxy/choose.go
@@ -96,6 +96,7 @@
 		}
 		switch verdict {
 		case placement.Limited:
+			p.recordEstimate(q, owner)
 			wait := p.targets.SendWait(criteria, p.clock.Now())
 			return nil, q.failOrRefuse(reasonTargetLimit, max(wait, q.match.Route.Objective/2), nil)
 		case placement.Resting:
@@ -104,7 +105,7 @@
 		case placement.Forbidden:
 			return nil, q.refuseFor(reasonRegionForbidden, 0, nil)
 		case placement.Drained:
-			return nil, q.refuseFor(reasonDomainDrained, attempt.RetryNotBefore(placement.DrainWait(criteria), q.callerTimeout()), nil)
+			return nil, q.refuseDrained(criteria)
 		}
 		reason := reasonNoCapacity
 		if verdict == placement.NoTarget {
@@ -123,6 +124,11 @@
 	}
 }
 
+// refuseDrained refuses a request whose targets are all in drained failure domains.
+func (q *request) refuseDrained(criteria placement.Criteria) error {
+	return q.refuseFor(reasonDomainDrained, attempt.RetryNotBefore(placement.DrainWait(criteria), q.callerTimeout()), nil)
+}
+
 // recordEstimate keeps for the log what is assumed of an owner without capacity.
 func (p *Proxy) recordEstimate(q *request, owner string) {
 	if estimate, ok := p.targets.OwnerEstimate(p.criteria(q, owner), p.clock.Now()); ok {
--- a/io/proxy/ownerqueue.go
+++ b/io/proxy/ownerqueue.go
@@ -111,7 +111,7 @@
 func (o *ownerQueues) arrive(q *request) (first time.Time, returned bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.refusals.Take(q.fingerprint(), q.started)
+	return o.refusals.Take(q.fingerprint(), q.started.Add(-q.elapsed))
 }
 
 func (o *ownerQueues) recordRefusal(q *request, retryAfter time.Duration, now time.Time) {
@@ -165,6 +165,9 @@
 		if target, reason := p.currentOwner(q); reason != reasonNoOwner && target != owner {
 			return ticket, errOwnerChanged
 		}
+		if criteria := p.criteria(q, owner); p.targets.IsDrained(criteria, p.clock.Now()) {
+			return ticket, q.refuseDrained(criteria)
+		}
 		timer := time.NewTimer(queuePollInterval)
 		select {
 		case <-ready:
