--- a/io/proxy/ownerqueue.go
+++ b/io/proxy/ownerqueue.go
@@ -165,6 +165,9 @@
 		if target, reason := p.currentOwner(q); reason != reasonNoOwner && target != owner {
 			return ticket, errOwnerChanged
 		}
+		if criteria := p.criteria(q, owner); p.targets.IsDrained(criteria, p.clock.Now()) {
+			return ticket, q.refuseDrained(criteria)
+		}
 		timer := time.NewTimer(queuePollInterval)
 		select {
 		case <-ready:
