Keep the fallback of limits that targets name as it was

TestLessUrgentRequestsForColdTarget, seen to fail without the spare requests: the first less urgent request is refused. Measured: tests of core/placement and core/ratelimit.

--- a/core/placement/limits.go
+++ b/core/placement/limits.go
@@ -12,29 +12,29 @@
 // withinRateLimit reports whether this host may send a request to a target now, as far as
 // the limit goes that the target has named.
 func (s *Set) withinRateLimit(t *Target, criteria Criteria, now time.Time) bool {
-	for p := range s.pacers(t, now) {
-		if criteria.Optional || p.Wait(now, s.sharing(t)) > 0 || p.Yields(criteria.Rank, now) {
+	for p, hosts := range s.pacers(t, now) {
+		if criteria.Optional || p.Wait(now, hosts) > 0 || p.Yields(criteria.Rank, now) {
 			return false
 		}
 	}
 	return true
 }
 
-// pacers calls visit with the pacers of the limits that hold for a target: the one that it has
-// named, and that of a cold one.
-func (s *Set) pacers(t *Target, now time.Time) iter.Seq[*ratelimit.Pacer] {
-	return func(visit func(*ratelimit.Pacer) bool) {
-		if t.pacer.Limit().Named && !visit(&t.pacer) {
+// pacers calls visit with the pacers of the limits that hold for a target, and the number of hosts
+// that share each: the one that it has named, and that of a cold one.
+func (s *Set) pacers(t *Target, now time.Time) iter.Seq2[*ratelimit.Pacer, int] {
+	return func(visit func(*ratelimit.Pacer, int) bool) {
+		if t.pacer.Limit().Named && !visit(&t.pacer, s.Hosts()) {
 			return
 		}
 		if s.isCold(t, now) {
-			visit(s.coldPacer(t, now))
+			visit(s.coldPacer(t, now), s.sharing(t))
 		}
 	}
 }
 
-// sharing returns the number of hosts that are taken to share the limits of a target while this
-// one has no part of them.
+// sharing returns the number of hosts that are taken to share the bound of a cold target while this
+// one has no part of it.
 func (s *Set) sharing(t *Target) int {
 	if s.Sender(&t.entry) {
 		return 1
@@ -51,8 +51,8 @@
 // go.
 func (s *Set) limitWait(t *Target, now time.Time) time.Duration {
 	wait := time.Duration(0)
-	for p := range s.pacers(t, now) {
-		wait = max(wait, p.Wait(now, s.sharing(t)))
+	for p, hosts := range s.pacers(t, now) {
+		wait = max(wait, p.Wait(now, hosts))
 	}
 	if s.isCold(t, now) && !t.cold.lost && !t.pacer.Limit().Named {
 		wait = min(wait, t.cold.end.Sub(now))
