--- a/core/concurrency/concurrency.go
+++ b/core/concurrency/concurrency.go
@@ -188,7 +188,7 @@
 	if e.slowdown == 0 || age > 5*slowdownHalfLife {
 		return 1
 	}
-	weight := math.Exp2(-float64(age) / float64(slowdownHalfLife))
+	weight := math.Exp(-math.Ln2 * float64(age) / float64(slowdownHalfLife))
 	return 1 + weight*(e.slowdown/e.service.slowdown.mean()-1)
 }
 
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -166,5 +166,5 @@
 	if age <= 0 {
 		return 1
 	}
-	return math.Exp2(-float64(age) / float64(halfLife))
+	return math.Exp(-math.Ln2 * float64(age) / float64(halfLife))
 }
