--- a/core/owner/regions.go
+++ b/core/owner/regions.go
@@ -3,38 +3,18 @@
 // regionKeys is the number of adjacent keys that are judged together for a step.
 const regionKeys = 128
 
-// maxLoadScale bounds the scale of the loads of a region.
-const maxLoadScale = 32.0
-
 // regionSteps tells which regions of adjacent keys have stepped.
 type regionSteps struct {
-	rule    stepRule
 	stepped [Keys / regionKeys]bool
-	// scales holds the recent load of each region divided by the steady one. Regions without a
-	// step have that of all such regions together, 1 if that has not stepped either.
-	scales [Keys / regionKeys]float64
+	rule    stepRule
 }
 
-// load returns the load of a key. That of a key without a step of its own follows the steps of
-// its region: what is known of the key alone is little.
+// load returns the load of a key: the recent one if its region or the key itself has stepped.
 func (s *regionSteps) load(key uint16, rate keyRate) float64 {
-	region := key / regionKeys
-	scaled := rate.steady * s.scales[region]
-	switch {
-	case rate.stepped(s.rule):
+	if s.stepped[key/regionKeys] {
 		return rate.recent
-	case s.stepped[region]:
-		return (rate.recent + scaled) / 2
-	}
-	return scaled
-}
-
-// scale returns the recent load divided by the steady one, 1 if it has not stepped.
-func (r keyRate) scale(rule stepRule) float64 {
-	if r.steady <= 0 || !r.stepped(rule) {
-		return 1
 	}
-	return min(max(r.recent/r.steady, 1/maxLoadScale), maxLoadScale)
+	return rate.load(s.rule)
 }
 
 // JudgeRegions sets whether a step also shows in the sum of the loads of adjacent keys. Many
@@ -54,31 +34,17 @@
 // are judged.
 func (l *Loads) steppedRegions(service string) *regionSteps {
 	steps := &regionSteps{rule: l.rule}
+	if !l.byRegion {
+		return steps
+	}
 	var sums [Keys / regionKeys]keyRate
-	if l.byRegion {
-		for key, rate := range l.services[service] {
-			if !rate.stepped(l.rule) {
-				sums[key/regionKeys].add(rate)
-			}
-		}
+	for key, rate := range l.services[service] {
+		sum := &sums[key/regionKeys]
+		sum.steady += rate.steady
+		sum.recent += rate.recent
 	}
-	var others keyRate
 	for i, sum := range sums {
 		steps.stepped[i] = sum.stepped(l.rule)
-		if !steps.stepped[i] {
-			others.add(sum)
-		}
-	}
-	for i, sum := range sums {
-		if !steps.stepped[i] {
-			sum = others
-		}
-		steps.scales[i] = sum.scale(l.rule)
 	}
 	return steps
 }
-
-func (r *keyRate) add(other keyRate) {
-	r.steady += other.steady
-	r.recent += other.recent
-}
