--- a/io/gateway/page_test.go
+++ b/io/gateway/page_test.go
@@ -16,6 +16,7 @@
 	h.gateway.metrics.observeStoreCall("/v1/log-read", 0, nil)
 	h.gateway.metrics.requests.WithLabelValues("s", "200", "answered").Inc()
 	h.gateway.metrics.relays.WithLabelValues("out", "s", "answered").Inc()
+	h.gateway.metrics.queueWaits.WithLabelValues("s").Observe(0)
 	h.gateway.metrics.observeRetry("s", true)
 	families, err := h.gateway.metrics.registry.Gather()
 	if err != nil {
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -64,11 +64,11 @@
 	peerUserTimeout = time.Second
 	// maxIdlePeerConns limits the number of idle connections to one host, maxAllIdlePeerConns
 	// that to all. Each host relays to most others, to each of them seldom.
-	maxIdlePeerConns    = 4
-	maxAllIdlePeerConns = 256
+	maxIdlePeerConns    = 2
+	maxAllIdlePeerConns = 128
 	// idlePeerTimeout is how long an idle connection to another host is kept open. It is
-	// shorter than that host keeps it.
-	idlePeerTimeout = 60 * time.Second
+	// shorter than that host keeps it. Each idle connection takes some 20 KB at both ends.
+	idlePeerTimeout = 20 * time.Second
 	// relayMargin is the part of a request's remaining time that is kept for the way back
 	// from the other host.
 	relayMargin = 20 * time.Millisecond
