--- a/core/ratelimit/pacer.go
+++ b/core/ratelimit/pacer.go
@@ -10,6 +10,9 @@
 	// fallbackFraction is the fraction of a limit that all hosts use together while they
 	// have no parts of it.
 	fallbackFraction = 0.3
+	// soleFraction is the same for a host that is alone, or that sends for all others. Two
+	// hosts that disagree on which of them does stay within the limit.
+	soleFraction = 0.5
 	// longestWait is the wait for a request at a target that takes none.
 	longestWait = time.Hour
 	// yieldTime is how long requests leave what a target takes to those of a higher
@@ -123,7 +126,10 @@
 	if p.shared && now.Before(p.shareEnd) {
 		return p.share
 	}
-	return fallbackFraction * p.limit.PerSecond / float64(max(hosts, 1))
+	if hosts <= 1 {
+		return soleFraction * p.limit.PerSecond
+	}
+	return fallbackFraction * p.limit.PerSecond / float64(hosts)
 }
 
 // fill adds the tokens since the last call.
@@ -179,9 +185,17 @@
 	}
 }
 
+// spareTokens is the number of saved requests from which one of a lower priority may be sent: one is
+// left then for the others.
+const spareTokens = 2
+
 // Yields reports whether a request of a priority leaves what the target takes to others of
-// a higher one.
+// a higher one. Where the limit states what may be saved up, it does not if enough was, at the last
+// call of Wait.
 func (p *Pacer) Yields(rank int, now time.Time) bool {
+	if p.limit.Burst > 0 && p.tokens >= spareTokens {
+		return false
+	}
 	return p.limit.Named && rank > p.refusedRank && !p.refusedAt.IsZero() && now.Sub(p.refusedAt) < yieldTime
 }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -116,6 +116,7 @@
 	g.connectLimits()
 	g.connectDepartures()
 	g.connectPoison()
+	g.useFeatures(defaultFeatures)
 	g.stop = newStopState(settings.StopTimeout)
 	g.metrics.registerGauges(g)
 	return g, nil
--- a/io/gateway/page_test.go
+++ b/io/gateway/page_test.go
@@ -4,6 +4,8 @@
 	"os"
 	"regexp"
 	"testing"
+
+	"pineturn/core/owner"
 )
 
 // TestPageMetrics checks that all metrics named in docs/PLATFORM.md exist.
@@ -18,6 +20,7 @@
 	h.gateway.metrics.relays.WithLabelValues("out", "s", "answered").Inc()
 	h.gateway.metrics.queueWaits.WithLabelValues("s").Observe(0)
 	h.gateway.metrics.observeRetry("s", true)
+	h.gateway.metrics.observeMoves("s", owner.Moves{})
 	families, err := h.gateway.metrics.registry.Gather()
 	if err != nil {
 		t.Fatal(err)
