Test that the sends at a holder count for the attempts of a request

Cause: without the sends that a holder states with a failed request, the relaying host could send it more often than its route allows; no test failed then. Change: a case of TestRelayToHolder, which fails without.

--- a/io/proxy/holder_test.go
+++ b/io/proxy/holder_test.go
@@ -67,9 +67,9 @@
 // reported untruly by the host that holds the owner's queue and by the one that relays to it.
 func TestRelayToHolder(t *testing.T) {
 	for _, c := range []struct {
-		name, path, target string
-		status             int
-		outcome            relayOutcome
+		name, path, target, sends string
+		status                    int
+		outcome                   relayOutcome
 		// direct is the number of requests that are then sent directly.
 		direct int64
 		want   int
@@ -81,12 +81,13 @@
 		{name: "holder is detached", path: "/write/1", status: 503, outcome: relayDetached, direct: 1, want: 200},
 		{name: "holder stops", path: "/write/1", status: 503, outcome: relayUnavailable, direct: 1, want: 200},
 		{name: "idempotent request failed", path: "/read/1", status: 502, outcome: relayFailed, direct: 1, want: 200},
+		{name: "idempotent request failed in its last attempt", path: "/read/1", sends: "2", status: 502, outcome: relayFailed, want: 502},
 		{name: "other request failed", path: "/write/1", status: 502, outcome: relayFailed, want: 502},
 		{name: "unknown outcome", path: "/write/1", status: 503, outcome: "", want: 502},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			holder := newPeer(t, "a", c.status, c.outcome)
-			holder.target = c.target
+			holder.target, holder.sends = c.target, c.sends
 			p, direct := newKeyedProxy(t, 7, respond(http.StatusOK), holding(holder.Host))
 			w := get(p.Handler(), c.path, keyed(nil))
 			assertStatus(t, w, c.want)
--- a/io/proxy/relay_test.go
+++ b/io/proxy/relay_test.go
@@ -92,8 +92,9 @@
 	requests []*http.Request
 	// version is the version of the configuration that the host states; empty for none.
 	version string
-	// target is the target that the host states, t1 if empty.
-	target string
+	// target and sends are the target and the number of sends that the host states, t1 and 1
+	// if empty.
+	target, sends string
 	// leaving is set if the target of the responses leaves.
 	leaving atomic.Bool
 }
@@ -115,7 +116,7 @@
 			h.Set("Server-Leaving", "1")
 		}
 		h.Set(headerRelayOutcome, string(outcome))
-		h.Set(headerRelaySends, "1")
+		h.Set(headerRelaySends, cmp.Or(peer.sends, "1"))
 		if peer.version != "" {
 			h.Set(headerRelayVersion, peer.version)
 		}
