--- a/io/gateway/holder_test.go
+++ b/io/gateway/holder_test.go
@@ -29,11 +29,7 @@
 			var relayed atomic.Int64
 			for i := range 4 {
 				c.hosts = append(c.hosts, c.addHostIn("a", fmt.Sprint("host-", i), func(g *Gateway) {
-<<<<<<< HEAD
-					g.useFeatures(features{ownerQueue: feature.On})
-=======
 					g.proxy.OwnerQueue = feature.New(feature.On, 0, nil).Enabled
->>>>>>> queue
 					// Otherwise hosts have no extra retries in their first 10 s.
 					g.budget.MarkRestarted(g.started.Add(-time.Minute))
 					g.proxy.HandleRecord = func(r proxy.RequestRecord) {
