Weigh owners by learned processing times only from a change by half

Cause: an estimate that is off by a sixth and a mean that is as well differ by 1.5 one time in ten (core/concurrency, 40 draws of two targets: standard deviation .14 to .20), so weights switched though nothing had changed.

Change: from a factor of 2 on.

--- a/core/owner/processing.go
+++ b/core/owner/processing.go
@@ -15,7 +15,7 @@
 	minLearnedResponses = 1.0
 	// minLearnedChange is the factor from which it counts instead of the mean. The mean of all
 	// responses is steadier, and keys are not to move for less.
-	minLearnedChange = 1.5
+	minLearnedChange = 2.0
 	// priorResponses is the number of responses at the mean of the service with
 	// which the processing time of each target is initialised.
 	priorResponses = 4.0
