Forget missing hosts also where only holders are asked for

Cause: a host that a list lacks is forgotten 10 s later by the next list, or when hosts are picked for a lost path. With changes of the list instead of lists there may be no next one: after a change of leader the former leader's host, if it has ended, remained the holder of its queues; each host tried it again every 4 s. Change: Holder forgets hosts whose time has come. Measured: the case 'missing in lists for too long' of TestHolder failed before and passes.

--- a/core/peers/holder.go
+++ b/core/peers/holder.go
@@ -16,6 +16,9 @@
 func (t *Table) Holder(target, domain, service string, now time.Time) (Host, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.forgetAt.IsZero() && !now.Before(t.forgetAt) {
+		t.forget(now)
+	}
 	if t.holders == nil {
 		t.groupHolders()
 	}
--- a/core/peers/holder_test.go
+++ b/core/peers/holder_test.go
@@ -135,6 +135,7 @@
 		{name: "this host stops", domain: "a", self: 1, list: []Host{near}, change: (*Table).Stop, want: []string{near.Address}},
 		{name: "this host is detached", domain: "a", self: 1, list: []Host{near}, change: func(t *Table) { t.SetDetached([]string{service}) }, want: []string{near.Address}},
 		{name: "gone", domain: "a", self: 1, list: []Host{near, other}, change: func(t *Table) { t.Apply(Changes{Gone: []string{near.Address}}, now) }, want: []string{"", other.Address}},
+		{name: "missing in lists for too long", domain: "a", self: 1, list: []Host{near, other}, change: func(t *Table) { t.Put([]Host{other}, now.Add(-forgetDelay)) }, want: []string{"", other.Address}},
 		{name: "gone and back", domain: "a", self: 1, list: []Host{near}, change: func(t *Table) {
 			t.Apply(Changes{Gone: []string{near.Address}}, now)
 			t.Apply(Changes{Hosts: []Host{near}}, now)
--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -61,6 +61,8 @@
 	hosts map[string]*entry
 	// stopping is set once this host holds no queues any more.
 	stopping bool
+	// forgetAt is when the next missing host is to be forgotten; zero if none is missing.
+	forgetAt time.Time
 	// holders holds the hosts that may hold queues by failure domain; nil after a change.
 	holders map[string][]*entry
 }
@@ -170,10 +172,18 @@
 // forget removes the hosts that have been missing for forgetDelay. The caller holds
 // mu.
 func (t *Table) forget(now time.Time) {
+	t.forgetAt = time.Time{}
 	for address, e := range t.hosts {
-		if !e.missingSince.IsZero() && now.Sub(e.missingSince) >= forgetDelay {
+		if e.missingSince.IsZero() {
+			continue
+		}
+		end := e.missingSince.Add(forgetDelay)
+		switch {
+		case !now.Before(end):
 			delete(t.hosts, address)
 			t.holders = nil
+		case t.forgetAt.IsZero() || end.Before(t.forgetAt):
+			t.forgetAt = end
 		}
 	}
 }
