Tell pipelined requests that are the same apart by their number

Cause: the current request was recognised among those begun early by its head alone. With two that are the same byte for byte, the first could take the response begun for the second, and during a planned stop the first counted as the second: its response closed the connection before that of the second. Change: requests have a number on their connection; the head must still be the same. Measured: TestFollowing failed before and passes; TestStopWithPipelinedRequests now sends two equal requests instead of /2.

--- a/io/listener/ahead.go
+++ b/io/listener/ahead.go
@@ -45,10 +45,16 @@
 	bodyLeft int64
 	// queue holds the requests that were begun early, in the order of the caller.
 	queue []*early
+	// current is the number of the current request on its connection, lastEarly that of the last
+	// one that was begun early. Two requests may be the same, byte for byte.
+	current, lastEarly int
 }
 
 // next prepares for the next request.
-func (a *ahead) next() { a.head, a.whole, a.bodyLeft = a.head[:0], false, 0 }
+func (a *ahead) next() {
+	a.head, a.whole, a.bodyLeft = a.head[:0], false, 0
+	a.current++
+}
 
 // pending reports whether data is buffered, or requests have been begun early.
 func (a *ahead) pending() bool { return len(a.buffered) > 0 || len(a.queue) > 0 }
@@ -117,7 +123,8 @@
 		if e == nil {
 			return
 		}
-		e.head = bytes.Clone(head)
+		a.lastEarly = max(a.lastEarly, a.current) + 1
+		e.head, e.number = bytes.Clone(head), a.lastEarly
 		a.queue = append(a.queue, e)
 		a.scanned += len(head)
 	}
@@ -133,22 +140,19 @@
 
 // take returns the current request as it was begun early, or nil.
 func (a *ahead) take() *early {
-	if len(a.queue) == 0 || !a.whole || !bytes.Equal(a.queue[0].head, a.head) {
+	if len(a.queue) == 0 || !a.whole {
 		return nil
 	}
 	e := a.queue[0]
+	if e.number != a.current || !bytes.Equal(e.head, a.head) {
+		return nil
+	}
 	a.queue = a.queue[1:]
 	return e
 }
 
 // follow reports whether requests after the current one have been begun.
-func (a *ahead) follow() bool {
-	others := len(a.queue)
-	if others > 0 && bytes.Equal(a.queue[0].head, a.head) {
-		others--
-	}
-	return others > 0
-}
+func (a *ahead) follow() bool { return a.lastEarly > a.current }
 
 // cancel cancels the requests that were begun early.
 func (a *ahead) cancel() {
--- a/io/listener/early.go
+++ b/io/listener/early.go
@@ -16,7 +16,9 @@
 // early is a request that is handled before it is its turn on its connection.
 type early struct {
 	// head is the request's head, as sent by the caller.
-	head   []byte
+	head []byte
+	// number is the request's number on its connection.
+	number int
 	cancel context.CancelFunc
 
 	mu     sync.Mutex
--- a/io/listener/early_test.go
+++ b/io/listener/early_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -216,12 +217,32 @@
 	}
 }
 
+// TestFollowing guards against the end of a connection before the response to a request that is the
+// same as the one before it, byte for byte.
+func TestFollowing(t *testing.T) {
+	head := []byte(get("/1"))
+	a := &ahead{begin: func(*http.Request) *early { return &early{} }}
+	a.buffered = append(slices.Clone(head), head...)
+	a.deliver(make([]byte, len(head)))
+	a.beginEarly()
+	for i, want := range []bool{true, false} {
+		if got := a.follow(); got != want {
+			t.Errorf("request %d is followed by one that was begun: got %t, want %t", i+1, got, want)
+		}
+		if got := a.take() != nil; got == want {
+			t.Errorf("request %d was begun early: got %t, want %t", i+1, got, !want)
+		}
+		a.next()
+		a.deliver(make([]byte, len(head)))
+	}
+}
+
 // TestStopWithPipelinedRequests guards against a planned stop that closes a connection before the
 // requests that were begun early on it are answered.
 func TestStopWithPipelinedRequests(t *testing.T) {
 	s := newPipelineServer(t)
 	conn := dial(t, s.Listener)
-	write(t, conn, get("/slow/1")+get("/2")+get("/3"))
+	write(t, conn, get("/slow/1")+get("/slow/1")+get("/3"))
 	s.await(t, 3)
 	s.StopEarly()
 	write(t, conn, get("/4"))
@@ -230,7 +251,7 @@
 	defer cancel()
 	closed := make(chan int)
 	go func() { closed <- s.CloseIdle(ctx) }()
-	wantPaths(t, conn, "/slow/1", "/2", "/3", "/4")
+	wantPaths(t, conn, "/slow/1", "/slow/1", "/3", "/4")
 	if got := <-closed; got != 0 {
 		t.Errorf("connections left open: got %d, want 0", got)
 	}
