Give a silent holder its backoff also for requests that can't be sent again

Cause: only idempotent requests were watched at the holder of a queue. One that was paused got all others of its targets until the leader said that it had gone, and each ended with its deadline; the design says that they end so, but that the host then has a backoff. And a request could be cancelled in the moment in which its response had come. Change: each request that is relayed to a holder is watched; a silent holder gets its backoff, and only what may be sent again is cancelled. Response and end of patience exclude each other. Measured: the case 'paused, not idempotent' of TestHolderEnds failed before and passes.

--- a/io/proxy/holder_test.go
+++ b/io/proxy/holder_test.go
@@ -169,6 +169,7 @@
 		{name: "killed meanwhile", path: "/read/1", holder: deadHolder(t, false), within: 300 * time.Millisecond, direct: 1, want: 200},
 		{name: "killed meanwhile, not idempotent", path: "/write/1", holder: deadHolder(t, false), within: 300 * time.Millisecond, want: 502},
 		{name: "paused", path: "/read/1", holder: deadHolder(t, true), within: 700 * time.Millisecond, direct: 1, want: 200},
+		{name: "paused, not idempotent", path: "/write/1", holder: deadHolder(t, true), within: 1200 * time.Millisecond, want: 504},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p, direct := newKeyedProxy(t, 7, respond(http.StatusOK), c.holder)
--- a/io/proxy/peerprobe.go
+++ b/io/proxy/peerprobe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,14 +26,16 @@
 var errPeerSilent = errors.New("host does not answer")
 
 // watchPeer probes the host that a request is relayed to while there is no response, as the host
-// may be paused. If it is, a request that may be sent again is cancelled. The caller calls stop
-// once the response has begun.
+// may be paused. If it is, it has a backoff, and a request that may be sent again is cancelled. The
+// caller calls stop once it has the response.
 func (p *Proxy) watchPeer(ctx context.Context, q *request, host peers.Host) (watched context.Context, stop func()) {
-	if q.queueOwner == "" || !q.match.Route.Idempotent || !q.body.replayable() {
+	if q.queueOwner == "" {
 		return ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	ended := make(chan struct{})
+	// once decides between the response and the end of patience.
+	var once sync.Once
 	timer := time.AfterFunc(peerPatience, func() {
 		for p.probePeer(host.Address) {
 			select {
@@ -41,14 +44,16 @@
 			case <-time.After(peerPatience):
 			}
 		}
-		select {
-		case <-ended:
-		default:
-			cancel(errPeerSilent)
-		}
+		once.Do(func() {
+			p.peers.MarkFailed(host.Address, p.clock.Now())
+			if q.match.Route.Idempotent && q.body.replayable() {
+				cancel(errPeerSilent)
+			}
+		})
 	})
 	return ctx, func() {
 		timer.Stop()
+		once.Do(func() {})
 		close(ended)
 	}
 }
