Keep the header of an empty early response

Cause: a handler that sets headers and returns without a status or a body has responded with status 200; begun early, its headers were lost. Change: they are copied at the end of the handler. Measured: '/empty' in TestPipelinedRequestsWait failed before and passes.

--- a/io/listener/early.go
+++ b/io/listener/early.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -110,10 +111,11 @@
 		if aborted {
 			panic(http.ErrAbortHandler)
 		}
-		if status != 0 && !begun {
+		if (status != 0 || ended) && !begun {
 			begun = true
 			copyHeader(w.Header(), e.header)
-			w.WriteHeader(status)
+			// A handler need not state the status of an empty response.
+			w.WriteHeader(cmp.Or(status, http.StatusOK))
 		}
 		if len(part) > 0 {
 			if _, err := w.Write(part); err != nil {
--- a/io/listener/early_test.go
+++ b/io/listener/early_test.go
@@ -60,6 +60,9 @@
 	if r.URL.Path == "/large" {
 		body = []byte(strings.Repeat("x", 3*maxEarlyBody))
 	}
+	if r.URL.Path == "/empty" {
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s", body)
 }
 
@@ -117,12 +120,12 @@
 	t.Run("in one write", func(t *testing.T) {
 		s := newPipelineServer(t)
 		conn := dial(t, s.Listener)
-		write(t, conn, get("/slow/1")+get("/2")+get("/slow/3")+get("/large"))
-		if got := len(s.await(t, 4)); got != 4 {
-			t.Errorf("requests begun: got %d, want 4", got)
+		write(t, conn, get("/slow/1")+get("/2")+get("/slow/3")+get("/large")+get("/empty"))
+		if got := len(s.await(t, 5)); got != 5 {
+			t.Errorf("requests begun: got %d, want 5", got)
 		}
 		close(s.release)
-		wantPaths(t, conn, "/slow/1", "/2", "/slow/3", "/large")
+		wantPaths(t, conn, "/slow/1", "/2", "/slow/3", "/large", "/empty")
 	})
 	t.Run("byte by byte", func(t *testing.T) {
 		s := newPipelineServer(t)
