Read into the server's buffer where it has room

Cause: each read of a caller's connection took 4 KiB of its own, for as long as it waited: an idle connection holds one. Change: only the read of one byte, by which the server learns that a caller leaves, takes a buffer of its own.

--- a/io/listener/split.go
+++ b/io/listener/split.go
@@ -45,7 +45,7 @@
 // completely, it reads to learn whether the caller leaves: then what follows is read ahead, and
 // the read ends with an error only.
 func (c *Conn) readSplit(data []byte) (int, error) {
-	var buffer [readSize]byte
+	buffer := data
 	for {
 		n, room, err := c.passOn(data)
 		if n > 0 || err != nil {
@@ -57,7 +57,11 @@
 			}
 			continue
 		}
-		n, err = c.Conn.Read(buffer[:min(room, readSize)])
+		if len(buffer) <= 1 {
+			// The server reads one byte to learn whether the caller leaves.
+			buffer = make([]byte, readSize)
+		}
+		n, err = c.Conn.Read(buffer[:min(room, len(buffer))])
 		if err = c.keep(buffer[:n], err); err != nil {
 			return 0, err
 		}
