Shorten the model of an owner's queue

Change: kinds and calls are one type, a sorted slice is the heap, sums are not kept by rank (they were only added up); the number of refusals, which nothing checked, is not logged.

--- a/core/ownerqueue/model_test.go
+++ b/core/ownerqueue/model_test.go
@@ -1,34 +1,38 @@
 package ownerqueue
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"pineturn/core/concurrency"
 )
 
-// kind is a kind of request of the modelled load.
-type kind struct {
-	share                        float64
-	rank                         int
-	objective, timeout, deadline time.Duration
-	work                         time.Duration
-	idempotent                   bool
+// call is a caller's request over all its attempts, with times in seconds since the start.
+type call struct {
+	rank                               int
+	objective, timeout, deadline, work float64
+	idempotent, obedient               bool
+	first, arrived                     float64
+	attempts                           int
+	ticket                             *Ticket
 }
 
-// loads are those of the two deployments that asked for the queue.
-var loads = map[string][]kind{
-	"checks and confirmations": {
-		{0.73, 0, 500 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second, 160 * time.Millisecond, true},
-		{0.27, 1, 800 * time.Millisecond, 2500 * time.Millisecond, 5 * time.Second, 210 * time.Millisecond, false},
-	},
-	"listings": {
-		{1, 0, 800 * time.Millisecond, 2500 * time.Millisecond, 5 * time.Second, 190 * time.Millisecond, true},
-	},
+// loads are those of the two deployments that asked for the queue: the first kind of request, the
+// other, and the share of the first.
+var loads = map[string]struct {
+	kinds [2]call
+	share float64
+}{
+	"checks and confirmations": {[2]call{
+		{objective: 0.5, timeout: 1.5, deadline: 3, work: 0.16, idempotent: true},
+		{rank: 1, objective: 0.8, timeout: 2.5, deadline: 5, work: 0.21},
+	}, 0.73},
+	"listings": {[2]call{{objective: 0.8, timeout: 2.5, deadline: 5, work: 0.19, idempotent: true}}, 1},
 }
 
 const (
@@ -36,56 +40,41 @@
 	modelQueue   = 12
 	modelSeconds = 60
 	maxAttempts  = 3
+	// workSpread is the deviation of the logarithm of the work of requests of a kind.
+	workSpread = 0.5
 )
 
-// call is a caller's request over all its attempts, in seconds since the start.
-type call struct {
-	kind
-	first, arrived float64
-	attempts       int
-	obedient       bool
-	work           float64
-	ticket         *Ticket
-}
-
 // event calls a function at a time.
 type event struct {
 	at float64
 	do func()
 }
 
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any          { old := *e; x := old[len(old)-1]; *e = old[:len(old)-1]; return x }
-
 // model is one target with its holder and its callers.
 type model struct {
-	events events
+	events []event
 	now    float64
 	random *rand.Rand
 	speed  float64
-	target []*call // the target's own requests; the first modelSlots run
+	// target holds the requests at the target; the first modelSlots run.
+	target []*call
 	// start decides about a request that has arrived; ended is told of each that the target ends.
-	start func(*call)
-	ended func(*call)
-	call  func(*Ticket) *call
-	// outcomes by rank: calls, answered within the objective, late.
-	calls, inTime, late [2]float64
-	refusals            float64
+	start, ended        func(*call)
+	calls, inTime, late float64
 }
 
-func (m *model) at(after float64, do func()) { heap.Push(&m.events, event{m.now + after, do}) }
-func (m *model) time() time.Time             { return time.Unix(0, int64(m.now*1e9)) }
+func seconds(s float64) time.Duration { return time.Duration(s * 1e9) }
+
+func (m *model) at(after float64, do func()) {
+	m.events = append(m.events, event{m.now + after, do})
+	slices.SortStableFunc(m.events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+}
 
 // send passes a request to the target, which may refuse it.
 func (m *model) send(c *call) {
 	if len(m.target) >= modelSlots+modelQueue {
 		m.ended(c)
-		m.refuse(c, 0.1)
+		m.retry(c, 0.1)
 		return
 	}
 	m.target = append(m.target, c)
@@ -96,42 +85,32 @@
 
 func (m *model) run(c *call) {
 	m.at(c.work/m.speed, func() {
-		for i, other := range m.target {
-			if other == c {
-				m.target = append(m.target[:i:i], m.target[i+1:]...)
-				break
-			}
-		}
+		m.target = slices.DeleteFunc(m.target, func(other *call) bool { return other == c })
 		if len(m.target) >= modelSlots {
 			m.run(m.target[modelSlots-1])
 		}
-		switch took := m.now - c.first; {
-		case m.now-c.arrived > c.timeout.Seconds():
+		switch {
+		case m.now-c.arrived > c.timeout:
 			m.retry(c, 0)
-		case took <= c.objective.Seconds():
-			m.inTime[c.rank]++
+		case m.now-c.first <= c.objective:
+			m.inTime++
 		default:
-			m.late[c.rank]++
+			m.late++
 		}
 		m.ended(c)
 	})
 }
 
-// refuse refuses a request.
-func (m *model) refuse(c *call, retryAfter float64) {
-	m.refusals++
-	m.retry(c, retryAfter)
-}
-
+// retry has the caller of a refused request or one that took too long return, at once if it does not
+// do as it is told.
 func (m *model) retry(c *call, after float64) {
 	if !c.obedient {
 		after = 0.01
 	}
-	if c.attempts >= maxAttempts || m.now+after-c.first > c.deadline.Seconds() {
+	if c.attempts >= maxAttempts || m.now+after-c.first > c.deadline {
 		return
 	}
 	again := *c
-	again.ticket = nil
 	again.attempts++
 	m.at(after, func() {
 		again.arrived = m.now
@@ -139,71 +118,61 @@
 	})
 }
 
-// play plays callers that ask for load times what the target can do, some of which return at once.
-func play(kinds []kind, load, speed float64, policy func(*model)) *model {
+// play plays callers that ask for load times what the target can do, and returns the shares of the
+// calls that were answered in time, late and never.
+func play(kinds [2]call, share, load, speed float64, policy func(*model)) [3]float64 {
 	m := &model{random: rand.New(rand.NewPCG(1, 2)), speed: speed}
 	policy(m)
-	mean := 0.0
-	for _, k := range kinds {
-		mean += k.share * k.work.Seconds()
-	}
-	rate := load * modelSlots * speed / mean
+	rate := load * modelSlots * speed / (share*kinds[0].work + (1-share)*kinds[1].work)
 	var arrive func()
 	arrive = func() {
-		k := kinds[0]
-		if m.random.Float64() >= k.share {
-			k = kinds[1]
+		c := kinds[0]
+		if m.random.Float64() >= share {
+			c = kinds[1]
 		}
-		const spread = 0.5
-		c := &call{kind: k, first: m.now, arrived: m.now, attempts: 1, obedient: m.random.Float64() < 0.8}
-		c.work = k.work.Seconds() * math.Exp(spread*m.random.NormFloat64()-spread*spread/2)
-		m.calls[k.rank]++
-		m.start(c)
+		c.first, c.arrived, c.attempts, c.obedient = m.now, m.now, 1, m.random.Float64() < 0.8
+		c.work *= math.Exp(workSpread*m.random.NormFloat64() - workSpread*workSpread/2)
+		m.calls++
+		m.start(&c)
 		m.at(m.random.ExpFloat64()/rate, arrive)
 	}
 	m.at(0, arrive)
-	for len(m.events) > 0 {
-		e := heap.Pop(&m.events).(event)
-		if m.now = e.at; m.now > modelSeconds {
-			break
-		}
+	for m.events[0].at <= modelSeconds {
+		e := m.events[0]
+		m.events, m.now = m.events[1:], e.at
 		e.do()
 	}
-	return m
+	return [3]float64{m.inTime / m.calls, m.late / m.calls, 1 - (m.inTime+m.late)/m.calls}
 }
 
 // byQueue is the policy of this package.
 func byQueue(m *model) {
-	q := New()
+	q, calls := New(), make(map[*Ticket]*call)
 	q.Random = m.random.Float64
+	q.SetTarget(Target{Slots: modelSlots, Estimate: concurrency.Estimate{Limit: modelSlots, ProcessingTime: seconds(0.17 / m.speed)}})
+	now := func() time.Time { return time.Unix(0, int64(m.now*1e9)) }
+	refuseOrSend := func(t *Ticket) {
+		if after, refused := t.Refused(); refused {
+			m.retry(calls[t], after.Seconds())
+		} else if t.Running() {
+			m.send(calls[t])
+		}
+	}
 	step := func() {
-		for _, t := range q.Start(m.time()) {
-			c := m.call(t)
-			if t.Running() {
-				m.send(c)
-				continue
-			}
-			after, _ := t.Refused()
-			m.refuse(c, after.Seconds())
+		for _, t := range q.Start(now()) {
+			refuseOrSend(t)
 		}
 	}
-	q.SetTarget(Target{Slots: modelSlots, Estimate: concurrency.Estimate{
-		Limit: modelSlots, ProcessingTime: time.Duration(float64(170*time.Millisecond) / m.speed),
-	}})
-	tickets := make(map[*Ticket]*call)
-	m.call = func(t *Ticket) *call { return tickets[t] }
 	m.start = func(c *call) {
-		now := m.time()
+		age := m.now - c.first
 		c.ticket = q.Submit(Request{
-			Rank: c.rank, Objective: now.Add(c.objective - time.Duration((m.now-c.first)*1e9)), Deadline: now.Add(min(c.timeout, c.deadline-time.Duration((m.now-c.first)*1e9))),
+			Rank: c.rank, Objective: now().Add(seconds(c.objective) - seconds(age)), Deadline: now().Add(min(seconds(c.timeout), seconds(c.deadline)-seconds(age))),
 			Idempotent: c.idempotent, Returned: c.attempts > 1 && c.obedient,
-		}, now)
-		tickets[c.ticket] = c
-		if after, ok := c.ticket.Refused(); ok {
-			m.refuse(c, after.Seconds())
-			return
+		}, now())
+		calls[c.ticket] = c
+		if refuseOrSend(c.ticket); c.ticket.state != refused {
+			step()
 		}
-		step()
 	}
 	m.ended = func(c *call) {
 		q.End(c.ticket)
@@ -216,18 +185,17 @@
 func byDepth(m *model) {
 	m.ended = func(*call) {}
 	m.start = func(c *call) {
-		end := m.now + 0.4*c.objective.Seconds()
+		end, limit := m.now+0.4*c.objective, 2.5*modelSlots
+		if c.idempotent {
+			limit = 3.5 * modelSlots
+		}
 		var try func()
 		try = func() {
-			limit := 3.5 * modelSlots
-			if !c.idempotent {
-				limit = 2.5 * modelSlots
-			}
 			switch {
 			case float64(len(m.target)+1) <= limit:
 				m.send(c)
 			case m.now >= end:
-				m.refuse(c, c.objective.Seconds()/2*(0.75+m.random.Float64()/2))
+				m.retry(c, c.objective/2*(0.75+m.random.Float64()/2))
 			default:
 				m.at(0.025, try)
 			}
@@ -236,24 +204,15 @@
 	}
 }
 
-// shares returns the shares of the calls that were answered in time, late and never, and the
-// refusals a call.
-func (m *model) shares() [4]float64 {
-	all := m.calls[0] + m.calls[1]
-	inTime, late := (m.inTime[0]+m.inTime[1])/all, (m.late[0]+m.late[1])/all
-	return [4]float64{inTime, late, 1 - inTime - late, m.refusals / all}
-}
-
-// TestModel guards against a queue that answers fewer requests in time than the rule by depth, serves
-// fewer at all, or puts the urgent ones behind.
+// TestModel guards against a queue that answers fewer requests in time than the rule by depth, or
+// serves fewer at all.
 func TestModel(t *testing.T) {
-	for name, kinds := range loads {
+	for name, l := range loads {
 		for _, load := range []float64{0.5, 1, 2, 4} {
 			for _, speed := range []float64{0.6, 1, 1.6} {
 				t.Run(fmt.Sprintf("%s, %v of the room, speed %v", name, load, speed), func(t *testing.T) {
-					queue, depth := play(kinds, load, speed, byQueue), play(kinds, load, speed, byDepth)
-					got, rule := queue.shares(), depth.shares()
-					t.Logf("in time, late, never, refused: queue %.2f, rule by depth %.2f", got, rule)
+					got, rule := play(l.kinds, l.share, load, speed, byQueue), play(l.kinds, l.share, load, speed, byDepth)
+					t.Logf("in time, late, never: queue %.2f, rule by depth %.2f", got, rule)
 					minGain := 0.03
 					if load < 1 {
 						minGain = -0.02
