Join the tests of pipelined requests

Change: the cases of TestPipelinedRequestsWait are a table; the tests of the connection (caller leaves, response broken off, stop) are parts of one; a handler's cancellation is recorded with the requests that have begun.

--- a/io/listener/early_test.go
+++ b/io/listener/early_test.go
@@ -17,13 +17,14 @@
 // pipelineServer serves requests, of which those to /slow/ wait until they are released.
 type pipelineServer struct {
 	*Listener
-	mu       sync.Mutex
-	begun    []string
-	canceled int
-	release  chan struct{}
+	mu sync.Mutex
+	// begun holds the paths of the requests, and "cancelled" for each of those to /slow/ that was.
+	begun   []string
+	release chan struct{}
 }
 
-func newPipelineServer(t *testing.T) *pipelineServer {
+// newPipelineServer runs a server and returns a connection to it.
+func newPipelineServer(t *testing.T) (*pipelineServer, net.Conn) {
 	t.Helper()
 	l, err := Listen("127.0.0.1:0")
 	if err != nil {
@@ -35,49 +36,58 @@
 	server.Handler = l.BeginEarly(http.HandlerFunc(s.handle))
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return s
+	return s, dial(t, l)
 }
 
-func (s *pipelineServer) handle(w http.ResponseWriter, r *http.Request) {
+func (s *pipelineServer) record(text string) {
 	s.mu.Lock()
-	s.begun = append(s.begun, r.URL.Path)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	s.begun = append(s.begun, text)
+}
+
+func (s *pipelineServer) handle(w http.ResponseWriter, r *http.Request) {
+	path := r.URL.Path
+	s.record(path)
 	body, _ := io.ReadAll(r.Body)
-	if strings.HasPrefix(r.URL.Path, "/slow/") {
+	if strings.HasPrefix(path, "/slow/") {
 		select {
 		case <-s.release:
 		case <-r.Context().Done():
-			s.mu.Lock()
-			s.canceled++
-			s.mu.Unlock()
+			s.record("cancelled")
 			return
 		}
 	}
-	if r.URL.Path == "/broken" {
+	w.Header().Set("X-Path", path)
+	switch path {
+	case "/broken":
 		panic(http.ErrAbortHandler)
-	}
-	w.Header().Set("X-Path", r.URL.Path)
-	if r.URL.Path == "/large" {
-		body = []byte(strings.Repeat("x", 3*maxEarlyBody))
-	}
-	if r.URL.Path == "/empty" {
+	case "/empty":
 		return
+	case "/large":
+		body = []byte(strings.Repeat("x", 3*maxEarlyBody))
 	}
-	_, _ = fmt.Fprintf(w, "%s", body)
+	_, _ = w.Write(body)
 }
 
-// await waits until a number of requests have begun, and returns their paths.
+// await waits until so many requests have begun or been cancelled, and returns what was recorded.
 func (s *pipelineServer) await(t *testing.T, n int) []string {
 	t.Helper()
-	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(2 * time.Second); ; time.Sleep(time.Millisecond) {
 		s.mu.Lock()
-		begun := s.begun
+		begun := slices.Clone(s.begun)
 		s.mu.Unlock()
-		if len(begun) >= n {
+		if len(begun) >= n || time.Now().After(end) {
 			return begun
 		}
 	}
-	return s.begun
+}
+
+// requests returns requests with these paths.
+func requests(paths ...string) (text string) {
+	for _, path := range paths {
+		text += get(path)
+	}
+	return text
 }
 
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
@@ -117,46 +127,33 @@
 // TestPipelinedRequestsWait guards against requests that are handled only once the one before them
 // on their connection has been answered, and against responses in another order.
 func TestPipelinedRequestsWait(t *testing.T) {
-	t.Run("in one write", func(t *testing.T) {
-		s := newPipelineServer(t)
-		conn := dial(t, s.Listener)
-		write(t, conn, get("/slow/1")+get("/2")+get("/slow/3")+get("/large")+get("/empty"))
-		if got := len(s.await(t, 5)); got != 5 {
-			t.Errorf("requests begun: got %d, want 5", got)
-		}
-		close(s.release)
-		wantPaths(t, conn, "/slow/1", "/2", "/slow/3", "/large", "/empty")
-	})
-	t.Run("byte by byte", func(t *testing.T) {
-		s := newPipelineServer(t)
-		conn := dial(t, s.Listener)
-		write(t, conn, get("/slow/1"))
-		s.await(t, 1)
-		for _, b := range get("/2") + get("/3") {
-			write(t, conn, string(b))
-		}
-		if got := len(s.await(t, 3)); got != 3 {
-			t.Errorf("requests begun: got %d, want 3", got)
-		}
-		close(s.release)
-		wantPaths(t, conn, "/slow/1", "/2", "/3")
-	})
-	t.Run("more than are begun early", func(t *testing.T) {
-		s := newPipelineServer(t)
-		conn := dial(t, s.Listener)
-		want := []string{"/slow/1"}
-		for i := range 3 * maxEarly {
-			want = append(want, fmt.Sprint("/", i))
-		}
-		for _, path := range want {
-			write(t, conn, get(path))
-		}
-		if got := len(s.await(t, 1+maxEarly)); got != 1+maxEarly {
-			t.Errorf("requests begun: got %d, want %d", got, 1+maxEarly)
-		}
-		close(s.release)
-		wantPaths(t, conn, want...)
-	})
+	many := []string{"/slow/1"}
+	for i := range 3 * maxEarly {
+		many = append(many, fmt.Sprint("/", i))
+	}
+	for _, c := range []struct {
+		name string
+		// size is the number of bytes of one write.
+		size  int
+		paths []string
+		begun int
+	}{
+		{"in one write", 1 << 20, []string{"/slow/1", "/2", "/slow/3", "/large", "/empty"}, 5},
+		{"byte by byte", 1, []string{"/slow/1", "/2", "/3"}, 3},
+		{"more than are begun early", len(get("/0")), many, 1 + maxEarly},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, conn := newPipelineServer(t)
+			for part := range slices.Chunk([]byte(requests(c.paths...)), c.size) {
+				write(t, conn, string(part))
+			}
+			if got := s.await(t, c.begun); len(got) != c.begun {
+				t.Errorf("requests begun: got %v, want %d", got, c.begun)
+			}
+			close(s.release)
+			wantPaths(t, conn, c.paths...)
+		})
+	}
 }
 
 // TestRequestsNotBegunEarly guards against requests that run although they must wait, or that are
@@ -173,8 +170,7 @@
 		"folded and blank": post("/2", "\r\n\r\n"+get("/hidden")),
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := newPipelineServer(t)
-			conn := dial(t, s.Listener)
+			s, conn := newPipelineServer(t)
 			write(t, conn, get("/slow/1")+second)
 			time.Sleep(20 * time.Millisecond)
 			if got := s.await(t, 1); len(got) != 1 {
@@ -189,35 +185,45 @@
 	}
 }
 
-// TestCallerOfPipelinedRequestsLeaves guards against requests that go on after their caller has
-// left.
-func TestCallerOfPipelinedRequestsLeaves(t *testing.T) {
-	s := newPipelineServer(t)
-	conn := dial(t, s.Listener)
-	write(t, conn, get("/slow/1")+get("/slow/2")+get("/slow/3"))
-	s.await(t, 3)
-	_ = conn.Close()
-	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		s.mu.Lock()
-		canceled := s.canceled
-		s.mu.Unlock()
-		if canceled == 3 {
-			return
+// TestConnectionOfPipelinedRequests guards against requests that go on after their caller has left,
+// a response that was broken off and looks complete, and a planned stop that closes a connection
+// before the requests that were begun early on it are answered.
+func TestConnectionOfPipelinedRequests(t *testing.T) {
+	t.Run("caller leaves", func(t *testing.T) {
+		s, conn := newPipelineServer(t)
+		write(t, conn, requests("/slow/1", "/slow/2", "/slow/3"))
+		s.await(t, 3)
+		_ = conn.Close()
+		want := []string{"/slow/1", "/slow/2", "/slow/3", "cancelled", "cancelled", "cancelled"}
+		if got := s.await(t, 6); !slices.Equal(slices.Sorted(slices.Values(got)), want) {
+			t.Errorf("requests begun and cancelled: got %v, want %v", got, want)
 		}
-	}
-	t.Errorf("requests cancelled: got %d, want 3", s.canceled)
-}
-
-// TestBrokenEarlyResponse guards against a response that was broken off and looks complete.
-func TestBrokenEarlyResponse(t *testing.T) {
-	s := newPipelineServer(t)
-	conn := dial(t, s.Listener)
-	write(t, conn, get("/slow/1")+get("/broken")+get("/3"))
-	s.await(t, 3)
-	close(s.release)
-	if rest, _ := io.ReadAll(wantPaths(t, conn, "/slow/1")); len(rest) > 0 {
-		t.Errorf("after the first response: got %q, want the end of the connection", rest)
-	}
+	})
+	t.Run("response broken off", func(t *testing.T) {
+		s, conn := newPipelineServer(t)
+		write(t, conn, requests("/slow/1", "/broken", "/3"))
+		s.await(t, 3)
+		close(s.release)
+		if rest, _ := io.ReadAll(wantPaths(t, conn, "/slow/1")); len(rest) > 0 {
+			t.Errorf("after the first response: got %q, want the end of the connection", rest)
+		}
+	})
+	t.Run("stop", func(t *testing.T) {
+		s, conn := newPipelineServer(t)
+		write(t, conn, requests("/slow/1", "/slow/1", "/3"))
+		s.await(t, 3)
+		s.StopEarly()
+		write(t, conn, get("/4"))
+		time.AfterFunc(20*time.Millisecond, func() { close(s.release) })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		closed := make(chan int)
+		go func() { closed <- s.CloseIdle(ctx) }()
+		wantPaths(t, conn, "/slow/1", "/slow/1", "/3", "/4")
+		if got := <-closed; got != 0 {
+			t.Errorf("connections left open: got %d, want 0", got)
+		}
+	})
 }
 
 // TestFollowing guards against the end of a connection before the response to a request that is the
@@ -239,23 +245,3 @@
 		a.deliver(make([]byte, len(head)))
 	}
 }
-
-// TestStopWithPipelinedRequests guards against a planned stop that closes a connection before the
-// requests that were begun early on it are answered.
-func TestStopWithPipelinedRequests(t *testing.T) {
-	s := newPipelineServer(t)
-	conn := dial(t, s.Listener)
-	write(t, conn, get("/slow/1")+get("/slow/1")+get("/3"))
-	s.await(t, 3)
-	s.StopEarly()
-	write(t, conn, get("/4"))
-	time.AfterFunc(20*time.Millisecond, func() { close(s.release) })
-	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-	defer cancel()
-	closed := make(chan int)
-	go func() { closed <- s.CloseIdle(ctx) }()
-	wantPaths(t, conn, "/slow/1", "/slow/1", "/3", "/4")
-	if got := <-closed; got != 0 {
-		t.Errorf("connections left open: got %d, want 0", got)
-	}
-}
