Join the cases of pipelined requests and share the links of two tests

Change: TestPipelinedRequestsWait and TestRequestsNotBegunEarly are one table, which asserts both what is begun early and that each request runs once; TestPeerChanges and TestFeedsListChangedPeers share dialPeer and receive (the latter's report was sent by Link.Report, which TestPeers covers).

--- a/io/hostlink/changes_test.go
+++ b/io/hostlink/changes_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 
-	"pineturn/core/clock"
-	"pineturn/core/owner"
 	"pineturn/core/peers"
 )
 
@@ -15,40 +13,25 @@
 	for i := range 2 * maxPeersPerFeed {
 		s.linked.put(s.linked.open(), peerHost(10+i))
 	}
-	dial := func(message reportMessage) *Link {
-		l, err := Dial(t.Context(), address, clock.Boot{})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(l.Close)
-		if err := write(t.Context(), l.conn, message); err != nil {
-			t.Fatal(err)
-		}
-		return l
-	}
+	older, self := peerHost(1), peerHost(2)
+	earlier := dialPeer(t, address, reportMessage{Self: &older})
+	link := dialPeer(t, address, reportMessage{Self: &self, FollowsPeers: true})
 	// next returns the next feed with a list or with changes.
-	next := func(t *testing.T, l *Link) Feed {
-		t.Helper()
+	next := func(l *Link) Feed {
 		for range 10 {
-			feed, err := l.Receive(t.Context())
-			if err != nil {
-				t.Fatal(err)
-			}
-			if len(feed.Peers) > 0 || feed.PeerChanges != nil {
+			if feed := receive(t, l); len(feed.Peers) > 0 || feed.PeerChanges != nil {
 				return feed
 			}
 		}
 		t.Fatal("feeds without news: got 10, want one with news")
 		return Feed{}
 	}
-	older, self := peerHost(1), peerHost(2)
-	earlier := dial(reportMessage{Report: owner.Report{}, Self: &older})
-	link := dial(reportMessage{Report: owner.Report{}, Self: &self, FollowsPeers: true})
-	if got := next(t, earlier); len(got.Peers) != maxPeersPerFeed || got.PeerChanges != nil {
+	if got := next(earlier); len(got.Peers) != maxPeersPerFeed || got.PeerChanges != nil {
 		t.Errorf("feed to an older build: got %d hosts and changes %v, want %d hosts", len(got.Peers), got.PeerChanges, maxPeersPerFeed)
 	}
 	table := peers.New(self)
-	apply := func(feed Feed) int {
+	apply := func() int {
+		feed := next(link)
 		if feed.PeerChanges == nil {
 			table.Put(feed.Peers, listTime)
 			return -1
@@ -57,14 +40,14 @@
 		return len(feed.PeerChanges.Hosts) + len(feed.PeerChanges.Gone)
 	}
 	for len(table.Hosts(listTime)) < 2*maxPeersPerFeed+2 {
-		apply(next(t, link))
+		apply()
 	}
 	s.linked.put(1, peerHost(10, "records"))
-	if got := apply(next(t, link)); got != 1 {
+	if got := apply(); got != 1 {
 		t.Errorf("changes after one host has changed: got %d, want 1", got)
 	}
 	s.linked.remove(1)
-	if got := apply(next(t, link)); got != 1 {
+	if got := apply(); got != 1 {
 		t.Errorf("changes after one host has gone: got %d, want 1", got)
 	}
 }
--- a/io/hostlink/peers_test.go
+++ b/io/hostlink/peers_test.go
@@ -127,6 +127,29 @@
 	})
 }
 
+// dialPeer links a host, as its first report tells of it, to the leader.
+func dialPeer(t *testing.T, address string, report reportMessage) *Link {
+	t.Helper()
+	l, err := Dial(t.Context(), address, clock.Boot{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	if err := write(t.Context(), l.conn, report); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func receive(t *testing.T, l *Link) Feed {
+	t.Helper()
+	feed, err := l.Receive(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return feed
+}
+
 // TestFeedsListChangedPeers guards against feeds that repeat a list of hosts without
 // changes, and against another link that does not get the list.
 func TestFeedsListChangedPeers(t *testing.T) {
@@ -135,11 +158,7 @@
 		t.Helper()
 		var got [][]peers.Host
 		for range feeds {
-			feed, err := l.Receive(t.Context())
-			if err != nil {
-				t.Fatal(err)
-			}
-			if len(feed.Peers) > 0 {
+			if feed := receive(t, l); len(feed.Peers) > 0 {
 				got = append(got, feed.Peers)
 			}
 		}
@@ -147,17 +166,7 @@
 			t.Errorf("lists in %d feeds: got %v, want %v", feeds, got, want)
 		}
 	}
-	dial := func(self peers.Host) *Link {
-		l, err := Dial(t.Context(), address, clock.Boot{})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(l.Close)
-		if err := l.Report(t.Context(), owner.Report{}, News{Self: self}); err != nil {
-			t.Fatal(err)
-		}
-		return l
-	}
+	dial := func(self peers.Host) *Link { return dialPeer(t, address, reportMessage{Self: &self}) }
 	first := dial(peerHost(1))
 	t.Run("first link", func(t *testing.T) { wantLists(t, first, 3, []peers.Host{peerHost(0)}) })
 	second := dial(peerHost(2))
--- a/io/listener/early_test.go
+++ b/io/listener/early_test.go
@@ -124,62 +124,48 @@
 	return r
 }
 
-// TestPipelinedRequestsWait guards against requests that are handled only once the one before them
-// on their connection has been answered, and against responses in another order.
-func TestPipelinedRequestsWait(t *testing.T) {
-	many := []string{"/slow/1"}
+// TestPipelinedRequests guards against requests that are handled only once the one before them on
+// their connection has been answered, responses in another order, requests that run although they
+// must wait, and some that are taken from the body of another one.
+func TestPipelinedRequests(t *testing.T) {
+	many, hidden := []string{"/slow/1"}, get("/hidden")
 	for i := range 3 * maxEarly {
 		many = append(many, fmt.Sprint("/", i))
 	}
+	two := []string{"/slow/1", "/2"}
 	for _, c := range []struct {
-		name string
-		// size is the number of bytes of one write.
-		size  int
-		paths []string
-		begun int
+		name, text string
+		paths      []string
+		// begun is the number of requests that are begun before the response to the first, writeSize
+		// the number of bytes of one write.
+		begun, writeSize int
 	}{
-		{"in one write", 1 << 20, []string{"/slow/1", "/2", "/slow/3", "/large", "/empty"}, 5},
-		{"byte by byte", 1, []string{"/slow/1", "/2", "/3"}, 3},
-		{"more than are begun early", len(get("/0")), many, 1 + maxEarly},
+		{"in one write", requests("/slow/1", "/2", "/slow/3", "/large", "/empty"), []string{"/slow/1", "/2", "/slow/3", "/large", "/empty"}, 5, 1 << 20},
+		{"byte by byte", requests("/slow/1", "/2", "/3"), []string{"/slow/1", "/2", "/3"}, 3, 1},
+		{"more than are begun early", requests(many...), many, 1 + maxEarly, len(hidden)},
+		{"not safe", get("/slow/1") + post("/2", "body"), two, 1, 1 << 20},
+		{"with a body", get("/slow/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx", two, 1, 1 << 20},
+		{"in a body", get("/slow/1") + post("/2", hidden), two, 1, 1 << 20},
+		{"chunked", get("/slow/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden), two, 1, 1 << 20},
+		{"bare line feeds", get("/slow/1") + "GET /2 HTTP/1.1\nHost: h\n\n", two, 1, 1 << 20},
+		{"closes", get("/slow/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", two, 1, 1 << 20},
+		{"without a host", get("/slow/1") + "GET /2 HTTP/1.0\r\n\r\n", two, 1, 1 << 20},
+		{"folded and blank", get("/slow/1") + post("/2", "\r\n\r\n"+hidden), two, 1, 1 << 20},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s, conn := newPipelineServer(t)
-			for part := range slices.Chunk([]byte(requests(c.paths...)), c.size) {
+			for part := range slices.Chunk([]byte(c.text), c.writeSize) {
 				write(t, conn, string(part))
 			}
+			s.await(t, c.begun)
+			time.Sleep(20 * time.Millisecond)
 			if got := s.await(t, c.begun); len(got) != c.begun {
 				t.Errorf("requests begun: got %v, want %d", got, c.begun)
 			}
 			close(s.release)
 			wantPaths(t, conn, c.paths...)
-		})
-	}
-}
-
-// TestRequestsNotBegunEarly guards against requests that run although they must wait, or that are
-// taken from the body of another one.
-func TestRequestsNotBegunEarly(t *testing.T) {
-	for name, second := range map[string]string{
-		"not safe":         post("/2", "body"),
-		"with a body":      "GET /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx",
-		"in a body":        post("/2", get("/hidden")),
-		"chunked":          "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(get("/hidden")), get("/hidden")),
-		"bare line feeds":  "GET /2 HTTP/1.1\nHost: h\n\n",
-		"closes":           "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
-		"without a host":   "GET /2 HTTP/1.0\r\n\r\n",
-		"folded and blank": post("/2", "\r\n\r\n"+get("/hidden")),
-	} {
-		t.Run(name, func(t *testing.T) {
-			s, conn := newPipelineServer(t)
-			write(t, conn, get("/slow/1")+second)
-			time.Sleep(20 * time.Millisecond)
-			if got := s.await(t, 1); len(got) != 1 {
-				t.Errorf("requests begun: got %v, want the first alone", got)
-			}
-			close(s.release)
-			wantPaths(t, conn, "/slow/1", "/2")
-			if got := s.await(t, 2); len(got) != 2 {
-				t.Errorf("requests: got %v, want two", got)
+			if got := s.await(t, len(c.paths)); len(got) != len(c.paths) {
+				t.Errorf("requests: got %v, want %v", got, c.paths)
 			}
 		})
 	}
