Share targets and servers among tests of the proxy and the listener

Change: tests of relayed bodies use newTestTarget and newKeyedProxy; TestQueueAfterMove is part of TestQueueOfOwner, which also sees a waiting request begin in the place of one that ends; tests of pipelined requests and of the listener share serveWith. TestFollowing asserts the same of both requests in one place.

--- a/io/listener/early_test.go
+++ b/io/listener/early_test.go
@@ -26,17 +26,11 @@
 // newPipelineServer runs a server and returns a connection to it.
 func newPipelineServer(t *testing.T) (*pipelineServer, net.Conn) {
 	t.Helper()
-	l, err := Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &pipelineServer{Listener: l, release: make(chan struct{})}
-	server := &http.Server{ReadHeaderTimeout: time.Second}
-	l.Attach(server)
-	server.Handler = l.BeginEarly(http.HandlerFunc(s.handle))
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return s, dial(t, l)
+	s := &pipelineServer{release: make(chan struct{})}
+	s.Listener = serveWith(t, func(server *http.Server, l *Listener) {
+		server.ReadHeaderTimeout, server.Handler = time.Second, l.BeginEarly(http.HandlerFunc(s.handle))
+	})
+	return s, dial(t, s.Listener)
 }
 
 func (s *pipelineServer) record(text string) {
@@ -216,18 +210,13 @@
 // same as the one before it, byte for byte.
 func TestFollowing(t *testing.T) {
 	head := []byte(get("/1"))
-	a := &ahead{begin: func(*http.Request) *early { return &early{} }}
-	a.buffered = append(slices.Clone(head), head...)
-	a.deliver(make([]byte, len(head)))
-	a.beginEarly()
-	for i, want := range []bool{true, false} {
-		if got := a.follow(); got != want {
-			t.Errorf("request %d is followed by one that was begun: got %t, want %t", i+1, got, want)
-		}
-		if got := a.take() != nil; got == want {
-			t.Errorf("request %d was begun early: got %t, want %t", i+1, got, !want)
+	a := &ahead{begin: func(*http.Request) *early { return &early{} }, buffered: slices.Concat(head, head)}
+	for i, wantEarly := range []bool{false, true} {
+		a.deliver(make([]byte, len(head)))
+		a.beginEarly()
+		if follows, early := a.follow(), a.take() != nil; follows == wantEarly || early != wantEarly {
+			t.Errorf("request %d: got another one after it %t, begun early %t, want %t, %t", i+1, follows, early, !wantEarly, wantEarly)
 		}
 		a.next()
-		a.deliver(make([]byte, len(head)))
 	}
 }
--- a/io/listener/listener_test.go
+++ b/io/listener/listener_test.go
@@ -15,15 +15,24 @@
 // serve runs a server behind a listener. Its handler blocks until proceed is
 // closed.
 func serve(t *testing.T, proceed <-chan struct{}) *Listener {
+	t.Helper()
+	return serveWith(t, func(server *http.Server, _ *Listener) {
+		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			<-proceed
+			_, _ = fmt.Fprint(w, CallerDisconnected(r.Context()))
+		})
+	})
+}
+
+// serveWith runs a server behind a listener, as set up by a function.
+func serveWith(t *testing.T, setUp func(*http.Server, *Listener)) *Listener {
 	t.Helper()
 	l, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		<-proceed
-		_, _ = fmt.Fprint(w, CallerDisconnected(r.Context()))
-	})}
+	server := &http.Server{}
+	setUp(server, l)
 	l.Attach(server)
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
--- a/io/proxy/holder_test.go
+++ b/io/proxy/holder_test.go
@@ -94,27 +94,24 @@
 func TestNoRelayToHolder(t *testing.T) {
 	relayed := keyed(http.Header{headerRelayVersion: {"7"}, headerRelaySends: {"0"}, headerRelayService: {testService}})
 	for _, c := range []struct {
-		name    string
-		header  http.Header
-		handler func(*Proxy) http.Handler
-		change  func(*Proxy, peers.Host)
-		holder  int
+		name   string
+		header http.Header
+		change func(*Proxy, peers.Host)
+		holder int
 	}{
-		{name: "keyed", header: keyed(nil), holder: 1},
-		{name: "no key"},
-		{name: "feature is off", header: keyed(nil), change: func(p *Proxy, _ peers.Host) { p.OwnerQueue = func() bool { return false } }},
-		{name: "relayed", header: relayed, handler: (*Proxy).RelayHandler},
-		{name: "holder in backoff", header: keyed(nil), change: func(p *Proxy, h peers.Host) { p.peers.MarkFailed(h.Address, p.clock.Now()) }},
+		{"keyed", keyed(nil), func(*Proxy, peers.Host) {}, 1},
+		{"no key", nil, func(*Proxy, peers.Host) {}, 0},
+		{"feature is off", keyed(nil), func(p *Proxy, _ peers.Host) { p.OwnerQueue = func() bool { return false } }, 0},
+		{"relayed", relayed, func(*Proxy, peers.Host) {}, 0},
+		{"holder in backoff", keyed(nil), func(p *Proxy, h peers.Host) { p.peers.MarkFailed(h.Address, p.clock.Now()) }, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			holder := newPeer(t, "a", http.StatusOK, relayResponded)
 			p, direct := newKeyedProxy(t, 7, respond(http.StatusOK), holding(holder.Host))
+			c.change(p, holder.Host)
 			handler := p.Handler()
-			if c.handler != nil {
-				handler = c.handler(p)
-			}
-			if c.change != nil {
-				c.change(p, holder.Host)
+			if c.header.Get(headerRelayVersion) != "" {
+				handler = p.RelayHandler()
 			}
 			if got := get(handler, "/write/1", c.header).Code; got != http.StatusOK {
 				t.Errorf("status: got %d, want 200", got)
--- a/io/proxy/ownerqueue_test.go
+++ b/io/proxy/ownerqueue_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,46 +33,28 @@
 	}
 }
 
-// newBusyOwner returns a proxy with an owner that has as many requests as it has slots, until they
-// are released, and their ends.
-func newBusyOwner(t *testing.T) (p *Proxy, received *atomic.Int64, release chan struct{}, ends [4]<-chan int) {
-	t.Helper()
-	release = make(chan struct{})
-	p, received = newKeyedProxy(t, 7, func(w http.ResponseWriter, r *http.Request) {
+// TestQueueOfOwner guards against an owner that gets more requests than it has slots, requests that
+// have gone and keep their place, and some that wait for a target that no longer owns their key.
+func TestQueueOfOwner(t *testing.T) {
+	release := make(chan struct{})
+	p, received := newKeyedProxy(t, 7, func(w http.ResponseWriter, r *http.Request) {
 		<-release
 		respond(http.StatusOK)(w, r)
 	})
+	newTestTarget(t, p, "t2", respond(http.StatusAccepted))
+	var ends [5]<-chan int
 	for i := range ends {
 		ends[i] = send(t.Context(), p)
 	}
-	assertQueued(t, p, 0, 4)
-	return p, received, release, ends
-}
-
-// TestQueueOfOwner guards against an owner that gets more requests than it has slots, and against
-// requests that have gone and keep their place.
-func TestQueueOfOwner(t *testing.T) {
-	p, received, release, ends := newBusyOwner(t)
-	fifth := send(t.Context(), p)
+	assertQueued(t, p, 1, 4)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancelled := send(ctx, p)
 	assertQueued(t, p, 2, 4)
 	cancel()
+	assertEnds(t, cancelled, http.StatusServiceUnavailable) // It was not run.
 	assertQueued(t, p, 1, 4)
-	// It was not run.
-	assertEnds(t, cancelled, http.StatusServiceUnavailable)
-	close(release)
-	for _, ended := range append(ends[:], fifth) {
-		assertEnds(t, ended, http.StatusOK)
-	}
-	assertCount(t, "requests at the owner", received, 5)
-	assertQueued(t, p, 0, 0)
-}
-
-// TestQueueAfterMove guards against requests that wait for a target that no longer owns their key.
-func TestQueueAfterMove(t *testing.T) {
-	p, _, release, _ := newBusyOwner(t)
-	newTestTarget(t, p, "t2", respond(http.StatusAccepted))
+	release <- struct{}{}
+	assertQueued(t, p, 0, 4)
 	moved := send(t.Context(), p)
 	assertQueued(t, p, 1, 4)
 	catalog := p.catalog.(*testCatalog)
@@ -84,6 +65,10 @@
 	catalog.mu.Unlock()
 	assertEnds(t, moved, http.StatusAccepted)
 	close(release)
+	for _, ended := range ends {
+		assertEnds(t, ended, http.StatusOK)
+	}
+	assertCount(t, "requests at the first owner", received, 5)
 	assertQueued(t, p, 0, 0)
 }
 
--- a/io/proxy/stream_test.go
+++ b/io/proxy/stream_test.go
@@ -9,17 +9,15 @@
 	"strings"
 	"testing"
 
-	"pineturn/core/owner"
 	"pineturn/core/peers"
-	"pineturn/core/placement"
-	"pineturn/core/routing"
 )
 
 // newEcho runs a target that responds with the body of the request, signed. Its proxy has a
 // path to it, and is served as another host.
 func newEcho(t *testing.T) (p *Proxy, host peers.Host) {
 	t.Helper()
-	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	p = newTestProxy(7)
+	newTestTarget(t, p, "t1", func(w http.ResponseWriter, r *http.Request) {
 		data, err := io.ReadAll(r.Body)
 		if err != nil {
 			t.Errorf("body at the target: got error %v after %d bytes", err, len(data))
@@ -27,10 +25,7 @@
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Response-Signature", "signed")
 		_, _ = w.Write(data)
-	}))
-	t.Cleanup(target.Close)
-	p = newTestProxy(7)
-	p.targets.Put(placement.Entry{ID: "t1", Service: testService, Address: strings.TrimPrefix(target.URL, "http://"), Slots: 4}, p.clock.Now())
+	})
 	server := httptest.NewServer(p.RelayHandler())
 	t.Cleanup(server.Close)
 	return p, peers.Host{Address: strings.TrimPrefix(server.URL, "http://"), Domain: "a", Incarnation: "a"}
@@ -100,30 +95,24 @@
 // TestRelayedKeyThenDirect guards against a request with a key that can't reach the owner of
 // the key because another host has sent it there before: no other target may run it.
 func TestRelayedKeyThenDirect(t *testing.T) {
-	p, _ := newEcho(t)
 	failing := newPeer(t, "a", http.StatusBadGateway, relayFailed)
-	p.peers.Put([]peers.Host{failing.Host}, p.clock.Now())
-	p.catalog.Table().Config().Services[testService] = routing.Service{Name: testService, Keyed: true}
-	p.catalog.(*testCatalog).assignment = &owner.Assignment{Services: map[string][]owner.Range{
-		testService: {{First: 0, Last: owner.Keys - 1, Owner: owner.Incarnation{Target: "t1"}}},
-	}}
+	p, _ := newKeyedProxy(t, 7, respond(http.StatusOK), failing.Host)
+	p.OwnerQueue = func() bool { return false }
 	detach(p)
-	assertStatus(t, get(p.Handler(), "/read/1", http.Header{"X-Shard-Key": {"7"}}), http.StatusOK)
+	assertStatus(t, get(p.Handler(), "/read/1", keyed(nil)), http.StatusOK)
 	assertReceived(t, failing, 1)
 }
 
 // TestRelayHeadersOfTarget guards against a target whose response changes what the relaying
 // host is told of the request.
 func TestRelayHeadersOfTarget(t *testing.T) {
-	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	p := newTestProxy(7)
+	newTestTarget(t, p, "t1", func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Response-Signature", "signed")
 		w.Header().Set(headerRelayOutcome, string(relayRefused))
 		w.Header().Set(headerRelaySends, "0")
-	}))
-	t.Cleanup(target.Close)
-	p := newTestProxy(7)
-	p.targets.Put(placement.Entry{ID: "t1", Service: testService, Address: strings.TrimPrefix(target.URL, "http://"), Slots: 4}, p.clock.Now())
+	})
 	w := get(p.RelayHandler(), "/write/1", http.Header{headerRelayVersion: {"7"}, headerRelaySends: {"0"}, headerRelayService: {testService}})
 	for name, want := range map[string]string{headerRelayOutcome: string(relayResponded), headerRelaySends: "1", headerRelayTarget: "t1"} {
 		if got := w.Header().Values(name); len(got) != 1 || got[0] != want {
