Test line feeds inside a head and an idle connection with requests begun early

Cause: trials with faults put into the code showed that no test met the check of bare line feeds before another request, nor that a connection with begun requests isn't idle. Change: one case more in TestPipelinedRequests, and the end of the connection in TestFollowing.

--- a/io/listener/early_test.go
+++ b/io/listener/early_test.go
@@ -142,6 +142,7 @@
 		{"in a body", get("/slow/1") + post("/2", hidden), two, 1, 1 << 20},
 		{"chunked", get("/slow/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden), two, 1, 1 << 20},
 		{"bare line feeds", get("/slow/1") + "GET /2 HTTP/1.1\nHost: h\n\n", two, 1, 1 << 20},
+		{"bare line feeds before another request", get("/slow/1") + "GET /2 HTTP/1.1\r\nHost: h\n\n" + get("/3"), []string{"/slow/1", "/2", "/3"}, 1, 1 << 20},
 		{"closes", get("/slow/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", two, 1, 1 << 20},
 		{"without a host", get("/slow/1") + "GET /2 HTTP/1.0\r\n\r\n", two, 1, 1 << 20},
 		{"folded and blank", get("/slow/1") + post("/2", "\r\n\r\n"+hidden), two, 1, 1 << 20},
@@ -211,12 +212,16 @@
 func TestFollowing(t *testing.T) {
 	head := []byte(get("/1"))
 	a := &ahead{begin: func(*http.Request) *early { return &early{} }, buffered: slices.Concat(head, head)}
+	c := &Conn{ahead: a}
 	for i, wantEarly := range []bool{false, true} {
 		a.deliver(make([]byte, len(head)))
 		a.beginEarly()
 		if follows, early := a.follow(), a.take() != nil; follows == wantEarly || early != wantEarly {
 			t.Errorf("request %d: got another one after it %t, begun early %t, want %t, %t", i+1, follows, early, !wantEarly, wantEarly)
 		}
-		a.next()
+		c.markIdle()
+		if got := c.markClosedIfIdle(); got != wantEarly {
+			t.Errorf("connection closed after request %d: got %t, want %t", i+1, got, wantEarly)
+		}
 	}
 }
