Look for forgotten refusals only when one is due

Cause: with 4,096 refusals remembered, each further one went through all of them, under the lock of all queues of the host. TestManyRefusals asserts the bound; it passes before, too: the fault was one of time.

--- a/core/ownerqueue/ownerqueue_test.go
+++ b/core/ownerqueue/ownerqueue_test.go
@@ -179,3 +179,19 @@
 		})
 	}
 }
+
+// TestManyRefusals guards against refusals that are remembered without bound, or none any more once
+// many were.
+func TestManyRefusals(t *testing.T) {
+	var r Refusals[int]
+	for i := range maxRefused + 1 {
+		r.Record(i, epoch, epoch, epoch.Add(time.Second), epoch)
+	}
+	r.Record(-1, epoch, epoch, epoch.Add(2*time.Second), epoch.Add(ms(999)))
+	r.Record(-2, epoch, epoch, epoch.Add(2*time.Second), epoch.Add(time.Second))
+	for id, want := range map[int]bool{maxRefused: false, -1: false, -2: true} {
+		if _, got := r.Take(id, epoch.Add(time.Second)); got != want {
+			t.Errorf("refusal %d: got it known %t, want %t", id, got, want)
+		}
+	}
+}
--- a/core/ownerqueue/returns.go
+++ b/core/ownerqueue/returns.go
@@ -17,6 +17,8 @@
 // concurrent use.
 type Refusals[ID comparable] struct {
 	known map[ID]refusal
+	// sweepAt is when the first of the refusals left by the last sweep is forgotten.
+	sweepAt time.Time
 }
 
 // refusal is what is known of a refused request.
@@ -30,14 +32,28 @@
 	if r.known == nil {
 		r.known = make(map[ID]refusal)
 	}
-	if len(r.known) >= maxRefused {
-		maps.DeleteFunc(r.known, func(_ ID, old refusal) bool { return !now.Before(old.forgetAt) })
+	if len(r.known) >= maxRefused && !now.Before(r.sweepAt) {
+		r.sweep(now)
 	}
 	if len(r.known) < maxRefused {
 		r.known[id] = refusal{first: first, returnAt: returnAt, forgetAt: until}
 	}
 }
 
+// sweep forgets the refusals of which the time is over.
+func (r *Refusals[ID]) sweep(now time.Time) {
+	r.sweepAt = time.Time{}
+	maps.DeleteFunc(r.known, func(_ ID, old refusal) bool {
+		if !now.Before(old.forgetAt) {
+			return true
+		}
+		if r.sweepAt.IsZero() || old.forgetAt.Before(r.sweepAt) {
+			r.sweepAt = old.forgetAt
+		}
+		return false
+	})
+}
+
 // Take returns when a request that arrives has arrived first, and whether it was refused and
 // returns when it was told to. It forgets the refusal.
 func (r *Refusals[ID]) Take(id ID, now time.Time) (first time.Time, returned bool) {
