--- a/core/ownerqueue/model_test.go
+++ b/core/ownerqueue/model_test.go
@@ -1,11 +1,11 @@
 package ownerqueue
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"testing"
 	"time"
 
@@ -65,8 +65,9 @@
 func seconds(s float64) time.Duration { return time.Duration(s * 1e9) }
 
 func (m *model) at(after float64, do func()) {
-	m.events = append(m.events, event{m.now + after, do})
-	slices.SortStableFunc(m.events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	// After those at the same time.
+	i := sort.Search(len(m.events), func(i int) bool { return m.events[i].at > m.now+after })
+	m.events = slices.Insert(m.events, i, event{m.now + after, do})
 }
 
 // send passes a request to the target.
