Use what was learned only for requests without keys

Change: the leader's weights by learned times are taken out again, with the fields of the report; the choice of an owner, its estimate and the queue of an owner go by the mean of responses as without the feature.

--- a/core/concurrency/concurrency.go
+++ b/core/concurrency/concurrency.go
@@ -175,12 +175,6 @@
 	return Estimate{Limit: e.limit(now), Known: weight >= minKnownSamples, ProcessingTime: time.Duration(processingTime)}
 }
 
-// Usual returns what is known apart from what holds for moments only, refusals and slowdowns.
-func (e *Estimator) Usual() Estimate {
-	processingTime := float64(e.service.ProcessingTime()) * e.relativeTime
-	return Estimate{Limit: e.loadLimit * e.slots, Known: e.usual.weight >= minKnownSamples, ProcessingTime: time.Duration(processingTime)}
-}
-
 // slowdownAt returns how many times as long as on average work takes now at the target's
 // machine, as far as the age of what it said allows.
 func (e *Estimator) slowdownAt(now time.Time) float64 {
--- a/core/owner/loads.go
+++ b/core/owner/loads.go
@@ -170,7 +170,7 @@
 	}
 	for _, targets := range l.processing {
 		for _, stats := range targets {
-			report.Processing = append(report.Processing, stats.report())
+			report.Processing = append(report.Processing, *stats)
 		}
 	}
 	return report
--- a/core/owner/utilization.go
+++ b/core/owner/utilization.go
@@ -29,7 +29,7 @@
 	}
 	for _, target := range assignable {
 		u.byTarget[target.Incarnation] = 0
-		u.perRequest[target.Incarnation] = max(mean*weight(target.Target)/loads.usableSlots(service, target), perLimitedRequest(target))
+		u.perRequest[target.Incarnation] = max(mean*weight(target.Target)/float64(max(target.Slots, 1)), perLimitedRequest(target))
 	}
 	for _, r := range l.services[service] {
 		u.addLoad(r.owner, loads.RangeLoad(service, r.first, r.last))
--- a/core/placement/choice.go
+++ b/core/placement/choice.go
@@ -115,7 +115,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	svc := s.service(criteria.Service)
-	basis := s.basis(svc, now)
+	basis := s.basis(svc, criteria, now)
 	limit := maxDepth(criteria, svc.yields(criteria.Rank, now))
 	var best, limited candidate
 	var rest restState
@@ -237,7 +237,7 @@
 	}
 	svc := s.service(criteria.Service)
 	e := Estimate{
-		Depth: s.estimate(t, s.basis(svc, now)).depth, Limit: maxDepth(criteria, svc.yields(criteria.Rank, now)), Backoff: t.inOwnerBackoff(now),
+		Depth: s.estimate(t, s.basis(svc, criteria, now)).depth, Limit: maxDepth(criteria, svc.yields(criteria.Rank, now)), Backoff: t.inOwnerBackoff(now),
 	}
 	if !t.reported.IsZero() {
 		e.ReportAge = now.Sub(t.reported)
@@ -277,12 +277,13 @@
 	service *serviceState
 	// meanLoad is the mean number of other hosts' requests at a target.
 	meanLoad float64
-	// learns reports that the estimates follow what was learned of each target.
+	// learns reports that the estimates follow what was learned of each target. Those of the
+	// owners of keys do not.
 	learns bool
 }
 
-func (s *Set) basis(svc *serviceState, now time.Time) basis {
-	return basis{now: now, service: svc, meanLoad: svc.meanOtherHostsLoad(now), learns: s.Learns()}
+func (s *Set) basis(svc *serviceState, criteria Criteria, now time.Time) basis {
+	return basis{now: now, service: svc, meanLoad: svc.meanOtherHostsLoad(now), learns: criteria.Owner == "" && s.Learns()}
 }
 
 // estimate returns the choice of a target for a request.
--- a/core/placement/learned.go
+++ b/core/placement/learned.go
@@ -20,21 +20,6 @@
 // requests in the domain while that has room.
 const otherDomainAffinity = 0.3
 
-// concurrency returns what is known of how long a target takes and of how many requests it takes
-// well. A target of which nothing is learned has the limit of a choice and the mean processing
-// time of its service.
-func (s *Set) concurrency(t *Target, now time.Time) concurrency.Estimate {
-	if !s.Learns() {
-		processingTime := float64(s.service(t.entry.Service).meanProcessingTime) * t.processingTimeFactor(now)
-		return concurrency.Estimate{Limit: idempotentMaxDepth * float64(t.entry.Slots), ProcessingTime: time.Duration(processingTime)}
-	}
-	learned := t.learned.Estimate(now)
-	if now.Before(t.warmEnd) {
-		learned.ProcessingTime = time.Duration(coldFactor * float64(learned.ProcessingTime))
-	}
-	return learned
-}
-
 // estimateLearned sets the depth and the expected latency of a choice by what was learned of
 // the target. The requests of other hosts end as fast as the target processes them.
 func (c *Choice) estimateLearned(b basis) {
@@ -70,7 +55,7 @@
 // limit at one as fast as its service. Where other targets may run the request as well, it
 // waits no longer at a slow one than at the others, unless it is served in time.
 func (c *Choice) maxDepth(criteria Criteria, limit float64, svc *serviceState) float64 {
-	if criteria.Owner != "" || !c.learned.Known {
+	if !c.learned.Known {
 		return limit
 	}
 	processingTime := float64(c.learned.ProcessingTime)
--- a/core/placement/ownerload.go
+++ b/core/placement/ownerload.go
@@ -25,13 +25,20 @@
 	if t == nil {
 		return OwnerLoad{}, false
 	}
-	load := OwnerLoad{Slots: t.entry.Slots, Estimate: s.concurrency(t, now)}
+	load := OwnerLoad{Slots: t.entry.Slots, Estimate: s.ownerEstimate(t, now)}
 	if !t.reported.IsZero() {
 		load.OtherHosts = t.otherHostsLoad * decay(now.Sub(t.reported), reportHalfLife)
 	}
 	return load, true
 }
 
+// ownerEstimate returns the limit of a choice and the mean processing time. What was learned of a
+// target is not used for owners of keys.
+func (s *Set) ownerEstimate(t *Target, now time.Time) concurrency.Estimate {
+	processingTime := float64(s.service(t.entry.Service).meanProcessingTime) * t.processingTimeFactor(now)
+	return concurrency.Estimate{Limit: idempotentMaxDepth * float64(t.entry.Slots), ProcessingTime: time.Duration(processingTime)}
+}
+
 // ObserveReport records the load that a target has reported in a response that another host has
 // relayed.
 func (s *Set) ObserveReport(id string, report Report, now time.Time) {
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -269,9 +269,6 @@
 	for id, t := range s.targets {
 		if t.ownerStats.Responses > 0 {
 			t.ownerStats.Service, t.ownerStats.Target = t.entry.Service, id
-			if learned := t.learned.Usual(); learned.Known && s.Learns() {
-				t.ownerStats.LearnedSeconds, t.ownerStats.LearnedLimit = learned.ProcessingTime.Seconds(), min(learned.Limit, float64(t.entry.Slots))
-			}
 			all = append(all, t.ownerStats)
 			t.ownerStats = owner.ProcessingStats{}
 		}
