--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -36,7 +36,7 @@
 
 const (
 	// gcPercent is the heap growth between garbage collections, in percent.
-	gcPercent = 40
+	gcPercent = 20
 	// headerTimeout limits the time to read a request header.
 	headerTimeout = 15 * time.Second
 	// callerIdleTimeout is longer than any idle timeout that the operator
