--- a/io/listener/early_test.go
+++ b/io/listener/early_test.go
@@ -17,67 +17,71 @@
 // pipelineServer serves requests, of which those to /slow/ wait until they are released.
 type pipelineServer struct {
 	*Listener
-	mu       sync.Mutex
-	begun    []string
-	canceled int
-	release  chan struct{}
+	mu sync.Mutex
+	// begun holds the paths of the requests, and "cancelled" for each of those to /slow/ that was.
+	begun   []string
+	release chan struct{}
 }
 
-func newPipelineServer(t *testing.T) *pipelineServer {
+// newPipelineServer runs a server and returns a connection to it.
+func newPipelineServer(t *testing.T) (*pipelineServer, net.Conn) {
 	t.Helper()
-	l, err := Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &pipelineServer{Listener: l, release: make(chan struct{})}
-	server := &http.Server{ReadHeaderTimeout: time.Second}
-	l.Attach(server)
-	server.Handler = l.BeginEarly(http.HandlerFunc(s.handle))
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return s
+	s := &pipelineServer{release: make(chan struct{})}
+	s.Listener = serveWith(t, func(server *http.Server, l *Listener) {
+		server.ReadHeaderTimeout, server.Handler = time.Second, l.BeginEarly(http.HandlerFunc(s.handle))
+	})
+	return s, dial(t, s.Listener)
 }
 
-func (s *pipelineServer) handle(w http.ResponseWriter, r *http.Request) {
+func (s *pipelineServer) record(text string) {
 	s.mu.Lock()
-	s.begun = append(s.begun, r.URL.Path)
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	s.begun = append(s.begun, text)
+}
+
+func (s *pipelineServer) handle(w http.ResponseWriter, r *http.Request) {
+	path := r.URL.Path
+	s.record(path)
 	body, _ := io.ReadAll(r.Body)
-	if strings.HasPrefix(r.URL.Path, "/slow/") {
+	if strings.HasPrefix(path, "/slow/") {
 		select {
 		case <-s.release:
 		case <-r.Context().Done():
-			s.mu.Lock()
-			s.canceled++
-			s.mu.Unlock()
+			s.record("cancelled")
 			return
 		}
 	}
-	if r.URL.Path == "/broken" {
+	w.Header().Set("X-Path", path)
+	switch path {
+	case "/broken":
 		panic(http.ErrAbortHandler)
-	}
-	w.Header().Set("X-Path", r.URL.Path)
-	if r.URL.Path == "/large" {
-		body = []byte(strings.Repeat("x", 3*maxEarlyBody))
-	}
-	if r.URL.Path == "/empty" {
+	case "/empty":
 		return
+	case "/large":
+		body = []byte(strings.Repeat("x", 3*maxEarlyBody))
 	}
-	_, _ = fmt.Fprintf(w, "%s", body)
+	_, _ = w.Write(body)
 }
 
-// await waits until a number of requests have begun, and returns their paths.
+// await waits until so many requests have begun or been cancelled, and returns what was recorded.
 func (s *pipelineServer) await(t *testing.T, n int) []string {
 	t.Helper()
-	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(2 * time.Second); ; time.Sleep(time.Millisecond) {
 		s.mu.Lock()
-		begun := s.begun
+		begun := slices.Clone(s.begun)
 		s.mu.Unlock()
-		if len(begun) >= n {
+		if len(begun) >= n || time.Now().After(end) {
 			return begun
 		}
 	}
-	return s.begun
+}
+
+// requests returns requests with these paths.
+func requests(paths ...string) (text string) {
+	for _, path := range paths {
+		text += get(path)
+	}
+	return text
 }
 
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
@@ -114,148 +118,110 @@
 	return r
 }
 
-// TestPipelinedRequestsWait guards against requests that are handled only once the one before them
-// on their connection has been answered, and against responses in another order.
-func TestPipelinedRequestsWait(t *testing.T) {
-	t.Run("in one write", func(t *testing.T) {
-		s := newPipelineServer(t)
-		conn := dial(t, s.Listener)
-		write(t, conn, get("/slow/1")+get("/2")+get("/slow/3")+get("/large")+get("/empty"))
-		if got := len(s.await(t, 5)); got != 5 {
-			t.Errorf("requests begun: got %d, want 5", got)
-		}
-		close(s.release)
-		wantPaths(t, conn, "/slow/1", "/2", "/slow/3", "/large", "/empty")
-	})
-	t.Run("byte by byte", func(t *testing.T) {
-		s := newPipelineServer(t)
-		conn := dial(t, s.Listener)
-		write(t, conn, get("/slow/1"))
-		s.await(t, 1)
-		for _, b := range get("/2") + get("/3") {
-			write(t, conn, string(b))
-		}
-		if got := len(s.await(t, 3)); got != 3 {
-			t.Errorf("requests begun: got %d, want 3", got)
-		}
-		close(s.release)
-		wantPaths(t, conn, "/slow/1", "/2", "/3")
-	})
-	t.Run("more than are begun early", func(t *testing.T) {
-		s := newPipelineServer(t)
-		conn := dial(t, s.Listener)
-		want := []string{"/slow/1"}
-		for i := range 3 * maxEarly {
-			want = append(want, fmt.Sprint("/", i))
-		}
-		for _, path := range want {
-			write(t, conn, get(path))
-		}
-		if got := len(s.await(t, 1+maxEarly)); got != 1+maxEarly {
-			t.Errorf("requests begun: got %d, want %d", got, 1+maxEarly)
-		}
-		close(s.release)
-		wantPaths(t, conn, want...)
-	})
-}
-
-// TestRequestsNotBegunEarly guards against requests that run although they must wait, or that are
-// taken from the body of another one.
-func TestRequestsNotBegunEarly(t *testing.T) {
-	for name, second := range map[string]string{
-		"not safe":         post("/2", "body"),
-		"with a body":      "GET /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx",
-		"in a body":        post("/2", get("/hidden")),
-		"chunked":          "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(get("/hidden")), get("/hidden")),
-		"bare line feeds":  "GET /2 HTTP/1.1\nHost: h\n\n",
-		"closes":           "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
-		"without a host":   "GET /2 HTTP/1.0\r\n\r\n",
-		"folded and blank": post("/2", "\r\n\r\n"+get("/hidden")),
+// TestPipelinedRequests guards against requests that are handled only once the one before them on
+// their connection has been answered, responses in another order, requests that run although they
+// must wait, and some that are taken from the body of another one.
+func TestPipelinedRequests(t *testing.T) {
+	many, hidden := []string{"/slow/1"}, get("/hidden")
+	for i := range 3 * maxEarly {
+		many = append(many, fmt.Sprint("/", i))
+	}
+	two := []string{"/slow/1", "/2"}
+	for _, c := range []struct {
+		name, text string
+		paths      []string
+		// begun is the number of requests that are begun before the response to the first, writeSize
+		// the number of bytes of one write.
+		begun, writeSize int
+	}{
+		{"in one write", requests("/slow/1", "/2", "/slow/3", "/large", "/empty"), []string{"/slow/1", "/2", "/slow/3", "/large", "/empty"}, 5, 1 << 20},
+		{"byte by byte", requests("/slow/1", "/2", "/3"), []string{"/slow/1", "/2", "/3"}, 3, 1},
+		{"more than are begun early", requests(many...), many, 1 + maxEarly, len(hidden)},
+		{"not safe", get("/slow/1") + post("/2", "body"), two, 1, 1 << 20},
+		{"with a body", get("/slow/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx", two, 1, 1 << 20},
+		{"in a body", get("/slow/1") + post("/2", hidden), two, 1, 1 << 20},
+		{"chunked", get("/slow/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden), two, 1, 1 << 20},
+		{"bare line feeds", get("/slow/1") + "GET /2 HTTP/1.1\nHost: h\n\n", two, 1, 1 << 20},
+		{"bare line feeds before another request", get("/slow/1") + "GET /2 HTTP/1.1\r\nHost: h\n\n" + get("/3"), []string{"/slow/1", "/2", "/3"}, 1, 1 << 20},
+		{"closes", get("/slow/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", two, 1, 1 << 20},
+		{"without a host", get("/slow/1") + "GET /2 HTTP/1.0\r\n\r\n", two, 1, 1 << 20},
+		{"folded and blank", get("/slow/1") + post("/2", "\r\n\r\n"+hidden), two, 1, 1 << 20},
 	} {
-		t.Run(name, func(t *testing.T) {
-			s := newPipelineServer(t)
-			conn := dial(t, s.Listener)
-			write(t, conn, get("/slow/1")+second)
+		t.Run(c.name, func(t *testing.T) {
+			s, conn := newPipelineServer(t)
+			for part := range slices.Chunk([]byte(c.text), c.writeSize) {
+				write(t, conn, string(part))
+			}
+			s.await(t, c.begun)
 			time.Sleep(20 * time.Millisecond)
-			if got := s.await(t, 1); len(got) != 1 {
-				t.Errorf("requests begun: got %v, want the first alone", got)
+			if got := s.await(t, c.begun); len(got) != c.begun {
+				t.Errorf("requests begun: got %v, want %d", got, c.begun)
 			}
 			close(s.release)
-			wantPaths(t, conn, "/slow/1", "/2")
-			if got := s.await(t, 2); len(got) != 2 {
-				t.Errorf("requests: got %v, want two", got)
+			wantPaths(t, conn, c.paths...)
+			if got := s.await(t, len(c.paths)); len(got) != len(c.paths) {
+				t.Errorf("requests: got %v, want %v", got, c.paths)
 			}
 		})
 	}
 }
 
-// TestCallerOfPipelinedRequestsLeaves guards against requests that go on after their caller has
-// left.
-func TestCallerOfPipelinedRequestsLeaves(t *testing.T) {
-	s := newPipelineServer(t)
-	conn := dial(t, s.Listener)
-	write(t, conn, get("/slow/1")+get("/slow/2")+get("/slow/3"))
-	s.await(t, 3)
-	_ = conn.Close()
-	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		s.mu.Lock()
-		canceled := s.canceled
-		s.mu.Unlock()
-		if canceled == 3 {
-			return
+// TestConnectionOfPipelinedRequests guards against requests that go on after their caller has left,
+// a response that was broken off and looks complete, and a planned stop that closes a connection
+// before the requests that were begun early on it are answered.
+func TestConnectionOfPipelinedRequests(t *testing.T) {
+	t.Run("caller leaves", func(t *testing.T) {
+		s, conn := newPipelineServer(t)
+		write(t, conn, requests("/slow/1", "/slow/2", "/slow/3"))
+		s.await(t, 3)
+		_ = conn.Close()
+		want := []string{"/slow/1", "/slow/2", "/slow/3", "cancelled", "cancelled", "cancelled"}
+		if got := s.await(t, 6); !slices.Equal(slices.Sorted(slices.Values(got)), want) {
+			t.Errorf("requests begun and cancelled: got %v, want %v", got, want)
 		}
-	}
-	t.Errorf("requests cancelled: got %d, want 3", s.canceled)
-}
-
-// TestBrokenEarlyResponse guards against a response that was broken off and looks complete.
-func TestBrokenEarlyResponse(t *testing.T) {
-	s := newPipelineServer(t)
-	conn := dial(t, s.Listener)
-	write(t, conn, get("/slow/1")+get("/broken")+get("/3"))
-	s.await(t, 3)
-	close(s.release)
-	if rest, _ := io.ReadAll(wantPaths(t, conn, "/slow/1")); len(rest) > 0 {
-		t.Errorf("after the first response: got %q, want the end of the connection", rest)
-	}
+	})
+	t.Run("response broken off", func(t *testing.T) {
+		s, conn := newPipelineServer(t)
+		write(t, conn, requests("/slow/1", "/broken", "/3"))
+		s.await(t, 3)
+		close(s.release)
+		if rest, _ := io.ReadAll(wantPaths(t, conn, "/slow/1")); len(rest) > 0 {
+			t.Errorf("after the first response: got %q, want the end of the connection", rest)
+		}
+	})
+	t.Run("stop", func(t *testing.T) {
+		s, conn := newPipelineServer(t)
+		write(t, conn, requests("/slow/1", "/slow/1", "/3"))
+		s.await(t, 3)
+		s.StopEarly()
+		write(t, conn, get("/4"))
+		time.AfterFunc(20*time.Millisecond, func() { close(s.release) })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		closed := make(chan int)
+		go func() { closed <- s.CloseIdle(ctx) }()
+		wantPaths(t, conn, "/slow/1", "/slow/1", "/3", "/4")
+		if got := <-closed; got != 0 {
+			t.Errorf("connections left open: got %d, want 0", got)
+		}
+	})
 }
 
 // TestFollowing guards against the end of a connection before the response to a request that is the
 // same as the one before it, byte for byte.
 func TestFollowing(t *testing.T) {
 	head := []byte(get("/1"))
-	a := &ahead{begin: func(*http.Request) *early { return &early{} }}
-	a.buffered = append(slices.Clone(head), head...)
-	a.deliver(make([]byte, len(head)))
-	a.beginEarly()
-	for i, want := range []bool{true, false} {
-		if got := a.follow(); got != want {
-			t.Errorf("request %d is followed by one that was begun: got %t, want %t", i+1, got, want)
+	a := &ahead{begin: func(*http.Request) *early { return &early{} }, buffered: slices.Concat(head, head)}
+	c := &Conn{ahead: a}
+	for i, wantEarly := range []bool{false, true} {
+		a.deliver(make([]byte, len(head)))
+		a.beginEarly()
+		if follows, early := a.follow(), a.take() != nil; follows == wantEarly || early != wantEarly {
+			t.Errorf("request %d: got another one after it %t, begun early %t, want %t, %t", i+1, follows, early, !wantEarly, wantEarly)
 		}
-		if got := a.take() != nil; got == want {
-			t.Errorf("request %d was begun early: got %t, want %t", i+1, got, !want)
+		c.markIdle()
+		if got := c.markClosedIfIdle(); got != wantEarly {
+			t.Errorf("connection closed after request %d: got %t, want %t", i+1, got, wantEarly)
 		}
-		a.next()
-		a.deliver(make([]byte, len(head)))
-	}
-}
-
-// TestStopWithPipelinedRequests guards against a planned stop that closes a connection before the
-// requests that were begun early on it are answered.
-func TestStopWithPipelinedRequests(t *testing.T) {
-	s := newPipelineServer(t)
-	conn := dial(t, s.Listener)
-	write(t, conn, get("/slow/1")+get("/slow/1")+get("/3"))
-	s.await(t, 3)
-	s.StopEarly()
-	write(t, conn, get("/4"))
-	time.AfterFunc(20*time.Millisecond, func() { close(s.release) })
-	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-	defer cancel()
-	closed := make(chan int)
-	go func() { closed <- s.CloseIdle(ctx) }()
-	wantPaths(t, conn, "/slow/1", "/slow/1", "/3", "/4")
-	if got := <-closed; got != 0 {
-		t.Errorf("connections left open: got %d, want 0", got)
 	}
 }
