Decay loads before reports that arrive long after the last round

Cause: where keys are spread, a request counts by 2 to the power of the time since the last decay over a half-life of 0.5 s. A leader that does not reach the store starts no round and so never decays: after 8.5 minutes the sum is infinite, and not a number once it decays, for all keys of the service and for good. Change: a report that arrives loadHalfLife or more after the last decay has the loads decay first. wantBetween no longer takes NaN for a value within its bounds. Measured: TestReportsWithoutDecay, two hours of reports, got NaN before, passes now.

--- a/core/owner/loads.go
+++ b/core/owner/loads.go
@@ -128,7 +128,13 @@
 
 // AddAt adds a report that arrived at a time since the last call of Decay. The next call
 // does not count that part of the time against its requests.
-func (l *Loads) AddAt(report Report, now time.Time) { l.add(report, max(now.Sub(l.decayedAt), 0)) }
+func (l *Loads) AddAt(report Report, now time.Time) {
+	if now.Sub(l.decayedAt) >= loadHalfLife {
+		// What requests add grows with the time since.
+		l.Decay(now)
+	}
+	l.add(report, max(now.Sub(l.decayedAt), 0))
+}
 
 func (l *Loads) add(report Report, sinceDecay time.Duration) {
 	l.forgetDerived()
--- a/core/owner/loads_test.go
+++ b/core/owner/loads_test.go
@@ -69,7 +69,7 @@
 
 func wantBetween(t *testing.T, what string, got, low, high float64) {
 	t.Helper()
-	if got < low || got > high {
+	if !(got >= low && got <= high) {
 		t.Errorf("%s: got %.2f, want %.1f to %.1f", what, got, low, high)
 	}
 }
--- a/core/owner/regions_test.go
+++ b/core/owner/regions_test.go
@@ -31,3 +31,18 @@
 	want := keys / period.Seconds()
 	wantBetween(t, "load of the region 1 s after the step", loads.RangeLoad(testService, first, first+keys-1), 0.6*want, 1.2*want)
 }
+
+// TestReportsWithoutDecay guards against loads that overflow, and count as nothing or as not a number
+// from then on, where reports arrive while no round of rebalancing decays them: a leader that does
+// not reach the store starts none.
+func TestReportsWithoutDecay(t *testing.T) {
+	const rate = 8
+	loads, now := NewLoads(testStart), testStart
+	loads.JudgeRegions(true)
+	for range 2 * 3600 {
+		now = now.Add(time.Second)
+		loads.AddAt(Report{Counts: []KeyCount{{testService, 7, rate}}}, now)
+	}
+	loads.Decay(now)
+	wantBetween(t, "load of a steady key after two hours", loads.RangeLoad(testService, 7, 7), 0.8*rate, 1.6*rate)
+}
