Forget a silent target at the first estimate

Cause: Estimate took the weight of the responses before it let it decay, so that the first estimate after minutes without a response said that the target was known. The test asked twice and looked at the second answer. Change: the weight after the decay counts. The test looks at the first estimate. Measured: TestChange failed at the old code with this test (known: got true), passes now.

--- a/core/concurrency/concurrency.go
+++ b/core/concurrency/concurrency.go
@@ -166,13 +166,12 @@
 // Estimate returns what is known now. Without responses for long, it returns to what is known
 // of the service.
 func (e *Estimator) Estimate(now time.Time) Estimate {
-	weight := e.usual.weight
-	if elapsed := now.Sub(e.updated); elapsed > slowHalfLife/8 && weight > 0 {
+	if elapsed := now.Sub(e.updated); elapsed > slowHalfLife/8 && e.usual.weight > 0 {
 		e.decay(now)
 		e.setRelativeTime()
 	}
 	processingTime := float64(e.service.ProcessingTime()) * e.relativeTime * e.slowdownAt(now)
-	return Estimate{Limit: e.limit(now), Known: weight >= minKnownSamples, ProcessingTime: time.Duration(processingTime)}
+	return Estimate{Limit: e.limit(now), Known: e.usual.weight >= minKnownSamples, ProcessingTime: time.Duration(processingTime)}
 }
 
 // slowdownAt returns how many times as long as on average work takes now at the target's
--- a/core/concurrency/concurrency_test.go
+++ b/core/concurrency/concurrency_test.go
@@ -191,8 +191,9 @@
 	t.Run("a target without responses returns to the service", func(t *testing.T) {
 		e := New(3, warmService(0.5, notSlower))
 		newModel(1, 3, 0.3, 0.5).run(e, 5, start, start.Add(8*time.Second))
-		wantNear(t, "processing time", e.Estimate(start.Add(3*time.Minute)).ProcessingTime.Seconds(), e.service.ProcessingTime().Seconds(), 0.1)
-		if e.Estimate(start.Add(3 * time.Minute)).Known {
+		got := e.Estimate(start.Add(3 * time.Minute))
+		wantNear(t, "processing time", got.ProcessingTime.Seconds(), e.service.ProcessingTime().Seconds(), 0.1)
+		if got.Known {
 			t.Error("known without responses for minutes: got true, want false")
 		}
 	})
