--- a/core/concurrency/concurrency.go
+++ b/core/concurrency/concurrency.go
@@ -184,6 +184,3 @@
 	weight := math.Exp(-math.Ln2 * float64(age) / float64(slowdownHalfLife))
 	return 1 + weight*(e.slowdown/e.service.slowdown.mean()-1)
 }
-
-// RelativeTime returns the processing time divided by the mean of the service.
-func (e *Estimator) RelativeTime() float64 { return e.relativeTime }
