Return unsent requests to the cold period they were counted in

Cause: a target that became cold again got a new pacer in the place of the old one. Requests counted in an earlier cold period and not sent after all returned to the new one, which had not counted them, and the host sent that many beyond its part. Change: each cold period has a pacer of its own, made at its first use. A request returns to the one that counted it. Measured: TestRequestsOfAnEarlierStart failed at the old code (3 of 3 requests sent, want 0), passes now. TestBoundOfALostTarget guards the first use where a bound is configured after a target was lost (passed before, too).

--- a/core/placement/cold.go
+++ b/core/placement/cold.go
@@ -31,8 +31,9 @@
 	failures int
 	// sequence is the number of the entry at suspectedAt.
 	sequence int64
-	// pacer keeps this host within its part of what the target bears.
-	pacer ratelimit.Pacer
+	// pacer keeps this host within its part of what the target bears. Each time that the target
+	// becomes cold it is a new one: requests of an earlier time return to that of then.
+	pacer *ratelimit.Pacer
 	// reported is set once this host has told the leader of its demand.
 	reported bool
 }
@@ -55,14 +56,17 @@
 // warmsUntil records that the target is cold until a time.
 func (s *Set) warmsUntil(t *Target, end, now time.Time) {
 	if !t.cold.lasts(now) && now.Before(end) {
-		t.cold.pacer, t.cold.reported = ratelimit.Pacer{}, false
+		t.cold.pacer, t.cold.reported = nil, false
 	}
 	t.cold.end = end
 }
 
 // coldPacer returns the pacer of a cold target, by the bound that is configured now.
 func (s *Set) coldPacer(t *Target, now time.Time) *ratelimit.Pacer {
-	p := &t.cold.pacer
+	if t.cold.pacer == nil {
+		t.cold.pacer = &ratelimit.Pacer{}
+	}
+	p := t.cold.pacer
 	if limit := s.Cold(t.entry.Service).Bound.Limit(); p.Limit() != limit {
 		p.Learn(limit, now, now)
 		s.shares.Inform(coldName(&t.entry), p, now)
--- a/core/placement/cold_test.go
+++ b/core/placement/cold_test.go
@@ -25,6 +25,12 @@
 	return s
 }
 
+// dealCold tells a set its part of what t1 bears while it is cold.
+func dealCold(s *Set, perSecond, burst float64, at time.Time) {
+	share := ratelimit.Share{Target: coldName(&Entry{ID: "t1"}), Limit: s.Cold(service).Bound.Limit(), Dealt: true, PerSecond: perSecond, Burst: burst}
+	s.ApplyLimits(ratelimit.Update{Shares: []ratelimit.Share{share}}, at, at)
+}
+
 func putEntry(s *Set, id string, sequence int64, warmUp time.Duration, now time.Time) {
 	e := entry(id, "a")
 	e.Sequence, e.WarmUp = sequence, warmUp
@@ -58,7 +64,7 @@
 func TestColdTarget(t *testing.T) {
 	s := newColdSet(coldTime, "t1")
 	wantSends(t, s, 0, 20, 0)
-	s.ApplyLimits(ratelimit.Update{Shares: []ratelimit.Share{{Target: coldName(&Entry{ID: "t1"}), Limit: s.Cold(service).Bound.Limit(), Dealt: true, PerSecond: 6, Burst: 4}}}, start, start)
+	dealCold(s, 6, 4, start)
 	wantSends(t, s, 0, 20, 0)
 	wantSends(t, s, time.Second, 20, 4)
 	wantSends(t, s, 1500*time.Millisecond, 20, 3)
@@ -69,7 +75,7 @@
 // although more than one of a higher one could be sent, and against those that take the last.
 func TestLessUrgentRequestsForColdTarget(t *testing.T) {
 	s := newColdSet(coldTime, "t1")
-	s.ApplyLimits(ratelimit.Update{Shares: []ratelimit.Share{{Target: coldName(&Entry{ID: "t1"}), Limit: s.Cold(service).Bound.Limit(), Dealt: true, PerSecond: 10, Burst: 3}}}, start, start)
+	dealCold(s, 10, 3, start)
 	wantStatus(t, s, Criteria{Service: service, Owner: "t1"}, start, Limited)
 	now := start.Add(300 * time.Millisecond)
 	less := Criteria{Service: service, Owner: "t1", Rank: 1}
@@ -79,6 +85,25 @@
 	choose(t, s, Criteria{Service: service, Owner: "t1"}, now)
 }
 
+// TestRequestsOfAnEarlierStart guards against requests that were counted before a target started
+// again and, as they were not sent, come off what it bears now.
+func TestRequestsOfAnEarlierStart(t *testing.T) {
+	s := newColdSet(coldTime, "t1")
+	dealCold(s, 6, 4, start)
+	wantSends(t, s, 0, 1, 0)
+	var early []*Choice
+	for range 3 {
+		early = append(early, choose(t, s, Criteria{Owner: "t1"}, start.Add(time.Second)))
+	}
+	again := start.Add(2 * coldTime)
+	s.SuspectCold("a", again)
+	wantSends(t, s, 2*coldTime, 1, 0)
+	for _, c := range early {
+		c.End(NotSent, nil, again)
+	}
+	wantSends(t, s, 2*coldTime, 3, 0)
+}
+
 // TestColdTargetWithoutBound guards against a change for services that state no bound.
 func TestColdTargetWithoutBound(t *testing.T) {
 	s := newColdSet(coldTime, "t1")
@@ -89,6 +114,17 @@
 	}
 }
 
+// TestBoundOfALostTarget guards against a host that fails where a service states a bound only
+// after a target was lost.
+func TestBoundOfALostTarget(t *testing.T) {
+	s := newColdSet(0, "t1")
+	bounds := s.Cold
+	s.Cold = func(string) Cold { return Cold{} }
+	s.ObserveNoConnection("t1", true, start)
+	s.Cold = bounds
+	wantSends(t, s, 0, 1, 0)
+}
+
 // TestColdDemand guards against a leader that hears late, or only of one limit, of the demand for
 // a cold target that has named a limit as well.
 func TestColdDemand(t *testing.T) {
@@ -141,7 +177,7 @@
 		lose(s)
 		back := coldTime + time.Second
 		assertCold(t, s, back, 1)
-		s.ApplyLimits(ratelimit.Update{Shares: []ratelimit.Share{{Target: coldName(&Entry{ID: "t1"}), Limit: s.Cold(service).Bound.Limit(), Dealt: true, PerSecond: 6, Burst: 4}}}, start.Add(back-time.Second), start.Add(back-time.Second))
+		dealCold(s, 6, 4, start.Add(back-time.Second))
 		wantSends(t, s, back, 20, 4)
 		assertCold(t, s, back+coldTime-time.Millisecond, 1)
 		assertCold(t, s, back+coldTime, 0)
