Share set-up between simulations of limits and of cold targets

Cause: the simulations of cold targets repeated loops over sizes, restarts and lost leaders. Change: one loop over sizes with the same hosts, demands and seeds; restart and loseLeaders serve both. No case and no bound changes.

--- a/core/ratelimit/cold_test.go
+++ b/core/ratelimit/cold_test.go
@@ -42,23 +42,25 @@
 	}
 }
 
-// eachColdSize runs a test for several numbers of hosts and requests a second of all of them.
+// eachColdSize runs a test for several numbers of hosts and requests a second, of all of them or
+// of one that takes itself for the sender, as another does.
 func eachColdSize(t *testing.T, test func(t *testing.T, s *sim)) {
 	t.Helper()
 	for _, hosts := range []int{1, 9, 78, 195} {
-		for _, demand := range []float64{8, 60, max(60, demandPerHost*float64(hosts))} {
-			t.Run(fmt.Sprintf("%d hosts, %v a second", hosts, demand), func(t *testing.T) {
-				for seed := range seeds(t) {
-					test(t, newColdSim(rand.New(rand.NewPCG(uint64(seed), uint64(100*hosts)+uint64(demand))), hosts, demand))
-				}
-			})
-		}
-		for _, demand := range []float64{12, 30} {
-			t.Run(fmt.Sprintf("%d hosts, %v a second at one", hosts, demand), func(t *testing.T) {
+		spread := []float64{8, 60, max(60, demandPerHost*float64(hosts))}
+		for i, demand := range append(spread, 12, 30) {
+			name, atOne := fmt.Sprintf("%d hosts, %v a second", hosts, demand), i >= len(spread)
+			if atOne {
+				name += " at one"
+			}
+			t.Run(name, func(t *testing.T) {
 				for seed := range seeds(t) {
+					if !atOne {
+						test(t, newColdSim(rand.New(rand.NewPCG(uint64(seed), uint64(100*hosts)+uint64(demand))), hosts, demand))
+						continue
+					}
 					s := newColdSim(rand.New(rand.NewPCG(uint64(seed), uint64(hosts))), hosts, 0.5)
 					s.demand[hosts/2] = demand
-					// Another host takes itself for the sender, too.
 					s.senders = map[int]bool{hosts / 2: true, hosts / 3: true}
 					s.demand[hosts/3] = max(s.demand[hosts/3], 0.1)
 					test(t, s)
@@ -90,18 +92,8 @@
 // have none, or have one in each half.
 func TestColdTargetInTrouble(t *testing.T) {
 	for name, event := range map[string]func(s *sim){
-		"restarts": func(s *sim) {
-			for i := range s.hosts {
-				if i%2 == 1 {
-					s.start(i)
-				}
-			}
-		},
-		"restart of all": func(s *sim) {
-			for i := range s.hosts {
-				s.start(i)
-			}
-		},
+		"restarts":       func(s *sim) { s.restart(1, 2) },
+		"restart of all": func(s *sim) { s.restart(0, 1) },
 		"new leader":     func(s *sim) { s.setLeaders(func(int) int { return 1 }) },
 		"no leader":      func(s *sim) { s.setLeaders(func(int) int { return 0 }); s.loseLeaders(0) },
 		"halves":         func(s *sim) { s.setLeaders(func(host int) int { return host % 2 }) },
--- a/core/ratelimit/sim_test.go
+++ b/core/ratelimit/sim_test.go
@@ -105,6 +105,13 @@
 	s.hosts[i] = h
 }
 
+// restart starts new processes of the hosts from one on, with a step between them.
+func (s *sim) restart(from, step int) {
+	for i := from; i < len(s.hosts); i += step {
+		s.start(i)
+	}
+}
+
 // linked returns the number of hosts that a leader can tell, itself included.
 func (s *sim) linked(leader int) int {
 	n := 0
@@ -338,13 +345,7 @@
 // still in use.
 func TestLimitWithRestarts(t *testing.T) {
 	testTrouble(t, 12*time.Second, func(s *sim) map[time.Duration]func() {
-		restart := func() {
-			for i := range s.hosts {
-				if i%3 == 1 {
-					s.start(i)
-				}
-			}
-		}
+		restart := func() { s.restart(1, 3) }
 		return map[time.Duration]func(){trouble: restart, trouble + 5*time.Second: restart}
 	})
 }
@@ -363,12 +364,7 @@
 // leader, or all send at the same time then.
 func TestLimitWithoutLeader(t *testing.T) {
 	eachSize(t, func(t *testing.T, s *sim) {
-		lose := func() {
-			for i := range s.leaderOf {
-				s.leaderOf[i] = -1
-			}
-		}
-		s.run(map[time.Duration]func(){trouble: lose})
+		s.run(map[time.Duration]func(){trouble: func() { s.loseLeaders(0) }})
 		s.assertWithinLimit(t)
 	})
 }
