Learn anew of a target that changes its number of slots

Cause: an estimator kept the slots of the first entry of its incarnation, so that the limit stayed at 5 a slot of those, and a response to a request sent before the change counted with the depth of then and the slots of now. Change: another number of slots begins a new estimator; a response counts with the slots at the choice. Measured: the new case of TestConcurrency failed at the old code (limit 10, want 40; after the first half of the change 15, want 3) and passes now.

--- a/core/placement/learned.go
+++ b/core/placement/learned.go
@@ -78,7 +78,7 @@
 	if !c.set.Learns() || c.sent.Before(t.warmEnd) || c.cold != nil {
 		return
 	}
-	sample := concurrency.Sample{InProgress: c.depth * float64(t.entry.Slots), Took: now.Sub(c.sent)}
+	sample := concurrency.Sample{InProgress: c.depth * float64(c.Entry.Slots), Took: now.Sub(c.sent)}
 	if report != nil {
 		sample.Slowdown = report.Slowdown
 	}
--- a/core/placement/learned_test.go
+++ b/core/placement/learned_test.go
@@ -21,6 +21,13 @@
 	}
 }
 
+func wantLimit(t *testing.T, s *Set, now time.Time, want float64) {
+	t.Helper()
+	if got := learned(s, "t1", now).Limit; got != want {
+		t.Errorf("limit: got %v, want %v", got, want)
+	}
+}
+
 func TestConcurrency(t *testing.T) {
 	const usual = 100 * time.Millisecond
 	t.Run("a slow target", func(t *testing.T) {
@@ -63,6 +70,20 @@
 			t.Error("known after a restart: got true, want false")
 		}
 	})
+	t.Run("another number of slots", func(t *testing.T) {
+		s := newLearningSet("t1")
+		var before *Choice
+		for range 4 {
+			before = choose(t, s, Criteria{}, start)
+		}
+		grown := entry("t1", "a")
+		grown.Sequence, grown.Slots = 2, 8
+		s.Put(grown, start)
+		wantLimit(t, s, start, 40)
+		// It was sent as the fourth one, whatever the slots are now.
+		before.End(ConnectionLost, nil, start)
+		wantLimit(t, s, start, 3)
+	})
 	t.Run("without the feature, as before", func(t *testing.T) {
 		s := newSet("t1")
 		if got, want := learned(s, "t1", start).Limit, 7.0; got != want {
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -100,7 +100,8 @@
 
 // Put stores an entry unless a newer one of the same target is present, and
 // reports whether the entry was stored. The measurements of a target are kept
-// within an incarnation and reset at the next one. A target that has said that it leaves
+// within an incarnation and reset at the next one; what was learned of it is also
+// reset when its number of slots changes. A target that has said that it leaves
 // counts as draining.
 func (s *Set) Put(entry Entry, now time.Time) bool {
 	s.mu.Lock()
@@ -114,6 +115,9 @@
 		if entry.Draining && !old.entry.Draining {
 			old.drainingSince = now
 		}
+		if entry.Slots != old.entry.Slots {
+			old.learned = concurrency.New(entry.Slots, s.service(entry.Service).learned)
+		}
 		old.entry = entry
 		old.warmEnd = now.Add(entry.WarmUp)
 		s.applyWarmUp(old, &entry, now)
