Remove what owners of keys no longer take from learned estimates

Cause: since owners go by the mean of responses, OwnerLoad carried a limit and a flag that nothing read (the queue of an owner replaced the limit at once), a comment spoke of a learned limit, and core/ownerqueue imported core/concurrency for two fields. Change: OwnerLoad and ownerqueue.Target state what they use. The test of a set without the feature looked at the limit that nothing read; it now checks that nothing is learned, and the depth of owners, which is the same 3.5 a slot.

--- a/core/ownerqueue/model_test.go
+++ b/core/ownerqueue/model_test.go
@@ -8,8 +8,6 @@
 	"slices"
 	"testing"
 	"time"
-
-	"pineturn/core/concurrency"
 )
 
 // call is a caller's request over all its attempts, with times in seconds since the start.
@@ -143,7 +141,7 @@
 func byQueue(m *model) {
 	q, calls := New(), make(map[*Ticket]*call)
 	q.Random = m.random.Float64
-	q.SetTarget(Target{Slots: modelSlots, Estimate: concurrency.Estimate{Limit: modelSlots, ProcessingTime: seconds(0.17 / m.speed)}})
+	q.SetTarget(Target{Slots: modelSlots, Limit: modelSlots, ProcessingTime: seconds(0.17 / m.speed)})
 	now := func() time.Time { return time.Unix(0, int64(m.now*1e9)) }
 	refuseOrSend := func(t *Ticket) {
 		if after, refused := t.Refused(); refused {
--- a/core/ownerqueue/ownerqueue.go
+++ b/core/ownerqueue/ownerqueue.go
@@ -13,8 +13,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"pineturn/core/concurrency"
 )
 
 const (
@@ -37,7 +35,10 @@
 
 // Target is what is known of the target at a time.
 type Target struct {
-	concurrency.Estimate
+	// Limit is the number of requests up to which the queue sends to it, ProcessingTime how long it
+	// takes for a request that does not wait.
+	Limit          float64
+	ProcessingTime time.Duration
 	// Slots is the number of requests that it runs at the same time.
 	Slots int
 	// OtherHosts is the number of requests of other hosts that it has.
--- a/core/ownerqueue/ownerqueue_test.go
+++ b/core/ownerqueue/ownerqueue_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"pineturn/core/concurrency"
 )
 
 var epoch = time.Unix(1000, 0)
@@ -13,7 +11,7 @@
 func newQueue(slots int, limit, others float64) *Queue {
 	q := New()
 	q.Random = func() float64 { return 0.5 }
-	q.SetTarget(Target{Slots: slots, OtherHosts: others, Estimate: concurrency.Estimate{Limit: limit, ProcessingTime: 100 * time.Millisecond}})
+	q.SetTarget(Target{Slots: slots, OtherHosts: others, Limit: limit, ProcessingTime: 100 * time.Millisecond})
 	return q
 }
 
--- a/core/placement/learned_test.go
+++ b/core/placement/learned_test.go
@@ -86,8 +86,12 @@
 	})
 	t.Run("without the feature, as before", func(t *testing.T) {
 		s := newSet("t1")
-		if got, want := learned(s, "t1", start).Limit, 7.0; got != want {
-			t.Errorf("limit: got %v, want %v", got, want)
+		now := completeRequests(t, s, "t1", 40, usual, start)
+		if got := learned(s, "t1", now); got.Known {
+			t.Errorf("learned without the feature: got %+v, want nothing", got)
+		}
+		if got, _ := s.OwnerEstimate(Criteria{Service: service, Owner: "t1"}, now); got.Limit*2 != 7 {
+			t.Errorf("limit per slot: got %v, want 3.5", got.Limit)
 		}
 	})
 }
@@ -106,11 +110,7 @@
 	}
 }
 
-// learned returns what is known of a target.
+// learned returns what was learned of a target.
 func learned(s *Set, id string, now time.Time) concurrency.Estimate {
-	if s.Learns() {
-		return s.targets[id].learned.Estimate(now)
-	}
-	load, _ := s.OwnerLoad(id, now)
-	return load.Estimate
+	return s.targets[id].learned.Estimate(now)
 }
--- a/core/placement/ownerload.go
+++ b/core/placement/ownerload.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"time"
-
-	"pineturn/core/concurrency"
-)
+import "time"
 
 // OwnerLoad is what this host knows of the load of a target.
 type OwnerLoad struct {
@@ -12,8 +8,8 @@
 	Slots int
 	// OtherHosts is the number of other hosts' requests there.
 	OtherHosts float64
-	// Estimate is what is known of how many requests it takes well, and how long it takes.
-	concurrency.Estimate
+	// ProcessingTime is how long it takes for a request that does not wait.
+	ProcessingTime time.Duration
 }
 
 // OwnerLoad returns the load of a target, as far as it is known by the target's own reports. It
@@ -25,18 +21,17 @@
 	if t == nil {
 		return OwnerLoad{}, false
 	}
-	load := OwnerLoad{Slots: t.entry.Slots, Estimate: s.ownerEstimate(t, now)}
+	load := OwnerLoad{Slots: t.entry.Slots, ProcessingTime: s.ownerProcessingTime(t, now)}
 	if !t.reported.IsZero() {
 		load.OtherHosts = t.otherHostsLoad * decay(now.Sub(t.reported), reportHalfLife)
 	}
 	return load, true
 }
 
-// ownerEstimate returns the limit of a choice and the mean processing time. What was learned of a
-// target is not used for owners of keys.
-func (s *Set) ownerEstimate(t *Target, now time.Time) concurrency.Estimate {
-	processingTime := float64(s.service(t.entry.Service).meanProcessingTime) * t.processingTimeFactor(now)
-	return concurrency.Estimate{Limit: idempotentMaxDepth * float64(t.entry.Slots), ProcessingTime: time.Duration(processingTime)}
+// ownerProcessingTime returns the processing time of a target by the mean of its responses. What was
+// learned of a target is not used for owners of keys.
+func (s *Set) ownerProcessingTime(t *Target, now time.Time) time.Duration {
+	return time.Duration(float64(s.service(t.entry.Service).meanProcessingTime) * t.processingTimeFactor(now))
 }
 
 // ObserveReport records the load that a target has reported in a response that another host has
--- a/io/proxy/ownerqueue.go
+++ b/io/proxy/ownerqueue.go
@@ -139,10 +139,9 @@
 // targetOfQueue returns what is known of a target for its queue.
 func (p *Proxy) targetOfQueue(target string, now time.Time) (ownerqueue.Target, bool) {
 	load, ok := p.targets.OwnerLoad(target, now)
-	// More than its slots would wait at the target, in the order in which they came. With fewer, a
-	// limit that was learned too low would not be found out: nothing would be sent beyond it.
-	load.Limit = float64(load.Slots)
-	return ownerqueue.Target{Slots: load.Slots, OtherHosts: load.OtherHosts, Estimate: load.Estimate}, ok
+	// More than its slots would wait at the target, in the order in which they came.
+	limit := float64(load.Slots)
+	return ownerqueue.Target{Slots: load.Slots, OtherHosts: load.OtherHosts, Limit: limit, ProcessingTime: load.ProcessingTime}, ok
 }
 
 // waitInQueue waits in the queue of the owner of a request's key until the request may be sent. The
