--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -12,9 +12,10 @@
 	"pineturn/core/ratelimit"
 )
 
-// Set is the table of all targets. It is safe for concurrent use. In the lock
-// order its mutex comes before that of peers.Table, which Sender takes, and after
-// all others.
+// Set is the table of all targets. It is safe for concurrent use. In the lock order its
+// mutex comes before those of hostcount.Counter and peers.Table, which Hosts, Learns and
+// Sender take, and after all others. The functions that are set before use are called
+// with the mutex held and must not call the set.
 type Set struct {
 	mu       sync.Mutex
 	domain   string
@@ -36,7 +37,7 @@
 	// before use.
 	Hosts func() int
 	// Sender reports whether this host sends nearly all requests for a target, as the
-	// others relay theirs to it. It is set before use and must not call the set.
+	// others relay theirs to it. It is set before use.
 	Sender func(target *Entry) bool
 	// Cold returns what a target of a service bears while it is cold. It is set before use.
 	Cold func(service string) Cold
@@ -100,7 +101,8 @@
 
 // Put stores an entry unless a newer one of the same target is present, and
 // reports whether the entry was stored. The measurements of a target are kept
-// within an incarnation and reset at the next one. A target that has said that it leaves
+// within an incarnation and reset at the next one; what was learned of it is also
+// reset when its number of slots changes. A target that has said that it leaves
 // counts as draining.
 func (s *Set) Put(entry Entry, now time.Time) bool {
 	s.mu.Lock()
@@ -114,6 +116,9 @@
 		if entry.Draining && !old.entry.Draining {
 			old.drainingSince = now
 		}
+		if entry.Slots != old.entry.Slots {
+			old.learned = concurrency.New(entry.Slots, s.service(entry.Service).learned)
+		}
 		old.entry = entry
 		old.warmEnd = now.Add(entry.WarmUp)
 		s.applyWarmUp(old, &entry, now)
