Have the model of spread keys find records that count as stored too soon

Change: the step that sent the newest leader's orders also has them answered and former owners dropped, twice. Orders without an answer, late or lost ones come from the steps of the model as before.

--- a/core/owner/stored_test.go
+++ b/core/owner/stored_test.go
@@ -55,6 +55,18 @@
 	m.written = nil
 }
 
+// serve has the newest leader send its orders until they lead to no others, and targets answer them.
+func (m *spreadingModel) serve() {
+	l := m.newest()
+	for range 2 {
+		m.send(l)
+		m.deliverAll(l, answered)
+		if !l.stopped {
+			l.DropFormerOwners(m.targetViews(), m.now)
+		}
+	}
+}
+
 // TestOneOwnerWhileSpreading checks what TestOneOwner does, where ranges change between the write of
 // the assignment and its read.
 func TestOneOwnerWhileSpreading(t *testing.T) {
@@ -70,7 +82,7 @@
 			case 3:
 				m.readBack()
 			case 4:
-				m.send(m.newest())
+				m.serve()
 			default:
 				m.step()
 			}
