--- a/core/owner/spread_test.go
+++ b/core/owner/spread_test.go
@@ -62,7 +62,7 @@
 )
 
 // newSpreadModel returns a service with the requests of keys that lie near each other, at
-// targets of three speeds.
+// targets of two speeds.
 func newSpreadModel(seed uint64) *spreadModel {
 	m := &spreadModel{
 		leader: NewLeader(&Assignment{Epoch: 1}, MaxLeaseDuration, testStart), targets: make(map[string]Target), loads: NewLoads(testStart), now: testStart,
