Take targets for cold when a drain of their domain begins

Cause: operators may ask for a drain because targets have just restarted. Their keys' owners still get requests while the keys move, by entries that may be older than the restart. Change: targets of the domain are suspected to be cold from the begin of a drain, as from its end. Measured: the subtest of TestDomainDrain failed before (0 cold targets, want 1) and passes.

--- a/io/metastore/drain.go
+++ b/io/metastore/drain.go
@@ -123,6 +123,8 @@
 	d := DomainDrain{Domain: domain, Since: now, Offset: offset, Era: c.era}
 	d.OwnersUntil = now.Add(time.Duration(ownersShare*float64(c.drains.bound)) - age)
 	c.drains.byDomain[domain] = d
+	// Operators may ask for it because the targets have just restarted.
+	c.targets.SuspectCold(domain, now)
 	targets := 0
 	for _, e := range c.targets.Entries("") {
 		if e.Domain == domain {
--- a/io/metastore/drain_test.go
+++ b/io/metastore/drain_test.go
@@ -103,18 +103,20 @@
 			}
 		})
 	}
-	t.Run("targets count as cold when it ends", func(t *testing.T) {
+	t.Run("targets count as cold when it begins and ends", func(t *testing.T) {
 		r := newDrainRun(t)
 		r.targets.Cold = func(string) placement.Cold {
 			return placement.Cold{Time: time.Second, Bound: ratelimit.Bound{PerSecond: 1, Overage: 1, Slack: 1}}
 		}
 		r.targets.Put(placement.Entry{ID: "a1", Domain: "a"}, r.clock.Now())
 		r.targets.Put(placement.Entry{ID: "b1", Domain: "b"}, r.clock.Now())
-		for _, step := range []string{"ask", "read", "remove", "read"} {
+		for _, step := range []string{"ask", "remove"} {
+			r.clock.Advance(time.Minute)
 			r.play(step)
-		}
-		if got := r.targets.ColdTargets(r.clock.Now()); got != 1 {
-			t.Errorf("cold targets: got %d, want the one in the domain", got)
+			r.play("read")
+			if got := r.targets.ColdTargets(r.clock.Now()); got != 1 {
+				t.Errorf("cold targets after %s: got %d, want the one in the domain", step, got)
+			}
 		}
 	})
 	for steps, want := range map[string]time.Duration{"ask,read": -drainBound / 4, "read,ask,read": drainBound * 3 / 4, "read,ask,read,wait,read,wait,ask,read": drainBound / 4} {
