Run every second seed of the soak with the features of large deployments

Cause: the features are in use from 24 hosts on, and the soak has four. Change: odd seeds switch them on.

--- a/io/soak/system.go
+++ b/io/soak/system.go
@@ -316,7 +316,8 @@
 	if h.process != previous {
 		return nil
 	}
-	p, err := startProcess(h.logPath, nil, platform.SettingsVariable+"="+h.settingsPath, filepath.Join(s.options.ProgramFolder, "pineturnd"), "platform", "--admin-port", "0")
+	arguments := append([]string{"platform", "--admin-port", "0"}, s.featureFlags()...)
+	p, err := startProcess(h.logPath, nil, platform.SettingsVariable+"="+h.settingsPath, filepath.Join(s.options.ProgramFolder, "pineturnd"), arguments...)
 	if err != nil {
 		return err
 	}
@@ -325,6 +326,15 @@
 	return nil
 }
 
+// featureFlags returns the flags of hosts: every second seed uses the features that deployments of
+// many hosts use.
+func (s *system) featureFlags() []string {
+	if s.options.Seed%2 == 0 {
+		return nil
+	}
+	return []string{"--owner-queue=on", "--learned-concurrency=on", "--spread-keys=on"}
+}
+
 // isReady reports whether the readiness check of a host succeeds.
 func (h *host) isReady() bool {
 	client := http.Client{Timeout: time.Second}
