Begin only requests of idempotent routes early

Cause: a request behind another on its connection was begun early by its method alone. A GET of a route that is not idempotent would run again if the connection ends before its response: its caller takes it as not read, and sends it once more. Change: the route decides as well, without counting the request for the weights of its parts. Measured: a case of TestPipelinedRequests, which failed without the check (three begun, want one).

--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -128,6 +128,16 @@
 	return t.match(e, e.nextService()), true
 }
 
+// Route returns the route of a host name and path as Find does, without counting a request for
+// the weights of its parts.
+func (t *Table) Route(host, path string) (*Route, bool) {
+	e := t.entry(host, path)
+	if e == nil {
+		return nil, false
+	}
+	return e.route, true
+}
+
 // FindPart returns the same route as Find, with the given service if it is one of the
 // route's. Another host has selected it by the weights.
 func (t *Table) FindPart(host, path, service string) (Match, bool) {
--- a/io/listener/ahead.go
+++ b/io/listener/ahead.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 )
 
@@ -26,10 +25,8 @@
 // ahead splits what a caller sends into requests, and gives the server one request at a time. What
 // is read beyond it are requests that the caller has sent without waiting for the response
 // (pipelining): those that may be are begun early, while the server handles the one before them.
-// It is guarded by the lock of its connection, but for source, which only the server reads from.
+// It is guarded by the lock of its connection.
 type ahead struct {
-	// source is the connection to the caller.
-	source net.Conn
 	// begin begins a request early.
 	begin func(*http.Request) *early
 	// plain is set once the requests can't be told apart. All is passed on from then on.
@@ -130,8 +127,9 @@
 	}
 }
 
-// repeatable reports whether a request may be begun although its response may never be delivered:
-// it has no body, and its method is safe. The caller sends it again if the connection ends.
+// repeatable reports whether a request may be begun although its response may never be delivered,
+// as far as its head shows: it has no body, and its method is safe. The caller sends it again if the
+// connection ends.
 func repeatable(r *http.Request) bool {
 	safe := r.Method == http.MethodGet || r.Method == http.MethodHead
 	return safe && r.ProtoAtLeast(1, 1) && r.Host != "" && r.ContentLength == 0 && len(r.TransferEncoding) == 0 &&
@@ -162,10 +160,10 @@
 }
 
 // BeginEarly has the requests that callers send without waiting for a response handled at once by
-// handler. The responses are still sent in their order, by the handler that BeginEarly returns. It
-// must be called before the server serves.
-func (l *Listener) BeginEarly(handler http.Handler) http.Handler {
-	l.early = handler
+// handler, if they are idempotent. The responses are still sent in their order, by the handler that
+// BeginEarly returns. It must be called before the server serves.
+func (l *Listener) BeginEarly(handler http.Handler, idempotent func(*http.Request) bool) http.Handler {
+	l.early, l.idempotent = handler, idempotent
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e := takeEarly(r.Context())
 		if e == nil {
--- a/io/listener/early_test.go
+++ b/io/listener/early_test.go
@@ -28,7 +28,9 @@
 	t.Helper()
 	s := &pipelineServer{release: make(chan struct{})}
 	s.Listener = serveWith(t, func(server *http.Server, l *Listener) {
-		server.ReadHeaderTimeout, server.Handler = time.Second, l.BeginEarly(http.HandlerFunc(s.handle))
+		server.ReadHeaderTimeout, server.Handler = time.Second, l.BeginEarly(http.HandlerFunc(s.handle), func(r *http.Request) bool {
+			return r.URL.Path != "/once"
+		})
 	})
 	return s, dial(t, s.Listener)
 }
@@ -137,6 +139,7 @@
 		{"in one write", requests("/slow/1", "/2", "/slow/3", "/large", "/empty"), []string{"/slow/1", "/2", "/slow/3", "/large", "/empty"}, 5, 1 << 20},
 		{"byte by byte", requests("/slow/1", "/2", "/3"), []string{"/slow/1", "/2", "/3"}, 3, 1},
 		{"more than are begun early", requests(many...), many, 1 + maxEarly, len(hidden)},
+		{"not idempotent by its route", requests("/slow/1", "/once", "/3"), []string{"/slow/1", "/once", "/3"}, 1, 1 << 20},
 		{"not safe", get("/slow/1") + post("/2", "body"), two, 1, 1 << 20},
 		{"with a body", get("/slow/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx", two, 1, 1 << 20},
 		{"in a body", get("/slow/1") + post("/2", hidden), two, 1, 1 << 20},
--- a/io/listener/listener.go
+++ b/io/listener/listener.go
@@ -44,6 +44,7 @@
 	// early handles requests that callers send without waiting for a response; nil if none is
 	// handled before its turn. earlyStopped is set once no more are.
 	early        http.Handler
+	idempotent   func(*http.Request) bool
 	earlyStopped atomic.Bool
 
 	mu    sync.Mutex
@@ -117,7 +118,7 @@
 	}
 	c := &Conn{Conn: conn, listener: l, opened: time.Now(), deadlineSet: make(chan struct{})}
 	if l.early != nil {
-		c.ahead = &ahead{source: conn, begin: c.begin}
+		c.ahead = &ahead{begin: c.begin}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/listener/split.go
+++ b/io/listener/split.go
@@ -16,7 +16,7 @@
 
 // begin begins a request early. The caller holds mu.
 func (c *Conn) begin(r *http.Request) *early {
-	if c.ctx == nil || c.listener.earlyStopped.Load() {
+	if c.ctx == nil || c.listener.earlyStopped.Load() || !c.listener.idempotent(r) {
 		return nil
 	}
 	r.RemoteAddr = c.RemoteAddr().String()
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -158,6 +158,17 @@
 	return kithttp.NewServer(p.endpoint(), p.decode, p.encode, kithttp.ServerErrorEncoder(p.encodeError))
 }
 
+// Idempotent reports whether a caller's request may run more than once.
+func (p *Proxy) Idempotent(r *http.Request) bool {
+	table := p.catalog.Table()
+	if table == nil {
+		return false
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route, ok := table.Route(r.Host, path)
+	return ok && route.Idempotent
+}
+
 // request is a caller's request in progress.
 type request struct {
 	platform.RequestInfo
