Take a refused probe for an answer of a host that stops

Cause: a host that stops closes the listener for other hosts as soon as its own callers are done, and then finishes the requests that others have relayed to it. A refusal is an answer of the host's network; if the process has ended, the connection of the request has ended too.

--- a/io/gateway/cluster_test.go
+++ b/io/gateway/cluster_test.go
@@ -27,8 +27,9 @@
 	orderService = "payouts"
 	keyedService = "records"
 	routeHost    = "site.example"
-	// slowRoute is the name of a route with a timeout of 20 s.
-	slowRoute = "slow"
+	// slowRoute and slowRecordsRoute are the names of routes with a timeout of 20 s.
+	slowRoute        = "slow"
+	slowRecordsRoute = "slow-records"
 )
 
 // testCluster runs hosts, targets and a stand-in for the store on loopback
@@ -132,6 +133,7 @@
 			{Name: "records", Service: keyedService, Idempotent: true, Timeout: time.Second},
 			{Name: fmt.Sprint("v", version), Service: plainService, Idempotent: true, Timeout: time.Second},
 			{Name: slowRoute, Service: plainService, Idempotent: true, Timeout: 20 * time.Second},
+			{Name: slowRecordsRoute, Service: keyedService, Idempotent: true, Timeout: 20 * time.Second},
 		},
 		Services: []platformstore.Service{
 			{Name: plainService, ColdTime: c.coldTime, ColdRate: c.coldRate}, {Name: orderService, ColdTime: c.coldTime, ColdRate: c.coldRate},
--- a/io/proxy/peerprobe.go
+++ b/io/proxy/peerprobe.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,7 +60,8 @@
 }
 
 // probePeer reports whether another host answers. Requests that wait for the same host share a
-// probe.
+// probe. A refused connection is an answer: a host that stops finishes its requests after it has
+// closed its listener, and if its process has ended, so have the connections of its requests.
 func (p *Proxy) probePeer(address string) bool {
 	alive, _, _ := p.peerProbes.Do(address, func() (any, error) {
 		ctx, cancel := context.WithTimeout(p.shutdownCtx, peerProbeTimeout)
@@ -69,6 +71,9 @@
 			return false, errors.Wrapf(err, "probe host %s", address)
 		}
 		resp, err := p.peerTransport.RoundTrip(req)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true, nil
+		}
 		if err != nil {
 			klog.InfoS("Host does not answer", "address", address, "err", err)
 			return false, nil
