Have few hosts of a domain select the targets of services without keys

Change: a host relays a request without key to a host of its domain that selects targets for all (peers.Dispatcher): the first hosts by rendezvous, weighed by cores, as many as bear the requests that the domain's targets can answer; no record or message. Refused, detached or failed relays are sent directly. The dispatcher counts the request for the retry budget, so that retries are had where targets are selected; keyed requests that are relayed to the holder of an owner's queue too. A silent host is probed only if nothing came from it for 0.25 s. Older builds: they don't count a relayed request, and so have fewer retries; one that they relay says nothing of the budget and is not counted again.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -81,6 +81,8 @@
 	// failedUntil its end.
 	backoff     time.Duration
 	failedUntil time.Time
+	// heardAt is when the host has last answered anything.
+	heardAt time.Time
 	// detachedUntil holds, by service, the end of the time for which the host counts
 	// as detached, whatever the list says.
 	detachedUntil map[string]time.Time
@@ -246,15 +248,32 @@
 	e.failedUntil = now.Add(e.backoff)
 }
 
-// MarkServed ends the backoff of the host at an address.
-func (t *Table) MarkServed(address string) {
+// MarkServed ends the backoff of the host at an address, which has served a request.
+func (t *Table) MarkServed(address string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.hosts[address]; e != nil {
-		e.backoff, e.failedUntil = 0, time.Time{}
+		e.backoff, e.failedUntil, e.heardAt = 0, time.Time{}, now
 	}
 }
 
+// MarkAlive records that the host at an address answers.
+func (t *Table) MarkAlive(address string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.hosts[address]; e != nil {
+		e.heardAt = now
+	}
+}
+
+// HeardSince reports whether the host at an address has answered anything since a time.
+func (t *Table) HeardSince(address string, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.hosts[address]
+	return e != nil && e.heardAt.After(since)
+}
+
 // MarkDetached records that the host at an address has said that it can't reach the
 // targets of a service. That holds for a second, or until a list has something new of
 // the host.
--- a/core/peers/peers_test.go
+++ b/core/peers/peers_test.go
@@ -98,12 +98,12 @@
 	}
 	t.Run("served", func(t *testing.T) {
 		table.MarkFailed(near.Address, clk.Now())
-		table.MarkServed(near.Address)
+		table.MarkServed(near.Address, clk.Now())
 		wantPick(t, table, clk.Now(), near.Address)
 		wantBackoff(t, 500*time.Millisecond)
 	})
 	t.Run("failures at the same time", func(t *testing.T) {
-		table.MarkServed(near.Address)
+		table.MarkServed(near.Address, clk.Now())
 		table.MarkFailed(near.Address, clk.Now())
 		wantBackoff(t, 500*time.Millisecond)
 	})
@@ -120,7 +120,7 @@
 	})
 	t.Run("an unknown host", func(t *testing.T) {
 		table.MarkFailed("unknown:1", clk.Now())
-		table.MarkServed("unknown:1")
+		table.MarkServed("unknown:1", clk.Now())
 		table.MarkDetached("unknown:1", service, clk.Now())
 		wantPick(t, table, clk.Now(), near.Address)
 	})
--- a/core/placement/learned.go
+++ b/core/placement/learned.go
@@ -48,7 +48,7 @@
 	if c.learned.Limit == 0 {
 		return 1
 	}
-	return math.Hypot(1, c.depth) / max(1, c.depth) * (1 + affinitySpread*c.target.affinity)
+	return math.Hypot(1, c.depth) / max(1, c.depth) * (1 + affinitySpread*c.set.affinity(c.target))
 }
 
 // maxDepth returns the highest number of requests per slot at which a target is selected,
@@ -105,6 +105,18 @@
 	t.learned.Record(sample, now)
 }
 
+// affinity returns how little this host prefers a target, from 0 to 1. One that selects targets for
+// all hosts of its failure domain knows each of them well and prefers none in its own domain.
+func (s *Set) affinity(t *Target) float64 {
+	switch {
+	case !s.Dispatches():
+		return t.affinity
+	case t.entry.Domain == s.domain:
+		return 0
+	}
+	return otherDomainAffinity
+}
+
 // drawAffinity draws how little this host prefers a target, from 0 to 1: those in its own failure
 // domain before others.
 func (s *Set) drawAffinity(entry *Entry) float64 {
--- a/core/placement/model_test.go
+++ b/core/placement/model_test.go
@@ -29,6 +29,9 @@
 	skew float64
 	// overload marks a burst that is beyond what the targets can run.
 	overload bool
+	// dispatchers is the number of hosts in each domain that select targets for all; 0 for each
+	// host by itself.
+	dispatchers int
 }
 
 // result is how the requests of a model fared.
@@ -69,6 +72,7 @@
 	events       []event
 	sets         []*Set
 	waiting      [][]*call
+	polled       []bool
 	modelTargets []*modelTarget
 	result       *result
 }
@@ -114,13 +118,14 @@
 
 // play plays a load with a seed, with or without what was learned, and adds to a result.
 func (l load) play(seed uint64, learns bool, r *result) {
-	c := &cluster{load: l, rand: rand.New(rand.NewPCG(seed, 3)), choices: rand.New(rand.NewPCG(seed, 4)), now: start, waiting: make([][]*call, l.hosts), result: r}
+	c := &cluster{load: l, rand: rand.New(rand.NewPCG(seed, 3)), choices: rand.New(rand.NewPCG(seed, 4)), now: start, waiting: make([][]*call, l.hosts), polled: make([]bool, l.hosts), result: r}
 	for i := range l.targets {
 		c.modelTargets = append(c.modelTargets, &modelTarget{id: strconv.Itoa(i), domain: i % modelDomains, speed: l.speeds[i/modelDomains%len(l.speeds)], noise: c.rand.Uint64(), slow: c.rand.Float64() < l.slowShare})
 	}
 	for i := range l.hosts {
 		s := NewSet(strconv.Itoa(i % modelDomains))
 		s.Rand, s.Learns = c.choices.Float64, func() bool { return learns }
+		s.Dispatches = func() bool { return l.dispatchers > 0 }
 		for _, b := range c.modelTargets {
 			s.Put(Entry{ID: b.id, Service: service, Domain: strconv.Itoa(b.domain), Slots: modelSlots, Sequence: 1}, start)
 		}
@@ -143,6 +148,9 @@
 	if c.rand.Float64() < c.skew {
 		q.host -= q.host % modelDomains
 	}
+	if c.dispatchers > 0 {
+		q.host = q.host%modelDomains + modelDomains*c.rand.IntN(c.dispatchers)
+	}
 	q.work = c.work.Seconds() * math.Exp(c.spread*c.rand.NormFloat64()-c.spread*c.spread/2)
 	if c.rand.Float64() < c.tail {
 		q.work *= 5
@@ -172,8 +180,12 @@
 // poll lets the requests that wait at a host try again.
 func (c *cluster) poll(host int) {
 	c.waiting[host] = slices.DeleteFunc(c.waiting[host], c.try)
-	if len(c.waiting[host]) > 0 {
-		c.after(25*time.Millisecond, func() { c.poll(host) })
+	if len(c.waiting[host]) > 0 && !c.polled[host] {
+		c.polled[host] = true
+		c.after(25*time.Millisecond, func() {
+			c.polled[host] = false
+			c.poll(host)
+		})
 	}
 }
 
@@ -354,6 +366,50 @@
 	}
 }
 
+// TestDispatchers compares hosts that each select targets by themselves with one host, and with two,
+// that do so for all of a failure domain. It guards against callers who are served worse through
+// these than without.
+func TestDispatchers(t *testing.T) {
+	checks := load{hosts: 77, targets: 66, perSecond: 400, work: 220 * time.Millisecond, spread: 0.8, tail: 0.01, speeds: []float64{0.5, 1, 1, 1.5}, objective: 600 * time.Millisecond, burst: 1.4}
+	payouts := load{hosts: 77, targets: 99, perSecond: 460, work: 290 * time.Millisecond, spread: 0.5, tail: 0.01, speeds: []float64{0.5, 1, 1, 1.5}, objective: time.Second, nonIdempotent: true, burst: 1.4}
+	all := []load{
+		checks.with("77 hosts, checks", func(*load) {}),
+		checks.with("77 hosts, checks, some targets become slow", func(l *load) { l.slowShare = 0.16 }),
+		checks.with("195 hosts, checks", func(l *load) { l.hosts = 195 }),
+		payouts.with("77 hosts, payouts", func(*load) {}),
+	}
+	for _, l := range loads {
+		switch l.name {
+		case "few targets", "overload", "most requests in one domain", "36 hosts", "slow when full":
+			all = append(all, l)
+		}
+	}
+	for _, l := range all {
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			results := map[int]*result{0: {}, 1: {}, 2: {}}
+			for dispatchers, r := range results {
+				l.dispatchers = dispatchers
+				for seed := range uint64(modelSeeds) {
+					l.play(seed, true, r)
+				}
+			}
+			without := results[0]
+			for dispatchers := range len(results) {
+				r := results[dispatchers]
+				t.Logf("%d dispatchers: in time %.3f, shed %d of %d, refused %d of %d, p99 %.2f s, p50 %.3f s, cross %.2f", dispatchers, r.share(r.inTime), r.shed, r.sends, r.refused, r.requests, r.quantile(0.99).Seconds(), r.quantile(0.5).Seconds(), r.sendShare(r.cross))
+				if got, want := r.share(r.inTime), without.share(without.inTime)-inTimeTolerance; got < want {
+					t.Errorf("share in time with %d dispatchers: got %.3f, want at least %.3f", dispatchers, got, want)
+				}
+				wantAtMost(t, "share of refused requests", r.share(r.refused), without.share(without.refused)+inTimeTolerance)
+				if !l.overload {
+					wantAtMost(t, "share of sends to other failure domains", r.sendShare(r.cross), max(without.sendShare(without.cross), 1.0/modelDomains))
+				}
+			}
+		})
+	}
+}
+
 func wantAtMost(t *testing.T, what string, got, want float64) {
 	t.Helper()
 	if got > want {
--- a/core/placement/ownerload.go
+++ b/core/placement/ownerload.go
@@ -43,3 +43,17 @@
 		t.report(float64(max(0, report.others(Complete)-t.inFlight)), now)
 	}
 }
+
+// DomainSlots returns the number of slots of the targets of a service in this host's failure
+// domain.
+func (s *Set) DomainSlots(service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slots := 0
+	for _, t := range s.service(service).targets {
+		if t.entry.Domain == s.domain {
+			slots += t.entry.Slots
+		}
+	}
+	return slots
+}
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -13,8 +13,8 @@
 )
 
 // Set is the table of all targets. It is safe for concurrent use. In the lock order its
-// mutex comes before those of hostcount.Counter and peers.Table, which Hosts, Learns and
-// Sender take, and after all others. The functions that are set before use are called
+// mutex comes before those of hostcount.Counter and peers.Table, which Hosts, Learns,
+// Dispatches and Sender take, and after all others. The functions that are set before use are called
 // with the mutex held and must not call the set.
 type Set struct {
 	mu       sync.Mutex
@@ -44,6 +44,9 @@
 	// Learns reports whether choices follow what was learned of each target. It is set
 	// before use.
 	Learns func() bool
+	// Dispatches reports whether few hosts select the targets of services without keys for
+	// all. It is set before use.
+	Dispatches func() bool
 	// Rand returns a random number of at least 0 and less than 1.
 	Rand func() float64
 }
@@ -74,7 +77,7 @@
 		domain: domain, targets: make(map[string]*Target), services: make(map[string]*serviceState),
 		rests: make(rests), changed: make(chan struct{}), Hosts: func() int { return 1 },
 		Sender: func(*Entry) bool { return false }, Cold: func(string) Cold { return Cold{} },
-		Learns: func() bool { return false }, Rand: rand.Float64,
+		Learns: func() bool { return false }, Dispatches: func() bool { return false }, Rand: rand.Float64,
 	}
 }
 
--- a/io/gateway/features.go
+++ b/io/gateway/features.go
@@ -9,36 +9,31 @@
 	"pineturn/core/feature"
 )
 
-// Numbers of hosts in service from which on features are used by default.
-const (
-	// Fewer hosts each see enough of an owner's requests to know how full it is, and are spared
-	// the hop.
-	minQueueHosts = 24
-	// Fewer hosts know of most requests at a target by their own sends.
-	minLearningHosts = 24
-	// Fewer hosts serve fewer targets, which one round of rebalancing a second keeps level.
-	minSpreadHosts = 24
-)
+// minHosts is the number of hosts in service from which features are used by default. Fewer hosts each
+// see enough of the requests at a target to know how full it is, and are spared the hop to another one;
+// a round of rebalancing a second keeps their targets level.
+const minHosts = 24
 
 // features are the settings of the features that an operator may switch.
 type features struct {
-	ownerQueue, learnedConcurrency, spreadKeys feature.Setting
+	ownerQueue, learnedConcurrency, spreadKeys, dispatch feature.Setting
 }
 
 // defaultFeatures are the settings without flags.
-var defaultFeatures = features{ownerQueue: feature.Auto, learnedConcurrency: feature.Auto, spreadKeys: feature.Auto}
+var defaultFeatures = features{ownerQueue: feature.Auto, learnedConcurrency: feature.Auto, spreadKeys: feature.Auto, dispatch: feature.Auto}
 
 func featureFlags() []cli.Flag {
-	flag := func(name, variable, usage string, minHosts int) cli.Flag {
+	flag := func(name, variable, usage string) cli.Flag {
 		return &cli.StringFlag{
 			Name: name, Value: string(feature.Auto), Sources: cli.EnvVars(variable),
 			Usage: fmt.Sprintf("%s: on, off, or auto, from %d hosts on", usage, minHosts),
 		}
 	}
 	return []cli.Flag{
-		flag("owner-queue", "PINETURN_OWNER_QUEUE", "relay keyed requests to the host that holds the queue of their owner", minQueueHosts),
-		flag("learned-concurrency", "PINETURN_LEARNED_CONCURRENCY", "send requests by what was learned of each target", minLearningHosts),
-		flag("spread-keys", "PINETURN_SPREAD_KEYS", "spread regions of hot keys soon and finely over their owners", minSpreadHosts),
+		flag("owner-queue", "PINETURN_OWNER_QUEUE", "relay keyed requests to the host that holds the queue of their owner"),
+		flag("learned-concurrency", "PINETURN_LEARNED_CONCURRENCY", "send requests by what was learned of each target"),
+		flag("spread-keys", "PINETURN_SPREAD_KEYS", "spread regions of hot keys soon and finely over their owners"),
+		flag("dispatch", "PINETURN_DISPATCH", "relay requests without keys to few hosts of a failure domain, which select targets for all"),
 	}
 }
 
@@ -49,6 +44,7 @@
 		setting *feature.Setting
 	}{
 		{"owner-queue", &f.ownerQueue}, {"learned-concurrency", &f.learnedConcurrency}, {"spread-keys", &f.spreadKeys},
+		{"dispatch", &f.dispatch},
 	} {
 		var err error
 		if *x.setting, err = feature.Parse(command.String(x.name)); err != nil {
@@ -60,11 +56,13 @@
 
 // useFeatures sets which features are used. It is called before the host runs.
 func (g *Gateway) useFeatures(f features) {
-	g.ownerQueue = feature.New(f.ownerQueue, minQueueHosts, g.hosts.Counted)
+	g.ownerQueue = feature.New(f.ownerQueue, minHosts, g.hosts.Counted)
 	g.proxy.OwnerQueue = g.ownerQueue.Enabled
-	g.learnedConcurrency = feature.New(f.learnedConcurrency, minLearningHosts, g.hosts.Counted)
+	g.learnedConcurrency = feature.New(f.learnedConcurrency, minHosts, g.hosts.Counted)
 	g.targets.Learns = g.learnedConcurrency.Enabled
-	spread := feature.New(f.spreadKeys, minSpreadHosts, g.linkedHosts)
+	dispatch := feature.New(f.dispatch, minHosts, g.hosts.Counted)
+	g.proxy.Dispatches, g.targets.Dispatches = dispatch.Enabled, dispatch.Enabled
+	spread := feature.New(f.spreadKeys, minHosts, g.linkedHosts)
 	g.coordinator.SpreadKeys = spread.Enabled
 	g.reporter.Frequent = spread.Enabled
 }
--- a/io/proxy/peerprobe.go
+++ b/io/proxy/peerprobe.go
@@ -30,7 +30,7 @@
 // may be paused. If it is, it has a backoff, and a request that may be sent again is cancelled. The
 // caller calls stop once it has the response.
 func (p *Proxy) watchPeer(ctx context.Context, q *request, host peers.Host) (watched context.Context, stop func()) {
-	if q.queueOwner == "" {
+	if !q.toHolder() {
 		return ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -38,7 +38,7 @@
 	// once decides between the response and the end of patience.
 	var once sync.Once
 	timer := time.AfterFunc(peerPatience, func() {
-		for p.probePeer(host.Address) {
+		for p.peerAnswers(host.Address) {
 			select {
 			case <-ended:
 				return
@@ -59,6 +59,18 @@
 	}
 }
 
+// peerAnswers reports whether another host has answered anything lately, or answers a probe.
+func (p *Proxy) peerAnswers(address string) bool {
+	if p.peers.HeardSince(address, p.clock.Now().Add(-peerPatience)) {
+		return true
+	}
+	alive := p.probePeer(address)
+	if alive {
+		p.peers.MarkAlive(address, p.clock.Now())
+	}
+	return alive
+}
+
 // probePeer reports whether another host answers. Requests that wait for the same host share a
 // probe. A refused connection is an answer: a host that stops finishes its requests after it has
 // closed its listener, and if its process has ended, so have the connections of its requests.
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -64,6 +64,9 @@
 	// OwnerQueue reports whether keyed requests are relayed to the host that holds the queue of
 	// their owner. It is set before use.
 	OwnerQueue func() bool
+	// Dispatches reports whether requests without keys are relayed to the hosts that select
+	// targets for all of a failure domain. It is set before use.
+	Dispatches func() bool
 	queues     ownerQueues
 	// peerVersion is the newest version of the configuration by which another host has served
 	// a relayed request.
@@ -133,7 +136,7 @@
 	p := &Proxy{
 		catalog: catalog, targets: targets, budget: b, poison: tracker, pool: pool, clock: clk, loads: owner.NewLoads(clk.Now()),
 		reach: reach.New(), peers: others, peerTransport: newPeerTransport(), done: make(chan struct{}), HandleRecord: func(RequestRecord) {},
-		OwnerQueue: func() bool { return false }, queues: newOwnerQueues(),
+		OwnerQueue: func() bool { return false }, Dispatches: func() bool { return false }, queues: newOwnerQueues(),
 	}
 	p.queues.load = p.targetOfQueue
 	pool.HandleDial = p.recordDial
@@ -207,10 +210,13 @@
 	askedVersion int64
 	// via is the address of the host that the request was last relayed to, triedHosts
 	// those of all such hosts. queueOwner is the owner of the key if that host holds the
-	// owner's queue.
+	// owner's queue, dispatched is set if that host selects targets for others.
 	via        string
 	triedHosts []string
 	queueOwner string
+	dispatched bool
+	// budgeted is set once the request counts for the retry budget, at this host or another.
+	budgeted bool
 	// elapsed is the time for which another host that relayed the request had it.
 	elapsed time.Duration
 	// firstArrival is when the request has arrived first, in an attempt that was refused here
@@ -245,7 +251,6 @@
 	if err := q.setRoute(match, ok, table); err != nil {
 		return nil, err
 	}
-	p.budget.RecordRequest(q.match.Service.Name, q.started)
 	if err := q.body.read(r, table.Config().Limits.MaxBodyBytes); err != nil {
 		return nil, q.bodyError(err)
 	}
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -29,8 +30,12 @@
 	// headerRelaySends holds the number of sends of the request to targets so far.
 	headerRelaySends = "Pineturn-Relay-Sends"
 	// headerRelayOwner holds the owner of the request's key in a request that is relayed to the
-	// host that holds the owner's queue.
+	// host that holds the owner's queue, and the service in one that is relayed to a host that
+	// selects targets.
 	headerRelayOwner = "Pineturn-Relay-Owner"
+	// headerRelayUnbudgeted is set in a request that the receiving host counts for the retry
+	// budget. Older builds don't, and so have fewer retries.
+	headerRelayUnbudgeted = "Pineturn-Relay-Unbudgeted"
 	// headerRelayElapsed holds, in milliseconds, for how long the relaying host has had the
 	// request: its objective counts from its arrival there.
 	headerRelayElapsed = "Pineturn-Relay-Elapsed"
@@ -92,11 +97,11 @@
 }
 
 // peer returns the host to which a request is relayed: the one that holds the queue of its
-// owner or, if the path to the targets is lost, any other. It returns false if the request is
+// owner, one that selects targets or, if the path to the targets is lost, any other. It returns false if the request is
 // sent to a target directly: there is no such host, or another one has relayed the request
 // already.
 func (p *Proxy) peer(q *request) (peers.Host, bool) {
-	q.queueOwner = ""
+	q.queueOwner, q.dispatched = "", false
 	if q.relayed {
 		return peers.Host{}, false
 	}
@@ -116,10 +121,17 @@
 	return q.match.Route.Regions == nil || p.allowsDomain(q, host.Domain)
 }
 
-// holder returns the host that holds the queue of the owner of a request's key, if that is
-// another one. A request whose relay to a holder came to nothing is sent directly.
+// holder returns the host that holds the queue of the owner of a request's key or, without a key,
+// one that selects targets, if that is another one. A request whose relay to such a host came to
+// nothing is sent directly.
 func (p *Proxy) holder(q *request) (peers.Host, bool) {
-	if len(q.triedHosts) > 0 || !q.keyed() || !p.OwnerQueue() {
+	if len(q.triedHosts) > 0 {
+		return peers.Host{}, false
+	}
+	if !q.match.Service.Keyed {
+		return p.dispatcher(q)
+	}
+	if !q.keyed() || !p.OwnerQueue() {
 		return peers.Host{}, false
 	}
 	target, _ := p.currentOwner(q)
@@ -134,6 +146,35 @@
 	return host, ok
 }
 
+// objectiveTimes is how many times as long as a request usually takes its objective is assumed to
+// be.
+const objectiveTimes = 4
+
+// dispatcher returns the host that selects the target of a request, if that is another one. The
+// number of such hosts follows the requests a second that the targets of this failure domain bear.
+func (p *Proxy) dispatcher(q *request) (peers.Host, bool) {
+	if !p.Dispatches() || q.match.Route.Objective <= 0 {
+		return peers.Host{}, false
+	}
+	service := q.match.Service.Name
+	perSecond := float64(p.targets.DomainSlots(service)) * objectiveTimes / q.match.Route.Objective.Seconds()
+	host, ok := p.peers.Dispatcher(service, perSecond, p.clock.Now())
+	q.dispatched = ok
+	return host, ok
+}
+
+// toHolder reports whether a request is relayed to a host because of that host's part in all
+// requests, not because this host has lost its path to the targets.
+func (q *request) toHolder() bool { return q.queueOwner != "" || q.dispatched }
+
+// countForBudget counts a request for the retry budget, unless that was done.
+func (p *Proxy) countForBudget(q *request) {
+	if !q.budgeted {
+		p.budget.RecordRequest(q.match.Service.Name, q.started)
+		q.budgeted = true
+	}
+}
+
 // relay sends a request to another host, which sends it to a target.
 func (p *Proxy) relay(ctx context.Context, q *request, host peers.Host) sendResult {
 	q.progress.RecordSend()
@@ -147,7 +188,9 @@
 		if caller.Err() == nil {
 			p.peers.MarkFailed(host.Address, p.clock.Now())
 		}
-		return sendResult{result: classifySendError(err), err: errors.Wrapf(err, "relay to host %s", host.Address)}
+		result := classifySendError(err)
+		q.budgeted = q.budgeted || result != attempt.Unsent
+		return sendResult{result: result, err: errors.Wrapf(err, "relay to host %s", host.Address)}
 	}
 	return p.relayResult(q, host, resp)
 }
@@ -155,9 +198,12 @@
 func (p *Proxy) relayRequest(ctx context.Context, q *request, host peers.Host) *http.Request {
 	header := platform.RelayHeaders(q.header, q.timeLeft(p.clock.Now())-relayMargin)
 	version := max(q.configVersion, p.peerVersion.Load())
-	if q.queueOwner != "" {
+	if q.toHolder() {
 		version = q.configVersion
-		header.Set(headerRelayOwner, q.queueOwner)
+		header.Set(headerRelayOwner, cmp.Or(q.queueOwner, q.match.Service.Name))
+	}
+	if !q.budgeted {
+		header.Set(headerRelayUnbudgeted, "1")
 	}
 	header.Set(headerRelayVersion, strconv.FormatInt(version, 10))
 	header.Set(headerRelayElapsed, strconv.FormatInt(p.clock.Now().Sub(q.started).Milliseconds(), 10))
@@ -178,6 +224,7 @@
 	for _, name := range []string{headerRelayOutcome, headerRelayTarget, headerRelaySends, headerRelayVersion} {
 		h.Del(name)
 	}
+	q.budgeted = q.budgeted || outcome != relayDetached && outcome != relayUnavailable
 	if outcome == relayResponded {
 		return p.relayedResponse(q, host, target, sends, resp)
 	}
@@ -191,7 +238,7 @@
 		p.peers.MarkFailed(host.Address, p.clock.Now())
 		s.result = q.notRelayed(sends)
 	case relayRefused:
-		p.peers.MarkServed(host.Address)
+		p.peers.MarkServed(host.Address, p.clock.Now())
 		s.result = attempt.NotRun
 		if p.ownerDiffers(q, target) {
 			s.result = q.notRelayed(sends)
@@ -263,7 +310,7 @@
 	if r.unread == nil {
 		_ = resp.Body.Close()
 	}
-	p.peers.MarkServed(host.Address)
+	p.peers.MarkServed(host.Address, p.clock.Now())
 	s := sendResult{result: attempt.Complete, response: r, target: target}
 	p.observeRelayed(s)
 	return s
--- a/io/proxy/relayed.go
+++ b/io/proxy/relayed.go
@@ -26,8 +26,7 @@
 // host has not read yet.
 var errOlderConfig = errors.New("configuration is older than the relaying host's")
 
-// decodeRelayed matches a relayed request to a route and reads its body. The relaying host
-// has counted the request for the retry budget.
+// decodeRelayed matches a relayed request to a route and reads its body.
 func (p *Proxy) decodeRelayed(_ context.Context, r *http.Request) (any, error) {
 	q := p.newRequest(r)
 	q.relayed = true
@@ -41,19 +40,20 @@
 		return nil, q.fail(http.StatusBadRequest, reasonRelayFailed, errors.Wrap(err, "number of sends"))
 	}
 	service := r.Header.Get(headerRelayService)
-	queueOwner := r.Header.Get(headerRelayOwner)
+	toHolder := r.Header.Get(headerRelayOwner) != ""
+	q.budgeted = r.Header.Get(headerRelayUnbudgeted) == ""
 	// Older builds do not state the time, which is short.
 	if ms, err := strconv.Atoi(r.Header.Get(headerRelayElapsed)); err == nil && ms > 0 {
 		q.elapsed = min(time.Duration(ms)*time.Millisecond, maxElapsed)
 	}
-	for _, name := range []string{headerRelayVersion, headerRelaySends, headerRelayService, headerRelayOwner, headerRelayElapsed} {
+	for _, name := range []string{headerRelayVersion, headerRelaySends, headerRelayService, headerRelayOwner, headerRelayElapsed, headerRelayUnbudgeted} {
 		q.header.Del(name)
 	}
 	table := p.catalog.Table()
 	if table == nil || table.Config().Version < version {
 		return nil, q.refuseFor(reasonNoConfig, configLoadTime, errOlderConfig)
 	}
-	if queueOwner != "" && table.Config().Version > version {
+	if toHolder && table.Config().Version > version {
 		// The relaying host goes on by its own configuration, which must not fall back from one
 		// that this host has served its request by.
 		q.configVersion = table.Config().Version
@@ -69,6 +69,7 @@
 	if p.reach.IsLost(q.match.Service.Name) {
 		return nil, q.refuseFor(reasonDetached, 0, nil)
 	}
+	p.countForBudget(q)
 	q.progress.RecordSends(sends)
 	if err := q.body.read(r, table.Config().Limits.MaxBodyBytes); err != nil {
 		return nil, q.bodyError(err)
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -70,6 +70,7 @@
 		}
 		return p.relay(ctx, q, host), nil
 	}
+	p.countForBudget(q)
 	if q.relayed && p.reach.IsLost(q.match.Service.Name) {
 		return sendResult{}, q.refuseFor(reasonDetached, 0, nil)
 	}
