--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -99,6 +99,14 @@
 	return p.sendWithHedge(ctx, q, choice), nil
 }
 
+// countForBudget counts a request for the retry budget, unless that was done.
+func (p *Proxy) countForBudget(q *request) {
+	if !q.budgeted {
+		p.budget.RecordRequest(q.match.Service.Name, q.started)
+		q.budgeted = true
+	}
+}
+
 // renewRetry counts a retry at the time when it is sent, and reports whether that is within
 // the retry budget. A retry may have waited for its owner or for capacity.
 func (p *Proxy) renewRetry(q *request) bool {
