Sum up from the logs of hosts why requests were not served

Cause: since requests are relayed, the log of the host that a caller reached says only that another host has refused or failed; the table of losses was made by hand from all logs.

--- a/io/pinectl/pinectl.go
+++ b/io/pinectl/pinectl.go
@@ -7,7 +7,9 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"slices"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -77,7 +79,7 @@
 // name is in brackets is optional.
 func subcommand(name, summary string, args []string, run action, flags ...cli.Flag) *cli.Command {
 	usage := ""
-	minArgs := 0
+	minArgs, maxArgs := 0, len(args)
 	for _, arg := range args {
 		if usage != "" {
 			usage += " "
@@ -86,6 +88,9 @@
 		if arg[0] != '[' {
 			minArgs++
 		}
+		if strings.HasSuffix(arg, "...") {
+			maxArgs = math.MaxInt
+		}
 	}
 	return &cli.Command{
 		Name:         name,
@@ -94,7 +99,7 @@
 		Flags:        flags,
 		OnUsageError: onUsageError,
 		Action: func(ctx context.Context, command *cli.Command) error {
-			if count := command.Args().Len(); count < minArgs || count > len(args) {
+			if count := command.Args().Len(); count < minArgs || count > maxArgs {
 				return usageFailure(fmt.Sprintf("%s: got %d arguments, want: %s", name, count, usage), "see pinectl "+name+" --help")
 			}
 			return run(ctx, command)
--- a/io/pinectl/platform.go
+++ b/io/pinectl/platform.go
@@ -27,6 +27,7 @@
 		Action:       unknownCommand,
 		Commands: []*cli.Command{
 			subcommand("check", "check a configuration before it is sent, and show what it changes", []string{"FILE"}, inv.platformCheck, reviewFlags()...),
+			subcommand("losses", "sum up from the logs of hosts why requests were not served", []string{"FILE..."}, inv.platformLosses),
 			subcommand("state", "show the host, the age of its data and the leader", nil, inv.platformState),
 			subcommand("targets", "list the targets as the host sees them", nil, inv.platformTargets),
 			subcommand("keys", "list the ranges of keys and their owners", []string{"[SERVICE]"}, inv.platformKeys),
