--- /dev/null
+++ b/io/metastore/entries_test.go
@@ -0,0 +1,143 @@
+package metastore
+
+import (
+	"bytes"
+	"strconv"
+	"testing"
+	"time"
+
+	"pineturn/core/clock"
+	"pineturn/core/placement"
+	"pineturn/platform"
+)
+
+func targetEntry(sequence string) []byte {
+	return []byte(`{"address":"10.0.0.1:80","info":{"service":"s","zone":"a","capacity":2},` +
+		`"status":{"state":"ready","sequence":` + sequence + `,"warmup_left_s":0}}`)
+}
+
+// TestLapsedEntries guards against removing live targets after an outage of the
+// store, in which targets could not renew their entries and the entries lapsed.
+func TestLapsedEntries(t *testing.T) {
+	fake := clock.NewFake(time.Unix(1000, 0))
+	newCatalog := func() (*Catalog, *placement.Set) {
+		targets := placement.NewSet("a")
+		catalog := NewCatalog(fake, targets)
+		catalog.applyTargets([]platform.Record{{Key: "t1", Value: targetEntry("1"), Offset: 0}}, false)
+		return catalog, targets
+	}
+	deletion := platform.Record{Key: "t1", Offset: 1}
+	t.Run("without an outage, the target is removed at once", func(t *testing.T) {
+		catalog, targets := newCatalog()
+		catalog.applyTargets([]platform.Record{deletion}, false)
+		wantTargets(t, targets, 0)
+	})
+	t.Run("after an outage, the target may renew its entry", func(t *testing.T) {
+		catalog, targets := newCatalog()
+		catalog.store.unreachable = true
+		catalog.applyTargets([]platform.Record{deletion}, false)
+		wantTargets(t, targets, 1)
+		catalog.applyTargets([]platform.Record{{Key: "t1", Value: targetEntry("2"), Offset: 2}}, false)
+		fake.Advance(2 * recoveryGrace)
+		catalog.expire()
+		wantTargets(t, targets, 1)
+	})
+	t.Run("an entry that lapses after the outage is removed when the grace period ends", func(t *testing.T) {
+		catalog, targets := newCatalog()
+		catalog.store.unreachable = true
+		catalog.store.recordSuccess()
+		fake.Advance(recoveryGrace / 4)
+		catalog.applyTargets([]platform.Record{deletion}, false)
+		wantTargets(t, targets, 1)
+		fake.Advance(recoveryGrace * 3 / 4)
+		catalog.expire()
+		wantTargets(t, targets, 0)
+	})
+	t.Run("after an outage of this host alone, the target is removed at once", func(t *testing.T) {
+		catalog, targets := newCatalog()
+		catalog.targetConsumer.next = 1
+		catalog.store.unreachable = true
+		catalog.applyTargets([]platform.Record{deletion}, false)
+		wantTargets(t, targets, 1)
+		catalog.ApplyRelayed(nil, []Watermark{{Topic: platform.TopicTargets, Next: 1, Uninterrupted: true}})
+		catalog.expire()
+		wantTargets(t, targets, 0)
+	})
+	t.Run("a leader that was cut off as well proves nothing", func(t *testing.T) {
+		catalog, targets := newCatalog()
+		catalog.targetConsumer.next = 1
+		catalog.store.unreachable = true
+		catalog.applyTargets([]platform.Record{deletion}, false)
+		catalog.ApplyRelayed(nil, []Watermark{{Topic: platform.TopicTargets, Next: 1}})
+		catalog.expire()
+		wantTargets(t, targets, 1)
+	})
+	t.Run("a host vouches for removals only some time after its outage", func(t *testing.T) {
+		catalog, _ := newCatalog()
+		catalog.targetConsumer.next = 1
+		catalog.store.unreachable = true
+		catalog.store.recordSuccess()
+		wantUninterrupted(t, catalog, false)
+		fake.Advance(recoveryGrace)
+		wantUninterrupted(t, catalog, true)
+	})
+	t.Run("a target that does not renew its entry is removed", func(t *testing.T) {
+		catalog, targets := newCatalog()
+		catalog.store.unreachable = true
+		catalog.applyTargets([]platform.Record{deletion}, false)
+		fake.Advance(recoveryGrace)
+		catalog.expire()
+		wantTargets(t, targets, 0)
+		if got := len(catalog.RecentlyRemoved()); got != 1 {
+			t.Errorf("removed targets kept for releases: got %d, want 1", got)
+		}
+	})
+}
+
+// TestReusedAddress guards against keys without an owner until a lease expires, though the
+// owner has ended, and against taking a live target for an ended one.
+func TestReusedAddress(t *testing.T) {
+	const otherAddress = "10.0.0.2:80"
+	entry := func(id, address string, offset int64) platform.Record {
+		value := bytes.Replace(targetEntry(strconv.FormatInt(offset, 10)), []byte("10.0.0.1:80"), []byte(address), 1)
+		return platform.Record{Key: id, Value: value, Offset: offset}
+	}
+	const address = "10.0.0.1:80"
+	for _, c := range []struct {
+		name        string
+		records     []platform.Record
+		complete    bool
+		wantTargets int
+		wantEnded   int
+	}{
+		{"another target registers the address", []platform.Record{entry("t1", address, 0), entry("t2", address, 1)}, false, 1, 1},
+		{"the entry has lapsed before", []platform.Record{entry("t1", address, 0), {Key: "t1", Offset: 1}, entry("t2", address, 2)}, false, 1, 1},
+		{"the entry lapses afterwards", []platform.Record{entry("t1", address, 0), entry("t2", address, 1), {Key: "t1", Offset: 2}}, false, 1, 1},
+		{"another address", []platform.Record{entry("t1", address, 0), entry("t2", otherAddress, 1)}, false, 2, 0},
+		{"a later entry of a target that had the address before", []platform.Record{entry("t2", address, 0), entry("t1", address, 1), entry("t2", address, 2)}, false, 2, 0},
+		{"a list without an order", []platform.Record{entry("t1", address, 0), entry("t2", address, 1)}, true, 2, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			targets := placement.NewSet("a")
+			catalog := NewCatalog(clock.NewFake(time.Unix(1000, 0)), targets)
+			catalog.applyTargets(c.records, c.complete)
+			ended := 0
+			for _, removed := range catalog.RecentlyRemoved() {
+				if removed.Ended {
+					ended++
+				}
+			}
+			if ended != c.wantEnded {
+				t.Errorf("targets proved to have ended: got %d, want %d", ended, c.wantEnded)
+			}
+			wantTargets(t, targets, c.wantTargets)
+		})
+	}
+}
+
+func wantTargets(t *testing.T, targets *placement.Set, want int) {
+	t.Helper()
+	if got := len(targets.Entries("")); got != want {
+		t.Errorf("targets: got %d, want %d", got, want)
+	}
+}
