--- a/io/pinectl/losses_test.go
+++ b/io/pinectl/losses_test.go
@@ -1,7 +1,6 @@
 package pinectl
 
 import (
-	"os"
 	"path/filepath"
 	"testing"
 )
@@ -10,13 +9,7 @@
 // against logs that are left out.
 func TestPlatformLosses(t *testing.T) {
 	dir := t.TempDir()
-	write := func(name, text string) string {
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
+	write := func(name, text string) string { return writeFile(t, dir, name, text) }
 	first := write("first", `"Request ended" id="a" service="records" route="r1" via="10.0.0.2:1" relayed=false status=503 reason="refused-by-host"`+"\n")
 	second := write("second", `"Request ended" id="a" service="records" route="r1" via="" relayed=true status=503 reason="no-room"`+"\n"+`"Log lines were dropped" failures=4`+"\n")
 	for _, x := range []struct {
--- a/io/pinectl/review_test.go
+++ b/io/pinectl/review_test.go
@@ -6,17 +6,21 @@
 	"testing"
 )
 
+// writeFile writes a file for a test and returns its path.
+func writeFile(t *testing.T, dir, name, text string) string {
+	t.Helper()
+	path := filepath.Join(dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
 // TestPlatformCheck guards against a status by which a script sends a configuration that hosts
 // could not serve, and against a check that needs a host.
 func TestPlatformCheck(t *testing.T) {
 	dir := t.TempDir()
-	write := func(name, text string) string {
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return path
-	}
+	write := func(name, text string) string { return writeFile(t, dir, name, text) }
 	route := func(service string) string {
 		return `{"version":2,"routes":[{"name":"r","host":"h","path_prefix":"/","kind":"safe","timeout_s":1,"service":"` + service + `"}],"services":[{"name":"s"}]}`
 	}
