Try ten targets before a request counts as one that reaches none

Change: a request is given up after ten unreachable targets; one that only the owner of its key may run after four attempts as before. The remaining time bounds both. Test: TestUnsentLimit, for any target failed before (four).

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -67,9 +67,13 @@
 	ReportUnknown
 )
 
-// maxUnsent is the number of unreachable targets after which a request is given
-// up.
-const maxUnsent = 4
+// maxUnsent is the number of unreachable targets after which a request is given up, maxUnsentToOwner
+// the number of attempts to reach the only target that may run it. Targets that have ended stay in
+// the lists for seconds, several at a time.
+const (
+	maxUnsent        = 10
+	maxUnsentToOwner = 4
+)
 
 // minTimeForRetry is the remaining time of a request that a retry must exceed.
 const minTimeForRetry = 30 * time.Millisecond
@@ -105,7 +109,11 @@
 	case Unsent:
 		p.sends--
 		p.unsent++
-		if p.unsent < maxUnsent && left > minTimeForRetry {
+		most := maxUnsent
+		if req.OneTarget {
+			most = maxUnsentToOwner
+		}
+		if p.unsent < most && left > minTimeForRetry {
 			return Retry
 		}
 		return p.failureStep()
--- a/core/attempt/attempt_test.go
+++ b/core/attempt/attempt_test.go
@@ -81,21 +81,32 @@
 	}
 }
 
-// TestUnsentLimit guards against endless retries while no target can be reached.
+// TestUnsentLimit guards against endless retries while no target can be reached, and against a request
+// that is given up because a few targets have ended, though others would run it.
 func TestUnsentLimit(t *testing.T) {
-	var p Progress
-	for range maxUnsent - 1 {
-		p.RecordSend()
-		if got := p.After(nonIdempotent, Outcome{Result: Unsent}, left, nil); got != Retry {
-			t.Fatalf("step: got %d, want %d", got, Retry)
-		}
-	}
-	p.RecordSend()
-	if got := p.After(nonIdempotent, Outcome{Result: Unsent}, left, nil); got != Refuse {
-		t.Errorf("step after %d unreachable targets: got %d, want %d", maxUnsent, got, Refuse)
-	}
-	if got := p.Sends(); got != 0 {
-		t.Errorf("sends: got %d, want 0", got)
+	toOwner := nonIdempotent
+	toOwner.OneTarget = true
+	for _, x := range []struct {
+		name string
+		req  Request
+		most int
+	}{{"any target", nonIdempotent, 10}, {"owner of the key", toOwner, 4}} {
+		t.Run(x.name, func(t *testing.T) {
+			var p Progress
+			for range x.most - 1 {
+				p.RecordSend()
+				if got := p.After(x.req, Outcome{Result: Unsent}, left, nil); got != Retry {
+					t.Fatalf("step: got %d, want %d", got, Retry)
+				}
+			}
+			p.RecordSend()
+			if got := p.After(x.req, Outcome{Result: Unsent}, left, nil); got != Refuse {
+				t.Errorf("step after %d unreachable targets: got %d, want %d", x.most, got, Refuse)
+			}
+			if got := p.Sends(); got != 0 {
+				t.Errorf("sends: got %d, want 0", got)
+			}
+		})
 	}
 }
 
