--- a/io/soak/system.go
+++ b/io/soak/system.go
@@ -332,7 +332,7 @@
 	if s.options.Seed%2 == 0 {
 		return nil
 	}
-	return []string{"--owner-queue=on", "--learned-concurrency=on", "--spread-keys=on"}
+	return []string{"--owner-queue=on", "--learned-concurrency=on", "--spread-keys=on", "--dispatch=on"}
 }
 
 // isReady reports whether the readiness check of a host succeeds.
