--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -21,6 +21,7 @@
 // cases holds the cases by name.
 var cases = map[string]func(*bed) error{
 	"idle-clients":  idleClients,
+	"early-answer":  earlyAnswer,
 	"late-refusal":  lateRefusal,
 	"late-release":  lateRelease,
 	"foreign-entry": foreignEntry,
