Review: idle connections use up a host's descriptors

Cause: the host keeps idle callers' connections for 120 s whatever idle timeout the operator configures.

--- a/review/testdata/rig/idle.go
+++ b/review/testdata/rig/idle.go
@@ -33,7 +33,8 @@
 // freshClients are clients that open a new connection for each request.
 type freshClients struct {
 	bed *bed
-	// leave reports that they leave a connection open after the answer, until the host closes it.
+	// leave reports that they leave a connection open for longer than the host's limit. Otherwise they
+	// close it after four fifths of that.
 	leave bool
 
 	mu sync.Mutex
@@ -50,11 +51,11 @@
 		c.bed.record.printf("client: %s: %v", id, err)
 		return
 	}
+	idle := idleLimit * 4 / 5
 	if c.leave {
-		time.AfterFunc(4*idleLimit, func() { _ = conn.Close() })
-	} else {
-		defer conn.Close()
+		idle = 4 * idleLimit
 	}
+	time.AfterFunc(idle, func() { _ = conn.Close() })
 	sent := time.Now()
 	_, _ = fmt.Fprintf(conn, "GET /cover/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 2000\r\n\r\n", hostName, id)
 	_ = conn.SetReadDeadline(sent.Add(2 * time.Second))
@@ -77,8 +78,8 @@
 	}
 }
 
-// idleClients: clients open a new connection for each request, and leave it open, idle. The host may
-// close it after idleLimit.
+// idleClients: clients open a new connection for each request, and leave it open, idle, for longer than
+// idleLimit, after which the host may close it.
 func idleClients(b *bed) error {
 	s := service{name: "coverdesk"}
 	if err := b.configure(3, []service{s}, []route{{prefix: "/cover/", service: s.name, kind: "safe", timeoutS: coverTimeout.Seconds(), targetLatencyS: 0.5, maxAttempts: 2}}); err != nil {
