--- a/review/testdata/rig/idle.go
+++ b/review/testdata/rig/idle.go
@@ -21,6 +21,8 @@
 	freshTime = 75 * time.Second
 	// maxFDs is max_fds of the settings.
 	maxFDs = 4100
+	// clientFDs is the number of descriptors that the clients need.
+	clientFDs = 6000
 	// idleLimit is idle_timeout_s of the configuration.
 	idleLimit = 15 * time.Second
 	// coverTimeout is timeout_s of the route, lateAnswer how much later an answer is late.
@@ -81,6 +83,10 @@
 // idleClients: clients open a new connection for each request, and leave it open, idle, for longer than
 // idleLimit, after which the host may close it.
 func idleClients(b *bed) error {
+	var own unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err != nil || own.Cur < clientFDs {
+		return fmt.Errorf("clients need %d descriptors, have %d, %v", clientFDs, own.Cur, err)
+	}
 	s := service{name: "coverdesk"}
 	if err := b.configure(3, []service{s}, []route{{prefix: "/cover/", service: s.name, kind: "safe", timeoutS: coverTimeout.Seconds(), targetLatencyS: 0.5, maxAttempts: 2}}); err != nil {
 		return err
