Count relays of which no answer came back, and log them

What a host does after a relay is lost could not be told from the logs: the line of the request says how many sends it counted, not that one of them was a relay, nor that its outcome is unknown. pineturn_lost_relays_total counts them by service, lostRelays is in the request's line.

--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -33,6 +33,8 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	relays   *prometheus.CounterVec
+	// lostRelays counts relays whose outcome is not known.
+	lostRelays *prometheus.CounterVec
 	// queueWaits is the time of requests in queues of owners.
 	queueWaits     *prometheus.HistogramVec
 	retries        *prometheus.CounterVec
@@ -63,6 +65,9 @@
 		relays: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pineturn_relayed_requests_total", Help: "Requests relayed to or by other hosts, by direction, service and reason.",
 		}, []string{"direction", "service", "reason"}),
+		lostRelays: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pineturn_lost_relays_total", Help: "Requests relayed to other hosts of which no usable answer came back, by service.",
+		}, []string{"service"}),
 		queueWaits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pineturn_owner_queue_seconds", Help: "Time of requests in the queues of owners that this host holds.", Buckets: latencyBuckets,
 		}, []string{"service"}),
@@ -85,7 +90,7 @@
 		failureLimiter: logsink.NewRateLimiter(failureLinesPerSecond), successLimiter: logsink.NewRateLimiter(successLinesPerSecond),
 		services: make(map[string]bool),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.relays, m.queueWaits, m.retries, m.moves, m.unservable, m.storeCalls, m.storeLatency)
+	m.registry.MustRegister(m.requests, m.latency, m.relays, m.lostRelays, m.queueWaits, m.retries, m.moves, m.unservable, m.storeCalls, m.storeLatency)
 	return m
 }
 
@@ -202,6 +207,9 @@
 	case r.Via != "":
 		g.metrics.relays.WithLabelValues("out", service, r.Reason).Inc()
 	}
+	if r.LostRelays > 0 {
+		g.metrics.lostRelays.WithLabelValues(service).Add(float64(r.LostRelays))
+	}
 	if !r.Relayed {
 		g.countRequest(service, r)
 	}
@@ -227,7 +235,7 @@
 		return
 	}
 	klog.InfoS("Request ended", "id", r.ID, "service", r.Service, "route", r.Route, "version", r.ConfigVersion,
-		"keyed", r.Keyed, "key", r.Key, "fingerprint", r.Fingerprint, "via", r.Via, "relayed", r.Relayed, "target", r.Target, "expected", r.ExpectedLatency, "estimate", r.Estimate, "queued", r.Waited, "sends", r.Sends, "status", r.Status,
+		"keyed", r.Keyed, "key", r.Key, "fingerprint", r.Fingerprint, "via", r.Via, "relayed", r.Relayed, "lostRelays", r.LostRelays, "target", r.Target, "expected", r.ExpectedLatency, "estimate", r.Estimate, "queued", r.Waited, "sends", r.Sends, "status", r.Status,
 		"reason", r.Reason, "took", r.Latency, "targetsAge", g.catalog.Age(platform.TopicTargets),
 		"ownersAge", g.catalog.Age(platform.TopicOwners), "err", r.Cause)
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -106,6 +106,9 @@
 	// none. Relayed reports that another host relayed the request to this one.
 	Via     string
 	Relayed bool
+	// LostRelays is the number of times that the request was relayed to another host and it is not
+	// known what that host did with it.
+	LostRelays int
 	// Fingerprint identifies requests that are the same but for their ids; empty if it was not
 	// needed.
 	Fingerprint string
@@ -215,6 +218,8 @@
 	triedHosts []string
 	queueOwner string
 	dispatched bool
+	// lostRelays is the number of relays of the request whose outcome is not known.
+	lostRelays int
 	// budgeted is set once the request counts for the retry budget, at this host or another.
 	budgeted bool
 	// elapsed is the time for which another host that relayed the request had it.
@@ -343,7 +348,7 @@
 
 func (q *request) record(status int, reason string, cause error, now time.Time) RequestRecord {
 	r := RequestRecord{
-		ID: q.ID, ConfigVersion: q.configVersion, Keyed: q.keyed(), Key: q.Key, Via: q.via, Relayed: q.relayed, Target: q.lastTarget, ExpectedLatency: q.expectedLatency, Estimate: q.estimate, Waited: q.waited, Sends: q.progress.Sends(),
+		ID: q.ID, ConfigVersion: q.configVersion, Keyed: q.keyed(), Key: q.Key, Via: q.via, Relayed: q.relayed, LostRelays: q.lostRelays, Target: q.lastTarget, ExpectedLatency: q.expectedLatency, Estimate: q.estimate, Waited: q.waited, Sends: q.progress.Sends(),
 		Status: status, Reason: reason, Latency: now.Sub(q.started), Cause: cause, Service: q.match.Service.Name,
 	}
 	if q.match.Route != nil {
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -110,7 +110,10 @@
 			p.peers.MarkFailed(host.Address, p.clock.Now())
 		}
 		result := classifySendError(err)
-		q.budgeted = q.budgeted || result != attempt.Unsent
+		if result != attempt.Unsent {
+			q.budgeted = true
+			q.lostRelays++
+		}
 		return sendResult{result: result, err: errors.Wrapf(err, "relay to host %s", host.Address)}
 	}
 	return p.relayResult(q, host, resp)
@@ -140,7 +143,7 @@
 	p.recordPeerVersion(q, h.Get(headerRelayVersion))
 	sends, err := strconv.Atoi(h.Get(headerRelaySends))
 	if err != nil {
-		return p.invalidRelay(host, resp, errors.Wrap(err, "number of sends"))
+		return p.invalidRelay(q, host, resp, errors.Wrap(err, "number of sends"))
 	}
 	for _, name := range []string{headerRelayOutcome, headerRelayTarget, headerRelaySends, headerRelayVersion} {
 		h.Del(name)
@@ -173,7 +176,7 @@
 			s.final = q.fail(resp.StatusCode, reasonRelayFailed, s.err)
 		}
 	default:
-		return p.invalidRelay(host, resp, errors.Newf("outcome %q", outcome))
+		return p.invalidRelay(q, host, resp, errors.Newf("outcome %q", outcome))
 	}
 	if s.result == attempt.Unsent && !q.body.replayable() {
 		s.final = q.failOrRefuse(reasonUnreachable, q.match.Route.Objective/4, s.err)
@@ -226,7 +229,7 @@
 	q.progress.RecordSends(sends - q.progress.Sends())
 	r, err := readResponse(q, resp)
 	if err != nil {
-		return p.invalidRelay(host, resp, errors.Wrapf(err, "response of target %s", target))
+		return p.invalidRelay(q, host, resp, errors.Wrapf(err, "response of target %s", target))
 	}
 	if r.unread == nil {
 		_ = resp.Body.Close()
@@ -237,10 +240,11 @@
 	return s
 }
 
-// invalidRelay returns the result of a response that can't be used.
-func (p *Proxy) invalidRelay(host peers.Host, resp *http.Response, err error) sendResult {
+// invalidRelay returns the result of a response of another host that can't be used.
+func (p *Proxy) invalidRelay(q *request, host peers.Host, resp *http.Response, err error) sendResult {
 	_ = resp.Body.Close()
 	p.peers.MarkFailed(host.Address, p.clock.Now())
+	q.lostRelays++
 	return sendResult{result: attempt.Unknown, err: errors.Wrapf(err, "relay to host %s", host.Address)}
 }
 
