Keep an attempt back of each relayed request, and lend it on request

Cause: what another host has done for a relayed request is known only from the headers of its answer. When the answer was lost, the relaying host counted one send and went on with the next, while the other host, cut off or frozen for a moment, had hedged or retried, or did so later. Since dispatchers, that is the way of every request without a key.

Change: of an idempotent request with two attempts or more left, the relaying host keeps one back (core/attempt, Reserve). The other host asks for it before it hedges or retries with it. Each attempt can be taken once, by either side, so that neither a lost answer nor a late one lets both use it. After a lost relay all attempts that were handed over count as used.

Lending costs a request between hosts for each hedge or retry, and nothing for others.

Older builds: one that gets such a request sees the kept attempt as a send and leaves it unused; it passes the new header on to the target. One that relays keeps nothing back, as before. Headers between hosts that a caller sends are no longer passed on to other hosts.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -282,15 +282,20 @@
 	g.operatorServer = &http.Server{Handler: g.operatorHandler(), ReadHeaderTimeout: headerTimeout}
 }
 
-// peerHandler serves the links of other hosts, and the requests that they relay.
+// peerHandler serves the links of other hosts, the requests that they relay, and those for attempts
+// that this host has kept back.
 func (g *Gateway) peerHandler() http.Handler {
 	links, relayed := g.links.Handler(), g.stop.closeConnections(g.proxy.RelayHandler())
+	reserve := g.proxy.ReserveHandler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if proxy.IsRelayed(r) {
+		switch {
+		case proxy.IsRelayed(r):
 			relayed.ServeHTTP(w, r)
-			return
+		case r.URL.Path == proxy.ReservePath:
+			reserve.ServeHTTP(w, r)
+		default:
+			links.ServeHTTP(w, r)
 		}
-		links.ServeHTTP(w, r)
 	})
 }
 
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -35,6 +35,8 @@
 	relays   *prometheus.CounterVec
 	// lostRelays counts relays whose outcome is not known.
 	lostRelays *prometheus.CounterVec
+	// keptAttempts counts the requests for attempts that other hosts keep back.
+	keptAttempts *prometheus.CounterVec
 	// queueWaits is the time of requests in queues of owners.
 	queueWaits     *prometheus.HistogramVec
 	retries        *prometheus.CounterVec
@@ -68,6 +70,9 @@
 		lostRelays: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pineturn_lost_relays_total", Help: "Requests relayed to other hosts of which no usable answer came back, by service.",
 		}, []string{"service"}),
+		keptAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pineturn_kept_attempts_total", Help: "Attempts asked for that the relaying host keeps back, by service and outcome.",
+		}, []string{"service", "outcome"}),
 		queueWaits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pineturn_owner_queue_seconds", Help: "Time of requests in the queues of owners that this host holds.", Buckets: latencyBuckets,
 		}, []string{"service"}),
@@ -90,7 +95,7 @@
 		failureLimiter: logsink.NewRateLimiter(failureLinesPerSecond), successLimiter: logsink.NewRateLimiter(successLinesPerSecond),
 		services: make(map[string]bool),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.relays, m.lostRelays, m.queueWaits, m.retries, m.moves, m.unservable, m.storeCalls, m.storeLatency)
+	m.registry.MustRegister(m.requests, m.latency, m.relays, m.lostRelays, m.keptAttempts, m.queueWaits, m.retries, m.moves, m.unservable, m.storeCalls, m.storeLatency)
 	return m
 }
 
@@ -210,6 +215,9 @@
 	if r.LostRelays > 0 {
 		g.metrics.lostRelays.WithLabelValues(service).Add(float64(r.LostRelays))
 	}
+	if r.KeptAttempt != "" {
+		g.metrics.keptAttempts.WithLabelValues(service, r.KeptAttempt).Inc()
+	}
 	if !r.Relayed {
 		g.countRequest(service, r)
 	}
@@ -235,7 +243,7 @@
 		return
 	}
 	klog.InfoS("Request ended", "id", r.ID, "service", r.Service, "route", r.Route, "version", r.ConfigVersion,
-		"keyed", r.Keyed, "key", r.Key, "fingerprint", r.Fingerprint, "via", r.Via, "relayed", r.Relayed, "lostRelays", r.LostRelays, "target", r.Target, "expected", r.ExpectedLatency, "estimate", r.Estimate, "queued", r.Waited, "sends", r.Sends, "status", r.Status,
+		"keyed", r.Keyed, "key", r.Key, "fingerprint", r.Fingerprint, "via", r.Via, "relayed", r.Relayed, "lostRelays", r.LostRelays, "keptAttempt", r.KeptAttempt, "target", r.Target, "expected", r.ExpectedLatency, "estimate", r.Estimate, "queued", r.Waited, "sends", r.Sends, "status", r.Status,
 		"reason", r.Reason, "took", r.Latency, "targetsAge", g.catalog.Age(platform.TopicTargets),
 		"ownersAge", g.catalog.Age(platform.TopicOwners), "err", r.Cause)
 }
--- a/io/proxy/hedge.go
+++ b/io/proxy/hedge.go
@@ -14,7 +14,7 @@
 // second target as well. The first complete response is used.
 func (p *Proxy) sendWithHedge(ctx context.Context, q *request, first *placement.Choice) sendResult {
 	delay, hedged := attempt.HedgeDelay(q.attemptRequest(), first.ExpectedLatency, q.timeLeft(p.clock.Now()))
-	if !hedged || q.keyed() || !q.body.replayable() || q.progress.Sends() > 0 {
+	if !hedged || q.keyed() || !q.body.replayable() || q.progress.Sends() > q.keptCount() {
 		return p.send(ctx, q, first)
 	}
 	results := make(chan sendResult, 2)
@@ -33,7 +33,7 @@
 		return s
 	case <-timer.C:
 	}
-	second := p.chooseHedgeTarget(q, first)
+	second := p.chooseHedgeTarget(ctx, q, first)
 	if second == nil {
 		return <-results
 	}
@@ -63,8 +63,9 @@
 
 // chooseHedgeTarget reserves capacity at a second target for a request whose
 // response is late. It returns nil if there is no target with capacity, the
-// second response could not arrive in time, or the retry budget is spent.
-func (p *Proxy) chooseHedgeTarget(q *request, first *placement.Choice) *placement.Choice {
+// second response could not arrive in time, the retry budget is spent, or the host that has
+// relayed the request has no attempt left.
+func (p *Proxy) chooseHedgeTarget(ctx context.Context, q *request, first *placement.Choice) *placement.Choice {
 	criteria := p.criteria(q, "")
 	criteria.Optional, criteria.Counted = true, true
 	criteria.Exclude = append(criteria.Exclude[:len(criteria.Exclude):len(criteria.Exclude)], first.Entry.ID)
@@ -77,5 +78,10 @@
 		second.End(placement.NotSent, nil, now)
 		return nil
 	}
+	if !p.acquireAttempt(ctx, q) {
+		p.budget.Return(q.match.Service.Name, now, p.clock.Now())
+		second.End(placement.NotSent, nil, p.clock.Now())
+		return nil
+	}
 	return second
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -61,6 +61,8 @@
 	peers         *peers.Table
 	peerTransport *http.Transport
 	peerProbes    singleflight.Group
+	// reserve holds the attempts that are kept back of relayed requests.
+	reserve *attempt.Reserve
 	// OwnerQueue reports whether keyed requests are relayed to the host that holds the queue of
 	// their owner. It is set before use.
 	OwnerQueue func() bool
@@ -109,6 +111,9 @@
 	// LostRelays is the number of times that the request was relayed to another host and it is not
 	// known what that host did with it.
 	LostRelays int
+	// KeptAttempt is the outcome of asking the host that relayed the request for an attempt that it
+	// keeps back; empty if it was not asked.
+	KeptAttempt string
 	// Fingerprint identifies requests that are the same but for their ids; empty if it was not
 	// needed.
 	Fingerprint string
@@ -138,7 +143,7 @@
 func New(catalog Catalog, targets *placement.Set, b *budget.Budget, tracker *poison.Tracker, pool *Pool, others *peers.Table, clk clock.Clock) *Proxy {
 	p := &Proxy{
 		catalog: catalog, targets: targets, budget: b, poison: tracker, pool: pool, clock: clk, loads: owner.NewLoads(clk.Now()),
-		reach: reach.New(), peers: others, peerTransport: newPeerTransport(), done: make(chan struct{}), HandleRecord: func(RequestRecord) {},
+		reach: reach.New(), peers: others, peerTransport: newPeerTransport(), reserve: attempt.NewReserve(), done: make(chan struct{}), HandleRecord: func(RequestRecord) {},
 		OwnerQueue: func() bool { return false }, Dispatches: func() bool { return false }, queues: newOwnerQueues(),
 	}
 	p.queues.load = p.targetOfQueue
@@ -220,6 +225,8 @@
 	dispatched bool
 	// lostRelays is the number of relays of the request whose outcome is not known.
 	lostRelays int
+	// kept is the attempt that the host which relayed the request keeps back; nil for none.
+	kept *keptAttempt
 	// budgeted is set once the request counts for the retry budget, at this host or another.
 	budgeted bool
 	// elapsed is the time for which another host that relayed the request had it.
@@ -240,7 +247,7 @@
 
 func (q *request) attemptRequest() attempt.Request {
 	return attempt.Request{
-		Idempotent: q.match.Route.Idempotent, MaxAttempts: q.match.Route.MaxAttempts,
+		Idempotent: q.match.Route.Idempotent, MaxAttempts: q.match.Route.MaxAttempts + q.keptCount(),
 		OneTarget: q.keyed(), Objective: q.match.Route.Objective,
 	}
 }
@@ -348,9 +355,12 @@
 
 func (q *request) record(status int, reason string, cause error, now time.Time) RequestRecord {
 	r := RequestRecord{
-		ID: q.ID, ConfigVersion: q.configVersion, Keyed: q.keyed(), Key: q.Key, Via: q.via, Relayed: q.relayed, LostRelays: q.lostRelays, Target: q.lastTarget, ExpectedLatency: q.expectedLatency, Estimate: q.estimate, Waited: q.waited, Sends: q.progress.Sends(),
+		ID: q.ID, ConfigVersion: q.configVersion, Keyed: q.keyed(), Key: q.Key, Via: q.via, Relayed: q.relayed, LostRelays: q.lostRelays, Target: q.lastTarget, ExpectedLatency: q.expectedLatency, Estimate: q.estimate, Waited: q.waited, Sends: q.progress.Sends() - q.keptCount(),
 		Status: status, Reason: reason, Latency: now.Sub(q.started), Cause: cause, Service: q.match.Service.Name,
 	}
+	if q.kept != nil {
+		r.KeptAttempt = q.kept.outcome
+	}
 	if q.match.Route != nil {
 		r.Route = q.match.Route.Name
 	}
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -18,6 +18,9 @@
 	"pineturn/platform"
 )
 
+// relayHeaderPrefix begins the names of all headers between hosts.
+const relayHeaderPrefix = "Pineturn-Relay-"
+
 // Headers of requests that are relayed to another host, and of its responses. They
 // reach neither targets nor callers.
 const (
@@ -27,8 +30,12 @@
 	// headerRelayService holds the service that the relaying host selected among those of
 	// the route.
 	headerRelayService = "Pineturn-Relay-Service"
-	// headerRelaySends holds the number of sends of the request to targets so far.
+	// headerRelaySends holds the number of sends of the request to targets so far. In a request, an
+	// attempt that the relaying host keeps back counts as a send: older builds leave it unused.
 	headerRelaySends = "Pineturn-Relay-Sends"
+	// headerRelayReserve names the attempt that the relaying host keeps back, and the address at
+	// which to ask for it.
+	headerRelayReserve = "Pineturn-Relay-Reserve"
 	// headerRelayOwner holds the owner of the request's key in a request that is relayed to the
 	// host that holds the owner's queue, and the service in one that is relayed to a host that
 	// selects targets.
@@ -98,29 +105,31 @@
 
 // relay sends a request to another host, which sends it to a target.
 func (p *Proxy) relay(ctx context.Context, q *request, host peers.Host) sendResult {
+	l := p.lend(q)
+	defer p.reserve.Take(l.token)
 	q.progress.RecordSend()
 	q.triedHosts = append(q.triedHosts, host.Address)
 	q.via = host.Address
 	caller := ctx
 	ctx, stop := p.watchPeer(ctx, q, host)
 	defer stop()
-	resp, err := p.peerTransport.RoundTrip(p.relayRequest(ctx, q, host))
+	resp, err := p.peerTransport.RoundTrip(p.relayRequest(ctx, q, host, l))
 	if err != nil {
 		if caller.Err() == nil {
 			p.peers.MarkFailed(host.Address, p.clock.Now())
 		}
 		result := classifySendError(err)
 		if result != attempt.Unsent {
-			q.budgeted = true
-			q.lostRelays++
+			p.settleLost(q, l)
 		}
 		return sendResult{result: result, err: errors.Wrapf(err, "relay to host %s", host.Address)}
 	}
-	return p.relayResult(q, host, resp)
+	return p.relayResult(q, host, l, resp)
 }
 
-func (p *Proxy) relayRequest(ctx context.Context, q *request, host peers.Host) *http.Request {
+func (p *Proxy) relayRequest(ctx context.Context, q *request, host peers.Host, l loan) *http.Request {
 	header := platform.RelayHeaders(q.header, q.timeLeft(p.clock.Now())-relayMargin)
+	removeRelayHeaders(header)
 	version := max(q.configVersion, p.peerVersion.Load())
 	if q.toHolder() {
 		version = q.configVersion
@@ -132,19 +141,23 @@
 	header.Set(headerRelayVersion, strconv.FormatInt(version, 10))
 	header.Set(headerRelayElapsed, strconv.FormatInt(p.clock.Now().Sub(q.started).Milliseconds(), 10))
 	header.Set(headerRelayService, q.match.Service.Name)
-	header.Set(headerRelaySends, strconv.Itoa(q.progress.Sends()-1))
+	header.Set(headerRelaySends, strconv.Itoa(l.before+l.kept))
+	if l.kept > 0 {
+		header.Set(headerRelayReserve, formatKept(p.peers.Self().Address, l.token))
+	}
 	return q.outgoing(ctx, host.Address, header)
 }
 
 // relayResult returns the result of a request to which another host has responded.
-func (p *Proxy) relayResult(q *request, host peers.Host, resp *http.Response) sendResult {
+func (p *Proxy) relayResult(q *request, host peers.Host, l loan, resp *http.Response) sendResult {
 	h := resp.Header
 	outcome, target := relayOutcome(h.Get(headerRelayOutcome)), h.Get(headerRelayTarget)
 	p.recordPeerVersion(q, h.Get(headerRelayVersion))
 	sends, err := strconv.Atoi(h.Get(headerRelaySends))
 	if err != nil {
-		return p.invalidRelay(q, host, resp, errors.Wrap(err, "number of sends"))
+		return p.invalidRelay(q, host, l, resp, errors.Wrap(err, "number of sends"))
 	}
+	sends -= l.kept
 	for _, name := range []string{headerRelayOutcome, headerRelayTarget, headerRelaySends, headerRelayVersion} {
 		h.Del(name)
 	}
@@ -176,7 +189,7 @@
 			s.final = q.fail(resp.StatusCode, reasonRelayFailed, s.err)
 		}
 	default:
-		return p.invalidRelay(q, host, resp, errors.Newf("outcome %q", outcome))
+		return p.invalidRelay(q, host, l, resp, errors.Newf("outcome %q", outcome))
 	}
 	if s.result == attempt.Unsent && !q.body.replayable() {
 		s.final = q.failOrRefuse(reasonUnreachable, q.match.Route.Objective/4, s.err)
@@ -229,7 +242,8 @@
 	q.progress.RecordSends(sends - q.progress.Sends())
 	r, err := readResponse(q, resp)
 	if err != nil {
-		return p.invalidRelay(q, host, resp, errors.Wrapf(err, "response of target %s", target))
+		// The other host has ended the request and said how often it has sent it.
+		return p.failedRelay(host, resp, errors.Wrapf(err, "response of target %s", target))
 	}
 	if r.unread == nil {
 		_ = resp.Body.Close()
@@ -240,11 +254,16 @@
 	return s
 }
 
-// invalidRelay returns the result of a response of another host that can't be used.
-func (p *Proxy) invalidRelay(q *request, host peers.Host, resp *http.Response, err error) sendResult {
+// invalidRelay returns the result of a response of another host that does not say what it has done.
+func (p *Proxy) invalidRelay(q *request, host peers.Host, l loan, resp *http.Response, err error) sendResult {
+	p.settleLost(q, l)
+	return p.failedRelay(host, resp, err)
+}
+
+// failedRelay returns the result of a response of another host that can't be passed on.
+func (p *Proxy) failedRelay(host peers.Host, resp *http.Response, err error) sendResult {
 	_ = resp.Body.Close()
 	p.peers.MarkFailed(host.Address, p.clock.Now())
-	q.lostRelays++
 	return sendResult{result: attempt.Unknown, err: errors.Wrapf(err, "relay to host %s", host.Address)}
 }
 
--- a/io/proxy/relayed.go
+++ b/io/proxy/relayed.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,9 +47,12 @@
 	if ms, err := strconv.Atoi(r.Header.Get(headerRelayElapsed)); err == nil && ms > 0 {
 		q.elapsed = min(time.Duration(ms)*time.Millisecond, maxElapsed)
 	}
-	for _, name := range []string{headerRelayVersion, headerRelaySends, headerRelayService, headerRelayOwner, headerRelayElapsed, headerRelayUnbudgeted} {
-		q.header.Del(name)
+	if text := r.Header.Get(headerRelayReserve); text != "" {
+		if q.kept, err = parseKept(text); err != nil {
+			return nil, q.fail(http.StatusBadRequest, reasonRelayFailed, err)
+		}
 	}
+	removeRelayHeaders(q.header)
 	table := p.catalog.Table()
 	if table == nil || table.Config().Version < version {
 		return nil, q.refuseFor(reasonNoConfig, configLoadTime, errOlderConfig)
@@ -77,6 +81,15 @@
 	return q, nil
 }
 
+// removeRelayHeaders removes the hosts' own headers, also those of newer builds.
+func removeRelayHeaders(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, relayHeaderPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
 // encodeRelayed writes a target's response to the relaying host.
 func (p *Proxy) encodeRelayed(ctx context.Context, w http.ResponseWriter, message any) error {
 	r := message.(*response)
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -36,7 +36,7 @@
 			return nil, sent.final
 		}
 		outcome := attempt.Outcome{Result: sent.result, TargetFull: sent.targetFull}
-		switch q.progress.After(q.attemptRequest(), outcome, q.timeLeft(p.clock.Now()), func() bool { return p.mayRetry(q, sent.result) }) {
+		switch q.progress.After(q.attemptRequest(), outcome, q.timeLeft(p.clock.Now()), func() bool { return p.mayRetry(ctx, q, sent.result) }) {
 		case attempt.Deliver:
 			return sent.response, nil
 		case attempt.Retry:
@@ -130,8 +130,9 @@
 
 // mayRetry reports whether a request may be sent again after a send with the given
 // result: the whole body is buffered, the owners have changed recently if the target
-// does not own the request's key, and the retry budget allows it.
-func (p *Proxy) mayRetry(q *request, last attempt.Result) bool {
+// does not own the request's key, the retry budget allows it, and the host that has relayed
+// the request, if any, has an attempt left.
+func (p *Proxy) mayRetry(ctx context.Context, q *request, last attempt.Result) bool {
 	if q.keyed() && last == attempt.WrongTarget && p.clock.Now().Sub(p.catalog.ChangedAt()) > recentOwnerChange {
 		return false
 	}
@@ -139,6 +140,10 @@
 	if !q.body.replayable() || !p.budget.Spend(q.match.Service.Name, now) {
 		return false
 	}
+	if !p.acquireAttempt(ctx, q) {
+		p.budget.Return(q.match.Service.Name, now, p.clock.Now())
+		return false
+	}
 	q.retryCounted = now
 	return true
 }
