--- a/io/metastore/targets.go
+++ b/io/metastore/targets.go
@@ -66,7 +66,7 @@
 	}
 	entry, err := platform.DecodeEntry(r.Key, r.Value)
 	if err != nil {
-		klog.InfoS("Target entry is invalid", "key", r.Key, "offset", r.Offset, "err", err)
+		klog.InfoS("Target entry is invalid", "key", r.Key, "offset", r.Offset, "err", shorten(err))
 		c.removeInvalid(r.Key, now)
 		return
 	}
@@ -88,6 +88,15 @@
 	}
 }
 
+// maxEntryErrorBytes bounds what is logged of an invalid entry, which may hold anything.
+const maxEntryErrorBytes = 200
+
+// shorten returns the beginning of the text of an error.
+func shorten(err error) string {
+	text := err.Error()
+	return text[:min(len(text), maxEntryErrorBytes)]
+}
+
 // removeInvalid removes a target whose entry is invalid. In the first list of an era, that
 // entry may be older than the one known.
 func (c *Catalog) removeInvalid(id string, now time.Time) {
