Claim after an unreadable record of owners as after a lost one

The review saw a target's key that is not UTF-8 in the record of owners: nobody could decode it, and after a kill of all hosts the next leader began with epoch 1, without the owners and without waiting for their leases. A record that can't be read counted as none.

Now the names of targets are taken as they are, so that such a record of an older build is read; and where a record can't be read at all, the next leader claims above every epoch that the topic can hold (each has taken a record) and waits until all leases have expired, as after records that the store has lost. It says so in the log.

Left: a leader in office that reads an unreadable record of another writer goes on; only this system writes that topic.

--- a/core/owner/assignment.go
+++ b/core/owner/assignment.go
@@ -128,6 +128,16 @@
 	return &next
 }
 
+// AfterUnreadable returns the record for a claim after one at an offset of the topic that can't be
+// read: that one's epoch, leader and owners are not known. Each epoch of an era has taken a record of
+// its own, so that the one returned is above all of them.
+func (a *Assignment) AfterUnreadable(offset int64) *Assignment {
+	next := *a
+	next.Epoch = max(a.Epoch, firstEpoch(a.Era)+offset+1)
+	next.Incomplete = true
+	return &next
+}
+
 // wireRange is the stored form of a Range. It ends before the first key of the
 // next one. Owner and Former are indexes into wireAssignment.Targets.
 type wireRange struct {
@@ -156,6 +166,12 @@
 	return cbor.CoreDetEncOptions().EncMode()
 })
 
+// decoding returns a decoder that takes the names of targets as they are: earlier versions have
+// written some that are not UTF-8.
+var decoding = sync.OnceValues(func() (cbor.DecMode, error) {
+	return cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+})
+
 // Encode returns the CBOR encoding of the record. Equal records have equal
 // encodings.
 func (a *Assignment) Encode() ([]byte, error) {
@@ -201,8 +217,12 @@
 // if the ranges of a service are out of order or refer to a target that the
 // record lacks.
 func Decode(data []byte) (*Assignment, error) {
+	mode, err := decoding()
+	if err != nil {
+		return nil, fmt.Errorf("create CBOR decoder for assignments: %w", err)
+	}
 	var w wireAssignment
-	if err := cbor.Unmarshal(data, &w); err != nil {
+	if err := mode.Unmarshal(data, &w); err != nil {
 		return nil, fmt.Errorf("decode assignment: %w", err)
 	}
 	a := &Assignment{
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -82,6 +82,9 @@
 type Catalog interface {
 	Table() *routing.Table
 	Assignment() *owner.Assignment
+	// UnreadableOwners returns the offset of the newest record of owners, and true, if that can't
+	// be read.
+	UnreadableOwners() (offset int64, unreadable bool)
 	RecentlyRemoved() []metastore.RemovedTarget
 	// Position holds for the present era: next is negative until the topic of assignments
 	// has been read in it.
--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -62,6 +62,8 @@
 type fakeCatalog struct {
 	assignment  *owner.Assignment
 	relayActive bool
+	// unreadableAt is the offset of the newest record of owners if that can't be read, else 0.
+	unreadableAt int64
 	// readsAtOnce counts the calls of ReadAtOnce.
 	readsAtOnce atomic.Int64
 }
@@ -69,6 +71,7 @@
 func (c *fakeCatalog) Era() int64                                 { return 0 }
 func (c *fakeCatalog) Table() *routing.Table                      { return nil }
 func (c *fakeCatalog) Assignment() *owner.Assignment              { return c.assignment }
+func (c *fakeCatalog) UnreadableOwners() (int64, bool)            { return c.unreadableAt, c.unreadableAt > 0 }
 func (c *fakeCatalog) RecentlyRemoved() []metastore.RemovedTarget { return nil }
 func (c *fakeCatalog) Position() (int64, time.Time)               { return 1, time.Now() }
 func (c *fakeCatalog) RelayActive() bool                          { return c.relayActive }
--- a/io/coordinator/era_test.go
+++ b/io/coordinator/era_test.go
@@ -162,3 +162,27 @@
 		})
 	}
 }
+
+// TestUnreadableOwners guards against a record of owners that can't be read and counts as none: a leader
+// with an epoch that was used before, or one that does not wait for the leases of the record's owners.
+func TestUnreadableOwners(t *testing.T) {
+	for _, known := range []*owner.Assignment{nil, {Epoch: 3, Leader: "host-2", LeaderIncarnation: "other"}} {
+		t.Run(fmt.Sprintf("an older record is known %t", known != nil), func(t *testing.T) {
+			store, catalog := &fakeStore{}, &eraCatalog{}
+			catalog.assignment, catalog.unreadableAt = known, 41
+			clk := clock.NewFake(time.Unix(1000, 0))
+			c := New(Host{Name: "host-1", FirstStart: true}, owner.MaxLeaseDuration, store, catalog, placement.NewSet("a"), clk)
+			c.setElected(true)
+			written := tickAfter(t, c, clk, store, time.Second)
+			if len(written) != 1 {
+				t.Fatalf("records: got %d, want 1", len(written))
+			}
+			if !written[0].Incomplete {
+				t.Error("claim waits for leases that it does not know: got false, want true")
+			}
+			if got, want := written[0].Epoch, int64(43); got < want {
+				t.Errorf("epoch: got %d, want %d or more, above one for each record", got, want)
+			}
+		})
+	}
+}
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -34,7 +34,10 @@
 		a = &owner.Assignment{}
 	}
 	claim := a.NextLeader(c.self.Name, c.process(), c.era)
-	if c.known == nil && c.self.FirstStart {
+	if offset, unreadable := c.catalog.UnreadableOwners(); unreadable {
+		claim = claim.AfterUnreadable(offset)
+		klog.InfoS("Record of owners can't be read, its leases are waited for", "offset", offset, "epoch", claim.Epoch)
+	} else if c.known == nil && c.self.FirstStart {
 		claim.Incomplete = false
 	}
 	c.append(ctx, claim, next)
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -55,6 +55,8 @@
 	// offsets holds the newest offset read of each key in the current era, by topic
 	// and key.
 	offsets map[string]int64
+	// unreadableOwners is the offset after the newest record of owners, if that can't be read; else 0.
+	unreadableOwners int64
 	// entryOffsets holds the offset of each target's last entry in the current era, by
 	// id.
 	entryOffsets map[string]int64
@@ -177,6 +179,14 @@
 	return *r, true
 }
 
+// UnreadableOwners returns the offset of the newest record of owners in this era, and true, if that
+// can't be read.
+func (c *Catalog) UnreadableOwners() (offset int64, unreadable bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unreadableOwners - 1, c.unreadableOwners > 0
+}
+
 // ApplyOwners applies a record of the owners of keys that another host has read. It is
 // ignored unless it is newer than the one applied last.
 func (c *Catalog) ApplyOwners(record platform.Record) {
@@ -269,6 +279,7 @@
 		a, err := owner.Decode(r.Value)
 		if err != nil {
 			klog.ErrorS(err, "Failed to decode the assignment, keeping the previous one", "offset", r.Offset)
+			c.unreadableOwners = max(c.unreadableOwners, r.Offset+1)
 			continue
 		}
 		old := c.owners.Load()
@@ -278,6 +289,9 @@
 		if old == nil || old.Epoch != a.Epoch {
 			klog.InfoS("Leader has changed", "leader", a.Leader, "epoch", a.Epoch, "offset", r.Offset)
 		}
+		if r.Offset >= c.unreadableOwners {
+			c.unreadableOwners = 0
+		}
 		c.owners.Store(a)
 		c.ownersRecord.Store(&r)
 		c.changedAt = c.clock.Now()
@@ -331,6 +345,6 @@
 		"targetsOffset", targets, "ownersOffset", owners, "droppedOffsets", len(c.offsets))
 	c.rereading = true
 	c.offsets, c.entryOffsets = make(map[string]int64), make(map[string]int64)
-	c.drains.listEnd = 0
+	c.drains.listEnd, c.unreadableOwners = 0, 0
 	c.store.recordNewEra()
 }
