Close connections that have carried a refusal without a request id

Refusals bear no request id, so the copy counted as the answer to the next request on the connection: it ran at a second target too (TWICE), or its caller was told that it had not run (REFUSED).

Cause: a refusal without an id was believed on any connection. It can only be a copy if one came before. So such a connection is closed, and where another request had taken it already, a second refusal on it counts as a lost response. A target that writes the copy on another connection is met as well, where it matters: for 15 s after such a refusal, requests that must not run twice get connections of their own; on a used one a refusal counts as a lost response.

Left: an idempotent request that runs may be refused if the copy comes on another connection. It may be sent again, so no rule leans on it.

--- a/io/proxy/pool.go
+++ b/io/proxy/pool.go
@@ -34,7 +34,7 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// Pool holds one http.Transport for each target. Transports are not shared, so a
+// Pool holds the connections to each target. They are not shared, so a
 // connection to one target is never used for another target that is later
 // started at the same address.
 type Pool struct {
@@ -44,8 +44,17 @@
 	// set before use.
 	HandleDial func(target string, err error)
 
-	mu         sync.Mutex
-	transports map[string]*http.Transport
+	mu      sync.Mutex
+	targets map[string]*targetConns
+}
+
+// targetConns are the connections to a target.
+type targetConns struct {
+	// kept keeps connections for further requests. single opens one for each request; nil before
+	// the first.
+	kept, single *http.Transport
+	// refusedAt is when a refusal without a request id has come last; zero for never.
+	refusedAt time.Time
 }
 
 // NewPool returns an empty pool, whose Dial opens TCP connections with the timeouts of
@@ -53,7 +62,7 @@
 // arrive after a network partition.
 func NewPool() *Pool {
 	return &Pool{
-		Dial: socket.DiscardOnClose(newDialer().DialContext), HandleDial: func(string, error) {}, transports: make(map[string]*http.Transport),
+		Dial: socket.DiscardOnClose(newDialer().DialContext), HandleDial: func(string, error) {}, targets: make(map[string]*targetConns),
 	}
 }
 
@@ -62,27 +71,68 @@
 func (p *Pool) Get(target string) *http.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := p.transports[target]
-	if t == nil {
-		t = newTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := p.Dial(ctx, network, address)
-			p.HandleDial(target, err)
-			return conn, err
-		})
-		p.transports[target] = t
+	return p.conns(target).kept
+}
+
+// conns returns the connections to a target. The caller holds mu.
+func (p *Pool) conns(target string) *targetConns {
+	c := p.targets[target]
+	if c == nil {
+		c = &targetConns{kept: p.newTransport(target)}
+		p.targets[target] = c
+	}
+	return c
+}
+
+func (p *Pool) newTransport(target string) *http.Transport {
+	return newTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := p.Dial(ctx, network, address)
+		p.HandleDial(target, err)
+		if err != nil {
+			return nil, err
+		}
+		return &targetConn{Conn: conn}, nil
+	})
+}
+
+// transportFor returns the transport for a request. One that must not run twice gets a connection that
+// has carried no other if the target has refused requests lately.
+func (p *Pool) transportFor(target string, idempotent bool, now time.Time) *http.Transport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.conns(target)
+	if idempotent || !c.refusedSince(now.Add(-copyTime)) {
+		return c.kept
 	}
-	return t
+	if c.single == nil {
+		c.single = p.newTransport(target)
+		c.single.MaxIdleConnsPerHost = -1
+	}
+	return c.single
 }
 
-// Prune removes the transports of all targets whose id is not in live, and
-// closes their idle connections.
+// recordRefusal records a refusal without a request id, and closes the idle connections to the target.
+// It reports whether the target has refused others lately.
+func (p *Pool) recordRefusal(target string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.conns(target)
+	before := c.refusedSince(now.Add(-copyTime))
+	c.refusedAt = now
+	c.kept.CloseIdleConnections()
+	return before
+}
+
+func (c *targetConns) refusedSince(t time.Time) bool { return c.refusedAt.After(t) }
+
+// Prune removes the connections to all targets whose id is not in live.
 func (p *Pool) Prune(live map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for target, t := range p.transports {
+	for target, c := range p.targets {
 		if !live[target] {
-			t.CloseIdleConnections()
-			delete(p.transports, target)
+			c.kept.CloseIdleConnections()
+			delete(p.targets, target)
 		}
 	}
 }
--- /dev/null
+++ b/io/proxy/refusal.go
@@ -0,0 +1,58 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Refusals bear no request id, so that a late copy of one looks like the answer to whatever waits on
+// its connection. It can only be a copy if the connection has carried a refusal before: such a
+// connection is closed. A target that mixes up its connections could write a copy on another one, so
+// that requests which must not run twice get connections of their own for some time after a refusal.
+
+// copyTime is how long after a refusal without a request id a target may write it once more.
+const copyTime = 15 * time.Second
+
+var errRepeatedRefusal = errors.New("refusal without a request id may be a copy of an earlier one")
+
+// targetConn is a connection to a target.
+type targetConn struct {
+	net.Conn
+	// refused is set once a refusal without a request id has come on the connection.
+	refused atomic.Bool
+}
+
+// connUse tells which connection a request was sent on.
+type connUse struct {
+	conn   *targetConn
+	reused bool
+}
+
+// trace returns a context with which a request records its connection.
+func (u *connUse) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		u.conn, _ = info.Conn.(*targetConn)
+		u.reused = info.Reused
+	}})
+}
+
+// checkRefusal returns an error if a response is a refusal that may be the answer to an earlier
+// request.
+func (p *Proxy) checkRefusal(q *request, target string, r *response, use *connUse) error {
+	if !r.info.NotRun || r.info.ID != "" {
+		return nil
+	}
+	if use.conn != nil && use.conn.refused.Swap(true) {
+		return errRepeatedRefusal
+	}
+	refusedBefore := p.pool.recordRefusal(target, p.clock.Now())
+	if refusedBefore && use.reused && !q.match.Route.Idempotent {
+		return errRepeatedRefusal
+	}
+	return nil
+}
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -196,7 +196,9 @@
 	s := sendResult{target: choice.Entry.ID, expectedLatency: choice.ExpectedLatency}
 	sentAt := p.clock.Now()
 	ctx, send := p.observeSend(ctx, q, choice)
-	resp, err := p.pool.Get(choice.Entry.ID).RoundTrip(p.targetRequest(ctx, q, choice))
+	var use connUse
+	transport := p.pool.transportFor(choice.Entry.ID, q.match.Route.Idempotent, sentAt)
+	resp, err := transport.RoundTrip(p.targetRequest(use.trace(ctx), q, choice))
 	p.reach.End(send, err == nil, p.clock.Now())
 	if err != nil {
 		s.err = errors.Wrapf(err, "send to target %s", choice.Entry.ID)
@@ -207,6 +209,9 @@
 		return s
 	}
 	r, err := readResponse(q, resp)
+	if err == nil {
+		err = p.checkRefusal(q, choice.Entry.ID, r, &use)
+	}
 	if err != nil {
 		// The connection must not be reused: the data that follows on it may not
 		// belong to any request.
