--- a/io/proxy/refusal_test.go
+++ b/io/proxy/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -141,7 +142,7 @@
 			}
 			r := &response{}
 			r.info.NotRun = true
-			if got := p.checkRefusal(&request{match: match}, "t1", r, use); got != c.want {
+			if got := p.checkRefusal(&request{match: match}, "t1", r, use); !errors.Is(got, c.want) {
 				t.Errorf("refusal: got %v, want %v", got, c.want)
 			}
 		})
