Take no entry of another writer as proof that a target has ended

Cause: a later entry with the same address counted as proof that the target had ended, since addresses are used again only then. But an entry may come from anybody.

Change: such an entry proves nothing. What proves the end of a target is its own lease, or an answer to an order at its address by a target that names itself (421 without another id does not count any more). Both entries stay; requests name the target that they are for, and one that another target has refused is sent elsewhere, while this host chooses the absent target no more for some time, as one it can't reach. The code that kept offsets of entries for this goes.

TestReusedAddress checked the proof that was wrong; TestEndedOwner and TestDropped now go by the answer to an order. Where a target crashes and its address goes to another, its keys wait for the next order to it instead of for that entry.

--- a/core/owner/accounted.go
+++ b/core/owner/accounted.go
@@ -57,13 +57,13 @@
 // and the owner has not been sent a grant of this leader without success. A draining owner
 // is granted such a range too: it refuses the earlier leaders from then on, so that it can
 // release the range.
-func (r *rangeState) unconfirmed(t Target) bool {
-	return r.inherited && !r.granted && r.failingSince.IsZero() && !t.Ended
+func (r *rangeState) unconfirmed() bool {
+	return r.inherited && !r.granted && r.failingSince.IsZero()
 }
 
 // mayMoveSoon reports whether the owner of a range responds, or has yet to be sent its
 // first grant, and a grant to it allows a move without a wait.
 func (l *Leader) mayMoveSoon(r *rangeState, targets map[string]Target, now time.Time) bool {
 	t, known := targets[r.owner.Target]
-	return known && !t.Ended && t.Born == r.owner.Born && (r.renewable || r.unconfirmed(t)) && !l.releaseProvesFree(r, now)
+	return known && t.Born == r.owner.Born && (r.renewable || r.unconfirmed()) && !l.releaseProvesFree(r, now)
 }
--- a/core/owner/dropped_test.go
+++ b/core/owner/dropped_test.go
@@ -45,11 +45,6 @@
 		{name: "another target answers", do: func(l *Leader, view map[string]Target) {
 			answerReleases(l, view, Outcome{TargetEnded: true}, testStart)
 		}, want: Ended},
-		{name: "address registered again", do: func(_ *Leader, view map[string]Target) {
-			ended := view["t01"]
-			ended.Ended = true
-			view["t01"] = ended
-		}, want: Ended},
 		{name: "expired", do: func(*Leader, map[string]Target) {}, after: end, want: Expired},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -107,9 +107,6 @@
 	Slots   int
 	// Draining targets lose their keys.
 	Draining bool
-	// Ended targets are proved to have ended: another target has registered their
-	// address since.
-	Ended bool
 	// WarmingUp targets have started recently and are slow.
 	WarmingUp bool
 	// Limit is the limit of requests a second that the target has named.
@@ -308,9 +305,8 @@
 	if f.state.inFlight {
 		return 0, false
 	}
-	t, known := targets[f.state.owner.Target]
 	switch {
-	case f.ended, known && t.Ended && t.Born == f.state.owner.Born:
+	case f.ended:
 		return Ended, true
 	case f.released && l.releaseProvesFree(f.state, now):
 		return Released, true
--- a/core/owner/lost_record_test.go
+++ b/core/owner/lost_record_test.go
@@ -366,11 +366,8 @@
 		m.reclaim(m.earlier)
 		m.earlier.Move(modelService, 0, m.earlier.services[modelService][0].last, Incarnation{Target: "t2", Born: 1}, m.now)
 		m.earlier.MarkPersisted(m.earlier.Record())
-		views := m.targetViews()
-		ended := views["t0"]
-		ended.Ended = true
-		views["t0"] = ended
-		if len(m.earlier.DropFormerOwners(views, m.now)) != 1 {
+		m.earlier.services[modelService][0].former[0].ended = true
+		if len(m.earlier.DropFormerOwners(m.targetViews(), m.now)) != 1 {
 			t.Fatal("dropped former owners: got none, want t0")
 		}
 		m.runFor(m.earlier, MaxProofAgeForRenewal+2*leaseExpiryBound, func() {})
--- a/core/owner/orders.go
+++ b/core/owner/orders.go
@@ -123,7 +123,7 @@
 
 func (l *Leader) grantOrder(service string, r *rangeState, targets map[string]Target, mayStartLeases bool, now time.Time) (Order, bool) {
 	t, known := targets[r.owner.Target]
-	if r.inFlight || !r.persisted || !r.renewable && !mayStartLeases || !known || t.Draining && !r.renewable && !r.unconfirmed(t) || len(r.former) > 0 || t.Born != r.owner.Born {
+	if r.inFlight || !r.persisted || !r.renewable && !mayStartLeases || !known || t.Draining && !r.renewable && !r.unconfirmed() || len(r.former) > 0 || t.Born != r.owner.Born {
 		return Order{}, false
 	}
 	if now.Sub(r.lastAttempt) < orderRetryInterval || (r.granted && now.Sub(r.lastGranted) < l.renewInterval()) {
--- a/core/owner/takeover_test.go
+++ b/core/owner/takeover_test.go
@@ -99,12 +99,14 @@
 // former owner is known to have ended.
 func TestEndedOwner(t *testing.T) {
 	l, view, loads := newCluster(t, 4)
-	ended := view["t01"]
-	ended.Draining, ended.Ended = true, true
-	view["t01"] = ended
-	l.Assign(testService, view, loads, testStart)
+	now := testStart.Add(l.renewInterval())
+	for _, o := range l.Orders(view, true, now) {
+		ended := o.Target.Target == "t01"
+		l.HandleOutcome(o, Outcome{Done: !ended, TargetEnded: ended}, now)
+	}
+	l.Assign(testService, view, loads, now)
 	l.MarkPersisted(l.Record())
-	l.DropFormerOwners(view, testStart)
+	l.DropFormerOwners(view, now)
 	for _, r := range l.Record().Services[testService] {
 		if len(r.Former) > 0 {
 			t.Errorf("former owners of the range from %d: got %v, want none", r.First, r.Former)
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -13,7 +13,6 @@
 	"pineturn/core/owner"
 	"pineturn/core/placement"
 	"pineturn/core/routing"
-	"pineturn/io/metastore"
 	"pineturn/io/socket"
 	"pineturn/platform"
 )
@@ -85,7 +84,7 @@
 	// UnreadableOwners returns the offset of the newest record of owners, and true, if that can't
 	// be read.
 	UnreadableOwners() (offset int64, unreadable bool)
-	RecentlyRemoved() []metastore.RemovedTarget
+	RecentlyRemoved() []placement.Entry
 	// Position holds for the present era: next is negative until the topic of assignments
 	// has been read in it.
 	Position() (next int64, provenAt time.Time)
--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -12,7 +12,6 @@
 	"pineturn/core/owner"
 	"pineturn/core/placement"
 	"pineturn/core/routing"
-	"pineturn/io/metastore"
 	"pineturn/platform"
 )
 
@@ -68,14 +67,14 @@
 	readsAtOnce atomic.Int64
 }
 
-func (c *fakeCatalog) Era() int64                                 { return 0 }
-func (c *fakeCatalog) Table() *routing.Table                      { return nil }
-func (c *fakeCatalog) Assignment() *owner.Assignment              { return c.assignment }
-func (c *fakeCatalog) UnreadableOwners() (int64, bool)            { return c.unreadableAt, c.unreadableAt > 0 }
-func (c *fakeCatalog) RecentlyRemoved() []metastore.RemovedTarget { return nil }
-func (c *fakeCatalog) Position() (int64, time.Time)               { return 1, time.Now() }
-func (c *fakeCatalog) RelayActive() bool                          { return c.relayActive }
-func (c *fakeCatalog) ReadAtOnce()                                { c.readsAtOnce.Add(1) }
+func (c *fakeCatalog) Era() int64                         { return 0 }
+func (c *fakeCatalog) Table() *routing.Table              { return nil }
+func (c *fakeCatalog) Assignment() *owner.Assignment      { return c.assignment }
+func (c *fakeCatalog) UnreadableOwners() (int64, bool)    { return c.unreadableAt, c.unreadableAt > 0 }
+func (c *fakeCatalog) RecentlyRemoved() []placement.Entry { return nil }
+func (c *fakeCatalog) Position() (int64, time.Time)       { return 1, time.Now() }
+func (c *fakeCatalog) RelayActive() bool                  { return c.relayActive }
+func (c *fakeCatalog) ReadAtOnce()                        { c.readsAtOnce.Add(1) }
 
 // run runs the coordinator of a host named host-1 for a duration.
 func run(t *testing.T, catalog *fakeCatalog, duration time.Duration) *fakeStore {
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -175,10 +175,8 @@
 	targets := make(map[string]owner.Target)
 	c.entries = make(map[string]placement.Entry)
 	for _, removed := range c.catalog.RecentlyRemoved() {
-		target := ownerTarget(removed.Entry, true)
-		target.Ended = removed.Ended
-		targets[removed.ID] = target
-		c.entries[removed.ID] = removed.Entry
+		targets[removed.ID] = ownerTarget(removed, true)
+		c.entries[removed.ID] = removed
 	}
 	for _, e := range c.targets.Entries("") {
 		target := ownerTarget(e, e.Draining || c.targets.DrainsDomain(e.Domain))
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -57,11 +57,8 @@
 	offsets map[string]int64
 	// unreadableOwners is the offset after the newest record of owners, if that can't be read; else 0.
 	unreadableOwners int64
-	// entryOffsets holds the offset of each target's last entry in the current era, by
-	// id.
-	entryOffsets map[string]int64
-	eras         *eras
-	drains       drains
+	eras             *eras
+	drains           drains
 	// era is the current era, rereading whether the targets in it are still to be read.
 	era         int64
 	rereading   bool
@@ -87,7 +84,6 @@
 		removed:        make(map[string]removal),
 		unconfirmed:    make(map[string]deferral),
 		offsets:        make(map[string]int64),
-		entryOffsets:   make(map[string]int64),
 		drains:         drains{byDomain: make(map[string]DomainDrain)},
 		changed:        make(chan struct{}),
 		broadcaster:    newBroadcaster(),
@@ -344,7 +340,7 @@
 	klog.InfoS("Store came back from an older copy, all topics are read anew", "oldEra", old, "era", era, "configOffset", config,
 		"targetsOffset", targets, "ownersOffset", owners, "droppedOffsets", len(c.offsets))
 	c.rereading = true
-	c.offsets, c.entryOffsets = make(map[string]int64), make(map[string]int64)
+	c.offsets = make(map[string]int64)
 	c.drains.listEnd, c.unreadableOwners = 0, 0
 	c.store.recordNewEra()
 }
--- a/io/metastore/entries_test.go
+++ b/io/metastore/entries_test.go
@@ -94,43 +94,30 @@
 	})
 }
 
-// TestReusedAddress guards against keys without an owner until a lease expires, though the
-// owner has ended, and against taking a live target for an ended one.
-func TestReusedAddress(t *testing.T) {
-	const otherAddress = "10.0.0.2:80"
-	entry := func(id, address string, offset int64) platform.Record {
+// TestEntryAtAddressOfAnother guards against a live target that gets no requests, or loses its keys,
+// because of another writer's entry with its address, in whatever order they come.
+func TestEntryAtAddressOfAnother(t *testing.T) {
+	const address = "10.0.0.1:80"
+	entry := func(id string, offset int64) platform.Record {
 		value := bytes.Replace(targetEntry(strconv.FormatInt(offset, 10)), []byte("10.0.0.1:80"), []byte(address), 1)
 		return platform.Record{Key: id, Value: value, Offset: offset}
 	}
-	const address = "10.0.0.1:80"
 	for _, c := range []struct {
-		name        string
-		records     []platform.Record
-		complete    bool
-		wantTargets int
-		wantEnded   int
+		name     string
+		records  []platform.Record
+		complete bool
+		want     int
 	}{
-		{"another target registers the address", []platform.Record{entry("t1", address, 0), entry("t2", address, 1)}, false, 1, 1},
-		{"the entry has lapsed before", []platform.Record{entry("t1", address, 0), {Key: "t1", Offset: 1}, entry("t2", address, 2)}, false, 1, 1},
-		{"the entry lapses afterwards", []platform.Record{entry("t1", address, 0), entry("t2", address, 1), {Key: "t1", Offset: 2}}, false, 1, 1},
-		{"another address", []platform.Record{entry("t1", address, 0), entry("t2", otherAddress, 1)}, false, 2, 0},
-		{"a later entry of a target that had the address before", []platform.Record{entry("t2", address, 0), entry("t1", address, 1), entry("t2", address, 2)}, false, 2, 0},
-		{"a list without an order", []platform.Record{entry("t1", address, 0), entry("t2", address, 1)}, true, 2, 0},
+		{"another entry has the address", []platform.Record{entry("t1", 0), entry("t2", 1)}, false, 2},
+		{"a list without an order", []platform.Record{entry("t1", 0), entry("t2", 1)}, true, 2},
+		{"the entry has lapsed before", []platform.Record{entry("t1", 0), {Key: "t1", Offset: 1}, entry("t2", 2)}, false, 1},
+		{"the entry lapses afterwards", []platform.Record{entry("t1", 0), entry("t2", 1), {Key: "t1", Offset: 2}}, false, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			targets := placement.NewSet("a")
 			catalog := NewCatalog(clock.NewFake(time.Unix(1000, 0)), targets)
 			catalog.applyTargets(c.records, c.complete)
-			ended := 0
-			for _, removed := range catalog.RecentlyRemoved() {
-				if removed.Ended {
-					ended++
-				}
-			}
-			if ended != c.wantEnded {
-				t.Errorf("targets proved to have ended: got %d, want %d", ended, c.wantEnded)
-			}
-			wantTargets(t, targets, c.wantTargets)
+			wantTargets(t, targets, c.want)
 		})
 	}
 }
--- a/io/metastore/era_test.go
+++ b/io/metastore/era_test.go
@@ -194,8 +194,8 @@
 	wantUninterrupted(t, run.catalog, true)
 }
 
-// TestAddressInNewEra guards against a live target that is taken for an ended one because
-// offsets of two eras are compared.
+// TestAddressInNewEra guards against a live target that is removed because another has its address
+// in a new era.
 func TestAddressInNewEra(t *testing.T) {
 	run := newFuzzRun(t)
 	read := func() { run.read(run.catalog.targetConsumer) }
@@ -213,11 +213,6 @@
 	if got, want := ids(run.targets), "first other second"; got != want {
 		t.Errorf("targets: got %s, want %s", got, want)
 	}
-	for _, removed := range run.catalog.RecentlyRemoved() {
-		if removed.Ended {
-			t.Errorf("target %s: got a proof that it has ended, want none", removed.ID)
-		}
-	}
 }
 
 // TestMissingInNewEra guards against targets that are removed though they can still write
--- a/io/metastore/targets.go
+++ b/io/metastore/targets.go
@@ -12,9 +12,6 @@
 type removal struct {
 	entry placement.Entry
 	at    time.Time
-	// superseded reports that another target has registered the address since the
-	// last entry, which proves that the removed one has ended.
-	superseded bool
 	// era is the era of the removal. left reports that the target was seen to leave: its
 	// entry was not just missing in the first list of the era.
 	era  int64
@@ -28,13 +25,6 @@
 	left bool
 }
 
-// RemovedTarget is a target that was removed recently.
-type RemovedTarget struct {
-	placement.Entry
-	// Ended reports that the target is proved to have ended.
-	Ended bool
-}
-
 func (c *Catalog) applyTargets(records []platform.Record, complete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -43,7 +33,7 @@
 	for _, r := range records {
 		present[r.Key] = true
 		if c.recordOffset(platform.TopicTargets, r) {
-			c.applyTarget(r, complete, now)
+			c.applyTarget(r, now)
 		}
 	}
 	if complete {
@@ -57,9 +47,9 @@
 	c.targetsRead = true
 }
 
-// applyTarget applies a record. In a complete list of the newest records, the order in
-// which targets registered their addresses does not show.
-func (c *Catalog) applyTarget(r platform.Record, complete bool, now time.Time) {
+// applyTarget applies a record. An entry says nothing of another one with the same address: requests
+// and orders name the target that they are for, and the one at the address refuses those for the other.
+func (c *Catalog) applyTarget(r platform.Record, now time.Time) {
 	if len(r.Value) == 0 {
 		c.removeOrDefer(r.Key, now)
 		return
@@ -74,11 +64,7 @@
 	if c.hasLeft(entry) || !c.targets.Put(entry, now) {
 		return
 	}
-	c.entryOffsets[r.Key] = r.Offset
 	delete(c.unconfirmed, r.Key)
-	if _, removed := c.removed[r.Key]; !complete && !found && !removed {
-		c.supersede(entry, r.Offset, now)
-	}
 	delete(c.removed, r.Key)
 	// A target that has said that it leaves counts as draining whatever its entry says.
 	entry, _ = c.targets.Entry(r.Key)
@@ -129,28 +115,6 @@
 	return entry.Sequence > last.Sequence
 }
 
-// supersede removes the targets that had the address of a new target before. Each of
-// them has ended, as addresses are reused only after that. An entry that was written
-// after the new target's first one, or in an earlier era, proves nothing.
-func (c *Catalog) supersede(added placement.Entry, offset int64, now time.Time) {
-	ended := func(e placement.Entry) bool {
-		last, known := c.entryOffsets[e.ID]
-		return e.ID != added.ID && e.Address == added.Address && known && last < offset
-	}
-	for _, e := range c.targets.Entries("") {
-		if ended(e) {
-			c.remove(e.ID, now, true)
-		}
-	}
-	for id, r := range c.removed {
-		if !r.superseded && ended(r.entry) {
-			r.superseded = true
-			c.removed[id] = r
-			klog.InfoS("Target has ended, another has its address", "target", id, "address", added.Address, "by", added.ID, "offset", offset)
-		}
-	}
-}
-
 // removeOrDefer removes a target whose entry was deleted. If the store is or was
 // recently unreachable, the entry may only have lapsed, and the removal is deferred
 // until the end of the grace period so that the target can renew the entry.
@@ -202,19 +166,18 @@
 	for id, d := range c.removed {
 		if now.Sub(d.at) > removedRetention {
 			delete(c.removed, id)
-			delete(c.entryOffsets, id)
 		}
 	}
 }
 
 // RecentlyRemoved returns the targets that were removed within
 // removedRetention.
-func (c *Catalog) RecentlyRemoved() []RemovedTarget {
+func (c *Catalog) RecentlyRemoved() []placement.Entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var removed []RemovedTarget
+	var removed []placement.Entry
 	for _, r := range c.removed {
-		removed = append(removed, RemovedTarget{Entry: r.entry, Ended: r.superseded})
+		removed = append(removed, r.entry)
 	}
 	return removed
 }
--- a/io/proxy/retry_test.go
+++ b/io/proxy/retry_test.go
@@ -100,3 +100,21 @@
 		t.Errorf("end of the connection at the target: got %v, want %v", err, syscall.ECONNRESET)
 	}
 }
+
+// TestOtherTargetAtAddress guards against requests that go on to a target whose address has another one.
+func TestOtherTargetAtAddress(t *testing.T) {
+	p := newTestProxy(7)
+	refused := 0
+	newTestTarget(t, p, "t1", func(w http.ResponseWriter, _ *http.Request) {
+		refused++
+		w.Header().Set("X-Instance-Id", "other")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	newTestTarget(t, p, "t2", respond(http.StatusOK))
+	for range 20 {
+		assertStatus(t, get(p.Handler(), "/write/1", nil), http.StatusOK)
+	}
+	if refused > 1 {
+		t.Errorf("requests that another target has refused: got %d, want 1 at most", refused)
+	}
+}
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -186,6 +186,11 @@
 	final error
 }
 
+// fromOther reports whether another target than the one that was chosen has responded.
+func (s *sendResult) fromOther() bool {
+	return s.response != nil && s.response.info.Instance != "" && s.response.info.Instance != s.target
+}
+
 func (p *Proxy) send(ctx context.Context, q *request, choice *placement.Choice) sendResult {
 	q.progress.RecordSend()
 	return p.roundTrip(ctx, q, choice)
@@ -330,6 +335,8 @@
 	switch {
 	case s.result == attempt.Complete:
 		return placement.Complete
+	case s.result == attempt.WrongTarget && s.fromOther():
+		return placement.Unreachable
 	case s.result == attempt.WrongTarget:
 		return placement.WrongTarget
 	case s.result == attempt.NotRun:
--- a/io/standin/keyholder/keyholder.go
+++ b/io/standin/keyholder/keyholder.go
@@ -184,6 +184,7 @@
 	}
 	fault := *t.fault.Load()
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != t.options.ID {
+		w.Header().Set("X-Instance-Id", t.options.ID)
 		t.respondNotRun(w, r, http.StatusMisdirectedRequest)
 		return
 	}
--- a/io/standin/keyholder/lease.go
+++ b/io/standin/keyholder/lease.go
@@ -31,6 +31,7 @@
 func (t *Target) decode(w http.ResponseWriter, r *http.Request) (leaseRequest, bool) {
 	var req leaseRequest
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != t.options.ID {
+		w.Header().Set("X-Instance-Id", t.options.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return req, false
 	}
