Believe no late copy of an answer to an order

Cause: orders and their answers bear no id, and connections are kept. Releases now go out on a connection each. Renewals need the kept one, which is the proof that the same incarnation gets them; there, an answer that a grant was not executed (409, 400, 421) ends the connection, and one to a grant that was on its way on the same connection already counts as unanswered: the leader would assume that no lease has begun. A copy of a success on that connection comes from the incarnation that gets the grant, and starts nothing early.

The mark of a connection is shared with the refusals of requests (io/socket).

--- a/io/coordinator/sender.go
+++ b/io/coordinator/sender.go
@@ -33,13 +33,16 @@
 
 	mu sync.Mutex
 	// grants holds a transport for each target. Releases use a transport of their
-	// own, because a release may take releaseTimeout and must not delay grants.
+	// own, because a release may take releaseTimeout and must not delay grants. It opens a
+	// connection for each: answers bear no id, and a late copy of one is no answer to the next.
 	grants   map[owner.Incarnation]*http.Transport
 	releases *http.Transport
 }
 
 func newSender(dial socket.DialFunc) *sender {
-	return &sender{dial: dial, grants: make(map[owner.Incarnation]*http.Transport), releases: newTransport(dial, 0)}
+	releases := newTransport(dial, 0)
+	releases.MaxIdleConnsPerHost = -1
+	return &sender{dial: dial, grants: make(map[owner.Incarnation]*http.Transport), releases: releases}
 }
 
 type renewalKey struct{}
@@ -51,12 +54,12 @@
 // that is dialed again may belong to another incarnation of the target.
 func newTransport(dial socket.DialFunc, conns int) *http.Transport {
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		DialContext: socket.Markable(func(ctx context.Context, network, address string) (net.Conn, error) {
 			if renewal, _ := ctx.Value(renewalKey{}).(bool); renewal {
 				return nil, &net.OpError{Op: "dial", Net: network, Err: errNoConnection}
 			}
 			return dial(ctx, network, address)
-		},
+		}),
 		MaxConnsPerHost: conns, IdleConnTimeout: idleTimeout, DisableCompression: true,
 		ReadBufferSize: bufferSize, WriteBufferSize: bufferSize, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
@@ -107,13 +110,32 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithValue(ctx, renewalKey{}, order.Renewal), grantTimeout)
 	defer cancel()
-	err := platform.SendGrant(ctx, s.grantTransport(order.Target), address, order.Target.Target, grant)
+	err := s.sendGrant(ctx, address, order.Target, grant)
 	if !order.Renewal || err != nil {
 		logOrder(order, err)
 	}
 	return outcome(err, "")
 }
 
+var errRepeatedAnswer = errors.New("answer may be a copy of an earlier one")
+
+// sendGrant sends a grant on the connection for grants to a target. An answer that the grant was not
+// executed ends the connection, so that a late copy of it is not believed of the next grant; one that
+// was on its way on the same connection counts as unanswered.
+func (s *sender) sendGrant(ctx context.Context, address string, target owner.Incarnation, grant platform.Order) error {
+	var use socket.Use
+	transport := s.grantTransport(target)
+	err := platform.SendGrant(use.Trace(ctx), transport, address, target.Target, grant)
+	if !errors.IsAny(err, platform.ErrFenced, platform.ErrRefused, platform.ErrOtherTarget) {
+		return err
+	}
+	transport.CloseIdleConnections()
+	if use.Mark() {
+		return errors.Wrap(errRepeatedAnswer, err.Error())
+	}
+	return err
+}
+
 func outcome(err error, handover string) owner.Outcome {
 	return owner.Outcome{
 		Done: err == nil, Fenced: errors.Is(err, platform.ErrFenced), Unsent: notSent(err), Refused: errors.Is(err, platform.ErrRefused),
--- a/io/coordinator/sender_test.go
+++ b/io/coordinator/sender_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -108,3 +112,114 @@
 		}
 	}
 }
+
+// answering runs a target that answers each order with a status and headers, and returns its address.
+func answering(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// TestOtherTargetNamesItself guards against a live target that counts as ended, because of an answer that
+// another one has not given.
+func TestOtherTargetNamesItself(t *testing.T) {
+	for id, want := range map[string]bool{"": false, "t": false, "other": true} {
+		t.Run("answer of "+id, func(t *testing.T) {
+			address := answering(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Instance-Id", id)
+				w.WriteHeader(http.StatusMisdirectedRequest)
+			})
+			s := newSender((&net.Dialer{}).DialContext)
+			t.Cleanup(s.close)
+			for _, kind := range []owner.Kind{owner.Grant, owner.Release} {
+				order := owner.Order{Kind: kind, Target: owner.Incarnation{Target: "t"}}
+				if got := s.send(t.Context(), address, order).TargetEnded; got != want {
+					t.Errorf("target has ended by the answer to order %v: got %t, want %t", kind, got, want)
+				}
+			}
+		})
+	}
+}
+
+// TestLateCopyOfOrderAnswer guards against a late copy of the answer to an order that counts as the answer
+// to the next one: a release of keys at which the target is still at work, or a grant that it has taken.
+func TestLateCopyOfOrderAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		kind   owner.Kind
+		status int
+	}{
+		{"release", owner.Release, http.StatusOK}, {"refused grant", owner.Grant, http.StatusConflict}, {"grant of a target without keys", owner.Grant, http.StatusBadRequest},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var orders atomic.Int64
+			address := answering(t, func(w http.ResponseWriter, _ *http.Request) {
+				if orders.Add(1) == 1 {
+					w.WriteHeader(c.status)
+					return
+				}
+				time.Sleep(time.Second)
+			})
+			// A connection that is used again gets the first answer once more.
+			l := copyingProxy(t, address)
+			s := newSender((&net.Dialer{}).DialContext)
+			t.Cleanup(s.close)
+			order := owner.Order{Kind: c.kind, Target: owner.Incarnation{Target: "t"}}
+			if got := s.send(t.Context(), l, order); !got.Responded() {
+				t.Fatalf("first order: got %+v, want an answer", got)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			if got := s.send(ctx, l, order); got.Responded() {
+				t.Errorf("second order, which the target has not answered: got %+v, want unknown", got)
+			}
+		})
+	}
+}
+
+// copyingProxy passes connections on to a target, and answers the second order on one with the answer
+// to the first. It returns its address.
+func copyingProxy(t *testing.T, target string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go copyAnswers(conn, target)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func copyAnswers(conn net.Conn, target string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	var first []byte
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if first == nil {
+			r.URL.Scheme, r.URL.Host, r.RequestURI = "http", target, ""
+			resp, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				return
+			}
+			first, _ = httputil.DumpResponse(resp, true)
+		} else {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		if _, err := conn.Write(first); err != nil {
+			return
+		}
+	}
+}
--- a/io/proxy/pool.go
+++ b/io/proxy/pool.go
@@ -85,14 +85,11 @@
 }
 
 func (p *Pool) newTransport(target string) *http.Transport {
-	return newTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+	return newTransport(socket.Markable(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := p.Dial(ctx, network, address)
 		p.HandleDial(target, err)
-		if err != nil {
-			return nil, err
-		}
-		return &targetConn{Conn: conn}, nil
-	})
+		return conn, err
+	}))
 }
 
 // transportFor returns the transport for a request. One that must not run twice gets a connection that
--- a/io/proxy/refusal.go
+++ b/io/proxy/refusal.go
@@ -1,13 +1,11 @@
 package proxy
 
 import (
-	"context"
-	"net"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"pineturn/io/socket"
 )
 
 // Refusals bear no request id, so that a late copy of one looks like the answer to whatever waits on
@@ -20,38 +18,17 @@
 
 var errRepeatedRefusal = errors.New("refusal without a request id may be a copy of an earlier one")
 
-// targetConn is a connection to a target.
-type targetConn struct {
-	net.Conn
-	// refused is set once a refusal without a request id has come on the connection.
-	refused atomic.Bool
-}
-
-// connUse tells which connection a request was sent on.
-type connUse struct {
-	conn   *targetConn
-	reused bool
-}
-
-// trace returns a context with which a request records its connection.
-func (u *connUse) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		u.conn, _ = info.Conn.(*targetConn)
-		u.reused = info.Reused
-	}})
-}
-
 // checkRefusal returns an error if a response is a refusal that may be the answer to an earlier
 // request.
-func (p *Proxy) checkRefusal(q *request, target string, r *response, use *connUse) error {
+func (p *Proxy) checkRefusal(q *request, target string, r *response, use *socket.Use) error {
 	if !r.info.NotRun || r.info.ID != "" {
 		return nil
 	}
-	if use.conn != nil && use.conn.refused.Swap(true) {
+	if use.Mark() {
 		return errRepeatedRefusal
 	}
 	refusedBefore := p.pool.recordRefusal(target, p.clock.Now())
-	if refusedBefore && use.reused && !q.match.Route.Idempotent {
+	if refusedBefore && use.Reused() && !q.match.Route.Idempotent {
 		return errRepeatedRefusal
 	}
 	return nil
--- a/io/proxy/refusal_test.go
+++ b/io/proxy/refusal_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pineturn/core/placement"
+	"pineturn/io/socket"
 )
 
 const refusalText = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -116,6 +117,27 @@
 	}
 }
 
+// newUse returns the use of a connection, which has carried another request before if reused is set.
+func newUse(t *testing.T, reused bool) *socket.Use {
+	t.Helper()
+	server := httptest.NewServer(respond(http.StatusOK))
+	t.Cleanup(server.Close)
+	transport := &http.Transport{DialContext: socket.Markable((&net.Dialer{}).DialContext)}
+	t.Cleanup(transport.CloseIdleConnections)
+	for {
+		use := &socket.Use{}
+		r := httptest.NewRequestWithContext(use.Trace(t.Context()), http.MethodGet, server.URL, nil)
+		resp, err := transport.RoundTrip(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		discard(resp)
+		if use.Reused() == reused {
+			return use
+		}
+	}
+}
+
 // TestRefusalOnUsedConnection guards against a refusal that counts, though it came on a connection on
 // which it may be a copy: two requests have met there.
 func TestRefusalOnUsedConnection(t *testing.T) {
@@ -135,8 +157,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			p := newTestProxy(7)
 			match, _ := p.catalog.Table().Find(testHost, c.path)
-			use := &connUse{conn: &targetConn{}, reused: c.reused}
-			use.conn.refused.Store(c.here)
+			use := newUse(t, c.reused)
+			if c.here {
+				use.Mark()
+			}
 			if c.before {
 				p.pool.recordRefusal("t1", p.clock.Now())
 			}
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -13,6 +13,7 @@
 	"pineturn/core/placement"
 	"pineturn/core/reach"
 	"pineturn/io/listener"
+	"pineturn/io/socket"
 	"pineturn/platform"
 )
 
@@ -201,9 +202,9 @@
 	s := sendResult{target: choice.Entry.ID, expectedLatency: choice.ExpectedLatency}
 	sentAt := p.clock.Now()
 	ctx, send := p.observeSend(ctx, q, choice)
-	var use connUse
+	var use socket.Use
 	transport := p.pool.transportFor(choice.Entry.ID, q.match.Route.Idempotent, sentAt)
-	resp, err := transport.RoundTrip(p.targetRequest(use.trace(ctx), q, choice))
+	resp, err := transport.RoundTrip(p.targetRequest(use.Trace(ctx), q, choice))
 	p.reach.End(send, err == nil, p.clock.Now())
 	if err != nil {
 		s.err = errors.Wrapf(err, "send to target %s", choice.Entry.ID)
