Close callers' idle connections by the operator's limit, and keep descriptors

Idle connections were kept for 120 s whatever idle_timeout_s says, and nothing bounded their number: from 50 s on no connection was accepted, and readiness checks hung too.

Now a connection without a whole request in progress is closed after the highest limit that was in force since it last did something, be it fresh, kept, with a part of a request read or after pipelined requests.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -39,9 +39,9 @@
 	gcPercent = 20
 	// headerTimeout limits the time to read a request header.
 	headerTimeout = 15 * time.Second
-	// callerIdleTimeout is longer than any idle timeout that the operator
-	// configures, because callers reuse connections for up to that time.
-	callerIdleTimeout = 120 * time.Second
+	// callerSocketShare is the share of the sockets that callers' connections may take. The others are
+	// for targets, other hosts, the store and the load balancer.
+	callerSocketShare = 0.6
 	// settingsPollInterval is the time between checks of the settings file.
 	settingsPollInterval = time.Second
 	// pruneInterval is the time between removals of connections to targets that
@@ -232,8 +232,8 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g.start(work, reload)
-	callerListener := listener.New(open.callers)
-	callerListener.Attach(g.callerServer)
+	callerListener := g.newCallerListener(open.callers)
+	go callerListener.CloseExpired(work)
 	g.callerServer.Handler = g.stop.closeConnections(callerListener.BeginEarly(g.proxy.Handler(), g.proxy.Idempotent))
 	failed := make(chan error, 4)
 	for server, socket := range map[*http.Server]net.Listener{
@@ -262,6 +262,29 @@
 	return nil
 }
 
+// newCallerListener returns the listener for callers.
+func (g *Gateway) newCallerListener(l net.Listener) *listener.Listener {
+	callers := listener.New(l)
+	callers.IdleTimeout = g.idleTimeout
+	sockets := g.settings.Sockets
+	if sockets <= 0 {
+		sockets = socket.MaxOpen()
+	}
+	callers.MaxConns = int(callerSocketShare * float64(sockets))
+	callers.Attach(g.callerServer)
+	g.metrics.registerConnections(callers)
+	klog.InfoS("Callers' connections are limited", "most", callers.MaxConns, "sockets", sockets)
+	return callers
+}
+
+// idleTimeout returns the time after which a caller's idle connection is closed.
+func (g *Gateway) idleTimeout() time.Duration {
+	if table := g.catalog.Table(); table != nil && table.Config().Limits.IdleTimeout > 0 {
+		return table.Config().Limits.IdleTimeout
+	}
+	return listener.DefaultIdleTimeout
+}
+
 // start runs the components of the host in the background until ctx is done, and
 // creates its HTTP servers.
 func (g *Gateway) start(ctx context.Context, reload <-chan struct{}) {
@@ -274,8 +297,7 @@
 	go g.pruneConnections(ctx)
 	go g.logDroppedLines(ctx.Done())
 	g.callerServer = &http.Server{
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	g.readyServer = &http.Server{Handler: g.readyHandler(), ReadHeaderTimeout: headerTimeout}
 	g.peerServer = &http.Server{Handler: g.peerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"k8s.io/klog/v2"
 
+	"pineturn/io/listener"
 	"pineturn/io/logsink"
 	"pineturn/io/proxy"
 	"pineturn/platform"
@@ -161,6 +162,21 @@
 	})
 }
 
+// registerConnections registers the metrics of callers' connections.
+func (m *metrics) registerConnections(callers *listener.Listener) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pineturn_caller_connections", Help: "Open connections of callers.",
+	}, func() float64 { return float64(callers.Open()) }))
+	counter := func(outcome, help string, value func(listener.Counts) int64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "pineturn_caller_connections_" + outcome + "_total", Help: help,
+		}, func() float64 { return float64(value(callers.Counts())) }))
+	}
+	counter("expired", "Connections of callers that were closed after the idle timeout.", func(c listener.Counts) int64 { return c.Expired })
+	counter("displaced", "Idle connections of callers that were closed to make room for others.", func(c listener.Counts) int64 { return c.Displaced })
+	counter("refused", "Connections of callers that were closed at once, as there was no room.", func(c listener.Counts) int64 { return c.Refused })
+}
+
 // ageNames are the names of topics in metrics and dumps.
 var ageNames = map[string]string{
 	platform.TopicConfig: "configuration", platform.TopicTargets: "targets", platform.TopicOwners: "owners",
--- a/io/listener/early_test.go
+++ b/io/listener/early_test.go
@@ -215,7 +215,7 @@
 func TestFollowing(t *testing.T) {
 	head := []byte(get("/1"))
 	a := &ahead{begin: func(*http.Request) *early { return &early{} }, buffered: slices.Concat(head, head)}
-	c := &Conn{ahead: a}
+	c := &Conn{ahead: a, listener: New(nil)}
 	for i, wantEarly := range []bool{false, true} {
 		a.deliver(make([]byte, len(head)))
 		a.beginEarly()
@@ -223,8 +223,8 @@
 			t.Errorf("request %d: got another one after it %t, begun early %t, want %t, %t", i+1, follows, early, !wantEarly, wantEarly)
 		}
 		c.markIdle()
-		if got := c.markClosedIfIdle(); got != wantEarly {
-			t.Errorf("connection closed after request %d: got %t, want %t", i+1, got, wantEarly)
+		if got := c.isIdle(); got != wantEarly {
+			t.Errorf("connection may be closed after request %d: got %t, want %t", i+1, got, wantEarly)
 		}
 	}
 }
--- a/io/listener/listener.go
+++ b/io/listener/listener.go
@@ -39,6 +39,12 @@
 // Listener accepts connections and tracks them until they are closed.
 type Listener struct {
 	net.Listener
+	// IdleTimeout returns the time after which an idle connection is closed. MaxConns is the highest
+	// number of open connections, 0 for no limit. They are set before the server serves.
+	IdleTimeout func() time.Duration
+	MaxConns    int
+
+	counters  counters
 	drained   chan struct{}
 	drainOnce sync.Once
 	// early handles requests that callers send without waiting for a response; nil if none is
@@ -53,7 +59,10 @@
 
 // New returns a Listener that accepts connections from l.
 func New(l net.Listener) *Listener {
-	return &Listener{Listener: l, drained: make(chan struct{}), conns: make(map[*Conn]bool)}
+	return &Listener{
+		Listener: l, IdleTimeout: func() time.Duration { return DefaultIdleTimeout },
+		drained: make(chan struct{}), conns: make(map[*Conn]bool),
+	}
 }
 
 // Attach sets the ConnState and ConnContext hooks of a server: the first marks
@@ -107,23 +116,35 @@
 }
 
 // Accept returns the next connection. It returns net.ErrClosed once Drain has closed
-// the listener.
+// the listener. A connection for which there is no room is closed at once.
 func (l *Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		if errors.Is(err, net.ErrClosed) {
-			l.drainOnce.Do(func() { close(l.drained) })
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				l.drainOnce.Do(func() { close(l.drained) })
+			}
+			return nil, err
+		}
+		if l.makeRoom() {
+			return l.track(conn), nil
 		}
-		return nil, err
+		l.counters.refused.Add(1)
+		_ = conn.Close()
 	}
-	c := &Conn{Conn: conn, listener: l, opened: time.Now(), deadlineSet: make(chan struct{})}
+}
+
+// track returns an accepted connection as one of this listener.
+func (l *Listener) track(conn net.Conn) *Conn {
+	now := time.Now()
+	c := &Conn{Conn: conn, listener: l, opened: now, idleSince: now, idleLimit: l.IdleTimeout(), deadlineSet: make(chan struct{})}
 	if l.early != nil {
 		c.ahead = &ahead{begin: c.begin}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = true
-	return c, nil
+	return c
 }
 
 // CloseIdle closes connections as they become idle, until none is open or ctx
@@ -143,15 +164,9 @@
 }
 
 func (l *Listener) closeIdleOnce() int {
-	l.mu.Lock()
-	conns := make([]*Conn, 0, len(l.conns))
-	for c := range l.conns {
-		conns = append(conns, c)
-	}
-	l.mu.Unlock()
 	open := 0
-	for _, c := range conns {
-		if !c.closeIdle() {
+	for _, c := range l.open() {
+		if !c.closeIf(c.isIdle) {
 			open++
 		}
 	}
@@ -180,6 +195,10 @@
 	dataRead bool
 	// closed is set when the connection was closed as idle.
 	closed bool
+	// idleSince is when a response was last sent or data was last read, idleLimit the highest limit
+	// on idle time that was in force since then.
+	idleSince time.Time
+	idleLimit time.Duration
 	// ahead splits what the caller sends into requests; nil if none is begun early. ctx is the
 	// context of the connection.
 	ahead *ahead
@@ -203,7 +222,7 @@
 		return 0, net.ErrClosed
 	}
 	if n > 0 {
-		c.dataRead = true
+		c.recordData()
 	}
 	return n, err
 }
@@ -220,6 +239,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.served, c.active, c.dataRead = true, false, false
+	c.idleSince, c.idleLimit = time.Now(), c.listener.IdleTimeout()
 	if c.ahead != nil {
 		c.ahead.next()
 		c.dataRead = c.ahead.pending()
@@ -233,10 +253,20 @@
 	c.active = true
 }
 
-// closeIdle closes the connection unless data of a request without a response has
-// been read, and reports whether it closed the connection.
-func (c *Conn) closeIdle() bool {
-	if !c.markClosedIfIdle() {
+// recordData records that data was read. The caller holds mu.
+func (c *Conn) recordData() {
+	c.dataRead = true
+	c.idleSince = time.Now()
+}
+
+// closeIf closes the connection if a condition, which is called with mu held, is met, and reports
+// whether it has.
+func (c *Conn) closeIf(condition func() bool) bool {
+	c.mu.Lock()
+	met := !c.closed && condition()
+	c.closed = c.closed || met
+	c.mu.Unlock()
+	if !met {
 		return false
 	}
 	if err := c.Close(); err != nil {
@@ -245,20 +275,16 @@
 	return true
 }
 
-// markClosedIfIdle reports whether the connection is idle, and if so makes
-// later reads fail.
-func (c *Conn) markClosedIfIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// isIdle reports whether the connection is idle: no data of a request without a response has been
+// read. The caller holds mu.
+func (c *Conn) isIdle() bool {
 	age := time.Since(c.opened)
 	switch {
 	case c.active:
 		return false
 	case !c.served && age >= firstRequestTimeout:
 		// No complete request has arrived, for example only a TLS handshake.
-	case c.dataRead || !c.served && age < newConnGrace:
-		return false
+		return true
 	}
-	c.closed = true
-	return true
+	return !c.dataRead && (c.served || age >= newConnGrace)
 }
--- a/io/listener/split.go
+++ b/io/listener/split.go
@@ -115,7 +115,7 @@
 		return net.ErrClosed
 	}
 	if len(data) > 0 {
-		c.dataRead = true
+		c.recordData()
 		c.ahead.buffered = append(c.ahead.buffered, data...)
 		return nil
 	}
--- a/io/socket/socket_linux.go
+++ b/io/socket/socket_linux.go
@@ -3,6 +3,7 @@
 package socket
 
 import (
+	"math"
 	"syscall"
 	"time"
 
@@ -16,3 +17,12 @@
 		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
 	})
 }
+
+// MaxOpen returns the highest number of descriptors that the process may have open.
+func MaxOpen() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
