Keep one signal of freed capacity for each service

placement.Set.CapacityFreed added a channel for each check of each waiting request, and dropped them only when a request ended or a target was added: while a service had no targets, memory grew with the checks. Waiting requests share one channel now. The new case of the test fails before.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -147,6 +147,12 @@
 			t.Error("end of a request: got no signal, want one")
 		}
 	})
+	t.Run("checks take no memory while the service has no targets", func(t *testing.T) {
+		s := NewSet("a")
+		if s.CapacityFreed(service) != s.CapacityFreed(service) {
+			t.Error("signals of two checks: got two, want one")
+		}
+	})
 }
 
 func newLoadedSet(t *testing.T, n int) *Set {
--- a/core/placement/set.go
+++ b/core/placement/set.go
@@ -67,8 +67,9 @@
 	// waiting is the number of this host's requests that wait for capacity at any
 	// target of the service.
 	waiting int
-	// waiters are closed when a request of this host ends or a target is added.
-	waiters []chan struct{}
+	// freed is closed when a request of this host ends or a target is added; nil if nobody waits
+	// for that.
+	freed chan struct{}
 }
 
 // NewSet returns an empty set for a host in the given failure domain.
@@ -327,10 +328,10 @@
 }
 
 func (svc *serviceState) notifyWaiters() {
-	for _, w := range svc.waiters {
-		close(w)
+	if svc.freed != nil {
+		close(svc.freed)
+		svc.freed = nil
 	}
-	svc.waiters = nil
 }
 
 // CapacityFreed returns a channel that is closed when a request of this host to
@@ -339,7 +340,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	svc := s.service(service)
-	w := make(chan struct{})
-	svc.waiters = append(svc.waiters, w)
-	return w
+	if svc.freed == nil {
+		svc.freed = make(chan struct{})
+	}
+	return svc.freed
 }
