Send paths that begin with two slashes as they are

With a route for the prefix /, a path that begins with // reached the target as an absolute http://... (net/url takes an opaque part that begins so for a host). One that can't be sent as the caller sent it is refused with 400.

--- a/io/proxy/failure.go
+++ b/io/proxy/failure.go
@@ -16,6 +16,7 @@
 	reasonNoConfig        = "no-configuration"
 	reasonNewerConfig     = "newer-configuration"
 	reasonNoRoute         = "no-route"
+	reasonInvalidPath     = "invalid-path"
 	reasonNoTarget        = "no-target"
 	reasonNoCapacity      = "no-room"
 	reasonNoOwner         = "no-owner"
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -290,6 +290,9 @@
 	}
 	q.match = match
 	q.setDeadlines()
+	if q.url("").EscapedPath() != q.path && strings.HasPrefix(q.path, "//") {
+		return q.fail(http.StatusBadRequest, reasonInvalidPath, nil)
+	}
 	return nil
 }
 
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -282,13 +283,24 @@
 	return q.outgoing(ctx, choice.Entry.Address, platform.RequestHeaders(q.header, choice.Entry.ID, q.timeLeft(p.clock.Now())))
 }
 
+// url returns the URL of the request at an address. Its path is sent as the caller sent it.
+func (q *request) url(address string) *url.URL {
+	u := &url.URL{Scheme: "http", Host: address, RawQuery: q.query, ForceQuery: q.emptyQuery}
+	if !strings.HasPrefix(q.path, "//") {
+		u.Opaque = q.path
+		return u
+	}
+	// An opaque part that begins so would be taken for a host.
+	u.RawPath = q.path
+	u.Path, _ = url.PathUnescape(q.path)
+	return u
+}
+
 // outgoing returns the request as it is sent to an address, with the given headers.
 func (q *request) outgoing(ctx context.Context, address string, header http.Header) *http.Request {
 	req := &http.Request{
 		Method: q.method, Host: q.host,
-		URL: &url.URL{
-			Scheme: "http", Host: address, Opaque: q.path, RawQuery: q.query, ForceQuery: q.emptyQuery,
-		},
+		URL:    q.url(address),
 		Header: header,
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Body: q.body.reader(), ContentLength: q.body.length,
