--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -149,7 +149,7 @@
 	})
 	t.Run("checks take no memory while the service has no targets", func(t *testing.T) {
 		s := NewSet("a")
-		if s.CapacityFreed(service) != s.CapacityFreed(service) {
+		if first := s.CapacityFreed(service); s.CapacityFreed(service) != first {
 			t.Error("signals of two checks: got two, want one")
 		}
 	})
