--- a/io/listener/idle.go
+++ b/io/listener/idle.go
@@ -40,7 +40,8 @@
 	return len(l.conns)
 }
 
-// CloseExpired closes connections that have been idle for their limit, until ctx is done.
+// CloseExpired closes connections that have been idle for their limit, until ctx is done. A host that
+// was paused has requests to read on connections that look idle.
 func (l *Listener) CloseExpired(ctx context.Context) {
 	tick := time.NewTicker(expiryInterval)
 	defer tick.Stop()
@@ -52,7 +53,7 @@
 		}
 		limit, now := l.IdleTimeout(), time.Now()
 		for _, c := range l.open() {
-			if c.closeIf(func() bool { return c.idleState(limit).Expired(now) }) {
+			if c.closeIf(func() bool { return c.idleState(limit).Expired(now) && !c.hasUnread() }) {
 				l.counters.expired.Add(1)
 			}
 		}
@@ -85,7 +86,7 @@
 		c.mu.Unlock()
 	}
 	for _, i := range idle.Room(states, limit) {
-		if conns[i].closeIf(conns[i].isIdle) {
+		if conns[i].closeIf(func() bool { return conns[i].isIdle() && !conns[i].hasUnread() }) {
 			l.counters.displaced.Add(1)
 		}
 	}
--- a/io/listener/idle_test.go
+++ b/io/listener/idle_test.go
@@ -66,6 +66,22 @@
 			}
 		})
 	}
+	t.Run("a request not read yet", func(t *testing.T) {
+		l, err := Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		l.IdleTimeout = func() time.Duration { return 0 }
+		caller := dial(t, l)
+		send(t, caller)
+		if _, err := l.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(newConnGrace)
+		go l.CloseExpired(t.Context())
+		assertClosed(t, caller, 2*expiryInterval, false)
+	})
 	t.Run("a longer limit than the one in force later", func(t *testing.T) {
 		l := serveWith(t, func(_ *http.Server, l *Listener) { l.IdleTimeout = func() time.Duration { return time.Hour } })
 		go l.CloseExpired(t.Context())
