Probe every host that a request is relayed to

A host without a path to the targets waited for a paused host until the request timed out: only holders of queues and dispatchers were probed while there was no answer. TestRelayToPausedHost fails before (504).

--- a/io/proxy/lostrelay_test.go
+++ b/io/proxy/lostrelay_test.go
@@ -227,3 +227,20 @@
 		t.Errorf("kept attempt of a request that is not idempotent: got %q, want none", got)
 	}
 }
+
+// TestRelayToPausedHost guards against requests of a host without a path to the targets that wait for a
+// paused host until they time out.
+func TestRelayToPausedHost(t *testing.T) {
+	paused := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	t.Cleanup(paused.Close)
+	near := peers.Host{Address: strings.TrimPrefix(paused.URL, "http://"), Domain: "a", Incarnation: "1"}
+	far := newPeer(t, "b", http.StatusOK, relayResponded)
+	for path, want := range map[string]int{"/read/1": http.StatusOK, "/write/1": http.StatusGatewayTimeout} {
+		t.Run(path, func(t *testing.T) {
+			p := newTestProxy(7, near, far.Host)
+			detach(p)
+			assertStatus(t, get(p.Handler(), path, nil), want)
+		})
+	}
+	assertReceived(t, far, 1)
+}
--- a/io/proxy/peerprobe.go
+++ b/io/proxy/peerprobe.go
@@ -30,9 +30,6 @@
 // may be paused. If it is, it has a backoff, and a request that may be sent again is cancelled. The
 // caller calls stop once it has the response.
 func (p *Proxy) watchPeer(ctx context.Context, q *request, host peers.Host) (watched context.Context, stop func()) {
-	if !q.toHolder() {
-		return ctx, func() {}
-	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	ended := make(chan struct{})
 	// once decides between the response and the end of patience.
