Soak: entries of another writer, late copies of refusals, runs on too many targets

The stand-in of a target refuses without a request id now, as the users' wire examples show; it had echoed the id, so that no copy could be mistaken.

--- a/cmd/standin/keyholder.go
+++ b/cmd/standin/keyholder.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"pineturn/io/standin/keyholder"
+	"pineturn/io/standin/server"
 )
 
 func keyholderCommand() *cli.Command {
@@ -29,6 +30,7 @@
 			f.duration("work", 20*time.Millisecond, "time for which a request runs"),
 			f.float("lost", 0, "fraction of responses dropped by closing their connection"),
 			f.float("extra", 0, "fraction of responses followed by an unsolicited response"),
+			f.float("copies", 0, "fraction of requests on a connection that has carried a refusal which get that refusal once more"),
 			f.string("limit", "3", "limit of requests a second that the target names from SIGUSR1 until SIGUSR2"),
 			f.string("rest", "2", "seconds of rest for which the target, which then refuses all requests, asks from one SIGIO until the next"),
 			f.bool("keyed", "run requests only for keys that the target owns"),
@@ -57,10 +59,10 @@
 	target := keyholder.New(keyholder.Options{
 		ID: command.String("id"), Service: command.String("service"), Address: command.String("listen"),
 		Slots: command.Int("slots"), Queue: command.Int("queue"), ServiceTime: command.Duration("work"), Keyed: command.Bool("keyed"),
-		LostFraction: command.Float("lost"), ExtraFraction: command.Float("extra"),
+		LostFraction: command.Float("lost"), ExtraFraction: command.Float("extra"), CopyFraction: command.Float("copies"),
 	}, audit)
 	go handleSignals(ctx, signals, target, command.String("limit"), command.String("rest"))
-	return serve(ctx, listener, target.Handler())
+	return await(ctx, server.NewWithContext(listener, target.Handler(), keyholder.ConnContext))
 }
 
 // handleSignals makes a target name a limit from SIGUSR1 until SIGUSR2, say that it leaves from
--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -21,7 +21,11 @@
 // serve prints the address of the listener, serves requests until ctx ends or the
 // server fails, and then shuts the server down.
 func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	running := server.New(listener, handler)
+	return await(ctx, server.New(listener, handler))
+}
+
+// await waits until ctx is done or a server ends, and closes the server.
+func await(ctx context.Context, running *server.Server) error {
 	fmt.Println("listening", running.Address())
 	select {
 	case <-ctx.Done():
--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -255,6 +255,7 @@
 	c.checkLimits()
 	c.checkDepartures()
 	c.checkRests()
+	c.checkAttempts()
 	for id, response := range c.responses {
 		runs := c.runs[id]
 		if response.Once && len(runs) > 1 {
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -14,6 +14,15 @@
 
 func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 
+// addRunsOnThree adds requests that each run on three targets.
+func addRunsOnThree(c *Checker) {
+	for i := range attemptSlack + 1 {
+		for _, target := range []string{"t1", "t2", "t3"} {
+			addRun(c, fmt.Sprint("r", i), target, -1, 1)
+		}
+	}
+}
+
 func addRun(c *Checker, id, target string, key int, seconds float64) {
 	c.AddEvent(keyholder.Event{Kind: keyholder.Began, Run: &keyholder.Run{ID: id, Target: target, Key: key, At: at(seconds)}})
 }
@@ -179,6 +188,11 @@
 			c.DrainStarted("t1", at(0))
 			addRun(c, "r1", "t1", -1, 2.5)
 		}, ""},
+		{"runs on too many targets", func(c *Checker) { addRunsOnThree(c) }, "ran on more than 2 targets"},
+		{"runs on targets of which one was killed", func(c *Checker) {
+			c.SetWindow(Window{Kind: TargetKill, Host: -1, Target: "t2", From: at(0.5), To: at(3)})
+			addRunsOnThree(c)
+		}, ""},
 		{"version not applied", func(c *Checker) {
 			c.ConfigPublished(3, at(0))
 			c.AddResponse(Response{ID: "r1", Status: http.StatusNotFound, Version: 3, Sent: at(2.5), Ended: at(2.6)})
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"syscall"
 	"time"
 
@@ -65,6 +66,9 @@
 		return s.publishConfig()
 	case TargetDrain, TargetKill, TargetPause, TargetLimit, TargetLeave, TargetRest:
 		return s.runTargetStep(ctx, step, maxDuration)
+	case EntryOfOther:
+		s.putEntriesOfOther(step)
+		return nil
 	case DomainDrain:
 		return s.withWindow(systemWindow, maxDuration, func() error { return s.drainDomain(ctx, step) })
 	case ServiceLose:
@@ -211,6 +215,19 @@
 	})
 }
 
+// putEntriesOfOther puts entries of another writer into the store: for a service that no configuration
+// names at the address of a target, and with nested arrays without end.
+func (s *system) putEntriesOfOther(step Step) {
+	targets := s.allTargets()
+	t := targets[step.Index%len(targets)]
+	agent := &target{id: "agent-" + t.id, service: "node-agent", address: t.address, startedMs: time.Now().UnixMilli()}
+	s.store.PutTarget(agent.id, agent.entry(false))
+	s.store.PutTarget("odd-"+t.id, []byte(strings.Repeat("[", maxOddEntry)))
+}
+
+// maxOddEntry is the size of an entry that can't be read, in bytes.
+const maxOddEntry = 100_000
+
 // loseResponses makes all processes of the targets of a service lose all responses for the
 // length of the step.
 func (s *system) loseResponses(ctx context.Context, step Step) {
--- a/io/soak/steps.go
+++ b/io/soak/steps.go
@@ -34,6 +34,9 @@
 	// all requests and ask for a rest.
 	TargetLeave Kind = "target-leave"
 	TargetRest  Kind = "target-rest"
+	// EntryOfOther puts an entry of another writer beside those of the targets: one with the address of
+	// a live target, and one that can't be read.
+	EntryOfOther Kind = "entry-of-other"
 	// DomainDrain drains a failure domain on the operator's request, and takes it back.
 	DomainDrain Kind = "domain-drain"
 	// ServiceLose makes all targets of a service lose all responses.
@@ -71,6 +74,9 @@
 // so that the steps of a seed stay as they were.
 var requested = []Kind{TargetLeave, TargetRest, DomainDrain}
 
+// written is what another writer puts into the store, drawn apart as well.
+var written = []Kind{EntryOfOther}
+
 // Planned reports whether the kind is a planned operation, which must not affect
 // callers.
 func (k Kind) Planned() bool { return k == DomainDrain || slices.Contains(planned, k) }
@@ -117,16 +123,17 @@
 			steps = append(steps, step)
 		}
 	}
-	steps = append(steps, requestedSteps(seed, duration)...)
+	steps = append(steps, drawnApart(seed, 1, requested, duration)...)
+	steps = append(steps, drawnApart(seed, 2, written, duration)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.Start - b.Start) })
 	return steps
 }
 
-// requestedSteps returns one step of each of the requested kinds.
-func requestedSteps(seed uint64, duration time.Duration) []Step {
-	random := rand.New(rand.NewPCG(seed, seed+1))
+// drawnApart returns one step of each of some kinds. The stream keeps their draws from those of other kinds.
+func drawnApart(seed, stream uint64, kinds []Kind, duration time.Duration) []Step {
+	random := rand.New(rand.NewPCG(seed, seed+stream))
 	var steps []Step
-	for _, kind := range requested {
+	for _, kind := range kinds {
 		step := randomStep(random, duration)
 		step.Kind = kind
 		steps = append(steps, step)
--- a/io/soak/system.go
+++ b/io/soak/system.go
@@ -35,6 +35,9 @@
 // the fraction of those that are followed by an unsolicited response.
 const responseFaultRate = "0.005"
 
+// copyRate is the fraction of requests that get an earlier refusal on their connection once more.
+const copyRate = "0.3"
+
 const (
 	// startTimeout is the maximum time for the start of a host.
 	startTimeout = 10 * time.Second
@@ -229,7 +232,7 @@
 func (s *system) startTarget(t *target) error {
 	t.startedMs = time.Now().UnixMilli()
 	incarnation := t.incarnationID()
-	args := []string{"keyholder", "--listen", t.address, "--id", t.id, "--service", t.service, "--limit", targetLimit, "--rest", fmt.Sprint(restTime.Seconds()), "--lost", responseFaultRate, "--extra", responseFaultRate}
+	args := []string{"keyholder", "--listen", t.address, "--id", t.id, "--service", t.service, "--limit", targetLimit, "--rest", fmt.Sprint(restTime.Seconds()), "--lost", responseFaultRate, "--extra", responseFaultRate, "--copies", copyRate}
 	if t.service == keyedService {
 		args = append(args, "--keyed")
 	}
--- a/io/standin/keyholder/keyholder.go
+++ b/io/standin/keyholder/keyholder.go
@@ -35,6 +35,9 @@
 	// their connection. ExtraFraction is the fraction followed by an
 	// unsolicited response on the same connection.
 	LostFraction, ExtraFraction float64
+	// CopyFraction is the fraction of requests, of those on a connection that has carried a
+	// refusal, during which the target writes that refusal once more. It needs ConnContext.
+	CopyFraction float64
 	// Born is the start time of the target in Unix milliseconds; 0 omits it
 	// from the entry.
 	Born int64
@@ -166,8 +169,9 @@
 	t.runningByKey[key]--
 }
 
+// respondNotRun refuses a request. Refusals bear no request id.
 func (t *Target) respondNotRun(w http.ResponseWriter, r *http.Request, status int) {
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	markRefused(r.Context())
 	w.Header().Set("X-Not-Executed", "1")
 	w.WriteHeader(status)
 }
@@ -210,6 +214,10 @@
 		return
 	}
 	defer t.endRun(r)
+	if wasRefused(r.Context()) && rand.Float64() < t.options.CopyFraction {
+		copyRefusal(w, t.options.ServiceTime)
+		return
+	}
 	t.running.Add(1)
 	defer t.running.Add(-1)
 	if !t.simulateWork(r, fault) {
--- a/io/standin/server/server.go
+++ b/io/standin/server/server.go
@@ -25,8 +25,14 @@
 
 // New starts a server of handler on listener.
 func New(listener net.Listener, handler http.Handler) *Server {
+	return NewWithContext(listener, handler, nil)
+}
+
+// NewWithContext starts a server like New, with the context of each connection from connContext, if that
+// is not nil.
+func NewWithContext(listener net.Listener, handler http.Handler, connContext func(context.Context, net.Conn) context.Context) *Server {
 	s := &Server{
-		http:     &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute},
+		http:     &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ConnContext: connContext},
 		listener: listener,
 		done:     make(chan struct{}),
 	}
