Allow responses before the end of a request only where a body is still read

Cause: the server reads the rest of such a body when the handler has returned, and then looks for the end of the connection beside the next request.

Now only the response to a large body that is still being read goes out early.

TestPageMetrics counts the two new metrics, which it had missed.

--- a/io/gateway/page_test.go
+++ b/io/gateway/page_test.go
@@ -18,6 +18,8 @@
 	h.gateway.metrics.observeStoreCall("/v1/log-read", 0, nil)
 	h.gateway.metrics.requests.WithLabelValues("s", "200", "answered").Inc()
 	h.gateway.metrics.relays.WithLabelValues("out", "s", "answered").Inc()
+	h.gateway.metrics.lostRelays.WithLabelValues("s").Inc()
+	h.gateway.metrics.keptAttempts.WithLabelValues("s", "granted").Inc()
 	h.gateway.metrics.queueWaits.WithLabelValues("s").Observe(0)
 	h.gateway.metrics.observeRetry("s", true)
 	h.gateway.metrics.observeMoves("s", owner.Moves{})
--- a/io/proxy/body.go
+++ b/io/proxy/body.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
@@ -21,7 +24,9 @@
 	buffered []byte
 	// unread reads the part of a large body that follows the buffered one; nil
 	// if there is none.
-	unread io.Reader
+	unread *trackedReader
+	// sent is the last reader of a large body; nil before.
+	sent *sentBody
 	// length is in bytes; negative for a large body without Content-Length.
 	length int64
 }
@@ -42,9 +47,9 @@
 	b.buffered = buffered
 	b.length = r.ContentLength
 	if len(buffered) == maxBufferedBody {
-		b.unread = r.Body
+		b.unread = &trackedReader{Reader: r.Body}
 		if limit > 0 {
-			b.unread = http.MaxBytesReader(nil, r.Body, limit-maxBufferedBody)
+			b.unread.Reader = http.MaxBytesReader(nil, r.Body, limit-maxBufferedBody)
 		}
 		return nil
 	}
@@ -60,7 +65,8 @@
 // own.
 func (b *body) reader() io.ReadCloser {
 	if b.unread != nil {
-		return io.NopCloser(io.MultiReader(bytes.NewReader(b.buffered), b.unread))
+		b.sent = &sentBody{Reader: io.MultiReader(bytes.NewReader(b.buffered), b.unread), closed: make(chan struct{})}
+		return b.sent
 	}
 	return io.NopCloser(bytes.NewReader(b.buffered))
 }
@@ -72,15 +78,61 @@
 	return q.fail(http.StatusBadRequest, reasonBodyReadFailed, err)
 }
 
-// fullDuplex returns a handler whose response may begin while the request's body is still being sent on.
-// Otherwise the server discards a part of the body before it writes a response.
-func fullDuplex(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength < 0 || r.ContentLength >= maxBufferedBody {
-			if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
-				klog.V(1).InfoS("Connection allows no early response", "from", r.RemoteAddr, "err", err)
-			}
-		}
-		handler.ServeHTTP(w, r)
-	})
+// trackedReader remembers that it was read to its end.
+type trackedReader struct {
+	io.Reader
+	ended atomic.Bool
+}
+
+func (r *trackedReader) Read(data []byte) (int, error) {
+	n, err := r.Reader.Read(data)
+	if errors.Is(err, io.EOF) {
+		r.ended.Store(true)
+	}
+	return n, err
+}
+
+// streaming reports whether a part of the body is still to be read from the caller.
+func (b *body) streaming() bool { return b.unread != nil && !b.unread.ended.Load() }
+
+// sentBody is the reader of a streamed body for one send, which the transport closes when it reads no
+// more.
+type sentBody struct {
+	io.Reader
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (s *sentBody) Close() error {
+	s.once.Do(func() { close(s.closed) })
+	return nil
+}
+
+// prepare prepares the response to a request whose body may still be read: it begins while the rest is sent
+// on, of which the server would discard a part otherwise. The connection can't be used again after that.
+func (b *body) prepare(w http.ResponseWriter) {
+	if !b.streaming() {
+		return
+	}
+	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+		klog.V(1).InfoS("Connection allows no response before the end of the request", "err", err)
+	}
+	w.Header().Set("Connection", "close")
+}
+
+// finish waits, after the response was written, until the rest of the body is sent on or its send has
+// ended, timeout at most: the server, which reads what is left, must not do so beside the transport.
+func (b *body) finish(w http.ResponseWriter, timeout time.Duration) {
+	if !b.streaming() {
+		return
+	}
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		return
+	}
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-b.sent.closed:
+	case <-timer.C:
+	}
 }
--- a/io/proxy/earlyanswer_test.go
+++ b/io/proxy/earlyanswer_test.go
@@ -12,6 +12,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pineturn/io/socket"
 )
 
 const (
@@ -83,10 +85,14 @@
 					r.Host, r.ContentLength = testHost, -1
 					r.Header.Set("X-Request-Id", "r1")
 					transport := &http.Transport{}
-					if resp, err := transport.RoundTrip(r); err == nil {
-						_, _ = io.Copy(io.Discard, resp.Body)
-						_ = resp.Body.Close()
+					resp, err := transport.RoundTrip(r)
+					if err != nil {
+						t.Fatal(err)
 					}
+					if n, _ := io.Copy(io.Discard, resp.Body); resp.StatusCode != http.StatusOK || n != int64(answerBytes) {
+						t.Errorf("response: got status %d, %d bytes, want 200, %d bytes", resp.StatusCode, n, answerBytes)
+					}
+					_ = resp.Body.Close()
 					transport.CloseIdleConnections()
 					if got := <-received; !bytes.HasPrefix(sent, got) {
 						t.Errorf("body: got %d bytes that were not sent so, want %d bytes as sent, or the first of them", len(got), len(sent))
@@ -96,3 +102,30 @@
 		}
 	}
 }
+
+// TestBodyNotRead guards against the end of a connection after a response to a request whose body was not
+// read: a server that allows responses before the end of the request ends there with a panic.
+func TestBodyNotRead(t *testing.T) {
+	p := newTestProxy(7)
+	server := httptest.NewServer(p.Handler())
+	t.Cleanup(server.Close)
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	for i := range 5 {
+		use := &socket.Use{}
+		r, err := http.NewRequestWithContext(use.Trace(t.Context()), http.MethodPost, server.URL+"/none/1", io.NopCloser(strings.NewReader("body")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host, r.ContentLength = testHost, -1
+		resp, err := transport.RoundTrip(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		discard(resp)
+		if got := use.Reused(); got != (i > 0) {
+			t.Errorf("connection of request %d used again: got %t, want %t", i, got, i > 0)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -166,7 +166,7 @@
 
 // Handler returns the HTTP handler for callers' requests.
 func (p *Proxy) Handler() http.Handler {
-	return fullDuplex(kithttp.NewServer(p.endpoint(), p.decode, p.encode, kithttp.ServerErrorEncoder(p.encodeError)))
+	return kithttp.NewServer(p.endpoint(), p.decode, p.encode, kithttp.ServerErrorEncoder(p.encodeError))
 }
 
 // Idempotent reports whether a caller's request may run more than once.
@@ -337,6 +337,7 @@
 	if r.unread == nil {
 		setContentLength(w.Header(), r)
 	}
+	r.request.body.prepare(w)
 	w.WriteHeader(r.status)
 	if err := r.writeBody(w); err != nil {
 		p.HandleRecord(r.request.record(r.status, reasonResponseCutOff, err, p.clock.Now()))
@@ -345,6 +346,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	p.HandleRecord(r.request.record(r.status, reasonResponded, nil, p.clock.Now()))
+	r.request.body.finish(w, r.request.timeLeft(p.clock.Now()))
 	return nil
 }
 
@@ -352,7 +354,7 @@
 func (p *Proxy) encodeError(_ context.Context, err error, w http.ResponseWriter) {
 	f := asFailure(err)
 	platform.SetRefusalHeaders(w.Header(), f.request.ID, f.retryAfter)
-	if f.request.body.unread != nil {
+	if f.request.body.streaming() {
 		w.Header().Set("Connection", "close")
 	}
 	w.WriteHeader(f.status)
