--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -105,29 +105,29 @@
 
 // relay sends a request to another host, which sends it to a target.
 func (p *Proxy) relay(ctx context.Context, q *request, host peers.Host) sendResult {
-	l := p.lend(q)
-	defer p.reserve.Take(l.token)
+	held := p.reserveAttempt(q)
+	defer p.reserve.Take(held.token)
 	q.progress.RecordSend()
 	q.triedHosts = append(q.triedHosts, host.Address)
 	q.via = host.Address
 	caller := ctx
 	ctx, stop := p.watchPeer(ctx, q, host)
 	defer stop()
-	resp, err := p.peerTransport.RoundTrip(p.relayRequest(ctx, q, host, l))
+	resp, err := p.peerTransport.RoundTrip(p.relayRequest(ctx, q, host, held))
 	if err != nil {
 		if caller.Err() == nil {
 			p.peers.MarkFailed(host.Address, p.clock.Now())
 		}
 		result := classifySendError(err)
 		if result != attempt.Unsent {
-			p.settleLost(q, l)
+			p.settleLost(q, held)
 		}
 		return sendResult{result: result, err: errors.Wrapf(err, "relay to host %s", host.Address)}
 	}
-	return p.relayResult(q, host, l, resp)
+	return p.relayResult(q, host, held, resp)
 }
 
-func (p *Proxy) relayRequest(ctx context.Context, q *request, host peers.Host, l loan) *http.Request {
+func (p *Proxy) relayRequest(ctx context.Context, q *request, host peers.Host, held reservation) *http.Request {
 	header := platform.RelayHeaders(q.header, q.timeLeft(p.clock.Now())-relayMargin)
 	removeRelayHeaders(header)
 	version := max(q.configVersion, p.peerVersion.Load())
@@ -141,23 +141,23 @@
 	header.Set(headerRelayVersion, strconv.FormatInt(version, 10))
 	header.Set(headerRelayElapsed, strconv.FormatInt(p.clock.Now().Sub(q.started).Milliseconds(), 10))
 	header.Set(headerRelayService, q.match.Service.Name)
-	header.Set(headerRelaySends, strconv.Itoa(l.before+l.kept))
-	if l.kept > 0 {
-		header.Set(headerRelayReserve, formatKept(p.peers.Self().Address, l.token))
+	header.Set(headerRelaySends, strconv.Itoa(held.before+held.kept))
+	if held.kept > 0 {
+		header.Set(headerRelayReserve, formatKept(p.peers.Self().Address, held.token))
 	}
 	return q.outgoing(ctx, host.Address, header)
 }
 
 // relayResult returns the result of a request to which another host has responded.
-func (p *Proxy) relayResult(q *request, host peers.Host, l loan, resp *http.Response) sendResult {
+func (p *Proxy) relayResult(q *request, host peers.Host, held reservation, resp *http.Response) sendResult {
 	h := resp.Header
 	outcome, target := relayOutcome(h.Get(headerRelayOutcome)), h.Get(headerRelayTarget)
 	p.recordPeerVersion(q, h.Get(headerRelayVersion))
 	sends, err := strconv.Atoi(h.Get(headerRelaySends))
 	if err != nil {
-		return p.invalidRelay(q, host, l, resp, errors.Wrap(err, "number of sends"))
+		return p.invalidRelay(q, host, held, resp, errors.Wrap(err, "number of sends"))
 	}
-	sends -= l.kept
+	sends -= held.kept
 	for _, name := range []string{headerRelayOutcome, headerRelayTarget, headerRelaySends, headerRelayVersion} {
 		h.Del(name)
 	}
@@ -189,7 +189,7 @@
 			s.final = q.fail(resp.StatusCode, reasonRelayFailed, s.err)
 		}
 	default:
-		return p.invalidRelay(q, host, l, resp, errors.Newf("outcome %q", outcome))
+		return p.invalidRelay(q, host, held, resp, errors.Newf("outcome %q", outcome))
 	}
 	if s.result == attempt.Unsent && !q.body.replayable() {
 		s.final = q.failOrRefuse(reasonUnreachable, q.match.Route.Objective/4, s.err)
@@ -255,8 +255,8 @@
 }
 
 // invalidRelay returns the result of a response of another host that does not say what it has done.
-func (p *Proxy) invalidRelay(q *request, host peers.Host, l loan, resp *http.Response, err error) sendResult {
-	p.settleLost(q, l)
+func (p *Proxy) invalidRelay(q *request, host peers.Host, held reservation, resp *http.Response, err error) sendResult {
+	p.settleLost(q, held)
 	return p.failedRelay(host, resp, err)
 }
 
--- a/io/proxy/reserve.go
+++ b/io/proxy/reserve.go
@@ -107,8 +107,8 @@
 	})
 }
 
-// loan is what a host that relays a request hands over with it.
-type loan struct {
+// reservation is the state of a request's attempts when it is relayed.
+type reservation struct {
 	// before is the number of sends before the relay.
 	before int
 	// kept is the number of attempts that are kept back, token the token of the one, if any.
@@ -116,23 +116,23 @@
 	token attempt.Token
 }
 
-// lend keeps back an attempt of a request that is about to be relayed.
-func (p *Proxy) lend(q *request) loan {
-	l := loan{before: q.progress.Sends(), kept: attempt.KeptBack(q.attemptRequest(), q.progress.Sends())}
-	if l.kept > 0 {
-		l.token = p.reserve.Keep()
+// reserveAttempt keeps back an attempt of a request that is about to be relayed.
+func (p *Proxy) reserveAttempt(q *request) reservation {
+	held := reservation{before: q.progress.Sends(), kept: attempt.KeptBack(q.attemptRequest(), q.progress.Sends())}
+	if held.kept > 0 {
+		held.token = p.reserve.Keep()
 	}
-	return l
+	return held
 }
 
 // settleLost counts all attempts that the other host may have used, and may still use, of a request
 // that was relayed to it.
-func (p *Proxy) settleLost(q *request, l loan) {
+func (p *Proxy) settleLost(q *request, held reservation) {
 	q.budgeted = true
 	q.lostRelays++
-	handed := q.match.Route.MaxAttempts - l.before
-	if l.kept > 0 && p.reserve.Take(l.token) {
+	handed := q.match.Route.MaxAttempts - held.before
+	if held.kept > 0 && p.reserve.Take(held.token) {
 		handed--
 	}
-	q.progress.RecordSends(l.before + handed - q.progress.Sends())
+	q.progress.RecordSends(held.before + handed - q.progress.Sends())
 }
