Keep a target whose entry another writer has overwritten until it is silent

Callers saw: a target is out of use and its keys move away, without a fault of it, until its next entry, because another writer has left an entry that can't be read, or with an unknown state, under the target's id.

Cause: an entry that names no target removed the one whose id it has at once, as if that had left. Hypotheses weighed: that the target itself refuses to go on (no: it writes its next entry as before), that the store deletes the entry (no: it keeps the newest record).

Change: such an entry counts as one entry that is missing. The target stays for entryRenewalTime (2 s: it writes every 0.87 s, so two entries fit) and is removed then unless it has written again. The store's own deletion counts at once as before, or after the grace of an outage if there is one.

Costs nothing per host: no call, no hop, one map entry for such an id.

--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -26,6 +26,8 @@
 	// recoveryGrace is the time after the store becomes reachable again in which
 	// targets can renew entries that lapsed during the outage.
 	recoveryGrace = 2 * time.Second
+	// entryRenewalTime is the time in which a target writes its entry again, with one lost.
+	entryRenewalTime = 2 * time.Second
 	// removedRetention is how long a removed target's entry is kept, so that
 	// releases can still be sent to the target.
 	removedRetention = 30 * time.Second
@@ -50,7 +52,7 @@
 	// removed holds the removed targets by id.
 	removed map[string]removal
 	// unconfirmed holds, by id, the targets whose entry may have lapsed because the
-	// store was unreachable.
+	// store was unreachable, or was overwritten by one that names no target.
 	unconfirmed map[string]deferral
 	// offsets holds the newest offset read of each key in the current era, by topic
 	// and key.
--- a/io/metastore/targets.go
+++ b/io/metastore/targets.go
@@ -23,6 +23,9 @@
 	end  time.Time
 	era  int64
 	left bool
+	// overwritten reports that the target's entry was overwritten by one that names no
+	// target, and has not lapsed.
+	overwritten bool
 }
 
 func (c *Catalog) applyTargets(records []platform.Record, complete bool) {
@@ -57,7 +60,7 @@
 	entry, err := platform.DecodeEntry(r.Key, r.Value)
 	if err != nil {
 		klog.InfoS("Target entry is invalid", "key", r.Key, "offset", r.Offset, "err", shorten(err))
-		c.removeInvalid(r.Key, now)
+		c.removeUnlessRenewed(r.Key, now)
 		return
 	}
 	old, found := c.targets.Entry(r.Key)
@@ -83,13 +86,14 @@
 	return text[:min(len(text), maxEntryErrorBytes)]
 }
 
-// removeInvalid removes a target whose entry is invalid. In the first list of an era, that
-// entry may be older than the one known.
-func (c *Catalog) removeInvalid(id string, now time.Time) {
-	if c.rereading {
-		c.removeOrDefer(id, now)
-	} else {
-		c.remove(id, now, true)
+// removeUnlessRenewed removes a target after entryRenewalTime unless it writes its entry again, which
+// was overwritten by one that names no target. That one may come from another writer.
+func (c *Catalog) removeUnlessRenewed(id string, now time.Time) {
+	if _, found := c.targets.Entry(id); !found {
+		return
+	}
+	if _, ok := c.unconfirmed[id]; !ok {
+		c.unconfirmed[id] = deferral{end: now.Add(entryRenewalTime), era: c.era, left: !c.rereading, overwritten: true}
 	}
 }
 
@@ -129,15 +133,16 @@
 		return
 	}
 	d, ok := c.unconfirmed[id]
-	if ok && (d.left || !left) {
+	if ok && !d.overwritten && (d.left || !left) {
 		return
 	}
-	if !ok {
-		d.end = end
+	first := !ok || d.overwritten
+	if first {
+		d = deferral{end: end}
 	}
 	d.left, d.era = left, c.era
 	c.unconfirmed[id] = d
-	if !ok {
+	if first {
 		klog.InfoS("Target's entry lapsed during a store outage, removal is deferred", "target", id, "grace", end.Sub(now))
 	}
 }
@@ -159,7 +164,7 @@
 	now := c.clock.Now()
 	graceEnd := c.store.graceEnd(recoveryGrace)
 	for id, d := range c.unconfirmed {
-		if !now.Before(d.end) || !now.Before(graceEnd) {
+		if !now.Before(d.end) || !d.overwritten && !now.Before(graceEnd) {
 			c.remove(id, now, d.left)
 		}
 	}
