Take no entry for a target whose service no configuration names

Callers saw: a live target is out of use for good, without a request or a grant, after another writer has left one entry under its id that names a service of no configuration and a later start. Its keys moved.

Cause: such an entry replaced the target's own as that of a later run, and the target's next entries were refused as those of an earlier one. Hypotheses weighed: the entry is removed as invalid (no: it decodes), the target stops writing (no: each of its entries was read and refused), the leader alone is misled (no: all hosts lost the target from routing).

Change: the catalog knows the services that configurations have named, and keeps entries of others aside until one names theirs. Under a target's id it counts as one missing entry of that target. Before the first configuration all entries count; those of unnamed services are put aside when it comes. A service that a later configuration drops stays named, as requests of the one before may be under way.

--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -54,6 +54,10 @@
 	// unconfirmed holds, by id, the targets whose entry may have lapsed because the
 	// store was unreachable, or was overwritten by one that names no target.
 	unconfirmed map[string]deferral
+	// services holds the services that a configuration has named, unnamed, by id, the entries of
+	// others.
+	services map[string]bool
+	unnamed  map[string]unnamedEntry
 	// offsets holds the newest offset read of each key in the current era, by topic
 	// and key.
 	offsets map[string]int64
@@ -85,6 +89,8 @@
 		ownerConsumer:  NewConsumer(platform.TopicOwners, store, era),
 		removed:        make(map[string]removal),
 		unconfirmed:    make(map[string]deferral),
+		services:       make(map[string]bool),
+		unnamed:        make(map[string]unnamedEntry),
 		offsets:        make(map[string]int64),
 		drains:         drains{byDomain: make(map[string]DomainDrain)},
 		changed:        make(chan struct{}),
@@ -262,6 +268,7 @@
 			continue
 		}
 		c.table.Store(routing.NewTable(config))
+		c.nameServices(config, c.clock.Now())
 		klog.InfoS("Configuration changed", "version", config.Version, "routes", len(config.Routes), "offset", r.Offset)
 	}
 }
--- a/io/metastore/targets.go
+++ b/io/metastore/targets.go
@@ -1,6 +1,7 @@
 package metastore
 
 import (
+	"maps"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -45,6 +46,7 @@
 				c.removeOrDefer(entry.ID, now)
 			}
 		}
+		maps.DeleteFunc(c.unnamed, func(id string, _ unnamedEntry) bool { return !present[id] })
 		c.rereading = false
 	}
 	c.targetsRead = true
@@ -54,6 +56,7 @@
 // and orders name the target that they are for, and the one at the address refuses those for the other.
 func (c *Catalog) applyTarget(r platform.Record, now time.Time) {
 	if len(r.Value) == 0 {
+		delete(c.unnamed, r.Key)
 		c.removeOrDefer(r.Key, now)
 		return
 	}
@@ -63,17 +66,28 @@
 		c.removeUnlessRenewed(r.Key, now)
 		return
 	}
-	old, found := c.targets.Entry(r.Key)
+	if !c.namesService(entry.Service) {
+		c.keepAside(entry, r.Offset)
+		c.removeUnlessRenewed(r.Key, now)
+		return
+	}
+	delete(c.unnamed, r.Key)
+	c.putTarget(entry, r.Offset, now)
+}
+
+// putTarget stores the entry of a target, read at an offset, unless a newer one is known.
+func (c *Catalog) putTarget(entry placement.Entry, offset int64, now time.Time) {
+	old, found := c.targets.Entry(entry.ID)
 	if c.hasLeft(entry) || !c.targets.Put(entry, now) {
 		return
 	}
-	delete(c.unconfirmed, r.Key)
-	delete(c.removed, r.Key)
+	delete(c.unconfirmed, entry.ID)
+	delete(c.removed, entry.ID)
 	// A target that has said that it leaves counts as draining whatever its entry says.
-	entry, _ = c.targets.Entry(r.Key)
+	entry, _ = c.targets.Entry(entry.ID)
 	if !found || old.Draining != entry.Draining || old.Born != entry.Born || old.Address != entry.Address {
-		klog.InfoS("Target entry was added or changed", "target", r.Key, "service", entry.Service, "address", entry.Address,
-			"draining", entry.Draining, "born", entry.Born, "sequence", entry.Sequence, "offset", r.Offset)
+		klog.InfoS("Target entry was added or changed", "target", entry.ID, "service", entry.Service, "address", entry.Address,
+			"draining", entry.Draining, "born", entry.Born, "sequence", entry.Sequence, "offset", offset)
 	}
 }
 
