Take an entry as proof of a restart only if it names the owner's service

Callers would see two owners of a key, or refusals by a target of another service.

Cause: hasRestarted and reassign compared ids and starts, not services. Since the catalog puts entries of unnamed services aside, this is left for entries that name another service of the configuration.

Change: an entry that names another service than the range's proves nothing of the range's owner, and gets none of its keys; the lease or the answer to a release goes on to count.

TestDroppedAfterEntryOfOtherService and TestRangesOfOverwrittenOwner failed before.

--- a/core/owner/dropped_test.go
+++ b/core/owner/dropped_test.go
@@ -83,3 +83,32 @@
 		t.Errorf("dropped once the last new grant has expired: got %v, want some, restarted", got)
 	}
 }
+
+// TestDroppedAfterEntryOfOtherService guards against two owners of a key because another writer's entry,
+// under the id of a live target, names another service and a later start.
+func TestDroppedAfterEntryOfOtherService(t *testing.T) {
+	l, view := moveOff(t, 2*time.Second)
+	foreign := view["t01"]
+	foreign.Born++
+	foreign.Service = "other"
+	view["t01"] = foreign
+	if got := l.DropFormerOwners(view, testStart.Add(leaseExpiryBound)); len(got) > 0 {
+		t.Errorf("dropped before the last lease has expired: got %v, want none", got)
+	}
+}
+
+// TestRangesOfOverwrittenOwner guards against keys that are assigned to a target of another service, as
+// another writer's entry under their owner's id names that one and a later start.
+func TestRangesOfOverwrittenOwner(t *testing.T) {
+	l, view, loads := newCluster(t, 4)
+	foreign := view["t01"]
+	foreign.Born++
+	foreign.Service = "other"
+	view["t01"] = foreign
+	l.Assign(testService, view, loads, testStart.Add(leaseExpiryBound))
+	for _, r := range l.Record().Services[testService] {
+		if r.Owner.Target == "t01" {
+			t.Errorf("owner of keys %d to %d: got a target of service %q, want one of %q", r.First, r.Last, view["t01"].Service, testService)
+		}
+	}
+}
--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -286,7 +286,7 @@
 				continue
 			}
 			r.former = slices.DeleteFunc(r.former, func(f *formerOwner) bool {
-				reason, free := l.proofOfFree(f, targets, now)
+				reason, free := l.proofOfFree(service, f, targets, now)
 				if free {
 					dropped = append(dropped, Dropped{
 						Service: service, First: r.first, Last: r.last, Owner: f.state.owner, FencingToken: f.state.fencingToken, Reason: reason,
@@ -301,7 +301,7 @@
 }
 
 // proofOfFree reports whether a former owner no longer holds its range, and why.
-func (l *Leader) proofOfFree(f *formerOwner, targets map[string]Target, now time.Time) (Reason, bool) {
+func (l *Leader) proofOfFree(service string, f *formerOwner, targets map[string]Target, now time.Time) (Reason, bool) {
 	if f.state.inFlight {
 		return 0, false
 	}
@@ -312,16 +312,17 @@
 		return Released, true
 	case !now.Before(l.expiresAt(f.state)):
 		return Expired, true
-	case !now.Before(l.restartProvesFreeFrom(f.state)) && hasRestarted(f.state.owner, targets):
+	case !now.Before(l.restartProvesFreeFrom(f.state)) && hasRestarted(f.state.owner, service, targets):
 		return Restarted, true
 	}
 	return 0, false
 }
 
-// hasRestarted reports whether a later incarnation of the target has started.
-func hasRestarted(target Incarnation, targets map[string]Target) bool {
+// hasRestarted reports whether a later incarnation of a service's target has started. An entry of
+// another service under its id is not the target's own.
+func hasRestarted(target Incarnation, service string, targets map[string]Target) bool {
 	t, ok := targets[target.Target]
-	return ok && t.Born > target.Born
+	return ok && t.Service == service && t.Born > target.Born
 }
 
 // Record returns the current assignment, to be written to the store.
--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -168,7 +168,7 @@
 	}
 	load := loads.RangeLoad(service, r.first, r.last)
 	to := util.leastUtilizedWith(load, l.responsive(service, assignable))
-	if t, ok := targets[r.owner.Target]; ok && !t.Draining && t.Born > r.owner.Born {
+	if t := targets[r.owner.Target]; !t.Draining && hasRestarted(r.owner, service, targets) {
 		to = t
 	}
 	if l.Move(service, r.first, r.last, to.Incarnation, now) {
