Pass on no request in a planned stop that would be cut at its target

Callers saw: in a planned stop of one host, in calm, a request that came late in the grace time, or whose body ended late, was passed on and ended with 502 as the host cancelled its requests, among them requests that may not be repeated (LOST).

Hypotheses weighed: the listener takes connections too long (no: idle ones are closed from 2.6 s on, and those cut were open before), the relay to another host ends (no: two of the cases have none), the gate is missing between the reading of a body, or a wait in a queue, and the send (yes: requests reached their target at 3.9 to 5.2 s and were cut at 5.3 s, by the target's own record).

Cause: a stopping host knew when it cancels its requests, but nothing asked for that when a request was sent.

Change: core/latency keeps the mean and the deviation of the latencies of each route, as TCP does of round trips. A stopping host sends or relays a request only if the mean and four deviations (at least 1/16 of the mean each), or the expected latency of its target where that is more, fit into the time until it cancels; otherwise it refuses it as not run, at once: before the send, while it waits for capacity or in an owner's queue, and before a second target. Of a long body, the rest counts at the pace of its first part.

A request that fits is refused where latencies vary widely; it comes back to another host.

Cost: one lock and a look into a map for each request; nothing between hosts.

--- a/io/gateway/cluster_test.go
+++ b/io/gateway/cluster_test.go
@@ -27,9 +27,10 @@
 	orderService = "payouts"
 	keyedService = "records"
 	routeHost    = "site.example"
-	// slowRoute and slowRecordsRoute are the names of routes with a timeout of 20 s.
+	// slowRoute, slowRecordsRoute and slowPayoutRoute are the names of routes with a timeout of 20 s.
 	slowRoute        = "slow"
 	slowRecordsRoute = "slow-records"
+	slowPayoutRoute  = "slow-payout"
 )
 
 // testCluster runs hosts, targets and a stand-in for the store on loopback
@@ -134,6 +135,7 @@
 			{Name: fmt.Sprint("v", version), Service: plainService, Idempotent: true, Timeout: time.Second},
 			{Name: slowRoute, Service: plainService, Idempotent: true, Timeout: 20 * time.Second},
 			{Name: slowRecordsRoute, Service: keyedService, Idempotent: true, Timeout: 20 * time.Second},
+			{Name: slowPayoutRoute, Service: orderService, Timeout: 20 * time.Second},
 		},
 		Services: []platformstore.Service{
 			{Name: plainService, ColdTime: c.coldTime, ColdRate: c.coldRate}, {Name: orderService, ColdTime: c.coldTime, ColdRate: c.coldRate},
--- a/io/gateway/stop.go
+++ b/io/gateway/stop.go
@@ -52,7 +52,9 @@
 	g.stop.started.Store(true)
 	g.coordinator.Resign()
 	g.proxy.RefuseRelayed()
-	cancelTimer := time.AfterFunc(cancelDelay(g.stop.timeout), g.proxy.CancelRequests)
+	delay := cancelDelay(g.stop.timeout)
+	g.proxy.CancelAt(g.clock.Now().Add(delay))
+	cancelTimer := time.AfterFunc(delay, g.proxy.CancelRequests)
 	defer cancelTimer.Stop()
 	time.Sleep(min(deregistrationTime, g.stop.timeout/2))
 	if err := callers.Drain(); err != nil {
--- a/io/proxy/body.go
+++ b/io/proxy/body.go
@@ -95,6 +95,18 @@
 // streaming reports whether a part of the body is still to be read from the caller.
 func (b *body) streaming() bool { return b.unread != nil && !b.unread.ended.Load() }
 
+// restTime returns the expected time until the rest of a body is read from the caller, of which the first
+// part took elapsed.
+func (b *body) restTime(elapsed time.Duration) time.Duration {
+	if !b.streaming() {
+		return 0
+	}
+	if b.length < 0 {
+		return elapsed
+	}
+	return time.Duration(float64(elapsed) * float64(b.length-maxBufferedBody) / maxBufferedBody)
+}
+
 // sentBody is the reader of a streamed body for one send, which the transport closes when it reads no
 // more.
 type sentBody struct {
--- a/io/proxy/choose.go
+++ b/io/proxy/choose.go
@@ -116,6 +116,9 @@
 				end = p.clock.Now()
 			}
 		}
+		if err := p.refuseLate(q, 0); err != nil {
+			return nil, err
+		}
 		wait := min(end.Sub(p.clock.Now()), capacityPollInterval)
 		if wait <= 0 || !waitFor(ctx, capacityFreed, wait) {
 			p.recordEstimate(q, owner)
--- a/io/proxy/hedge.go
+++ b/io/proxy/hedge.go
@@ -74,7 +74,7 @@
 	if verdict != placement.Chosen {
 		return nil
 	}
-	if second.ExpectedLatency > q.timeLeft(now) || !p.budget.Spend(q.match.Service.Name, now) {
+	if second.ExpectedLatency > q.timeLeft(now) || p.refuseLate(q, second.ExpectedLatency) != nil || !p.budget.Spend(q.match.Service.Name, now) {
 		second.End(placement.NotSent, nil, now)
 		return nil
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"pineturn/core/attempt"
 	"pineturn/core/budget"
 	"pineturn/core/clock"
+	"pineturn/core/latency"
 	"pineturn/core/owner"
 	"pineturn/core/peers"
 	"pineturn/core/placement"
@@ -82,6 +83,10 @@
 	restErrors  headerErrors
 	// stopping is set once requests of other hosts are refused.
 	stopping atomic.Bool
+	// latencies holds the latencies of the requests that this host has sent or relayed, by route.
+	latencies *latency.Table
+	// cancelAt is when this host, which stops, cancels its requests; nil before its stop.
+	cancelAt atomic.Pointer[time.Time]
 	done     chan struct{}
 	// Regions holds the region of each failure domain.
 	Regions map[string]string
@@ -142,7 +147,7 @@
 // to their targets. It reports the results of connections through pool.
 func New(catalog Catalog, targets *placement.Set, b *budget.Budget, tracker *poison.Tracker, pool *Pool, others *peers.Table, clk clock.Clock) *Proxy {
 	p := &Proxy{
-		catalog: catalog, targets: targets, budget: b, poison: tracker, pool: pool, clock: clk, loads: owner.NewLoads(clk.Now()),
+		catalog: catalog, targets: targets, budget: b, poison: tracker, pool: pool, clock: clk, loads: owner.NewLoads(clk.Now()), latencies: latency.New(),
 		reach: reach.New(), peers: others, peerTransport: newPeerTransport(), reserve: attempt.NewReserve(), done: make(chan struct{}), HandleRecord: func(RequestRecord) {},
 		OwnerQueue: func() bool { return false }, Dispatches: func() bool { return false }, queues: newOwnerQueues(),
 	}
--- a/io/proxy/queued.go
+++ b/io/proxy/queued.go
@@ -53,6 +53,9 @@
 		if criteria := p.criteria(q, owner); p.targets.IsDrained(criteria, p.clock.Now()) {
 			return ticket, q.refuseDrained(criteria)
 		}
+		if err := p.refuseLate(q, 0); err != nil {
+			return ticket, err
+		}
 		timer := time.NewTimer(queuePollInterval)
 		select {
 		case <-ready:
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -63,6 +63,9 @@
 	if blocked && !p.excludeBlocked(q, block) {
 		return sendResult{}, q.refusePoison()
 	}
+	if err := p.refuseLate(q, 0); err != nil {
+		return sendResult{}, err
+	}
 	if host, ok := p.peer(q); ok {
 		if blocked && q.queueOwner != "" && p.covers(block, q.queueOwner) {
 			return sendResult{}, q.refusePoison()
@@ -70,7 +73,7 @@
 		if !p.renewRetry(q) {
 			return sendResult{}, q.failOrRefuse(reasonOverBudget, q.match.Route.Objective/2, nil)
 		}
-		return p.relay(ctx, q, host), nil
+		return p.recordLatency(q, p.clock.Now(), p.relay(ctx, q, host)), nil
 	}
 	p.countForBudget(q)
 	if q.relayed && p.reach.IsLost(q.match.Service.Name) {
@@ -94,11 +97,15 @@
 	if err != nil {
 		return sendResult{}, err
 	}
+	if err := p.refuseLate(q, choice.ExpectedLatency); err != nil {
+		choice.End(placement.NotSent, nil, p.clock.Now())
+		return sendResult{}, err
+	}
 	if !p.renewRetry(q) {
 		choice.End(placement.NotSent, nil, p.clock.Now())
 		return sendResult{}, q.failOrRefuse(reasonOverBudget, q.match.Route.Objective/2, nil)
 	}
-	return p.sendWithHedge(ctx, q, choice), nil
+	return p.recordLatency(q, p.clock.Now(), p.sendWithHedge(ctx, q, choice)), nil
 }
 
 // countForBudget counts a request for the retry budget, unless that was done.
