--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -304,17 +304,19 @@
 	g.operatorServer = &http.Server{Handler: g.operatorHandler(), ReadHeaderTimeout: headerTimeout}
 }
 
-// peerHandler serves the links of other hosts, the requests that they relay, and those for attempts
-// that this host has kept back.
+// peerHandler serves the links of other hosts, the requests that they relay, their probes, and requests for
+// attempts that this host has kept back.
 func (g *Gateway) peerHandler() http.Handler {
 	links, relayed := g.links.Handler(), g.stop.closeConnections(g.proxy.RelayHandler())
-	reserve := g.proxy.ReserveHandler()
+	reserve, probes := g.proxy.ReserveHandler(), g.proxy.ProbeHandler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case proxy.IsRelayed(r):
 			relayed.ServeHTTP(w, r)
 		case r.URL.Path == proxy.ReservePath:
 			reserve.ServeHTTP(w, r)
+		case r.URL.Path == proxy.ProbePath:
+			probes.ServeHTTP(w, r)
 		default:
 			links.ServeHTTP(w, r)
 		}
--- a/io/proxy/peerprobe.go
+++ b/io/proxy/peerprobe.go
@@ -19,23 +19,37 @@
 	peerPatience = 250 * time.Millisecond
 	// peerProbeTimeout limits the time for the answer to a probe.
 	peerProbeTimeout = 200 * time.Millisecond
-	// peerProbePath is a path that other hosts answer at once, those of older builds with
-	// status 404.
-	peerProbePath = "/alive"
+	// maxUnknownRelays is the number of answers in a row, that a request is not in progress, after which
+	// its response counts as lost: one may be on its way, and a request may wait to be read.
+	maxUnknownRelays = 2
 )
 
 var errPeerSilent = errors.New("host does not answer")
 
 // watchPeer probes the host that a request is relayed to while there is no response, as the host
-// may be paused. If it is, it has a backoff, and a request that may be sent again is cancelled. The
-// caller calls stop once it has the response.
-func (p *Proxy) watchPeer(ctx context.Context, q *request, host peers.Host) (watched context.Context, stop func()) {
+// may be paused. If it is, it has a backoff, and a request that may be sent again is cancelled. A request
+// that takes longer than usual and is not in progress there is cancelled as well. The caller calls stop
+// once it has the response.
+func (p *Proxy) watchPeer(ctx context.Context, q *request, host peers.Host, id relayID) (watched context.Context, stop func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	ended := make(chan struct{})
 	// once decides between the response and the end of patience.
 	var once sync.Once
+	sentAt := p.clock.Now()
 	timer := time.AfterFunc(peerPatience, func() {
+		unknown := 0
 		for p.peerAnswers(host.Address) {
+			late := p.latencies.EndsWithin(q.match.Route.Name, 0, p.clock.Now().Sub(sentAt))
+			switch {
+			case late && !p.peerHasRelay(host.Address, id):
+				unknown++
+			default:
+				unknown = 0
+			}
+			if unknown == maxUnknownRelays {
+				once.Do(func() { p.endUnknownRelay(host, cancel) })
+				return
+			}
 			select {
 			case <-ended:
 				return
@@ -75,7 +89,7 @@
 	alive, _, _ := p.peerProbes.Do(address, func() (any, error) {
 		ctx, cancel := context.WithTimeout(p.shutdownCtx, peerProbeTimeout)
 		defer cancel()
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+peerProbePath, nil)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ProbePath, nil)
 		if err != nil {
 			return false, errors.Wrapf(err, "probe host %s", address)
 		}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -83,6 +83,8 @@
 	restErrors  headerErrors
 	// stopping is set once requests of other hosts are refused.
 	stopping atomic.Bool
+	// relays holds the requests in progress that other hosts have relayed to this one.
+	relays relays
 	// latencies holds the latencies of the requests that this host has sent or relayed, by route.
 	latencies *latency.Table
 	// cancelAt is when this host, which stops, cancels its requests; nil before its stop.
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -46,6 +46,9 @@
 	// headerRelayElapsed holds, in milliseconds, for how long the relaying host has had the
 	// request: its objective counts from its arrival there.
 	headerRelayElapsed = "Pineturn-Relay-Elapsed"
+	// headerRelayID holds the relay's id, by which the relaying host asks whether the request is in progress.
+	// Older builds ignore it.
+	headerRelayID = "Pineturn-Relay-Id"
 	// headerRelayOutcome holds a relayOutcome, headerRelayTarget the last target of the
 	// request.
 	headerRelayOutcome = "Pineturn-Relay-Outcome"
@@ -111,11 +114,14 @@
 	q.triedHosts = append(q.triedHosts, host.Address)
 	q.via = host.Address
 	caller := ctx
-	ctx, stop := p.watchPeer(ctx, q, host)
+	id := newRelayID()
+	ctx, stop := p.watchPeer(ctx, q, host, id)
 	defer stop()
-	resp, err := p.peerTransport.RoundTrip(p.relayRequest(ctx, q, host, held))
+	req := p.relayRequest(ctx, q, host, held)
+	req.Header.Set(headerRelayID, string(id))
+	resp, err := p.peerTransport.RoundTrip(req)
 	if err != nil {
-		if caller.Err() == nil {
+		if caller.Err() == nil && !errors.Is(context.Cause(ctx), errRelayUnknown) {
 			p.peers.MarkFailed(host.Address, p.clock.Now())
 		}
 		result := classifySendError(err)
--- a/io/proxy/relayed.go
+++ b/io/proxy/relayed.go
@@ -17,7 +17,7 @@
 // RelayHandler returns the HTTP handler for requests that other hosts relay. It serves
 // them like callers' requests, but never relays them again.
 func (p *Proxy) RelayHandler() http.Handler {
-	return kithttp.NewServer(p.endpoint(), p.decodeRelayed, p.encodeRelayed, kithttp.ServerErrorEncoder(p.encodeRelayedError))
+	return p.relays.track(kithttp.NewServer(p.endpoint(), p.decodeRelayed, p.encodeRelayed, kithttp.ServerErrorEncoder(p.encodeRelayedError)))
 }
 
 // maxElapsed bounds the time that a relaying host states to have had a request.
