--- a/io/soak/callers.go
+++ b/io/soak/callers.go
@@ -19,6 +19,9 @@
 	meanPause = 15 * time.Millisecond
 	// requestTimeout is how long a caller waits for a response.
 	requestTimeout = 3 * time.Second
+	// lateBodyShare is the share of the requests whose bodies end late, maxBodyTime the longest time to that.
+	lateBodyShare = 0.05
+	maxBodyTime   = 2500 * time.Millisecond
 	// eventDelay is the maximum delay of events: events older than eventDelay are
 	// assumed to be complete.
 	eventDelay = 2 * time.Second
@@ -90,15 +93,37 @@
 	}
 	// The method is POST, since http.Transport may resend requests with idempotent
 	// methods on its own.
-	req, err := http.NewRequest(http.MethodPost, "http://"+h.callerAddress+"/"+response.Route+"/x", strings.NewReader(response.ID))
+	req, err := http.NewRequest(http.MethodPost, "http://"+h.callerAddress+"/"+response.Route+"/x", c.newBody(response.ID))
 	if err != nil {
 		panic(err)
 	}
+	req.ContentLength = int64(len(response.ID))
 	req.Host = virtualHost
 	keyholder.SetRequestHeaders(req.Header, response.ID, requestTimeout, key)
 	return req
 }
 
+// newBody returns the body of a request. The last byte of some comes late.
+func (c *caller) newBody(text string) io.Reader {
+	if c.random.Float64() >= lateBodyShare {
+		return strings.NewReader(text)
+	}
+	last := len(text) - 1
+	end := lateReader{Reader: strings.NewReader(text[last:]), delay: time.Duration(c.random.Int64N(int64(maxBodyTime)))}
+	return io.MultiReader(strings.NewReader(text[:last]), end)
+}
+
+// lateReader is a reader whose reads take some time.
+type lateReader struct {
+	io.Reader
+	delay time.Duration
+}
+
+func (r lateReader) Read(data []byte) (int, error) {
+	time.Sleep(r.delay)
+	return r.Reader.Read(data)
+}
+
 func (c *caller) readResponse(response *Response, resp *http.Response) {
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -71,8 +71,8 @@
 }
 
 // Checker verifies the guarantees from the observations of callers and targets. It
-// is safe for concurrent use. The lock mu guards the fields below it: runs and
-// responses are by request id, published by version of the configuration,
+// is safe for concurrent use. The lock mu guards the fields below it: runs,
+// responses and cancelled are by request id, published by version of the configuration,
 // drainStarted by incarnation of a target, and newestVersion by number and
 // incarnation of a host.
 type Checker struct {
@@ -82,6 +82,7 @@
 	mu            sync.Mutex
 	runs          map[string][]keyholder.Run
 	responses     map[string]Response
+	cancelled     map[string]bool
 	arrivals      []keyholder.Event
 	leases        []*lease
 	windows       []Window
@@ -97,7 +98,7 @@
 func NewChecker(hosts int) *Checker {
 	return &Checker{
 		hosts: hosts,
-		runs:  make(map[string][]keyholder.Run), responses: make(map[string]Response), published: make(map[int]time.Time),
+		runs:  make(map[string][]keyholder.Run), responses: make(map[string]Response), cancelled: make(map[string]bool), published: make(map[int]time.Time),
 		drainStarted: make(map[string]time.Time), newestVersion: make(map[[2]int]int), counts: make(map[string]int),
 	}
 }
@@ -183,6 +184,8 @@
 		c.arrivals = append(c.arrivals, e)
 	case keyholder.Began:
 		c.addRun(*e.Run)
+	case keyholder.Cancelled:
+		c.cancelled[e.ID] = true
 	case keyholder.Granted:
 		c.addGrant(e)
 	case keyholder.Released:
@@ -267,6 +270,9 @@
 		if response.Status == 0 && len(runs) > 0 && c.onlyHostStop(response, runs) {
 			c.addViolation("request %s ran on %s but was aborted by the graceful stop of host %d", id, runs[0].Target, response.Host)
 		}
+		if response.Status == http.StatusBadGateway && c.cancelled[id] && c.onlyHostStop(response, runs) && c.faultFree(response.Sent, response.Ended) {
+			c.addViolation("request %s ran on %s but was given up by the graceful stop of host %d", id, runs[0].Target, response.Host)
+		}
 	}
 }
 
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -214,6 +214,17 @@
 			c.AddResponse(Response{ID: "r1", Host: 2, Sent: at(0), Ended: at(1)})
 			addRun(c, "r1", "t1", -1, 0.1)
 		}, "aborted by the graceful stop"},
+		{"given up by a graceful stop", func(c *Checker) {
+			c.SetWindow(Window{Kind: HostStop, Host: 2, From: at(0.5), To: at(3)})
+			c.AddResponse(Response{ID: "r1", Host: 2, Sent: at(0), Ended: at(1), Status: http.StatusBadGateway})
+			addRun(c, "r1", "t1", -1, 0.1)
+			c.AddEvent(keyholder.Event{Kind: keyholder.Cancelled, ID: "r1", Target: "t1", At: at(0.9)})
+		}, "given up by the graceful stop"},
+		{"response lost by its target during a graceful stop", func(c *Checker) {
+			c.SetWindow(Window{Kind: HostStop, Host: 2, From: at(0.5), To: at(3)})
+			c.AddResponse(Response{ID: "r1", Host: 2, Sent: at(0), Ended: at(1), Status: http.StatusBadGateway})
+			addRun(c, "r1", "t1", -1, 0.1)
+		}, ""},
 		{"aborted by a kill", func(c *Checker) {
 			c.SetWindow(Window{Kind: HostStop, Host: 2, From: at(0.5), To: at(3)})
 			c.SetWindow(Window{Kind: HostKill, Host: 2, From: at(0.8), To: at(0.9)})
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -67,7 +67,7 @@
 	case TargetDrain, TargetKill, TargetPause, TargetLimit, TargetLeave, TargetRest:
 		return s.runTargetStep(ctx, step, maxDuration)
 	case EntryOfOther:
-		s.putEntriesOfOther(step)
+		s.putEntriesOfOther(ctx, step)
 		return nil
 	case DomainDrain:
 		return s.withWindow(systemWindow, maxDuration, func() error { return s.drainDomain(ctx, step) })
@@ -216,13 +216,36 @@
 }
 
 // putEntriesOfOther puts entries of another writer into the store: for a service that no configuration
-// names at the address of a target, and with nested arrays without end.
-func (s *system) putEntriesOfOther(step Step) {
+// names, at the address of a target and under the id of another one, and with nested arrays without end,
+// under an id of its own and that of a third target.
+func (s *system) putEntriesOfOther(ctx context.Context, step Step) {
 	targets := s.allTargets()
-	t := targets[step.Index%len(targets)]
-	agent := &target{id: "agent-" + t.id, service: "node-agent", address: t.address, startedMs: time.Now().UnixMilli()}
-	s.store.PutTarget(agent.id, agent.entry(false))
-	s.store.PutTarget("odd-"+t.id, []byte(strings.Repeat("[", maxOddEntry)))
+	at := func(i int) *target { return targets[(step.Index+i)%len(targets)] }
+	agent := func(id, address string) []byte {
+		return (&target{id: id, service: "node-agent", address: address, startedMs: time.Now().UnixMilli()}).entry(false)
+	}
+	unreadable := []byte(strings.Repeat("[", maxOddEntry))
+	first := at(0)
+	s.store.PutTarget("agent-"+first.id, agent("agent-"+first.id, first.address))
+	s.store.PutTarget("odd-"+first.id, unreadable)
+	s.overwriteEntry(ctx, at(1), agent(at(1).id, at(1).address))
+	s.overwriteEntry(ctx, at(2), unreadable)
+}
+
+// heartbeatInterval is the time between two entries of a target.
+const heartbeatInterval = 870 * time.Millisecond
+
+// overwriteEntry puts an entry of another writer under the id of a target, which writes its own again with
+// its next heartbeat. It skips a target that is draining.
+func (s *system) overwriteEntry(ctx context.Context, t *target, entry []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.draining {
+		return
+	}
+	s.store.PutTarget(t.id, entry)
+	clock.Sleep(ctx, heartbeatInterval)
+	s.store.PutTarget(t.id, t.entry(false))
 }
 
 // maxOddEntry is the size of an entry that can't be read, in bytes.
--- a/io/standin/keyholder/audit.go
+++ b/io/standin/keyholder/audit.go
@@ -34,6 +34,8 @@
 	Arrived Kind = "arrived"
 	// Began is the start of a request.
 	Began Kind = "began"
+	// Cancelled is the end of a request that its sender has cancelled at work.
+	Cancelled Kind = "cancelled"
 	// Granted is a lease that was granted or renewed.
 	Granted Kind = "granted"
 	// Released is a lease that was released after all requests for its keys
@@ -55,7 +57,7 @@
 	Until        time.Time `json:"until,omitzero"`
 	// ID is the id of the request, and Limit the limit of requests a second that the
 	// target names, 0 for none. Leaving and Resting report that the target says that it
-	// leaves, or asks for a rest. All are set for Arrived.
+	// leaves, or asks for a rest. All are set for Arrived, ID also for Cancelled.
 	ID      string  `json:"id,omitempty"`
 	Limit   float64 `json:"limit,omitempty"`
 	Leaving bool    `json:"leaving,omitempty"`
@@ -117,7 +119,8 @@
 	}
 }
 
-func (a *Audit) recordArrival(e Event) {
+// recordRequest records an event of a request that is no run.
+func (a *Audit) recordRequest(e Event) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.emit(e)
--- a/io/standin/keyholder/keyholder.go
+++ b/io/standin/keyholder/keyholder.go
@@ -221,6 +221,7 @@
 	t.running.Add(1)
 	defer t.running.Add(-1)
 	if !t.simulateWork(r, fault) {
+		t.audit.recordRequest(Event{Kind: Cancelled, At: time.Now(), Target: t.options.ID, ID: r.Header.Get("X-Request-Id")})
 		return
 	}
 	t.respond(w, r, fault)
@@ -230,7 +231,7 @@
 	now := time.Now()
 	// A limit that is no number counts as none.
 	perSecond, _ := strconv.ParseFloat(limit, 64)
-	t.audit.recordArrival(Event{
+	t.audit.recordRequest(Event{
 		Kind: Arrived, At: now, Target: t.options.ID, ID: r.Header.Get("X-Request-Id"), Limit: perSecond, Leaving: t.leaving.Load(), Resting: rest != "",
 	})
 	t.mu.Lock()
