Give no keys to a target whose address another one has

Cause: the leader took the id for a new target without keys, moved a range to it, and learned from the first grant that another target answers at its address. The range went to others, and the id was one without keys again: the next round gave it the next range. The same may happen with the late entry of a target that has ended and whose address is in use again; that was not seen.

Change: the leader keeps for 30 s, by incarnation, that another target has answered at an address, and assigns nothing to such an incarnation. 30 s is above the time for which a silent target's entry stays (three heartbeats of 0.87 s), and the time for which entries that were removed are kept.

No cost but a map of such incarnations at the leader.

--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -37,6 +37,8 @@
 	// unreachableAfter is how long renewals to a target must fail before its
 	// keys are moved to other targets.
 	unreachableAfter = 2500 * time.Millisecond
+	// endedRetention is how long a target, at whose address another one has answered, gets no keys.
+	endedRetention = 30 * time.Second
 	// fencingTokensPerEpoch is the number of fencing tokens that one leader can
 	// issue.
 	fencingTokensPerEpoch = 1 << 24
@@ -137,8 +139,10 @@
 	noPredecessor         bool
 	predecessorsAccounted bool
 	tokensIssued          int64
-	fenced                bool
-	unsaved               bool
+	// endedAt is when another target has last answered at the address of a target.
+	endedAt map[Incarnation]time.Time
+	fenced  bool
+	unsaved bool
 	// incomplete reports that there may be earlier leaders that no record names.
 	incomplete bool
 	// fine reports whether the initial assignment consists of many small ranges.
@@ -162,6 +166,7 @@
 		incomplete:                record.Incomplete,
 		predecessors:              slices.Clone(record.Earlier),
 		killed:                    make(map[string]bool),
+		endedAt:                   make(map[Incarnation]time.Time),
 		lastArrival:               now,
 	}
 	for service, ranges := range record.Services {
--- a/core/owner/orders.go
+++ b/core/owner/orders.go
@@ -147,6 +147,9 @@
 
 // HandleOutcome applies the outcome of an order that ended at now.
 func (l *Leader) HandleOutcome(o Order, outcome Outcome, now time.Time) {
+	if outcome.TargetEnded {
+		l.recordEnded(o.Target, now)
+	}
 	if o.Kind == Release {
 		l.handleRelease(o, outcome)
 		return
--- a/core/owner/plan.go
+++ b/core/owner/plan.go
@@ -100,7 +100,7 @@
 	unreachable := l.unreachableOwners(service, now)
 	var assignable []Target
 	for _, id := range slices.Sorted(maps.Keys(targets)) {
-		if t := targets[id]; t.Service == service && !t.Draining && !unreachable[t.Incarnation] {
+		if t := targets[id]; t.Service == service && !t.Draining && !unreachable[t.Incarnation] && !l.hasEnded(t.Incarnation, now) {
 			assignable = append(assignable, t)
 		}
 	}
