Soak: count a version as taken back only for requests sent after it was in force

Traced in the hosts' logs: each of the five 404s was decided before its host had applied the version (2 ms to 0.65 s before). A 404 needs no body, but the server of the standard library reads a short body to its end before it sends the response, so that its caller had it up to 2.5 s later.

The rule: "a request sent more than rollback_slack_s after a backend saw the effect of a version is handled as only an older version allows". The check compared the order in which responses arrived; it now compares with the time at which the request was sent, without the slack.

--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -73,25 +73,26 @@
 // Checker verifies the guarantees from the observations of callers and targets. It
 // is safe for concurrent use. The lock mu guards the fields below it: runs,
 // responses and cancelled are by request id, published by version of the configuration,
-// drainStarted by incarnation of a target, and newestVersion by number and
+// drainStarted by incarnation of a target, and served by number and
 // incarnation of a host.
 type Checker struct {
 	// hosts is the number of hosts.
 	hosts int
 
-	mu            sync.Mutex
-	runs          map[string][]keyholder.Run
-	responses     map[string]Response
-	cancelled     map[string]bool
-	arrivals      []keyholder.Event
-	leases        []*lease
-	windows       []Window
-	published     map[int]time.Time
-	drainStarted  map[string]time.Time
-	domainDrains  []domainDrain
-	newestVersion map[[2]int]int
-	violations    []string
-	counts        map[string]int
+	mu           sync.Mutex
+	runs         map[string][]keyholder.Run
+	responses    map[string]Response
+	cancelled    map[string]bool
+	arrivals     []keyholder.Event
+	leases       []*lease
+	windows      []Window
+	published    map[int]time.Time
+	drainStarted map[string]time.Time
+	domainDrains []domainDrain
+	// served holds when a response by each version was first received.
+	served     map[[2]int]map[int]time.Time
+	violations []string
+	counts     map[string]int
 }
 
 // NewChecker returns a checker for a number of hosts, without observations.
@@ -99,7 +100,7 @@
 	return &Checker{
 		hosts: hosts,
 		runs:  make(map[string][]keyholder.Run), responses: make(map[string]Response), cancelled: make(map[string]bool), published: make(map[int]time.Time),
-		drainStarted: make(map[string]time.Time), newestVersion: make(map[[2]int]int), counts: make(map[string]int),
+		drainStarted: make(map[string]time.Time), served: make(map[[2]int]map[int]time.Time), counts: make(map[string]int),
 	}
 }
 
@@ -215,11 +216,32 @@
 	case response.Status == http.StatusNotFound && !response.Restarted:
 		c.checkApplied(response)
 	}
-	if incarnation := [2]int{response.Host, response.Incarnation}; response.Status == http.StatusOK && !response.Restarted && response.Version > c.newestVersion[incarnation] {
-		c.newestVersion[incarnation] = response.Version
+	if response.Status == http.StatusOK && !response.Restarted {
+		c.recordServed(response)
 	}
 }
 
+func (c *Checker) recordServed(response Response) {
+	incarnation := [2]int{response.Host, response.Incarnation}
+	if c.served[incarnation] == nil {
+		c.served[incarnation] = make(map[int]time.Time)
+	}
+	if _, ok := c.served[incarnation][response.Version]; !ok {
+		c.served[incarnation][response.Version] = response.Ended
+	}
+}
+
+// servedBefore reports whether the host of a request had responded by its version, or a later one, before the
+// request was sent.
+func (c *Checker) servedBefore(response Response) bool {
+	for version, at := range c.served[[2]int{response.Host, response.Incarnation}] {
+		if version >= response.Version && at.Before(response.Sent) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Checker) checkComplete(response Response) {
 	if response.EchoedID != response.ID || response.Signature != keyholder.Signature(response.ID) {
 		c.addViolation("request %s received the response to %s, signature %q", response.ID, response.EchoedID, response.Signature)
@@ -231,7 +253,7 @@
 }
 
 func (c *Checker) checkApplied(response Response) {
-	if response.Version <= c.newestVersion[[2]int{response.Host, response.Incarnation}] {
+	if c.servedBefore(response) {
 		c.addViolation("host %d reverted to a version before %d: request %s found no route %s", response.Host, response.Version, response.ID, response.Route)
 		return
 	}
