Own interface: refuse late requests of a planned stop, answer those that are cut

Cause: as with the platform's interface, nothing compared the time that a request takes with what is left of the stop. Hypotheses weighed: a waiting request is ended by the handover of targets (no: its leaseholder refuses it as not run, and it is retried).

Change: the ingress knows when the connections of its callers end (0.3 s, or a sixth of a short stop, before its end). It refuses a request (not-run, reason "stopping", Retry-After) that would likely not end before, by the mean and four deviations of its service (core/latency), and gives one that it forwards that end as its deadline, so that its caller is answered. Clients of the wire that do not know the reason go by the outcome, which is not-run (docs/PROTOCOLS.md); between hosts nothing changes.

Not covered: a request that was forwarded before the stop with a timeout of over its length ends as before, with the connection.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"pineturn/core/clock"
 	"pineturn/core/dedup"
+	"pineturn/core/latency"
 	"pineturn/core/message"
 	"pineturn/core/outcome"
 	"pineturn/core/record"
@@ -39,8 +40,12 @@
 	MaxWait    time.Duration
 	MaxWaiters int
 
-	waiting atomic.Int64
-	counts  ingressCounts
+	// stopAt is when the connections of callers end; nil before the stop of this host.
+	stopAt atomic.Pointer[time.Time]
+	// latencies holds the latencies of the requests that this host has forwarded, by service.
+	latencies latency.Table
+	waiting   atomic.Int64
+	counts    ingressCounts
 }
 
 type ingressCounts struct {
--- a/core/dispatch/ingress.go
+++ b/core/dispatch/ingress.go
@@ -24,7 +24,7 @@
 	changed := i.Changed()
 	rt, failure := i.Route(service, key)
 	start := i.Clock.Now()
-	deadline := start.Add(timeLimit(rt.Service, req.Left))
+	deadline := i.untilStop(start.Add(timeLimit(rt.Service, req.Left)))
 	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(start))
 	request := &ingressRequest{
 		ingress:   i,
@@ -104,7 +104,11 @@
 func (r *ingressRequest) attempt(ctx context.Context, rt route.Route) (*message.Response, *outcome.Error) {
 	i := r.ingress
 	// The deadline was set without the service's own limit if there was no route.
-	limit := clock.Earlier(r.start.Add(timeLimit(rt.Service, r.req.Left)), r.deadline)
+	asked := r.start.Add(timeLimit(rt.Service, r.req.Left))
+	if refusal := i.refuseLate(r.service, asked); refusal != nil {
+		return nil, refusal
+	}
+	limit := clock.Earlier(asked, r.deadline)
 	left := limit.Sub(i.Clock.Now())
 	if left <= r.attemptMargin(limit.Sub(r.start)) {
 		return nil, outcome.Refuse(outcome.DeadlineExceeded, "too little time is left", retryDeadlineExceeded)
@@ -125,6 +129,7 @@
 		i.counts.retries.Add(1)
 	}
 	r.attempts++
+	began := i.Clock.Now()
 	var response *message.Response
 	var failure *outcome.Error
 	if rt.Leaseholder.Incarnation == i.Self.Incarnation {
@@ -135,6 +140,9 @@
 	if claim != nil {
 		claim.Finish(attemptOutcome(failure), nil)
 	}
+	if failure == nil {
+		i.latencies.Observe(r.service, i.Clock.Now().Sub(began))
+	}
 	return response, withOwnDeadline(ctx, failure)
 }
 
--- a/core/dispatch/options.go
+++ b/core/dispatch/options.go
@@ -33,6 +33,8 @@
 	// that its error on an exceeded deadline arrives before the ingress reports its
 	// own.
 	forwardMargin = 5 * time.Millisecond
+	// retryStopping is the time after which a caller is asked to retry at another host when this one stops.
+	retryStopping = 100 * time.Millisecond
 	// retryNotReplicated is the time after which a caller is asked to retry when
 	// the request id could not be replicated, or when the ids of the other hosts
 	// could not be collected.
--- a/core/latency/latency.go
+++ b/core/latency/latency.go
@@ -22,8 +22,8 @@
 	maxKinds = 4096
 )
 
-// Table holds the latencies of all kinds of requests. It is safe for concurrent use. In the lock order its
-// mutex comes after all others.
+// Table holds the latencies of all kinds of requests. The zero value is ready for use. It is safe for
+// concurrent use. In the lock order its mutex comes after all others.
 type Table struct {
 	mu    sync.Mutex
 	kinds map[string]*estimate
@@ -33,13 +33,13 @@
 	mean, deviation time.Duration
 }
 
-// New returns a table without latencies.
-func New() *Table { return &Table{kinds: make(map[string]*estimate)} }
-
 // Observe records the latency of a request of a kind that has ended with a response.
 func (t *Table) Observe(kind string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.kinds == nil {
+		t.kinds = make(map[string]*estimate)
+	}
 	e := t.kinds[kind]
 	if e == nil {
 		if len(t.kinds) < maxKinds {
--- a/core/latency/latency_test.go
+++ b/core/latency/latency_test.go
@@ -33,7 +33,7 @@
 		{"a single latency", []time.Duration{work}, 0, 3*work - time.Millisecond, false},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			table := New()
+			table := &Table{}
 			for _, took := range x.latencies {
 				table.Observe("route", took)
 			}
@@ -41,7 +41,7 @@
 		})
 	}
 	t.Run("equal latencies", func(t *testing.T) {
-		table := New()
+		table := &Table{}
 		for range 50 {
 			table.Observe("route", work)
 		}
@@ -49,7 +49,7 @@
 		assertEndsWithin(t, table, 0, work, false)
 	})
 	t.Run("too many kinds", func(t *testing.T) {
-		table := New()
+		table := &Table{}
 		for i := range maxKinds {
 			table.Observe(time.Duration(i).String(), work)
 		}
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -54,6 +54,7 @@
 	Duplicate         Reason = "duplicate"
 	LeaseLost         Reason = "lease-lost"
 	VersionMismatch   Reason = "version-mismatch"
+	Stopping          Reason = "stopping"
 )
 
 // Error is the error of a request whose outcome is not done. RetryAfter is the
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -227,6 +227,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
 	defer cancel()
 	d.host.StartLeaving()
+	d.requests.ingress.StopAt(d.now().Add(d.settings.StopTimeout - min(finalResponseTime, d.settings.StopTimeout/finalResponseDivisor)))
 	signal(d.heartbeater.wake)
 	klog.InfoS("Shutting down", "host", d.host.Self().Incarnation.String())
 	d.handOverTargets(ctx)
--- a/io/daemon/options.go
+++ b/io/daemon/options.go
@@ -25,6 +25,10 @@
 	// appendHedgeDelay is the time without a response to an append after which
 	// the batch is appended again, concurrently and on another connection.
 	appendHedgeDelay = 1500 * time.Millisecond
+	// finalResponseTime is how long before the end of a stop the last requests get their final responses. If
+	// the stop timeout is short, they get them in its last 1/finalResponseDivisor.
+	finalResponseTime    = 300 * time.Millisecond
+	finalResponseDivisor = 6
 	// leaveMembershipTimeout limits the removal from the membership during a stop.
 	leaveMembershipTimeout = time.Second
 	// appendRetryDelay is how long to wait, after an append has ended, for the
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -86,7 +86,7 @@
 	// relays holds the requests in progress that other hosts have relayed to this one.
 	relays relays
 	// latencies holds the latencies of the requests that this host has sent or relayed, by route.
-	latencies *latency.Table
+	latencies latency.Table
 	// cancelAt is when this host, which stops, cancels its requests; nil before its stop.
 	cancelAt atomic.Pointer[time.Time]
 	done     chan struct{}
@@ -149,7 +149,7 @@
 // to their targets. It reports the results of connections through pool.
 func New(catalog Catalog, targets *placement.Set, b *budget.Budget, tracker *poison.Tracker, pool *Pool, others *peers.Table, clk clock.Clock) *Proxy {
 	p := &Proxy{
-		catalog: catalog, targets: targets, budget: b, poison: tracker, pool: pool, clock: clk, loads: owner.NewLoads(clk.Now()), latencies: latency.New(),
+		catalog: catalog, targets: targets, budget: b, poison: tracker, pool: pool, clock: clk, loads: owner.NewLoads(clk.Now()),
 		reach: reach.New(), peers: others, peerTransport: newPeerTransport(), reserve: attempt.NewReserve(), done: make(chan struct{}), HandleRecord: func(RequestRecord) {},
 		OwnerQueue: func() bool { return false }, Dispatches: func() bool { return false }, queues: newOwnerQueues(),
 	}
