--- a/io/coordinator/sender_test.go
+++ b/io/coordinator/sender_test.go
@@ -19,29 +19,16 @@
 	"pineturn/core/clock"
 	"pineturn/core/owner"
 	"pineturn/core/placement"
+	"pineturn/io/socket/sockettest"
 )
 
 // TestUnansweredGrantIsDiscarded guards against grants that arrive after the time for which
 // the leader accounts for them: when a grant has timed out, its connection must be reset, so
 // that a kernel behind a network partition does not deliver it later.
 func TestUnansweredGrantIsDiscarded(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	closed := make(chan error, 1)
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			closed <- err
-			return
-		}
-		_, err = io.Copy(io.Discard, conn)
-		closed <- err
-	}()
+	address, closed := sockettest.ServeSilent(t)
 	c := New(Host{Name: "host-1"}, owner.MaxLeaseDuration, &fakeStore{}, &fakeCatalog{}, placement.NewSet("a"), clock.Boot{})
-	outcome := c.sender.send(t.Context(), l.Addr().String(), owner.Order{Kind: owner.Grant, Target: owner.Incarnation{Target: "t"}})
+	outcome := c.sender.send(t.Context(), address, owner.Order{Kind: owner.Grant, Target: owner.Incarnation{Target: "t"}})
 	if outcome.Responded() || outcome.Unsent {
 		t.Errorf("outcome of a grant without a response: got %+v, want unknown", outcome)
 	}
@@ -182,25 +169,10 @@
 // to the first. It returns its address.
 func copyingProxy(t *testing.T, target string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go copyAnswers(conn, target)
-		}
-	}()
-	return l.Addr().String()
+	return sockettest.Serve(t, func(conn net.Conn) { copyAnswers(conn, target) })
 }
 
 func copyAnswers(conn net.Conn, target string) {
-	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	var first []byte
 	for {
--- a/io/gateway/cutconn_test.go
+++ b/io/gateway/cutconn_test.go
@@ -10,29 +10,14 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"pineturn/io/socket/sockettest"
 )
 
 // newEchoServer returns the address of a server that sends back what it receives.
 func newEchoServer(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, _ = io.Copy(conn, conn)
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return sockettest.Serve(t, func(conn net.Conn) { _, _ = io.Copy(conn, conn) })
 }
 
 // dialThrough opens a connection that is subject to path.
--- a/io/metastore/era_test.go
+++ b/io/metastore/era_test.go
@@ -2,19 +2,15 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"io"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"pineturn/core/clock"
 	"pineturn/core/placement"
+	"pineturn/io/logsink/logtest"
 	"pineturn/platform"
 )
 
@@ -248,7 +244,7 @@
 // TestLineOfNewEra guards against a change of era that an operator can't see, and against
 // lines at the start of a host or for each topic.
 func TestLineOfNewEra(t *testing.T) {
-	logged := captureLog(t)
+	logged := logtest.Capture(t, logtest.Info)
 	run := newFuzzRun(t)
 	run.store.put(platform.TopicConfig, platform.KeyConfig, configOf(1))
 	readAll := func() {
@@ -270,35 +266,6 @@
 	}
 }
 
-// captureLog returns what is logged until the test ends.
-func captureLog(t *testing.T) func() string {
-	t.Helper()
-	var mu sync.Mutex
-	var text strings.Builder
-	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(flags)
-	if err := flags.Set("logtostderr", "false"); err != nil {
-		t.Fatal(err)
-	}
-	klog.SetOutput(io.Discard)
-	klog.SetOutputBySeverity("INFO", writerFunc(func(data []byte) (int, error) {
-		mu.Lock()
-		defer mu.Unlock()
-		return text.Write(data)
-	}))
-	t.Cleanup(func() { _ = flags.Set("logtostderr", "true") })
-	return func() string {
-		klog.Flush()
-		mu.Lock()
-		defer mu.Unlock()
-		return text.String()
-	}
-}
-
-type writerFunc func([]byte) (int, error)
-
-func (f writerFunc) Write(data []byte) (int, error) { return f(data) }
-
 // TestReadWithoutResponse guards against a host that waits for a response of the store that
 // was away, while another host has read the next era, and against reads that are ended by
 // each message of that host.
--- a/io/proxy/retry_test.go
+++ b/io/proxy/retry_test.go
@@ -11,6 +11,7 @@
 
 	"pineturn/core/budget"
 	"pineturn/core/placement"
+	"pineturn/io/socket/sockettest"
 )
 
 // newTestTarget runs a target of testService that handles requests, and adds it to a proxy.
@@ -29,24 +30,8 @@
 // newRawTarget runs a target of testService that handles connections, and adds it to a proxy.
 func newRawTarget(t testing.TB, p *Proxy, handle func(net.Conn)) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				handle(conn)
-			}()
-		}
-	}()
-	p.targets.Put(placement.Entry{ID: "t1", Service: testService, Address: l.Addr().String(), Domain: "a", Slots: 4}, p.clock.Now())
+	address := sockettest.Serve(t, handle)
+	p.targets.Put(placement.Entry{ID: "t1", Service: testService, Address: address, Domain: "a", Slots: 4}, p.clock.Now())
 }
 
 // respond returns a handler that responds with a status and a signed body.
@@ -101,23 +86,9 @@
 // after the host has given them up: the kernel behind a network partition must not go on to
 // deliver them.
 func TestAbandonedRequestIsDiscarded(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	closed := make(chan error, 1)
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			closed <- err
-			return
-		}
-		_, err = io.Copy(io.Discard, conn)
-		closed <- err
-	}()
+	address, closed := sockettest.ServeSilent(t)
 	p := newTestProxy(7)
-	p.targets.Put(placement.Entry{ID: "t1", Service: testService, Address: l.Addr().String(), Domain: "a", Slots: 4}, p.clock.Now())
+	p.targets.Put(placement.Entry{ID: "t1", Service: testService, Address: address, Domain: "a", Slots: 4}, p.clock.Now())
 	assertStatus(t, get(p.Handler(), "/write/1", http.Header{"X-Deadline-Ms": {"100"}}), http.StatusGatewayTimeout)
 	if err := <-closed; !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("end of the connection at the target: got %v, want %v", err, syscall.ECONNRESET)
