Tell a host that answers probes late from a silent one

What callers saw is not changed by this: a probe counts as unanswered after 0.2 s as before. But its answer is awaited for 1 s now, in the background, and logged and counted if it comes; the line of a silent host says how many of the others have been heard meanwhile. So the logs tell the hypotheses apart: a late own link (all hosts late), a late link of the other host (that one late), a paused or lost host (no answer). Cost: one goroutine for up to 0.8 s more for each probe that is not answered in time; no message is changed, an older build sees the same probes.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -274,6 +274,18 @@
 	return e != nil && e.heardAt.After(since)
 }
 
+// Heard returns how many of the other hosts have answered anything since a time, and how many there are.
+func (t *Table) Heard(since time.Time) (heard, known int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.hosts {
+		if e.heardAt.After(since) {
+			heard++
+		}
+	}
+	return heard, len(t.hosts)
+}
+
 // MarkDetached records that the host at an address has said that it can't reach the
 // targets of a service. That holds for a second, or until a list has something new of
 // the host.
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -152,6 +152,7 @@
 		return 0
 	})
 	gauge("keys_moving", "Ranges of keys on their way to another owner.", func() float64 { return float64(g.movingRanges()) })
+	m.registerProbes(g.proxy)
 	for _, topic := range []string{platform.TopicConfig, platform.TopicTargets, platform.TopicOwners} {
 		gauge("age_seconds_"+ageNames[topic], "Age of the last proof that nothing newer was missed.", func() float64 {
 			return g.catalog.Age(topic).Seconds()
@@ -162,6 +163,17 @@
 	})
 }
 
+// registerProbes registers the metrics of probes of other hosts.
+func (m *metrics) registerProbes(p *proxy.Proxy) {
+	counter := func(name, help string, value func(proxy.ProbeCounts) float64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "pineturn_host_probes_" + name + "_total", Help: help},
+			func() float64 { return value(p.ProbeCounts()) }))
+	}
+	counter("silent", "Probes of other hosts without an answer in time.", func(c proxy.ProbeCounts) float64 { return float64(c.Silent) })
+	counter("late", "Those of them whose answer came later: the host was well, it or a link was late.", func(c proxy.ProbeCounts) float64 { return float64(c.Late) })
+	counter("late_seconds", "Sum of the times of late answers.", func(c proxy.ProbeCounts) float64 { return c.LateTime.Seconds() })
+}
+
 // registerConnections registers the metrics of callers' connections.
 func (m *metrics) registerConnections(callers *listener.Listener) {
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/io/proxy/peerprobe.go
+++ b/io/proxy/peerprobe.go
@@ -19,6 +19,9 @@
 	peerPatience = 250 * time.Millisecond
 	// peerProbeTimeout limits the time for the answer to a probe.
 	peerProbeTimeout = 200 * time.Millisecond
+	// peerLateTimeout limits the time for which the answer to a probe is awaited to tell a host that is late, or
+	// a link that is, from a silent one.
+	peerLateTimeout = time.Second
 	// maxUnknownRelays is the number of answers in a row, that a request is not in progress, after which
 	// its response counts as lost: one may be on its way, and a request may wait to be read.
 	maxUnknownRelays = 2
@@ -82,27 +85,59 @@
 	return alive
 }
 
-// probePeer reports whether another host answers. Requests that wait for the same host share a
-// probe. A refused connection is an answer: a host that stops finishes its requests after it has
-// closed its listener, and if its process has ended, so have the connections of its requests.
+// probePeer reports whether another host answers within peerProbeTimeout. Requests that wait for the same host
+// share a probe.
 func (p *Proxy) probePeer(address string) bool {
 	alive, _, _ := p.peerProbes.Do(address, func() (any, error) {
-		ctx, cancel := context.WithTimeout(p.shutdownCtx, peerProbeTimeout)
-		defer cancel()
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ProbePath, nil)
-		if err != nil {
-			return false, errors.Wrapf(err, "probe host %s", address)
-		}
-		resp, err := p.peerTransport.RoundTrip(req)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return true, nil
-		}
-		if err != nil {
-			klog.InfoS("Host does not answer", "address", address, "err", err)
-			return false, nil
+		sentAt := p.clock.Now()
+		answered := make(chan error, 1)
+		go func() { answered <- p.askPeer(address) }()
+		select {
+		case err := <-answered:
+			if err != nil {
+				p.logSilence(address, sentAt, err)
+			}
+			return err == nil, nil
+		case <-time.After(peerProbeTimeout):
 		}
-		discard(resp)
-		return true, nil
+		p.logSilence(address, sentAt, nil)
+		go func() {
+			if err := <-answered; err == nil {
+				took := p.clock.Now().Sub(sentAt)
+				p.probes.late(took)
+				klog.InfoS("Host has answered late", "address", address, "took", took)
+			}
+		}()
+		return false, nil
 	})
 	return alive == true
 }
+
+// askPeer returns nil once another host answers. A refused connection is an answer: a host that stops
+// finishes its requests after it has closed its listener, and if its process has ended, so have the
+// connections of its requests.
+func (p *Proxy) askPeer(address string) error {
+	ctx, cancel := context.WithTimeout(p.shutdownCtx, peerLateTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ProbePath, nil)
+	if err != nil {
+		return errors.Wrapf(err, "probe host %s", address)
+	}
+	resp, err := p.peerTransport.RoundTrip(req)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrapf(err, "probe host %s", address)
+	}
+	discard(resp)
+	return nil
+}
+
+// logSilence logs that a host has not answered a probe in time, and how many of the other hosts have answered
+// anything since it was sent: if none has, this host or its own link may be what is late.
+func (p *Proxy) logSilence(address string, sentAt time.Time, err error) {
+	p.probes.silent()
+	heard, known := p.peers.Heard(sentAt.Add(-peerPatience))
+	klog.InfoS("Host does not answer", "address", address, "heard", heard, "known", known, "err", err)
+}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -62,6 +62,7 @@
 	peers         *peers.Table
 	peerTransport *http.Transport
 	peerProbes    singleflight.Group
+	probes        probeCounts
 	// reserve holds the attempts that are kept back of relayed requests.
 	reserve *attempt.Reserve
 	// OwnerQueue reports whether keyed requests are relayed to the host that holds the queue of
