Send a request whose host looks silent again, and let the first send go on

What callers saw: 502 for requests at which targets worked, also after SIGTERM. Cause: silence of 0.2 s was taken for the end of another host, or of the path to the targets, and ended what was in progress there, whether or not it could be sent again. Class: a failure detector whose suspicion is acted on as if it were certain. Change: a send that looks lost is suspended. Where attempts, retry budget and the end of a stop allow it, the request is sent again beside it; the first complete response is used, and ends the other. Else the first is awaited. It is ended only once the host has answered nothing for 1 s while other hosts answer. The same for sends to targets on a path that looks lost, and for relays that are not in progress at the other host; requests that may not be repeated are treated as before. Cost: no hop, no message, no call; a goroutine for each repeatable request while it is sent.

--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -36,6 +36,8 @@
 	relays   *prometheus.CounterVec
 	// lostRelays counts relays whose outcome is not known.
 	lostRelays *prometheus.CounterVec
+	// suspectedSends counts sends that looked lost while they went on.
+	suspectedSends *prometheus.CounterVec
 	// keptAttempts counts the requests for attempts that other hosts keep back.
 	keptAttempts *prometheus.CounterVec
 	// queueWaits is the time of requests in queues of owners.
@@ -71,6 +73,9 @@
 		lostRelays: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pineturn_lost_relays_total", Help: "Requests relayed to other hosts of which no usable answer came back, by service.",
 		}, []string{"service"}),
+		suspectedSends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pineturn_suspected_sends_total", Help: "Sends of requests that looked lost while they went on, by service and reason of the requests' outcome.",
+		}, []string{"service", "reason"}),
 		keptAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pineturn_kept_attempts_total", Help: "Attempts asked for that the relaying host keeps back, by service and outcome.",
 		}, []string{"service", "outcome"}),
@@ -96,7 +101,7 @@
 		failureLimiter: logsink.NewRateLimiter(failureLinesPerSecond), successLimiter: logsink.NewRateLimiter(successLinesPerSecond),
 		services: make(map[string]bool),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.relays, m.lostRelays, m.keptAttempts, m.queueWaits, m.retries, m.moves, m.unservable, m.storeCalls, m.storeLatency)
+	m.registry.MustRegister(m.requests, m.latency, m.relays, m.lostRelays, m.suspectedSends, m.keptAttempts, m.queueWaits, m.retries, m.moves, m.unservable, m.storeCalls, m.storeLatency)
 	return m
 }
 
@@ -243,6 +248,9 @@
 	if r.LostRelays > 0 {
 		g.metrics.lostRelays.WithLabelValues(service).Add(float64(r.LostRelays))
 	}
+	if r.Suspected > 0 {
+		g.metrics.suspectedSends.WithLabelValues(service, r.Reason).Add(float64(r.Suspected))
+	}
 	if r.KeptAttempt != "" {
 		g.metrics.keptAttempts.WithLabelValues(service, r.KeptAttempt).Inc()
 	}
@@ -271,7 +279,7 @@
 		return
 	}
 	klog.InfoS("Request ended", "id", r.ID, "service", r.Service, "route", r.Route, "version", r.ConfigVersion,
-		"keyed", r.Keyed, "key", r.Key, "fingerprint", r.Fingerprint, "via", r.Via, "relayed", r.Relayed, "lostRelays", r.LostRelays, "keptAttempt", r.KeptAttempt, "target", r.Target, "expected", r.ExpectedLatency, "estimate", r.Estimate, "queued", r.Waited, "sends", r.Sends, "status", r.Status,
+		"keyed", r.Keyed, "key", r.Key, "fingerprint", r.Fingerprint, "via", r.Via, "relayed", r.Relayed, "lostRelays", r.LostRelays, "suspected", r.Suspected, "keptAttempt", r.KeptAttempt, "target", r.Target, "expected", r.ExpectedLatency, "estimate", r.Estimate, "queued", r.Waited, "sends", r.Sends, "status", r.Status,
 		"reason", r.Reason, "took", r.Latency, "targetsAge", g.catalog.Age(platform.TopicTargets),
 		"ownersAge", g.catalog.Age(platform.TopicOwners), "err", r.Cause)
 }
--- a/io/proxy/hedge.go
+++ b/io/proxy/hedge.go
@@ -11,43 +11,42 @@
 )
 
 // sendWithHedge sends a request to a target and, if the response is late, to a
-// second target as well. The first complete response is used.
+// second target as well. The first complete response is used. If the path to the targets looks lost meanwhile, the
+// result is that of a suspended send.
 func (p *Proxy) sendWithHedge(ctx context.Context, q *request, first *placement.Choice) sendResult {
-	delay, hedged := attempt.HedgeDelay(q.attemptRequest(), first.ExpectedLatency, q.timeLeft(p.clock.Now()))
-	if !hedged || q.keyed() || !q.body.replayable() || q.progress.Sends() > q.keptCount() {
-		return p.send(ctx, q, first)
-	}
-	results := make(chan sendResult, 2)
-	cancels := make(map[string]context.CancelCauseFunc, 2)
-	start := func(choice *placement.Choice) {
-		ctx, cancel := context.WithCancelCause(ctx)
-		cancels[choice.Entry.ID] = cancel
+	if !q.repeatable() {
 		q.progress.RecordSend()
-		go func() { results <- p.roundTrip(ctx, q, choice) }()
-	}
-	start(first)
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case s := <-results:
-		return s
-	case <-timer.C:
-	}
-	second := p.chooseHedgeTarget(ctx, q, first)
-	if second == nil {
-		return <-results
-	}
-	start(second)
-	s := <-results
-	if s.result != attempt.Complete {
-		return preferred(s, <-results)
+		return p.roundTrip(ctx, q, first, nil)
 	}
-	for target, cancel := range cancels {
-		if target != s.target {
-			cancel(errSuperseded)
+	sends := p.newTargetSends(ctx, q)
+	late, stop := p.hedgeTimer(q, first)
+	defer stop()
+	sends.start(first)
+	for {
+		select {
+		case s := <-sends.results:
+			if sends.end(s) {
+				return sends.best
+			}
+		case <-late:
+			late = nil
+			if second := p.chooseHedgeTarget(ctx, q, first); second != nil {
+				sends.start(second)
+			}
+		case <-q.suspicion(sends.pathLost):
+			return q.suspend(sends.pending(), first.Entry.ID, errPathLost)
 		}
 	}
-	return s
+}
+
+// hedgeTimer returns a timer for the second send of a request that is about to be sent, nil for none.
+func (p *Proxy) hedgeTimer(q *request, first *placement.Choice) (late <-chan time.Time, stop func()) {
+	delay, hedged := attempt.HedgeDelay(q.attemptRequest(), first.ExpectedLatency, q.timeLeft(p.clock.Now()))
+	if !hedged || q.keyed() || q.progress.Sends() > q.keptCount() {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(delay)
+	return timer.C, func() { timer.Stop() }
 }
 
 // preferred returns the result to report when the first of two sends did not
--- a/io/proxy/peerprobe.go
+++ b/io/proxy/peerprobe.go
@@ -22,6 +22,8 @@
 	// peerLateTimeout limits the time for which the answer to a probe is awaited to tell a host that is late, or
 	// a link that is, from a silent one.
 	peerLateTimeout = time.Second
+	// peerLostAfter is the time of silence after which another host counts as lost, and its requests are ended.
+	peerLostAfter = time.Second
 	// maxUnknownRelays is the number of answers in a row, that a request is not in progress, after which
 	// its response counts as lost: one may be on its way, and a request may wait to be read.
 	maxUnknownRelays = 2
@@ -29,47 +31,129 @@
 
 var errPeerSilent = errors.New("host does not answer")
 
-// watchPeer probes the host that a request is relayed to while there is no response, as the host
-// may be paused. If it is, it has a backoff, and a request that may be sent again is cancelled. A request
-// that takes longer than usual and is not in progress there is cancelled as well. The caller calls stop
-// once it has the response.
-func (p *Proxy) watchPeer(ctx context.Context, q *request, host peers.Host, id relayID) (watched context.Context, stop func()) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	ended := make(chan struct{})
-	// once decides between the response and the end of patience.
-	var once sync.Once
-	sentAt := p.clock.Now()
-	timer := time.AfterFunc(peerPatience, func() {
-		unknown := 0
-		for p.peerAnswers(host.Address) {
-			late := p.latencies.EndsWithin(q.match.Route.Name, 0, p.clock.Now().Sub(sentAt))
-			switch {
-			case late && !p.peerHasRelay(host.Address, id):
-				unknown++
-			default:
-				unknown = 0
-			}
-			if unknown == maxUnknownRelays {
-				once.Do(func() { p.endUnknownRelay(host, cancel) })
-				return
+// peerWatch watches the host that a request is relayed to while there is no response. Silence is a reason to send
+// a request again, not to end it: its target may be at work.
+type peerWatch struct {
+	proxy *Proxy
+	host  peers.Host
+	id    relayID
+	route string
+	// repeatable is set if the request may be sent again.
+	repeatable bool
+	sentAt     time.Time
+	// suspected is closed once the host looks silent, or does not know the request.
+	suspected chan struct{}
+	suspect   func()
+	// cancel ends the relay. ended is closed by stop.
+	cancel context.CancelCauseFunc
+	ended  chan struct{}
+	timer  *time.Timer
+}
+
+// watchPeer watches the host that a request is relayed to, until stop is called.
+func (p *Proxy) watchPeer(q *request, host peers.Host, id relayID, cancel context.CancelCauseFunc) *peerWatch {
+	w := &peerWatch{
+		proxy: p, host: host, id: id, route: q.match.Route.Name, repeatable: q.repeatable(), sentAt: p.clock.Now(),
+		suspected: make(chan struct{}), cancel: cancel, ended: make(chan struct{}),
+	}
+	w.suspect = sync.OnceFunc(func() { close(w.suspected) })
+	w.timer = time.AfterFunc(peerPatience, w.run)
+	return w
+}
+
+// stop ends the watch, as the relay has ended.
+func (w *peerWatch) stop() {
+	w.timer.Stop()
+	close(w.ended)
+}
+
+// run probes the host until the relay has ended, or is given up.
+func (w *peerWatch) run() {
+	unknown := 0
+	var silentSince time.Time
+	for {
+		asked := w.proxy.clock.Now()
+		switch {
+		case !w.proxy.peerAnswers(w.host.Address):
+			if silentSince.IsZero() {
+				silentSince = asked
 			}
-			select {
-			case <-ended:
+			if w.silent(silentSince) {
 				return
-			case <-time.After(peerPatience):
 			}
+		case w.isLate() && !w.proxy.peerHasRelay(w.host.Address, w.id):
+			unknown, silentSince = unknown+1, time.Time{}
+		default:
+			unknown, silentSince = 0, time.Time{}
 		}
-		once.Do(func() {
-			p.peers.MarkFailed(host.Address, p.clock.Now())
-			if q.match.Route.Idempotent && q.body.replayable() {
-				cancel(errPeerSilent)
-			}
-		})
-	})
-	return ctx, func() {
-		timer.Stop()
-		once.Do(func() {})
-		close(ended)
+		if unknown == maxUnknownRelays {
+			w.unknown()
+			return
+		}
+		select {
+		case <-w.ended:
+			return
+		case <-time.After(peerPatience):
+		}
+	}
+}
+
+// isLate reports whether the request takes longer than usual.
+func (w *peerWatch) isLate() bool {
+	return w.proxy.latencies.EndsWithin(w.route, 0, w.proxy.clock.Now().Sub(w.sentAt))
+}
+
+// silent handles a probe that was not answered in time: the host has a backoff, and a request that may be repeated
+// is sent again. It is given up only once the host has been silent for peerLostAfter while others answer: then it is
+// not this host, or its link, that is late. The result is whether the watch ends.
+func (w *peerWatch) silent(since time.Time) bool {
+	if w.hasEnded() {
+		return true
+	}
+	p, now := w.proxy, w.proxy.clock.Now()
+	p.peers.MarkFailed(w.host.Address, now)
+	if !w.repeatable {
+		return true
+	}
+	w.suspect()
+	if now.Sub(since) < peerLostAfter || p.peers.HeardSince(w.host.Address, now.Add(-peerLostAfter)) || !w.othersAnswer(since) {
+		return false
+	}
+	w.cancel(errPeerSilent)
+	return true
+}
+
+// othersAnswer reports whether other hosts than the silent one have answered since a time, or answer now.
+func (w *peerWatch) othersAnswer(since time.Time) bool {
+	p := w.proxy
+	heard, known := p.peers.Heard(since)
+	if heard > 0 || known == 1 {
+		return true
+	}
+	other, ok := p.peers.Pick("", []string{w.host.Address}, p.clock.Now())
+	return ok && p.peerAnswers(other.Address)
+}
+
+// unknown handles a request that is not in progress at the host. Other open connections may have gone silent with
+// its own. One that may not be repeated is ended.
+func (w *peerWatch) unknown() {
+	if w.hasEnded() {
+		return
+	}
+	klog.InfoS("Relayed request is not in progress, its connection counts as lost", "address", w.host.Address)
+	w.proxy.peerTransport.CloseIdleConnections()
+	w.suspect()
+	if !w.repeatable {
+		w.cancel(errRelayUnknown)
+	}
+}
+
+func (w *peerWatch) hasEnded() bool {
+	select {
+	case <-w.ended:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -103,7 +187,9 @@
 		p.logSilence(address, sentAt, nil)
 		go func() {
 			if err := <-answered; err == nil {
-				took := p.clock.Now().Sub(sentAt)
+				now := p.clock.Now()
+				took := now.Sub(sentAt)
+				p.peers.MarkAlive(address, now)
 				p.probes.late(took)
 				klog.InfoS("Host has answered late", "address", address, "took", took)
 			}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -119,6 +119,8 @@
 	// LostRelays is the number of times that the request was relayed to another host and it is not
 	// known what that host did with it.
 	LostRelays int
+	// Suspected is the number of sends of the request that looked lost while they went on.
+	Suspected int
 	// KeptAttempt is the outcome of asking the host that relayed the request for an attempt that it
 	// keeps back; empty if it was not asked.
 	KeptAttempt string
@@ -233,6 +235,10 @@
 	dispatched bool
 	// lostRelays is the number of relays of the request whose outcome is not known.
 	lostRelays int
+	// pending is a send that looks lost, while the request is sent again beside it; nil for none. suspected is the
+	// number of such sends.
+	pending   *pendingSend
+	suspected int
 	// kept is the attempt that the host which relayed the request keeps back; nil for none.
 	kept *keptAttempt
 	// budgeted is set once the request counts for the retry budget, at this host or another.
@@ -371,7 +377,7 @@
 
 func (q *request) record(status int, reason string, cause error, now time.Time) RequestRecord {
 	r := RequestRecord{
-		ID: q.ID, ConfigVersion: q.configVersion, Keyed: q.keyed(), Key: q.Key, Via: q.via, Relayed: q.relayed, LostRelays: q.lostRelays, Target: q.lastTarget, ExpectedLatency: q.expectedLatency, Estimate: q.estimate, Waited: q.waited, Sends: q.progress.Sends() - q.keptCount(),
+		ID: q.ID, ConfigVersion: q.configVersion, Keyed: q.keyed(), Key: q.Key, Via: q.via, Relayed: q.relayed, LostRelays: q.lostRelays, Suspected: q.suspected, Target: q.lastTarget, ExpectedLatency: q.expectedLatency, Estimate: q.estimate, Waited: q.waited, Sends: q.progress.Sends() - q.keptCount(),
 		Status: status, Reason: reason, Latency: now.Sub(q.started), Cause: cause, Service: q.match.Service.Name,
 	}
 	if q.kept != nil {
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -106,34 +106,56 @@
 	return t
 }
 
-// relay sends a request to another host, which sends it to a target.
+// relay sends a request to another host, which sends it to a target. While the host looks silent, the result is
+// that of a suspended send.
 func (p *Proxy) relay(ctx context.Context, q *request, host peers.Host) sendResult {
 	held := p.reserveAttempt(q)
-	defer p.reserve.Take(held.token)
 	q.progress.RecordSend()
 	q.triedHosts = append(q.triedHosts, host.Address)
 	q.via = host.Address
-	caller := ctx
 	id := newRelayID()
-	ctx, stop := p.watchPeer(ctx, q, host, id)
-	defer stop()
-	req := p.relayRequest(ctx, q, host, held)
+	sendCtx, cancel := context.WithCancelCause(ctx)
+	watch := p.watchPeer(q, host, id, cancel)
+	req := p.relayRequest(sendCtx, q, host, held)
 	req.Header.Set(headerRelayID, string(id))
-	resp, err := p.peerTransport.RoundTrip(req)
-	if err != nil {
-		if caller.Err() == nil && !errors.Is(context.Cause(ctx), errRelayUnknown) {
-			p.peers.MarkFailed(host.Address, p.clock.Now())
-		}
-		result := classifySendError(err)
-		if result != attempt.Unsent {
-			p.settleLost(q, held)
+	var resp *http.Response
+	var err error
+	sent := &pendingSend{replied: make(chan struct{}), cancel: cancel, sentAt: p.clock.Now()}
+	sent.result = func() sendResult {
+		defer p.reserve.Take(held.token)
+		if err != nil {
+			return p.failedSend(ctx, sendCtx, q, host, held, err)
 		}
-		return sendResult{result: result, err: errors.Wrapf(err, "relay to host %s", host.Address)}
+		return p.relayResult(q, host, held, resp)
+	}
+	go func() {
+		resp, err = p.peerTransport.RoundTrip(req)
+		watch.stop()
+		sent.complete = err == nil && relayOutcome(resp.Header.Get(headerRelayOutcome)) == relayResponded
+		close(sent.replied)
+	}()
+	select {
+	case <-sent.replied:
+		return sent.result()
+	case <-q.suspicion(watch.suspected):
+	}
+	p.settleLost(q, held)
+	return q.suspend(sent, "", errPeerSilent)
+}
+
+// failedSend returns the result of a request that could not be sent to another host, or whose response was lost.
+func (p *Proxy) failedSend(caller, sendCtx context.Context, q *request, host peers.Host, held *reservation, err error) sendResult {
+	if caller.Err() == nil && !errors.Is(context.Cause(sendCtx), errRelayUnknown) && !errors.Is(context.Cause(sendCtx), errSuperseded) {
+		p.peers.MarkFailed(host.Address, p.clock.Now())
 	}
-	return p.relayResult(q, host, held, resp)
+	result := classifySendError(err)
+	if result != attempt.Unsent {
+		p.settleLost(q, held)
+	}
+	return sendResult{result: result, err: errors.Wrapf(err, "relay to host %s", host.Address)}
 }
 
-func (p *Proxy) relayRequest(ctx context.Context, q *request, host peers.Host, held reservation) *http.Request {
+func (p *Proxy) relayRequest(ctx context.Context, q *request, host peers.Host, held *reservation) *http.Request {
 	header := platform.RelayHeaders(q.header, q.timeLeft(p.clock.Now())-relayMargin)
 	removeRelayHeaders(header)
 	version := max(q.configVersion, p.peerVersion.Load())
@@ -155,7 +177,7 @@
 }
 
 // relayResult returns the result of a request to which another host has responded.
-func (p *Proxy) relayResult(q *request, host peers.Host, held reservation, resp *http.Response) sendResult {
+func (p *Proxy) relayResult(q *request, host peers.Host, held *reservation, resp *http.Response) sendResult {
 	h := resp.Header
 	outcome, target := relayOutcome(h.Get(headerRelayOutcome)), h.Get(headerRelayTarget)
 	p.recordPeerVersion(q, h.Get(headerRelayVersion))
@@ -169,7 +191,7 @@
 	}
 	q.budgeted = q.budgeted || outcome != relayDetached && outcome != relayUnavailable
 	if outcome == relayResponded {
-		return p.relayedResponse(q, host, target, sends, resp)
+		return p.relayedResponse(q, host, held, target, sends, resp)
 	}
 	discard(resp)
 	s := sendResult{target: target, err: errors.Newf("host %s: %s", host.Address, outcome)}
@@ -244,7 +266,7 @@
 
 // relayedResponse returns the result of a request to which a target has responded through
 // another host.
-func (p *Proxy) relayedResponse(q *request, host peers.Host, target string, sends int, resp *http.Response) sendResult {
+func (p *Proxy) relayedResponse(q *request, host peers.Host, held *reservation, target string, sends int, resp *http.Response) sendResult {
 	q.progress.RecordSends(sends - q.progress.Sends())
 	r, err := readResponse(q, resp)
 	if err != nil {
@@ -255,13 +277,16 @@
 		_ = resp.Body.Close()
 	}
 	p.peers.MarkServed(host.Address, p.clock.Now())
+	if held.lost {
+		q.lostRelays--
+	}
 	s := sendResult{result: attempt.Complete, response: r, target: target}
 	p.observeRelayed(s)
 	return s
 }
 
 // invalidRelay returns the result of a response of another host that does not say what it has done.
-func (p *Proxy) invalidRelay(q *request, host peers.Host, held reservation, resp *http.Response, err error) sendResult {
+func (p *Proxy) invalidRelay(q *request, host peers.Host, held *reservation, resp *http.Response, err error) sendResult {
 	p.settleLost(q, held)
 	return p.failedRelay(host, resp, err)
 }
--- a/io/proxy/relays.go
+++ b/io/proxy/relays.go
@@ -8,9 +8,6 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
-	"k8s.io/klog/v2"
-
-	"pineturn/core/peers"
 )
 
 // A connection between two hosts can go silent for good while new ones work, and the host at its other end
@@ -95,11 +92,3 @@
 	discard(resp)
 	return resp.StatusCode != http.StatusGone
 }
-
-// endUnknownRelay ends a request that is not in progress at the host that it was relayed to. Other open
-// connections may have gone silent with its own.
-func (p *Proxy) endUnknownRelay(host peers.Host, cancel context.CancelCauseFunc) {
-	klog.InfoS("Relayed request is not in progress, its connection counts as lost", "address", host.Address)
-	p.peerTransport.CloseIdleConnections()
-	cancel(errRelayUnknown)
-}
--- a/io/proxy/reserve.go
+++ b/io/proxy/reserve.go
@@ -114,11 +114,13 @@
 	// kept is the number of attempts that are kept back, token the token of the one, if any.
 	kept  int
 	token attempt.Token
+	// lost is set once the relay counts as lost.
+	lost bool
 }
 
 // reserveAttempt keeps back an attempt of a request that is about to be relayed.
-func (p *Proxy) reserveAttempt(q *request) reservation {
-	held := reservation{before: q.progress.Sends(), kept: attempt.KeptBack(q.attemptRequest(), q.progress.Sends())}
+func (p *Proxy) reserveAttempt(q *request) *reservation {
+	held := &reservation{before: q.progress.Sends(), kept: attempt.KeptBack(q.attemptRequest(), q.progress.Sends())}
 	if held.kept > 0 {
 		held.token = p.reserve.Keep()
 	}
@@ -127,7 +129,11 @@
 
 // settleLost counts all attempts that the other host may have used, and may still use, of a request
 // that was relayed to it.
-func (p *Proxy) settleLost(q *request, held reservation) {
+func (p *Proxy) settleLost(q *request, held *reservation) {
+	if held.lost {
+		return
+	}
+	held.lost = true
 	q.budgeted = true
 	q.lostRelays++
 	handed := q.match.Route.MaxAttempts - held.before
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -12,7 +12,6 @@
 
 	"pineturn/core/attempt"
 	"pineturn/core/placement"
-	"pineturn/core/reach"
 	"pineturn/io/listener"
 	"pineturn/io/socket"
 	"pineturn/platform"
@@ -25,7 +24,7 @@
 		return nil, q.fail(http.StatusBadGateway, reasonCallerLeft, nil)
 	}
 	for {
-		sent, err := p.sendOnce(ctx, q)
+		sent, err := p.sendNext(ctx, q)
 		if err != nil {
 			p.returnRetry(q)
 			return nil, err
@@ -193,6 +192,8 @@
 	err             error
 	// final is the failure that ends the request whatever its progress; nil for none.
 	final error
+	// suspended is set if there is no response yet, and the send is the request's pending one.
+	suspended bool
 }
 
 // fromOther reports whether another target than the one that was chosen has responded.
@@ -200,16 +201,12 @@
 	return s.response != nil && s.response.info.Instance != "" && s.response.info.Instance != s.target
 }
 
-func (p *Proxy) send(ctx context.Context, q *request, choice *placement.Choice) sendResult {
-	q.progress.RecordSend()
-	return p.roundTrip(ctx, q, choice)
-}
-
-// roundTrip sends a request to a target and reads the response.
-func (p *Proxy) roundTrip(ctx context.Context, q *request, choice *placement.Choice) sendResult {
+// roundTrip sends a request to a target and reads the response. It calls onLost, which may be nil, if the path to the
+// target looks lost meanwhile.
+func (p *Proxy) roundTrip(ctx context.Context, q *request, choice *placement.Choice, onLost func()) sendResult {
 	s := sendResult{target: choice.Entry.ID, expectedLatency: choice.ExpectedLatency}
 	sentAt := p.clock.Now()
-	ctx, send := p.observeSend(ctx, q, choice)
+	send := p.reach.Sent(q.match.Service.Name, choice.ExpectedLatency, onLost, sentAt)
 	var use socket.Use
 	transport := p.pool.transportFor(choice.Entry.ID, q.match.Route.Idempotent, sentAt)
 	resp, err := transport.RoundTrip(p.targetRequest(use.Trace(ctx), q, choice))
@@ -257,19 +254,6 @@
 	p.pool.Get(target).CloseIdleConnections()
 }
 
-var errPathLost = errors.New("no path to the targets")
-
-// observeSend records a send for the detection of a lost path. A request that may be sent
-// again is cancelled if its path is lost.
-func (p *Proxy) observeSend(ctx context.Context, q *request, choice *placement.Choice) (context.Context, *reach.Send) {
-	var onLost func()
-	if q.match.Route.Idempotent && q.body.replayable() {
-		sendCtx, cancel := context.WithCancelCause(ctx)
-		ctx, onLost = sendCtx, func() { cancel(errPathLost) }
-	}
-	return ctx, p.reach.Sent(q.match.Service.Name, choice.ExpectedLatency, onLost, p.clock.Now())
-}
-
 // RecordUnanswered records that a target of a service did not answer an order of this host.
 func (p *Proxy) RecordUnanswered(service string) { p.reach.Failed(service, p.clock.Now()) }
 
