--- a/io/proxy/peerprobe.go
+++ b/io/proxy/peerprobe.go
@@ -116,7 +116,8 @@
 		return true
 	}
 	w.suspect()
-	if now.Sub(since) < peerLostAfter || p.peers.HeardSince(w.host.Address, now.Add(-peerLostAfter)) || !w.othersAnswer(since) {
+	lostSince := now.Add(-peerLostAfter)
+	if since.After(lostSince) || p.peers.HeardSince(w.host.Address, lostSince) || !w.othersAnswer(lostSince) {
 		return false
 	}
 	w.cancel(errPeerSilent)
--- a/io/proxy/pending.go
+++ b/io/proxy/pending.go
@@ -14,9 +14,11 @@
 	// replied is closed once the send has ended. complete is set before if its response can be used.
 	replied  chan struct{}
 	complete bool
-	// result returns the result of a send that has ended. It is called once.
-	result func() sendResult
-	cancel context.CancelCauseFunc
+	// After the send has ended, either result is called once, by the goroutine of the request, and returns its
+	// result, or discard, which releases its response.
+	result  func() sendResult
+	discard func()
+	cancel  context.CancelCauseFunc
 }
 
 // supersede ends a send whose response is not needed any more.
@@ -24,9 +26,7 @@
 	s.cancel(errSuperseded)
 	go func() {
 		<-s.replied
-		if sent := s.result(); sent.response != nil {
-			sent.response.close()
-		}
+		s.discard()
 	}()
 }
 
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -128,6 +128,11 @@
 		}
 		return p.relayResult(q, host, held, resp)
 	}
+	sent.discard = func() {
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}
 	go func() {
 		resp, err = p.peerTransport.RoundTrip(req)
 		watch.stop()
@@ -145,7 +150,7 @@
 
 // failedSend returns the result of a request that could not be sent to another host, or whose response was lost.
 func (p *Proxy) failedSend(caller, sendCtx context.Context, q *request, host peers.Host, held *reservation, err error) sendResult {
-	if caller.Err() == nil && !errors.Is(context.Cause(sendCtx), errRelayUnknown) && !errors.Is(context.Cause(sendCtx), errSuperseded) {
+	if caller.Err() == nil && !errors.Is(context.Cause(sendCtx), errRelayUnknown) {
 		p.peers.MarkFailed(host.Address, p.clock.Now())
 	}
 	result := classifySendError(err)
--- a/io/proxy/targetsends.go
+++ b/io/proxy/targetsends.go
@@ -70,7 +70,10 @@
 
 // pending returns the sends as one that goes on without the goroutine of the request.
 func (s *targetSends) pending() *pendingSend {
-	pending := &pendingSend{sentAt: s.sentAt, replied: make(chan struct{}), cancel: s.cancel, result: func() sendResult { return s.best }}
+	pending := &pendingSend{
+		sentAt: s.sentAt, replied: make(chan struct{}), cancel: s.cancel,
+		result: func() sendResult { return s.best }, discard: s.discard,
+	}
 	go func() {
 		for !s.end(<-s.results) {
 		}
@@ -79,3 +82,10 @@
 	}()
 	return pending
 }
+
+// discard releases the response.
+func (s *targetSends) discard() {
+	if s.best.response != nil {
+		s.best.response.close()
+	}
+}
