Report a request whose time ended at another host as timed out

A relayed request gets its time less 20 ms for the way back (relayMargin), so that the other host gives it up a little before the relaying one would: 504 timed-out there. The relaying host took this for an attempt of unknown outcome like any other and, with too little time for a further one, answered 502 answer-lost, though no response was lost.

Callers saw 502 instead of the 504 that docs/PLATFORM.md promises at the route's timeout; operators saw answer-lost, with "host ...: failed", where the page on operations names a reset or an invalid response. On a route with a timeout of 0.4 s such relays end after 0.380 to 0.384 s again and again, which looked like a fixed timeout of ours.

Hypotheses weighed: patience with silent hosts (no: the other host answers, 504), a target that forgets or resets connections (no: "context deadline exceeded" at each), a lost path (no), a relay given back by a stopping host (no: that is 503), a request that could have been sent again (no: its time is over).

Change: the failure that ends such a request is 504 timed-out. Retries are as before: an idempotent request whose time ended at the other host only, by a shorter timeout there, is sent again while time is left.

--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -217,7 +217,7 @@
 		s.final = q.refuseFor(reasonRelayRefused, platform.RetryAfter(h), s.err)
 	case relayFailed:
 		q.progress.RecordSends(sends - q.progress.Sends())
-		s.result = attempt.Unknown
+		s.result, s.timedOut = attempt.Unknown, resp.StatusCode == http.StatusGatewayTimeout
 		if resp.StatusCode < http.StatusInternalServerError {
 			s.final = q.fail(resp.StatusCode, reasonRelayFailed, s.err)
 		}
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -50,7 +50,7 @@
 		case attempt.Refuse:
 			return nil, q.refuseAfter(sent)
 		case attempt.ReportUnknown:
-			return nil, q.fail(http.StatusBadGateway, reasonResponseLost, sent.err)
+			return nil, q.failUnknown(sent)
 		}
 	}
 }
@@ -167,6 +167,14 @@
 	return q.refuse(reasonRefused, max(sent.expectedLatency, q.match.Route.Objective/4))
 }
 
+// failUnknown returns the failure of a request that a target may have run and whose response did not come.
+func (q *request) failUnknown(sent sendResult) error {
+	if sent.timedOut {
+		return q.fail(http.StatusGatewayTimeout, reasonTimeout, sent.err)
+	}
+	return q.fail(http.StatusBadGateway, reasonResponseLost, sent.err)
+}
+
 // interrupted returns the failure of a request whose context has ended: it timed
 // out, its caller disconnected, or the host is stopping.
 func (p *Proxy) interrupted(ctx context.Context, q *request, sent sendResult) error {
@@ -190,6 +198,8 @@
 	target          string
 	expectedLatency time.Duration
 	err             error
+	// timedOut is set if the request was relayed to another host and its time ended there.
+	timedOut bool
 	// final is the failure that ends the request whatever its progress; nil for none.
 	final error
 	// suspended is set if there is no response yet, and the send is the request's pending one.
