Weigh hosts by their links too when they take relayed requests

Queues of owners and the choice of targets were handed out by cores alone, so that hosts of 0.4 cores with 10 Mbit/s had 3.3 times the queues of those of 0.12 cores with the same link: 750 to 820 relayed requests in ten seconds against a median of 231, and nearly all probes that were not answered in time were theirs or named them. Now a host says the least of what its cores and its link bear, 60 Mbit/s a core. The value of the field is the host's own, so an older build beside it weighs newer hosts alike; older hosts go on saying their cores.

--- a/core/peers/peers.go
+++ b/core/peers/peers.go
@@ -39,8 +39,8 @@
 	// Detached holds the names of the services whose targets the host can't reach,
 	// sorted.
 	Detached []string `cbor:"4,keyasint,omitempty" json:"detached,omitempty"`
-	// Cores is the number of processor cores that the host may use, which may be a
-	// fraction. A host of an older build does not say it and holds no queue.
+	// Cores is what the host may take of relayed requests, in processor cores, which may be
+	// a fraction; see RelayCapacity. A host of an older build does not say it and holds no queue.
 	Cores float64 `cbor:"5,keyasint,omitempty" json:"cores,omitempty"`
 }
 
--- a/io/gateway/create.go
+++ b/io/gateway/create.go
@@ -25,7 +25,7 @@
 	g.targets.Hosts = g.hosts.Hosts
 	g.catalog = metastore.NewCatalog(g.clock, g.targets)
 	g.targets.Cold, g.targets.Sender = g.coldBound, g.sendsAll
-	g.peers = peers.New(peers.Host{Address: peerAddress(g.settings), Domain: g.settings.Domain, Incarnation: g.incarnation, Cores: g.settings.Cores})
+	g.peers = peers.New(peers.Host{Address: peerAddress(g.settings), Domain: g.settings.Domain, Incarnation: g.incarnation, Cores: peers.RelayCapacity(g.settings.Cores, g.settings.LinkRate)})
 }
 
 // createProxy creates what serves callers' requests.
