--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -139,6 +139,14 @@
 	}
 }
 
+// SendBeside reports whether a request may be sent again beside a send without a response, and records if so that a
+// target may have run it. It calls spend as After does.
+func (p *Progress) SendBeside(req Request, left time.Duration, spend func() bool) bool {
+	again := req.Idempotent && p.canRetry(req, left) && spend()
+	p.mayHaveRun = p.mayHaveRun || again
+	return again
+}
+
 // mayRepeat reports whether a further send may end better. The owner of a key
 // receives the same request again only if it had capacity: one that refuses or loses
 // part of its requests may run it, while a full one would refuse it again.
--- a/io/proxy/peerprobe.go
+++ b/io/proxy/peerprobe.go
@@ -41,13 +41,15 @@
 	// repeatable is set if the request may be sent again.
 	repeatable bool
 	sentAt     time.Time
-	// suspected is closed once the host looks silent, or does not know the request.
+	// suspected is closed once the host looks silent.
 	suspected chan struct{}
 	suspect   func()
 	// cancel ends the relay. ended is closed by stop.
 	cancel context.CancelCauseFunc
 	ended  chan struct{}
 	timer  *time.Timer
+	// once decides between the end of the relay and its cancellation.
+	once sync.Once
 }
 
 // watchPeer watches the host that a request is relayed to, until stop is called.
@@ -64,6 +66,7 @@
 // stop ends the watch, as the relay has ended.
 func (w *peerWatch) stop() {
 	w.timer.Stop()
+	w.once.Do(func() {})
 	close(w.ended)
 }
 
@@ -117,36 +120,33 @@
 	}
 	w.suspect()
 	lostSince := now.Add(-peerLostAfter)
-	if since.After(lostSince) || p.peers.HeardSince(w.host.Address, lostSince) || !w.othersAnswer(lostSince) {
+	if since.After(lostSince) || p.peers.HeardSince(w.host.Address, lostSince) || !w.othersAnswer() {
 		return false
 	}
-	w.cancel(errPeerSilent)
+	w.once.Do(func() { w.cancel(errPeerSilent) })
 	return true
 }
 
-// othersAnswer reports whether other hosts than the silent one have answered since a time, or answer now.
-func (w *peerWatch) othersAnswer(since time.Time) bool {
+// othersAnswer reports whether another host than the silent one has answered just now. Where there is none, nothing
+// tells whose silence it is, and the other host counts as lost.
+func (w *peerWatch) othersAnswer() bool {
 	p := w.proxy
-	heard, known := p.peers.Heard(since)
-	if heard > 0 || known == 1 {
+	heard, known := p.peers.Heard(p.clock.Now().Add(-peerPatience))
+	if heard > 0 || known <= 1 {
 		return true
 	}
 	other, ok := p.peers.Pick("", []string{w.host.Address}, p.clock.Now())
 	return ok && p.peerAnswers(other.Address)
 }
 
-// unknown handles a request that is not in progress at the host. Other open connections may have gone silent with
-// its own. One that may not be repeated is ended.
+// unknown ends a request that is not in progress at the host, as that has said. Other open connections may have gone
+// silent with its own.
 func (w *peerWatch) unknown() {
-	if w.hasEnded() {
-		return
-	}
-	klog.InfoS("Relayed request is not in progress, its connection counts as lost", "address", w.host.Address)
-	w.proxy.peerTransport.CloseIdleConnections()
-	w.suspect()
-	if !w.repeatable {
+	w.once.Do(func() {
+		klog.InfoS("Relayed request is not in progress, its connection counts as lost", "address", w.host.Address)
+		w.proxy.peerTransport.CloseIdleConnections()
 		w.cancel(errRelayUnknown)
-	}
+	})
 }
 
 func (w *peerWatch) hasEnded() bool {
--- a/io/proxy/pending.go
+++ b/io/proxy/pending.go
@@ -2,16 +2,18 @@
 
 import (
 	"context"
+	"net/http"
+	"sync/atomic"
 	"time"
 
 	"pineturn/core/attempt"
 )
 
 // pendingSend is a send without a response. What looks silent may be well, and its target at work: so the send goes
-// on while the request is sent again, and the first complete response of the two is used.
+// on while the request is sent again, and the first success of the two is used.
 type pendingSend struct {
 	sentAt time.Time
-	// replied is closed once the send has ended. complete is set before if its response can be used.
+	// replied is closed once the send has ended. complete is set before if it was a success.
 	replied  chan struct{}
 	complete bool
 	// After the send has ended, either result is called once, by the goroutine of the request, and returns its
@@ -19,6 +21,9 @@
 	result  func() sendResult
 	discard func()
 	cancel  context.CancelCauseFunc
+	// takeAttempt reports whether there is an attempt to send the request again beside this send; nil if this
+	// host has all of them.
+	takeAttempt func() bool
 }
 
 // supersede ends a send whose response is not needed any more.
@@ -54,16 +59,25 @@
 	if err != nil || !sent.suspended {
 		return sent, err
 	}
-	again := func() bool { return p.mayRetry(ctx, q, sent.result) }
-	if q.progress.After(q.attemptRequest(), attempt.Outcome{Result: sent.result}, q.timeLeft(p.clock.Now()), again) != attempt.Retry {
+	if !q.progress.SendBeside(q.attemptRequest(), q.timeLeft(p.clock.Now()), func() bool { return p.maySendBeside(ctx, q, sent.result) }) {
 		return p.awaitPending(q), nil
 	}
-	if !q.keyed() && sent.target != "" {
-		q.excluded = append(q.excluded, sent.target)
-	}
+	p.prepareRetry(ctx, q, sent)
 	return p.sendBeside(ctx, q)
 }
 
+// maySendBeside reports whether a request may be sent again beside its pending send.
+func (p *Proxy) maySendBeside(ctx context.Context, q *request, last attempt.Result) bool {
+	if !p.mayRetry(ctx, q, last) {
+		return false
+	}
+	if take := q.pending.takeAttempt; take != nil && !take() {
+		p.returnRetry(q)
+		return false
+	}
+	return true
+}
+
 // awaitPending returns the result of the pending send.
 func (p *Proxy) awaitPending(q *request) sendResult {
 	first := q.pending
@@ -72,35 +86,96 @@
 	return p.recordLatency(q, first.sentAt, first.result())
 }
 
-// sendBeside sends a request beside its pending send. It returns the first complete response, or the result of this
-// send if both have failed.
+// sendBeside sends a request beside its pending send, further times if a send does not reach a target that runs it.
+// It returns the first success, or else what there is to be told to the caller.
 func (p *Proxy) sendBeside(ctx context.Context, q *request) (sendResult, error) {
 	first := q.pending
-	second, cancel := context.WithCancelCause(ctx)
-	ended := make(chan struct{})
-	go func() {
-		select {
-		case <-first.replied:
-			if first.complete {
-				cancel(errSuperseded)
+	for {
+		// decided is set by the first success.
+		var decided atomic.Bool
+		second, cancel := context.WithCancelCause(ctx)
+		ended := make(chan struct{})
+		go func() {
+			select {
+			case <-first.replied:
+				if first.complete && decided.CompareAndSwap(false, true) {
+					cancel(errSuperseded)
+				}
+			case <-ended:
 			}
-		case <-ended:
+		}()
+		sent, err := p.sendOnce(second, q)
+		close(ended)
+		firstDecided := !decided.CompareAndSwap(false, true)
+		switch {
+		case firstDecided:
+			return p.useFirst(q, sent, err), nil
+		case err == nil && sent.result == attempt.Complete && sent.final == nil && sent.response.status < http.StatusInternalServerError:
+			p.supersedePending(q)
+			return sent, nil
 		}
-	}()
-	sent, err := p.sendOnce(second, q)
-	close(ended)
-	if err == nil && sent.result == attempt.Complete {
-		q.pending = nil
-		first.supersede()
-		return sent, nil
-	}
-	cancel(nil)
-	result := p.awaitPending(q)
-	if result.result != attempt.Complete {
-		return sent, err
+		if err != nil || !sent.result.NotRun() || sent.final != nil {
+			return p.awaitFirst(q, sent, err)
+		}
+		outcome := attempt.Outcome{Result: sent.result, TargetFull: sent.targetFull}
+		again := func() bool { return p.mayRetry(ctx, q, sent.result) }
+		if q.progress.After(q.attemptRequest(), outcome, q.timeLeft(p.clock.Now()), again) != attempt.Retry {
+			sent.final = q.fail(http.StatusBadGateway, reasonResponseLost, sent.err)
+			return p.awaitFirst(q, sent, nil)
+		}
+		p.prepareRetry(ctx, q, sent)
 	}
+}
+
+// supersedePending ends the pending send.
+func (p *Proxy) supersedePending(q *request) {
+	q.pending.supersede()
+	q.pending = nil
+}
+
+// useFirst returns the result of the pending send, and releases the other one.
+func (p *Proxy) useFirst(q *request, second sendResult, err error) sendResult {
 	if err != nil {
 		p.returnRetry(q)
 	}
-	return result, nil
+	if second.response != nil {
+		second.response.close()
+	}
+	return p.awaitPending(q)
+}
+
+// awaitFirst awaits the pending send beside which another one was no success. If the other one has brought an error
+// response, it does so for half of the time that is left.
+func (p *Proxy) awaitFirst(q *request, second sendResult, err error) (sendResult, error) {
+	first := q.pending
+	var late <-chan time.Time
+	if err == nil && second.response != nil {
+		timer := time.NewTimer(q.timeLeft(p.clock.Now()) / 2)
+		defer timer.Stop()
+		late = timer.C
+	}
+	select {
+	case <-first.replied:
+	case <-late:
+		p.supersedePending(q)
+		return second, nil
+	}
+	if err == nil && second.response != nil && !first.complete {
+		q.pending = nil
+		first.discard()
+		return second, nil
+	}
+	if first.complete {
+		return p.useFirst(q, second, err), nil
+	}
+	result := p.awaitPending(q)
+	if result.response != nil {
+		if err != nil {
+			p.returnRetry(q)
+		}
+		// It is delivered: sending the request again has been tried.
+		result.result = attempt.Complete
+		return result, nil
+	}
+	return second, err
 }
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -118,25 +118,23 @@
 	watch := p.watchPeer(q, host, id, cancel)
 	req := p.relayRequest(sendCtx, q, host, held)
 	req.Header.Set(headerRelayID, string(id))
-	var resp *http.Response
-	var err error
-	sent := &pendingSend{replied: make(chan struct{}), cancel: cancel, sentAt: p.clock.Now()}
+	reply := &relayReply{}
+	sent := &pendingSend{
+		replied: make(chan struct{}), cancel: cancel, sentAt: p.clock.Now(), discard: reply.close,
+		takeAttempt: func() bool { return p.takeBack(q, held) },
+	}
 	sent.result = func() sendResult {
 		defer p.reserve.Take(held.token)
-		if err != nil {
-			return p.failedSend(ctx, sendCtx, q, host, held, err)
-		}
-		return p.relayResult(q, host, held, resp)
-	}
-	sent.discard = func() {
-		if err == nil {
-			_ = resp.Body.Close()
+		if reply.err != nil {
+			return p.failedSend(ctx, sendCtx, q, host, held, reply.err)
 		}
+		return p.relayResult(sendCtx, q, host, held, reply)
 	}
 	go func() {
-		resp, err = p.peerTransport.RoundTrip(req)
+		reply.resp, reply.err = p.peerTransport.RoundTrip(req)
 		watch.stop()
-		sent.complete = err == nil && relayOutcome(resp.Header.Get(headerRelayOutcome)) == relayResponded
+		reply.read(q)
+		sent.complete = reply.response != nil && reply.response.status < http.StatusInternalServerError
 		close(sent.replied)
 	}()
 	select {
@@ -144,13 +142,40 @@
 		return sent.result()
 	case <-q.suspicion(watch.suspected):
 	}
-	p.settleLost(q, held)
 	return q.suspend(sent, "", errPeerSilent)
 }
 
+// relayReply is what comes back of a relayed request: a response of the other host, or an error.
+type relayReply struct {
+	resp *http.Response
+	err  error
+	// response is a target's response, nil if there is none or it can't be used for readErr.
+	response *response
+	readErr  error
+}
+
+// read reads the response of a target.
+func (r *relayReply) read(q *request) {
+	if r.err == nil && r.outcome() == relayResponded {
+		r.response, r.readErr = readResponse(q, r.resp)
+	}
+}
+
+func (r *relayReply) outcome() relayOutcome {
+	return relayOutcome(r.resp.Header.Get(headerRelayOutcome))
+}
+
+// close releases the response.
+func (r *relayReply) close() {
+	if r.err == nil {
+		_ = r.resp.Body.Close()
+	}
+}
+
 // failedSend returns the result of a request that could not be sent to another host, or whose response was lost.
 func (p *Proxy) failedSend(caller, sendCtx context.Context, q *request, host peers.Host, held *reservation, err error) sendResult {
-	if caller.Err() == nil && !errors.Is(context.Cause(sendCtx), errRelayUnknown) {
+	cause := context.Cause(sendCtx)
+	if caller.Err() == nil && !errors.Is(cause, errRelayUnknown) && !errors.Is(cause, errSuperseded) {
 		p.peers.MarkFailed(host.Address, p.clock.Now())
 	}
 	result := classifySendError(err)
@@ -182,9 +207,9 @@
 }
 
 // relayResult returns the result of a request to which another host has responded.
-func (p *Proxy) relayResult(q *request, host peers.Host, held *reservation, resp *http.Response) sendResult {
-	h := resp.Header
-	outcome, target := relayOutcome(h.Get(headerRelayOutcome)), h.Get(headerRelayTarget)
+func (p *Proxy) relayResult(ctx context.Context, q *request, host peers.Host, held *reservation, reply *relayReply) sendResult {
+	resp, h := reply.resp, reply.resp.Header
+	outcome, target := reply.outcome(), h.Get(headerRelayTarget)
 	p.recordPeerVersion(q, h.Get(headerRelayVersion))
 	sends, err := strconv.Atoi(h.Get(headerRelaySends))
 	if err != nil {
@@ -196,7 +221,7 @@
 	}
 	q.budgeted = q.budgeted || outcome != relayDetached && outcome != relayUnavailable
 	if outcome == relayResponded {
-		return p.relayedResponse(q, host, held, target, sends, resp)
+		return p.relayedResponse(ctx, q, host, held, target, sends, reply)
 	}
 	discard(resp)
 	s := sendResult{target: target, err: errors.Newf("host %s: %s", host.Address, outcome)}
@@ -271,15 +296,19 @@
 
 // relayedResponse returns the result of a request to which a target has responded through
 // another host.
-func (p *Proxy) relayedResponse(q *request, host peers.Host, held *reservation, target string, sends int, resp *http.Response) sendResult {
+func (p *Proxy) relayedResponse(ctx context.Context, q *request, host peers.Host, held *reservation, target string, sends int, reply *relayReply) sendResult {
 	q.progress.RecordSends(sends - q.progress.Sends())
-	r, err := readResponse(q, resp)
+	r, err := reply.response, reply.readErr
+	if errors.Is(context.Cause(ctx), errSuperseded) {
+		reply.close()
+		return sendResult{result: attempt.Unknown, err: errSuperseded}
+	}
 	if err != nil {
 		// The other host has ended the request and said how often it has sent it.
-		return p.failedRelay(host, resp, errors.Wrapf(err, "response of target %s", target))
+		return p.failedRelay(host, reply.resp, errors.Wrapf(err, "response of target %s", target))
 	}
 	if r.unread == nil {
-		_ = resp.Body.Close()
+		reply.close()
 	}
 	p.peers.MarkServed(host.Address, p.clock.Now())
 	if held.lost {
--- a/io/proxy/reserve.go
+++ b/io/proxy/reserve.go
@@ -114,8 +114,8 @@
 	// kept is the number of attempts that are kept back, token the token of the one, if any.
 	kept  int
 	token attempt.Token
-	// lost is set once the relay counts as lost.
-	lost bool
+	// lost is set once the relay counts as lost, taken once the attempt was taken to send the request again.
+	lost, taken bool
 }
 
 // reserveAttempt keeps back an attempt of a request that is about to be relayed.
@@ -127,6 +127,17 @@
 	return held
 }
 
+// takeBack takes the attempt that was kept back of a relayed request, to send it again beside the relay, and counts those
+// that the other host may use.
+func (p *Proxy) takeBack(q *request, held *reservation) bool {
+	if held.kept == 0 || !p.reserve.Take(held.token) {
+		return false
+	}
+	held.taken = true
+	p.settleLost(q, held)
+	return true
+}
+
 // settleLost counts all attempts that the other host may have used, and may still use, of a request
 // that was relayed to it.
 func (p *Proxy) settleLost(q *request, held *reservation) {
@@ -137,7 +148,7 @@
 	q.budgeted = true
 	q.lostRelays++
 	handed := q.match.Route.MaxAttempts - held.before
-	if held.kept > 0 && p.reserve.Take(held.token) {
+	if held.taken || held.kept > 0 && p.reserve.Take(held.token) {
 		handed--
 	}
 	q.progress.RecordSends(held.before + handed - q.progress.Sends())
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -41,12 +41,7 @@
 		case attempt.Deliver:
 			return sent.response, nil
 		case attempt.Retry:
-			switch {
-			case !q.keyed() && sent.target != "":
-				q.excluded = append(q.excluded, sent.target)
-			case sent.result == attempt.WrongTarget:
-				waitFor(ctx, p.catalog.Changed(), grantDelay)
-			}
+			p.prepareRetry(ctx, q, sent)
 		case attempt.Refuse:
 			return nil, q.refuseAfter(sent)
 		case attempt.ReportUnknown:
@@ -55,6 +50,16 @@
 	}
 }
 
+// prepareRetry excludes the target of the last send from the next one, or waits for the key's grant to reach it.
+func (p *Proxy) prepareRetry(ctx context.Context, q *request, last sendResult) {
+	switch {
+	case !q.keyed() && last.target != "":
+		q.excluded = append(q.excluded, last.target)
+	case last.result == attempt.WrongTarget:
+		waitFor(ctx, p.catalog.Changed(), grantDelay)
+	}
+}
+
 // sendOnce sends a request to a target, or to another host if this one has no path to the
 // targets.
 func (p *Proxy) sendOnce(ctx context.Context, q *request) (sendResult, error) {
