Refuse requests that would wait at a queue of 0

Cause: services.NAME.queue may be 0 (0 to 100000 by the configuration page), but the queue took a length of 0 as "not set" and let 64 requests wait. The default of a service without the field is 200, in the configuration alone.

Callers saw: waits of up to 250 ms at a service whose operator wants refusals at once.

Change: a length of 0 is 0; admission.DefaultQueueLength is gone. The cluster of the tests of core/dispatch was given a zero config.Service, which no file builds and whose queue is 0: it gets one built from a file. The model of core/admission, which had the default, names its 64.

Evidence: TestBounds/a_queue_of_0 failed before ("got <nil>, want not run, overloaded"), and so did TestQueueProperties, which draws lengths from 0 on now ("got 1 waiting (1 counted), want at most 0").

--- a/core/admission/model_test.go
+++ b/core/admission/model_test.go
@@ -17,6 +17,7 @@
 	// modelLocalDelay is the one-way delay within a failure domain.
 	modelLocalDelay = 50 * time.Microsecond
 	modelDeadline   = time.Second
+	modelQueue      = 64
 	modelDuration   = 200 * time.Second
 )
 
@@ -89,7 +90,7 @@
 		count = modelHosts
 	}
 	for range count {
-		m.queues = append(m.queues, New(Options{Slots: d.slots, Random: m.random.Float64}))
+		m.queues = append(m.queues, New(Options{Slots: d.slots, QueueLength: modelQueue, Random: m.random.Float64}))
 	}
 	return m
 }
--- a/core/admission/options.go
+++ b/core/admission/options.go
@@ -9,8 +9,6 @@
 const (
 	// DefaultServiceTime is the assumed service time before any was observed.
 	DefaultServiceTime = 10 * time.Millisecond
-	// DefaultQueueLength is the default of Options.QueueLength.
-	DefaultQueueLength = 64
 	// DefaultMaxWait is the default of Options.MaxWait. A longer queue would not
 	// improve the use of the slots, and it would delay refusals.
 	DefaultMaxWait = 250 * time.Millisecond
@@ -43,12 +41,12 @@
 	retryJitter = 0.25
 )
 
-// Options configures a Queue. Zero fields take their defaults.
+// Options configures a Queue. Zero fields but QueueLength take their defaults.
 type Options struct {
 	// Slots is the number of the target's slots, at least 1.
 	Slots int
-	// QueueLength is the maximum number of waiting requests. Zero selects
-	// DefaultQueueLength.
+	// QueueLength is the maximum number of waiting requests; with 0, a request that
+	// can't start at once is refused.
 	QueueLength int
 	// ServiceTime is the assumed service time before any was observed.
 	ServiceTime time.Duration
@@ -73,7 +71,6 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.QueueLength, DefaultQueueLength)
 	setDefault(&o.ServiceTime, DefaultServiceTime)
 	setDefault(&o.MaxWait, DefaultMaxWait)
 	setDefault(&o.DecreaseFactor, DefaultDecreaseFactor)
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -176,12 +176,8 @@
 // SetSlots sets the number of the target's slots. Running requests keep theirs.
 func (q *Queue) SetSlots(now time.Time, slots int) { q.limit.setSlots(now, slots) }
 
-// SetQueueLength sets the maximum number of waiting requests. A length of 0 selects
-// DefaultQueueLength.
-func (q *Queue) SetQueueLength(length int) {
-	q.options.QueueLength = length
-	setDefault(&q.options.QueueLength, DefaultQueueLength)
-}
+// SetQueueLength sets the maximum number of waiting requests.
+func (q *Queue) SetQueueLength(length int) { q.options.QueueLength = length }
 
 // WarmUp limits a cold target to one request at a time. The limit grows by one per
 // Options.Recovery.
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -71,6 +71,14 @@
 			t.Errorf("got retry after %v, want %v", got, want)
 		}
 	})
+	t.Run("a queue of 0", func(t *testing.T) {
+		changed := newQueue(1, 2)
+		changed.SetQueueLength(0)
+		for _, q := range []*Queue{newQueue(1, 0), changed} {
+			checkState(t, submit(t, q, epoch, "a"), running)
+			checkRefusal(t, submit(t, q, epoch, "b"), outcome.Overloaded)
+		}
+	})
 	t.Run("deadline", func(t *testing.T) {
 		q := newQueue(1, 100)
 		for range 5 {
@@ -227,7 +235,7 @@
 // length, or leave waiting requests that nothing will start.
 func TestQueueProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		slots, length := rapid.IntRange(1, 4).Draw(t, "slots"), rapid.IntRange(1, 8).Draw(t, "queue")
+		slots, length := rapid.IntRange(1, 4).Draw(t, "slots"), rapid.IntRange(0, 8).Draw(t, "queue")
 		q := newQueue(slots, length)
 		now := epoch
 		var live []*Ticket
--- a/core/dispatch/cluster_test.go
+++ b/core/dispatch/cluster_test.go
@@ -123,7 +123,28 @@
 
 // assign makes host i the leaseholder; -1 leaves the shard without an owner.
 func (c *cluster) assign(i int, epoch, token uint64) {
-	c.assignTo(new(config.Service), i, epoch, token)
+	c.assignTo(defaultService, i, epoch, token)
+}
+
+// defaultService is the service of clusters that are given no other one.
+var defaultService = newService("10s")
+
+// newService returns a service with a timeout and the defaults of a configuration. It has
+// no group "all", so that the clusters' only shard holds all keys.
+func newService(timeout string) *config.Service {
+	merged, faults := config.Merge(1, []config.File{{Name: "10.yaml", Content: []byte(`services:
+  payoutledger:
+    timeout: ` + timeout + `
+    targets:
+      p1: {address: "127.0.0.1:9001", domain: pos-a, slots: 2, connections: 100}
+    groups:
+      every: {keys: "*"}
+`)}})
+	if len(faults) > 0 {
+		panic(faults)
+	}
+	service, _ := merged.Service("payoutledger")
+	return service
 }
 
 // assignTo does the same as assign, with the given service.
--- a/core/dispatch/deadline_test.go
+++ b/core/dispatch/deadline_test.go
@@ -34,7 +34,7 @@
 func TestLateRetryAfterUnknown(t *testing.T) {
 	const timeout, left = 900 * time.Millisecond, 70 * time.Millisecond
 	c := newCluster(t, 3, 3)
-	service := serviceWithTimeout(t)
+	service := serviceWithTimeout()
 	c.assignTo(service, 0, 2, 2)
 	c.current.Target, _ = service.Target("p1")
 	attempts := 0
--- a/core/dispatch/dedup_test.go
+++ b/core/dispatch/dedup_test.go
@@ -84,7 +84,7 @@
 		c := newCluster(t, 3, 3)
 		c.assign(2, 1, 2)
 		// The target has slots for both requests at the same time.
-		c.current.Target, _ = serviceWithTimeout(t).Target("p1")
+		c.current.Target, _ = serviceWithTimeout().Target("p1")
 		ids := []string{"r0", "r1"}
 		claims := make([]*dedup.Claim, len(ids))
 		for i, id := range ids {
--- a/core/dispatch/ingress_test.go
+++ b/core/dispatch/ingress_test.go
@@ -84,7 +84,7 @@
 		c.assign(-1, 2, 2)
 		c.current.Service = nil
 		c.hosts[1].ingress.MaxWait = 20 * time.Second
-		service := serviceWithTimeout(t)
+		service := serviceWithTimeout()
 		var left time.Duration
 		c.target = func(ctx context.Context, req *message.Request) (*message.Response, *outcome.Error) {
 			left = req.Left
@@ -177,20 +177,7 @@
 
 // serviceWithTimeout returns a service with a timeout of 9 s, which is much longer than
 // the tests wait and shorter than DefaultTimeoutWithoutRoute.
-func serviceWithTimeout(t *testing.T) *config.Service {
-	t.Helper()
-	merged, faults := config.Merge(1, []config.File{{Name: "10.yaml", Content: []byte(`services:
-  payoutledger:
-    timeout: 9s
-    targets:
-      p1: {address: "127.0.0.1:9001", domain: pos-a, slots: 2, connections: 100}
-`)}})
-	if len(faults) > 0 {
-		t.Fatal(faults)
-	}
-	service, _ := merged.Service("payoutledger")
-	return service
-}
+func serviceWithTimeout() *config.Service { return newService("9s") }
 
 func (c *cluster) awaitWaiting() {
 	for c.hosts[1].ingress.Counts().Waiting == 0 {
