Write submissions that are too large for one record one after the other

Cause: the writer of the log joined queued submissions by their number of operations alone. Each is checked against the size limit of a record, their sum was not; the batch could then not be encoded and its submissions got no answer. A single submission could also take a batch past maxBatchOps.

Callers saw: changes of the configuration, joins and proposed operations that were given up at their deadline as "the log has not confirmed the change; it may still take effect", though nothing was written.

Change: a submission that would take a batch past 1000 operations or past the size limit waits for the next batch. The size of a submission is that of a batch with the writer's id, so that one just below the limit is refused at once. A submission of more than 1000 operations has a batch of its own: its operations belong together.

Evidence, before: TestBatching/submissions_that_are_too_large_together "got the log has not confirmed the change; it may still take effect, want no error" (log: "size 629231 bytes exceeds the limit of 524288 bytes"; run with a test timeout of 6 s in place of 60), a_batch_has_no_more_operations "submissions of the batch: got 2, want 1".

--- a/io/daemon/options.go
+++ b/io/daemon/options.go
@@ -78,8 +78,8 @@
 	// orderWorkers is the number of goroutines that send orders and release
 	// queries.
 	orderWorkers = 64
-	// maxBatchOps is the number of operations at which no further submission is
-	// added to a batch, and the maximum number of operations proposed per round.
+	// maxBatchOps is the maximum number of operations of a batch of several
+	// submissions, and of those proposed per round.
 	maxBatchOps = 1000
 	// maxQueuedSubmissions is the capacity of the writer's queue.
 	maxQueuedSubmissions = 256
--- a/io/daemon/writer.go
+++ b/io/daemon/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -39,7 +40,9 @@
 // submission is a call of Submit whose operations have not been read back from
 // the log yet.
 type submission struct {
-	ops    []record.Op
+	ops []record.Op
+	// size is the size of a batch of these operations alone, in bytes.
+	size   int
 	ctx    context.Context
 	result chan SubmitResult
 }
@@ -77,10 +80,11 @@
 // from the log. If the error is errUnknownOutcome, the operations may still take
 // effect.
 func (w *writer) Submit(ctx context.Context, ops []record.Op) (SubmitResult, error) {
-	if _, err := record.Encode(record.Batch{Version: record.Version, Ops: ops}); err != nil {
+	data, err := record.Encode(w.batch(math.MaxUint64, ops))
+	if err != nil {
 		return SubmitResult{}, errors.Wrap(err, "nothing was written")
 	}
-	item := submission{ops: ops, ctx: ctx, result: make(chan SubmitResult, 1)}
+	item := submission{ops: ops, size: len(data), ctx: ctx, result: make(chan SubmitResult, 1)}
 	select {
 	case w.queue <- item:
 	case <-ctx.Done():
@@ -97,6 +101,11 @@
 	}
 }
 
+// batch returns a batch of this host.
+func (w *writer) batch(seq uint64, ops []record.Op) record.Batch {
+	return record.Batch{Version: record.Version, ID: record.ID{Writer: w.self, Seq: seq}, Ops: ops}
+}
+
 // OnFolded passes folded batches of this host to the calls that wait for them.
 func (w *writer) OnFolded(records []host.FoldedBatch) {
 	w.mu.Lock()
@@ -146,16 +155,16 @@
 // collect returns first and the queued submissions that go into the same batch.
 func (w *writer) collect(first submission) []submission {
 	submissions := []submission{first}
-	count := len(first.ops)
+	count, size := len(first.ops), first.size
 	for count < maxBatchOps && !needsOwnBatch(first) {
 		select {
 		case item := <-w.queue:
-			if needsOwnBatch(item) {
+			count, size = count+len(item.ops), size+item.size
+			if count > maxBatchOps || size > record.MaxSize || needsOwnBatch(item) {
 				w.deferred = &item
 				return uncanceled(submissions)
 			}
 			submissions = append(submissions, item)
-			count += len(item.ops)
 		default:
 			return uncanceled(submissions)
 		}
@@ -179,14 +188,14 @@
 func (w *writer) write(ctx context.Context, submissions []submission) {
 	seq, folded := w.register()
 	defer w.unregister(seq)
-	batch := record.Batch{Version: record.Version, ID: record.ID{Writer: w.self, Seq: seq}}
+	var ops []record.Op
 	for _, item := range submissions {
-		batch.Ops = append(batch.Ops, item.ops...)
+		ops = append(ops, item.ops...)
 	}
-	if len(batch.Ops) == 0 {
+	if len(ops) == 0 {
 		return
 	}
-	data, err := record.Encode(batch)
+	data, err := record.Encode(w.batch(seq, ops))
 	if err != nil {
 		w.metrics.appendFailures.Add(1)
 		klog.ErrorS(err, "Failed to encode a batch")
--- a/io/daemon/writer_test.go
+++ b/io/daemon/writer_test.go
@@ -136,6 +136,27 @@
 		}
 		assertEqual(t, "operations of the record", len(r.records()[0].Batch.Ops), 3)
 	})
+	t.Run("submissions that are too large together are written one after the other", func(t *testing.T) {
+		r := newFixture(t, newTestLog(t), "h1")
+		var results []<-chan submitReturn
+		for i, name := range []string{"h1", "h2", "h3"} {
+			results = append(results, submitAsync(testContext(t), r.writer, join(name+strings.Repeat("x", record.MaxSize*2/5), uint64(i))))
+			eventually(t, "the submission is queued", func() bool { return len(r.writer.queue) == i+1 })
+		}
+		r.run(r.writer.run, r.reader.run)
+		for _, got := range results {
+			assertApplied(t, receive(t, got))
+		}
+		assertEqual(t, "records", len(r.records()), 2)
+	})
+	t.Run("a batch has no more operations than its limit", func(t *testing.T) {
+		w := newFixture(t, newTestLog(t), "h1").writer
+		more := submission{ops: make([]record.Op, maxBatchOps), ctx: testContext(t)}
+		w.queue <- more
+		first := submission{ops: make([]record.Op, 1), ctx: testContext(t)}
+		assertEqual(t, "submissions of the batch", len(w.collect(first)), 1)
+		assertEqual(t, "operations left for the next one", len(w.deferred.ops), maxBatchOps)
+	})
 	t.Run("file changes and checkpoints are not batched with others", func(t *testing.T) {
 		log := newTestLog(t)
 		r := newFixture(t, log, "h1")
