Split the file of the owners' queues by job

Cause: io/proxy/ownerqueue.go held the registry of queues, the channels on which requests wait for their turn, and the memory of refused callers.

Change: ticketSignals are the channels, refusedCallers the memory, each in a file of its own; ownerqueue.go keeps the registry, and queued.go, as before, the wait of a request. refusedCallers has its own lock: its callers held no queue beside it. No change of behaviour.

--- a/io/proxy/ownerqueue.go
+++ b/io/proxy/ownerqueue.go
@@ -5,23 +5,21 @@
 	"time"
 
 	"pineturn/core/ownerqueue"
-	"pineturn/core/poison"
 )
 
 // ownerQueues holds the queues of the owners to which this host sends.
 type ownerQueues struct {
+	refusedCallers
 	// load returns what is known of a target. It is set before use.
 	load func(target string, now time.Time) (ownerqueue.Target, bool)
 
 	mu     sync.Mutex
 	queues map[string]*ownerqueue.Queue
-	// ready holds a channel for each ticket that waits. It is closed when that changes.
-	ready    map[*ownerqueue.Ticket]chan struct{}
-	refusals ownerqueue.Refusals[poison.Fingerprint]
+	ready  ticketSignals
 }
 
 func newOwnerQueues() ownerQueues {
-	return ownerQueues{queues: make(map[string]*ownerqueue.Queue), ready: make(map[*ownerqueue.Ticket]chan struct{})}
+	return ownerQueues{queues: make(map[string]*ownerqueue.Queue), ready: make(ticketSignals)}
 }
 
 // submit adds a request to the queue of a target. It returns false if the target is not known.
@@ -38,11 +36,8 @@
 		o.queues[target] = q
 	}
 	q.SetTarget(known)
-	t, ready := q.Submit(r, now), make(chan struct{})
-	o.ready[t] = ready
-	if _, refused := t.Refused(); refused {
-		o.notify(t)
-	}
+	t := q.Submit(r, now)
+	ready := o.ready.add(t)
 	o.start(target, q, now)
 	return t, ready, true
 }
@@ -62,20 +57,13 @@
 		q.SetTarget(known)
 	}
 	for _, t := range q.Start(now) {
-		o.notify(t)
+		o.ready.notify(t)
 	}
 	if waiting, running := q.Len(); waiting+running == 0 {
 		delete(o.queues, target)
 	}
 }
 
-func (o *ownerQueues) notify(t *ownerqueue.Ticket) {
-	if ready := o.ready[t]; ready != nil {
-		close(ready)
-		delete(o.ready, t)
-	}
-}
-
 // state returns what has become of a ticket.
 func (o *ownerQueues) state(t *ownerqueue.Ticket) (running bool, retryAfter time.Duration, refused bool) {
 	o.mu.Lock()
@@ -88,27 +76,13 @@
 func (o *ownerQueues) end(target string, t *ownerqueue.Ticket, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.ready, t)
+	o.ready.remove(t)
 	if q := o.queues[target]; q != nil {
 		q.End(t)
 		o.start(target, q, now)
 	}
 }
 
-// arrive returns when a request has arrived first, and whether it was refused here and has returned
-// when it was told to.
-func (o *ownerQueues) arrive(q *request) (first time.Time, returned bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.refusals.Take(q.fingerprint(), q.started.Add(-q.elapsed))
-}
-
-func (o *ownerQueues) recordRefusal(q *request, retryAfter time.Duration, now time.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.refusals.Record(q.fingerprint(), q.firstArrival, now.Add(retryAfter), q.started.Add(q.callerTimeout()), now)
-}
-
 // lengths returns the numbers of requests that wait in this host's queues of owners, and that are in
 // progress at these.
 func (o *ownerQueues) lengths() (waiting, running int) {
