Let clock.Sleep serve the callers that had copies of it

Cause: io/load, io/standin/call, io/pinectl and io/peer each had a pause that ends with a context, beside clock.Sleep.

--- a/io/load/load.go
+++ b/io/load/load.go
@@ -109,18 +109,7 @@
 // sleepUntil waits until the time at, relative to the start of the run, and
 // reports whether ctx had not ended by then.
 func (r *Run) sleepUntil(ctx context.Context, at time.Duration) bool {
-	remaining := at - r.clock.Now().Sub(r.started)
-	if remaining <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(remaining)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, at-r.clock.Now().Sub(r.started))
 }
 
 // runCaller sends the attempts of queued jobs until the run is closed.
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/coder/websocket"
 
+	"pineturn/core/clock"
 	"pineturn/core/message"
 	"pineturn/core/outcome"
 	"pineturn/core/record"
@@ -163,7 +164,7 @@
 		c.sendGoAway()
 	}
 	s.mu.Unlock()
-	sleep(ctx, closeGrace)
+	clock.Sleep(ctx, closeGrace)
 	err := waitUntil(ctx, s.nothingInFlight)
 	for _, c := range s.openConns() {
 		c.waitFlushed(ctx)
@@ -175,16 +176,6 @@
 	return errors.Join(err, s.requests.close(handlerTimeout), s.calls.close(handlerTimeout))
 }
 
-// sleep waits until d has passed or ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // openConns returns the open connections.
 func (s *Server) openConns() []*serverConn {
 	s.mu.Lock()
--- a/io/pinectl/change.go
+++ b/io/pinectl/change.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"pineturn/core/clock"
 	"pineturn/core/config"
 	"pineturn/core/record"
 	"pineturn/io/operator"
@@ -82,7 +83,7 @@
 		if found {
 			return version, outcomeErr
 		}
-		if !sleep(ctx, waitInterval) {
+		if !clock.Sleep(ctx, waitInterval) {
 			break
 		}
 	}
@@ -160,16 +161,6 @@
 	return true
 }
 
-// sleep waits for a duration. It returns false if ctx ends first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(duration):
-		return true
-	}
-}
-
 // waitInForce waits until a version is in force on every host that is not leaving. The error is a
 // failure with StatusNotInForce if that does not happen within timeout.
 func (inv *invocation) waitInForce(ctx context.Context, version uint64, timeout time.Duration) error {
@@ -185,7 +176,7 @@
 		} else if behind == nil {
 			behind = []string{"the list of hosts is not available: " + err.Error()}
 		}
-		if time.Now().After(deadline) || !sleep(ctx, waitInterval) {
+		if time.Now().After(deadline) || !clock.Sleep(ctx, waitInterval) {
 			return &failure{
 				Status: StatusNotInForce, Code: "not-in-force", Version: version, Hosts: behind,
 				Message: fmt.Sprintf("version %d is accepted, but not in force on every host that is not leaving after %v", version, timeout),
--- a/io/pinectl/watch.go
+++ b/io/pinectl/watch.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/urfave/cli/v3"
+
+	"pineturn/core/clock"
 )
 
 // partStates maps each part of the deployment, such as "shard a/all/1", to a text that
@@ -34,7 +36,7 @@
 			}
 		}
 		before = after
-		if polls == count || !sleep(ctx, interval) {
+		if polls == count || !clock.Sleep(ctx, interval) {
 			return nil
 		}
 	}
--- a/io/standin/call/run.go
+++ b/io/standin/call/run.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pineturn/core/audit"
+	"pineturn/core/clock"
 	"pineturn/core/outcome"
 )
 
@@ -81,7 +82,7 @@
 			request.Key = fmt.Sprintf("%s-%d", w.Request.Key, random.IntN(w.Keys))
 		}
 		request.Attempt = i // index of the first host; sendWithRetries sets the attempt's number
-		if w.Rate > 0 && !sleep(ctx, time.Until(startTime.Add(time.Duration(float64(i)/w.Rate*float64(time.Second))))) {
+		if w.Rate > 0 && !clock.Sleep(ctx, time.Until(startTime.Add(time.Duration(float64(i)/w.Rate*float64(time.Second))))) {
 			return
 		}
 		select {
@@ -102,7 +103,7 @@
 		result := c.Do(ctx, request)
 		final := result.Record.Outcome != outcome.NotRun.String() || attempt >= workload.MaxAttempts
 		rec.write(request.Host, result, final)
-		if final || !sleep(ctx, workload.RetryDelay) {
+		if final || !clock.Sleep(ctx, workload.RetryDelay) {
 			return
 		}
 	}
@@ -143,18 +144,3 @@
 		}
 	}
 }
-
-// sleep waits for d. It returns false if ctx has ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
