Remove the second default of the time for which ids are remembered

Cause: dedup.DefaultWindow (10 min) stood beside config.DefaultOnceWindow (5 min), which the configuration page names. It applied to a service without a window only, which no file builds: the field is 1 ms at least, and absent it is 5 min.

Change: dispatch takes the window of the service. No change of behaviour for any configuration.

--- a/core/dedup/options.go
+++ b/core/dedup/options.go
@@ -1,15 +1,9 @@
 package dedup
 
-import "time"
-
 // Defaults of Options.
 const (
 	// DefaultMaxIDs is the default of Options.MaxIDs.
 	DefaultMaxIDs = 1 << 18
-	// DefaultWindow is the time for which an id is remembered if the window of its
-	// service is 0. Services that are built from files without once-window have
-	// config.DefaultOnceWindow instead.
-	DefaultWindow = 10 * time.Minute
 	// MaxResponseBytes is the size of the largest response body that is stored for
 	// retries.
 	MaxResponseBytes = 4 << 10
--- a/core/dispatch/ingress.go
+++ b/core/dispatch/ingress.go
@@ -329,7 +329,7 @@
 		Service: rt.Shard.Service,
 		Key:     req.Key,
 		ID:      req.ID,
-		Window:  orDefault(rt.Service.OnceWindow(), dedup.DefaultWindow),
+		Window:  rt.Service.OnceWindow(),
 	}
 }
 
