Say what attempt, retry, route and routing are for

Cause: their names don't tell that attempt and routing serve the platform, and retry and route the project's own interface, nor that attempt decides on one request and retry and budget on a host's rate. They share no code: a budget of fixed rates and the operator's limits, a key's lease and a host name.

Change: package comments; the field placement.Target.drainingSince says why a target first seen while draining gets no requests for its own keys: this host can't tell how long ago that began.

Run: core/attempt, core/retry, core/routing and core/placement pass; core/route has no tests.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -1,6 +1,7 @@
-// Package attempt defines the retry policy for requests: after each send it
-// decides whether the response is forwarded, the request is retried, or the caller
-// receives an error.
+// Package attempt defines the retry policy of io/proxy for one request: after each
+// send it decides whether the response is forwarded, the request is retried, or the
+// caller receives an error. How many requests of a host may be retried is left to a
+// budget: package budget for io/proxy, package retry for package dispatch.
 package attempt
 
 import (
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -77,7 +77,8 @@
 	failureScore     float64
 	failureScoreTime time.Time
 	// drainingSince is the time at which an entry changed the target to
-	// draining. It is zero if the first entry of its incarnation was draining.
+	// draining. It is zero if the first entry of its incarnation was draining: this
+	// host can't tell how long ago that began.
 	drainingSince time.Time
 	// backoffUntil is the end of the current backoff, restUntil that of the time for which
 	// the target has asked for no requests.
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -1,6 +1,7 @@
 // Package retry limits the retries of one host, so that retries can't amplify an
-// overload. Package dispatch uses it with fixed rates for all services together.
-// Package budget limits the retries of io/proxy by the operator's limits instead.
+// overload. Package dispatch uses it with fixed rates for all services together and
+// decides by itself which requests may be retried. Package budget limits the retries of
+// io/proxy by the operator's limits instead, and package attempt decides on each.
 package retry
 
 import (
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -1,5 +1,7 @@
-// Package route defines the route of a key's requests and the permit under which
-// the leaseholder may send them to the target.
+// Package route defines the route of a key's requests in package dispatch, which serves
+// the project's own interface, and the permit under which the leaseholder may send them
+// to the target. Package routing finds the service of a request on the platform by its
+// host name and path.
 package route
 
 import (
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -1,5 +1,7 @@
-// Package routing defines the operator's configuration and finds the route and
-// the service of a request.
+// Package routing defines the operator's configuration on the platform and finds the
+// route and the service of a request by its host name and path. It knows no targets and
+// no owners of keys. Package route has the route from a key to its leaseholder and
+// target under the project's own interface.
 package routing
 
 import (
