Check messages between builds by one assertion

Cause: three tables of io/hostlink's tests encoded, decoded and compared with the same lines.

Change: assertReceived does it for all of them; the cases are the same, and an error still fails a case.

--- a/io/hostlink/era_test.go
+++ b/io/hostlink/era_test.go
@@ -59,17 +59,22 @@
 		{"feed to an earlier build", withEra, &earlierEraFeed{}, &earlier},
 		{"feed of an earlier build", earlier, &feedMessage{}, &withoutEra},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			data, err := cbor.Marshal(c.sent)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := cbor.Unmarshal(data, c.into); err != nil {
-				t.Fatal(err)
-			}
-			if !reflect.DeepEqual(c.into, c.want) {
-				t.Errorf("message received: got %+v, want %+v", c.into, c.want)
-			}
-		})
+		t.Run(c.name, func(t *testing.T) { assertReceived(t, c.sent, c.into, c.want) })
+	}
+}
+
+// assertReceived checks what a receiver holds after it has read a message into the value to which
+// into points.
+func assertReceived(t *testing.T, sent, into, want any) {
+	t.Helper()
+	data, err := cbor.Marshal(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cbor.Unmarshal(data, into); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(into, want) {
+		t.Errorf("message received: got %+v, want %+v", into, want)
 	}
 }
--- a/io/hostlink/golden_test.go
+++ b/io/hostlink/golden_test.go
@@ -157,14 +157,6 @@
 			got:  &oldReport{}, want: &oldReport{SentAt: time.Second},
 		},
 	} {
-		t.Run(x.name, func(t *testing.T) {
-			data, err := cbor.Marshal(x.sent)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := cbor.Unmarshal(data, x.got); err != nil || !reflect.DeepEqual(x.got, x.want) {
-				t.Errorf("message at an older build: got %+v, error %v, want %+v", x.got, err, x.want)
-			}
-		})
+		t.Run(x.name, func(t *testing.T) { assertReceived(t, x.sent, x.got, x.want) })
 	}
 }
--- a/io/hostlink/peers_test.go
+++ b/io/hostlink/peers_test.go
@@ -11,8 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"pineturn/core/clock"
 	"pineturn/core/owner"
 	"pineturn/core/peers"
@@ -369,18 +367,7 @@
 		{"report to an earlier build", reportMessage{Report: report, SentAt: 7, Self: &self}, &earlierReport{}, &earlierReport{Report: report, SentAt: 7}},
 		{"report", reportMessage{SentAt: 7, Self: &self}, &reportMessage{}, &reportMessage{SentAt: 7, Self: &self}},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			data, err := cbor.Marshal(c.sent)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := cbor.Unmarshal(data, c.into); err != nil {
-				t.Fatal(err)
-			}
-			if !reflect.DeepEqual(c.into, c.want) {
-				t.Errorf("message received: got %+v, want %+v", c.into, c.want)
-			}
-		})
+		t.Run(c.name, func(t *testing.T) { assertReceived(t, c.sent, c.into, c.want) })
 	}
 }
 
