Test of a stopping queue holder: the queue is known to be full, no sleep

The test was wrong, not the product: it starts eight requests in the background and then the relayed one, and nothing said that the eight were in the queue before it.

The target now holds the requests before it, the relayed one is sent when the queue shows four waiting and four running, and the stop begins when it shows five. Nothing ends meanwhile, so only the queue can give the request back.

--- a/io/proxy/ownerqueue_test.go
+++ b/io/proxy/ownerqueue_test.go
@@ -11,14 +11,20 @@
 
 // assertQueued waits until this host's queues have so many requests.
 func assertQueued(t *testing.T, p *Proxy, wantWaiting, wantRunning int) {
+	t.Helper()
+	assertQueuedWithin(t, 500*time.Millisecond, p, wantWaiting, wantRunning)
+}
+
+// assertQueuedWithin waits for at most a time until this host's queues have so many requests.
+func assertQueuedWithin(t *testing.T, within time.Duration, p *Proxy, wantWaiting, wantRunning int) {
 	t.Helper()
 	var waiting, running int
-	for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		if waiting, running = p.QueuedRequests(); waiting == wantWaiting && running == wantRunning {
 			return
 		}
 	}
-	t.Errorf("requests after 0.5 s: got %d waiting and %d at the target, want %d and %d", waiting, running, wantWaiting, wantRunning)
+	t.Errorf("requests after %v: got %d waiting and %d at the target, want %d and %d", within, waiting, running, wantWaiting, wantRunning)
 }
 
 func assertEnds(t *testing.T, ended <-chan int, want int) {
--- a/io/proxy/stop_test.go
+++ b/io/proxy/stop_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -140,15 +141,24 @@
 // TestStopOfQueueHolder guards against a request that waits at a stopping holder of its owner's queue and is
 // not given back to the host that has relayed it.
 func TestStopOfQueueHolder(t *testing.T) {
-	var begun, ended atomic.Int64
-	holder, _ := newKeyedProxy(t, 7, work(&begun, &ended))
+	// The target holds the requests before it for longer than the machine may stand still.
+	const heldTime = 5 * time.Second
+	release := make(chan struct{})
+	defer close(release)
+	holder, _ := newKeyedProxy(t, 7, func(http.ResponseWriter, *http.Request) { <-release })
 	ingress, direct := relayTo(t, holder)
-	learn(t, ingress, keyed(nil))
+	for _, p := range []*Proxy{holder, ingress} {
+		routes := p.catalog.Table().Config().Routes
+		for i := range routes {
+			routes[i].Timeout = heldTime
+		}
+	}
 	for range 8 {
 		send(t.Context(), holder)
 	}
-	responses := postLate(ingress, 0, 2, keyed(nil))
-	time.Sleep(stopWork / 2)
+	assertQueuedWithin(t, heldTime, holder, 4, 4)
+	responses := postLate(ingress, 0, 2, keyed(http.Header{"X-Deadline-Ms": {strconv.FormatInt(heldTime.Milliseconds(), 10)}}))
+	assertQueuedWithin(t, heldTime, holder, 5, 4)
 	holder.CancelAt(holder.clock.Now())
 	assertStatus(t, <-responses, http.StatusOK)
 	assertCount(t, "requests sent directly", direct, 1)
