Answer what was read before a stopping host ends a connection

A stopping host decided "Connection: close" when a request began, but went on reading ahead while it handled the request: callers that had sent a second one behind it saw the connection end, although the host had read it whole and never answered it.

The end is now decided when the head of a response is written. From then on nothing is read beyond the current request; whole requests that were read until then are answered first, in their order, and the last carries the close. A part of a request is dropped.

While it is frozen, the host does not learn that its caller leaves until it writes.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -234,7 +234,7 @@
 	g.start(work, reload)
 	callerListener := g.newCallerListener(open.callers)
 	go callerListener.CloseExpired(work)
-	g.callerServer.Handler = g.stop.closeConnections(callerListener.BeginEarly(g.proxy.Handler(), g.proxy.Idempotent))
+	g.callerServer.Handler = callerListener.CloseWhen(g.stop.stopping, callerListener.BeginEarly(g.proxy.Handler(), g.proxy.Idempotent))
 	failed := make(chan error, 4)
 	for server, socket := range map[*http.Server]net.Listener{
 		g.callerServer: callerListener, g.readyServer: open.ready, g.peerServer: open.peers, g.operatorServer: open.operators,
--- a/io/gateway/stop.go
+++ b/io/gateway/stop.go
@@ -47,7 +47,6 @@
 	klog.InfoS("Host stops", "host", g.settings.Name, "timeout", g.stop.timeout)
 	ctx, cancel := context.WithTimeout(context.Background(), g.stop.timeout-exitMargin)
 	defer cancel()
-	// In this order: a connection that closes after its response must have no request begun early.
 	callers.StopEarly()
 	g.stop.started.Store(true)
 	g.coordinator.Resign()
@@ -81,12 +80,11 @@
 	return min(max(exit-finalResponseTime, timeout-timeout/finalResponseDivisor), exit-finalResponseTime/2)
 }
 
-// closeConnections sets "Connection: close" on responses during a stop, so that
-// the caller's next request goes to another host. Requests that were begun early on the same
-// connection are answered first.
+// closeConnections sets "Connection: close" on responses to other hosts during a stop, so that
+// their next request goes to another host.
 func (s *stopState) closeConnections(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.stopping() && !listener.HasEarly(r.Context()) {
+		if s.stopping() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- a/io/listener/ahead.go
+++ b/io/listener/ahead.go
@@ -149,8 +149,24 @@
 	return e
 }
 
-// follow reports whether requests after the current one have been begun.
-func (a *ahead) follow() bool { return a.lastEarly > a.current }
+// follow reports whether a whole request after the current one has been read.
+func (a *ahead) follow() bool {
+	if a.plain {
+		return false
+	}
+	return a.lastEarly > a.current || startsWhole(a.buffered[min(a.bodyLeft, int64(len(a.buffered))):])
+}
+
+// startsWhole reports whether data starts with a whole request.
+func startsWhole(data []byte) bool {
+	end := bytes.Index(data, headEnd)
+	if end < 0 {
+		return false
+	}
+	end += len(headEnd)
+	r, ok := parseHead(data[:end])
+	return ok && r.ContentLength >= 0 && int64(len(data)-end) >= r.ContentLength
+}
 
 // cancel cancels the requests that were begun early.
 func (a *ahead) cancel() {
@@ -188,15 +204,3 @@
 	defer c.mu.Unlock()
 	return c.ahead.take()
 }
-
-// HasEarly reports whether requests that follow the one with this context on its connection have
-// been begun. The connection must not be closed before their responses.
-func HasEarly(ctx context.Context) bool {
-	c, ok := callerConn(ctx)
-	if !ok || c.ahead == nil {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ahead.follow()
-}
--- a/io/listener/listener.go
+++ b/io/listener/listener.go
@@ -138,6 +138,7 @@
 func (l *Listener) track(conn net.Conn) *Conn {
 	now := time.Now()
 	c := &Conn{Conn: conn, listener: l, opened: now, idleSince: now, idleLimit: l.IdleTimeout(), deadlineSet: make(chan struct{})}
+	c.readEnded.L = &c.mu
 	if l.early != nil {
 		c.ahead = &ahead{begin: c.begin}
 	}
@@ -207,6 +208,13 @@
 	// when it is set.
 	deadline    time.Time
 	deadlineSet chan struct{}
+	// readingAhead is set during a read of data beyond the current request; readEnded is signalled
+	// at its end. frozen is set once nothing is read beyond the current request any more.
+	readingAhead bool
+	readEnded    sync.Cond
+	frozen       bool
+	// lingerEnd is how long the connection is kept after its last response, zero before that.
+	lingerEnd time.Time
 }
 
 // Read reads data from the caller. It returns net.ErrClosed once the connection
@@ -227,10 +235,20 @@
 	return n, err
 }
 
-// Close removes the connection from its listener and closes it.
+// Close closes the connection and removes it from its listener. After the last response of a connection it
+// does so only once the caller has closed it, or after lingerTime: data that is left unread, or arrives
+// later, would reset the connection, and responses that have not arrived would be lost.
 func (c *Conn) Close() error {
-	c.listener.untrack(c)
 	c.endEarly()
+	if c.beginLinger() {
+		c.linger()
+		return nil
+	}
+	return c.closeNow()
+}
+
+func (c *Conn) closeNow() error {
+	c.listener.untrack(c)
 	return c.Conn.Close()
 }
 
--- a/io/listener/split.go
+++ b/io/listener/split.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 func (c *Conn) setContext(ctx context.Context) {
@@ -81,16 +83,21 @@
 		return a.deliver(data), readSize, nil
 	}
 	a.beginEarly()
-	return 0, max(maxAhead-len(a.buffered), 0), nil
+	if c.frozen {
+		return 0, 0, nil
+	}
+	room = max(maxAhead-len(a.buffered), 0)
+	c.readingAhead = room > 0
+	return 0, room, nil
 }
 
 // SetReadDeadline sets the time at which reads fail, also a read that waits because enough is
 // read ahead.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.deadline = t
 	c.signal()
-	c.mu.Unlock()
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -107,10 +114,13 @@
 	return nil
 }
 
-// keep buffers data that was read.
+// keep buffers data that was read. It returns no error if freeze has interrupted the read.
 func (c *Conn) keep(data []byte, err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	interrupted := c.frozen && c.readingAhead && errors.Is(err, os.ErrDeadlineExceeded)
+	c.readingAhead = false
+	c.readEnded.Broadcast()
 	if c.closed {
 		return net.ErrClosed
 	}
@@ -119,5 +129,8 @@
 		c.ahead.buffered = append(c.ahead.buffered, data...)
 		return nil
 	}
+	if interrupted {
+		return nil
+	}
 	return err
 }
