Tell requests apart that follow a chunked body

A connection that had carried one chunked body was passed on without telling its requests apart: the server read requests behind the current one into its own buffer, where nothing knew of them, and a stopping host that ended the connection never answered them. It also handled requests behind one in progress only after it, for the rest of the connection.

The end of a chunked body is found now, strictly: bare line feeds, a size that isn't one, or a line over 4 KiB leave the connection as it was before. It costs a line of up to 4 KiB while a body comes.

--- a/io/listener/ahead.go
+++ b/io/listener/ahead.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
 )
 
 const (
@@ -36,10 +37,10 @@
 	buffered []byte
 	scanned  int
 	// head is what was passed on of the current request's head. whole is set once that is all of
-	// it, and bodyLeft is then the number of bytes of its body that were not passed on.
-	head     []byte
-	whole    bool
-	bodyLeft int64
+	// it, and body then knows how much of its body was not passed on.
+	head  []byte
+	whole bool
+	body  requestBody
 	// queue holds the requests that were begun early, in the order of the caller.
 	queue []*early
 	// current is the number of the current request on its connection, lastEarly that of the last
@@ -49,7 +50,7 @@
 
 // next prepares for the next request.
 func (a *ahead) next() {
-	a.head, a.whole, a.bodyLeft = a.head[:0], false, 0
+	a.head, a.whole, a.body = a.head[:0], false, requestBody{}
 	a.current++
 }
 
@@ -63,8 +64,7 @@
 	switch {
 	case a.plain:
 	case a.whole:
-		limit = int(min(int64(limit), a.bodyLeft))
-		a.bodyLeft -= int64(limit)
+		limit = a.passBody(limit)
 	default:
 		limit = a.passHead(limit)
 	}
@@ -85,14 +85,27 @@
 	}
 	a.head = a.head[:max(known-len(headEnd)+1, 0)+end+len(headEnd)]
 	r, ok := parseHead(a.head)
-	if !ok || r.ContentLength < 0 {
+	if ok {
+		a.body, ok = newRequestBody(r)
+	}
+	if !ok {
 		a.plain = true
 		return limit
 	}
-	a.whole, a.bodyLeft = true, r.ContentLength
+	a.whole = true
 	return len(a.head) - known
 }
 
+// passBody returns how many of up to limit buffered bytes belong to the current body.
+func (a *ahead) passBody(limit int) int {
+	n := a.body.pass(a.buffered[:limit])
+	a.plain = a.body.broken
+	if a.plain {
+		return limit
+	}
+	return n
+}
+
 // parseHead parses the head of a request. It returns false for one of which the server may see
 // another end.
 func parseHead(head []byte) (*http.Request, bool) {
@@ -154,7 +167,9 @@
 	if a.plain {
 		return false
 	}
-	return a.lastEarly > a.current || startsWhole(a.buffered[min(a.bodyLeft, int64(len(a.buffered))):])
+	body := a.body
+	body.line = slices.Clone(body.line)
+	return a.lastEarly > a.current || startsWhole(a.buffered[body.pass(a.buffered):])
 }
 
 // startsWhole reports whether data starts with a whole request.
@@ -165,7 +180,15 @@
 	}
 	end += len(headEnd)
 	r, ok := parseHead(data[:end])
-	return ok && r.ContentLength >= 0 && int64(len(data)-end) >= r.ContentLength
+	if !ok {
+		return false
+	}
+	body, ok := newRequestBody(r)
+	if !ok {
+		return false
+	}
+	body.pass(data[end:])
+	return body.ended()
 }
 
 // cancel cancels the requests that were begun early.
--- a/io/listener/early_test.go
+++ b/io/listener/early_test.go
@@ -144,6 +144,7 @@
 		{"with a body", get("/slow/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx", two, 1, 1 << 20},
 		{"in a body", get("/slow/1") + post("/2", hidden), two, 1, 1 << 20},
 		{"chunked", get("/slow/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden), two, 1, 1 << 20},
+		{"chunked, byte by byte", get("/slow/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden) + get("/3"), []string{"/slow/1", "/2", "/3"}, 1, 1},
 		{"bare line feeds", get("/slow/1") + "GET /2 HTTP/1.1\nHost: h\n\n", two, 1, 1 << 20},
 		{"bare line feeds before another request", get("/slow/1") + "GET /2 HTTP/1.1\r\nHost: h\n\n" + get("/3"), []string{"/slow/1", "/2", "/3"}, 1, 1 << 20},
 		{"closes", get("/slow/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", two, 1, 1 << 20},
--- a/io/listener/last_test.go
+++ b/io/listener/last_test.go
@@ -76,8 +76,8 @@
 	case s.begun <- r.URL.Path:
 	default:
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set("X-Path", r.URL.Path)
+	_, _ = io.Copy(io.Discard, r.Body)
 	switch {
 	case strings.HasPrefix(r.URL.Path, "/slow/"):
 		<-s.release
@@ -136,6 +136,9 @@
 		{"a body after a refused request", post("/slow/1", "body"), post("/2", "body"), "", "/slow/1 /2 close"},
 		{"a part of a head", get("/slow/1"), get("/2") + "GET /3 HT", "", "/slow/1 /2 close"},
 		{"a part of a body", get("/slow/1"), get("/2") + strings.TrimSuffix(post("/3", "body"), "y"), "", "/slow/1 /2 close"},
+		{"chunked", get("/slow/1"), get("/2") + chunked, "", "/slow/1 /2 /3 close"},
+		{"behind a chunked one", get("/slow/1") + chunked, get("/4"), "", "/slow/1 /3 /4 close"},
+		{"behind a chunked one in progress", strings.Replace(chunked, "/3", "/slow/3", 1), get("/4"), "", "/slow/3 /4 close"},
 		{"a part of a chunked one", get("/slow/1"), get("/2") + strings.TrimSuffix(chunked, "\r\n"), "", "/slow/1 /2 close"},
 		{"after the response has begun", get("/stream"), "", get("/2"), "/stream close"},
 		{"behind others after the response has begun", get("/stream") + get("/2"), "", get("/3"), "/stream /2 close"},
--- a/io/listener/split.go
+++ b/io/listener/split.go
@@ -79,7 +79,7 @@
 	if c.closed {
 		return 0, 0, net.ErrClosed
 	}
-	if !c.active || !a.whole || a.bodyLeft > 0 || a.plain {
+	if !c.active || !a.whole || !a.body.ended() || a.plain {
 		return a.deliver(data), readSize, nil
 	}
 	a.beginEarly()
