Read no request behind a body that has not been read

A response that ends its connection before the request's body was read (a large body that is streamed to its target, which answers early) lost the request behind it: the listener read the body in blocks of 4 KiB, and with its last one what followed. It now reads only what surely belongs to the body, and what follows once the handler has all of it. Bodies with a length cost no further reads; chunked ones one or two for a body, whose last lines are read to the byte.

Evidence: TestReadBehindUnreadBody failed before ("bytes read: got 12373, want those of the first request at most, 12345"; chunked 12391 and 12363).

--- a/io/listener/ahead.go
+++ b/io/listener/ahead.go
@@ -106,6 +106,15 @@
 	return n
 }
 
+// missing returns the number of bytes that may be read and surely belong to the current request, readSize
+// if that isn't known.
+func (a *ahead) missing() int {
+	if !a.whole || a.plain {
+		return readSize
+	}
+	return int(min(a.body.least(), readSize))
+}
+
 // parseHead parses the head of a request. It returns false for one of which the server may see
 // another end.
 func parseHead(head []byte) (*http.Request, bool) {
--- a/io/listener/body.go
+++ b/io/listener/body.go
@@ -23,6 +23,9 @@
 // maxChunkLine is the size of a line between chunks, in bytes, up to which it is looked at.
 const maxChunkLine = 4 << 10
 
+// lastChunkSize is the number of bytes of the shortest end of a chunked body: "0", and the ends of two lines.
+const lastChunkSize = 5
+
 // newRequestBody returns the body that follows a head. It returns false if its end can't be told.
 func newRequestBody(r *http.Request) (requestBody, bool) {
 	if r.ContentLength >= 0 {
@@ -34,6 +37,19 @@
 // ended reports whether the whole body was seen.
 func (b *requestBody) ended() bool { return b.left == 0 && !b.chunked && !b.broken }
 
+// least returns the number of bytes that belong to the rest of the body for sure.
+func (b *requestBody) least() int64 {
+	switch {
+	case !b.chunked:
+		return b.left
+	case b.left > 0:
+		return b.left + lastChunkSize
+	case b.trailer:
+		return int64(max(len("\r\n")-len(b.line), 1))
+	}
+	return int64(max(lastChunkSize-len(b.line), 1))
+}
+
 // pass sees data, and returns how many of its bytes belong to the body.
 func (b *requestBody) pass(data []byte) int {
 	n := 0
--- a/io/listener/body_test.go
+++ b/io/listener/body_test.go
@@ -38,13 +38,17 @@
 			rest, _ := io.ReadAll(reader)
 			for _, size := range []int{1, 2, 7, 1 << 20} {
 				body, ok := newRequestBody(r)
-				n := 0
+				n, least := 0, true
 				for part := range slices.Chunk([]byte(c.body+next), size) {
+					least = least && (body.broken || n+int(body.least()) <= len(c.body))
 					n += body.pass(part)
 				}
 				if !ok || body.broken != c.broken || !c.broken && (err != nil || string(rest) != next || !body.ended() || n != len(c.body)) {
 					t.Errorf("in parts of %d: got a body of %d bytes, broken %t, want %d, %t (server library: error %v, rest %q)", size, n, body.broken, len(c.body), c.broken, err, rest)
 				}
+				if !c.broken && !least {
+					t.Errorf("in parts of %d: got more bytes that are surely of the body than it has", size)
+				}
 			}
 		})
 	}
--- a/io/listener/last_test.go
+++ b/io/listener/last_test.go
@@ -77,6 +77,12 @@
 	default:
 	}
 	w.Header().Set("X-Path", r.URL.Path)
+	if r.URL.Path == "/unread" {
+		_, _ = io.CopyN(io.Discard, r.Body, 3*readSize-1)
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.Header().Set("Connection", "close")
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	switch {
 	case strings.HasPrefix(r.URL.Path, "/slow/"):
@@ -211,3 +217,25 @@
 		t.Errorf("requests read whole: got %d answered, want %d", answered, read)
 	}
 }
+
+// TestReadBehindUnreadBody guards against a request that is read, and never answered, behind one whose
+// response ends the connection before its body has been read.
+func TestReadBehindUnreadBody(t *testing.T) {
+	const size = 3 * readSize
+	for name, text := range map[string]string{
+		"length":  post("/1", strings.Repeat("x", size)),
+		"chunked": fmt.Sprintf("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("x", size)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStoppingServer(t)
+			conn := dial(t, s.Listener)
+			write(t, conn, strings.Replace(text, "/1", "/unread", 1)+get("/2"))
+			if paths, err := readPaths(conn, bufio.NewReader(conn)); strings.Join(paths, " ") != "/unread close" {
+				t.Errorf("responses: got %q and error %v, want that to /unread, which closes", paths, err)
+			}
+			if got, most := s.count(conn.LocalAddr()).Load(), int64(len(text)+len("unread")-1); got > most {
+				t.Errorf("bytes read: got %d, want those of the first request at most, %d", got, most)
+			}
+		})
+	}
+}
--- a/io/listener/split.go
+++ b/io/listener/split.go
@@ -80,7 +80,7 @@
 		return 0, 0, net.ErrClosed
 	}
 	if !c.active || !a.whole || !a.body.ended() || a.plain {
-		return a.deliver(data), readSize, nil
+		return a.deliver(data), a.missing(), nil
 	}
 	a.beginEarly()
 	if c.frozen {
