Answer what was read before a leaving host of the own interface ends a connection

A leaving host without the platform said "Connection: close" in the response to a request that had begun after that, also if it had read another one together with it. Its callers saw the connection end without an answer to the second. Its connections are split into requests now, as those of a gateway are, without any begun early; the close comes with the last one read. Connections under TLS are not split: callers have none.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -153,13 +153,13 @@
 func (d *Daemon) Start() error {
 	var err error
 	maxHeader := d.settings.MaxHeaderBytes
-	if d.peerListener, err = listen(d.settings.PeerAddress, d.peerHandler(), maxHeader, d.credentials.PeerServerTLS()); err != nil {
+	if d.peerListener, err = listen(d.settings.PeerAddress, d.peerHandler(), maxHeader, d.credentials.PeerServerTLS(), nil); err != nil {
 		return errors.Wrap(err, "listen for other hosts")
 	}
-	if d.operatorListener, err = listen(d.settings.AdminAddress, d.operatorHandler(), maxHeader, d.credentials.OperatorServerTLS()); err != nil {
+	if d.operatorListener, err = listen(d.settings.AdminAddress, d.operatorHandler(), maxHeader, d.credentials.OperatorServerTLS(), nil); err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
-	if d.callerListener, err = listen(d.settings.CallerAddress, d.requests.handler(), maxHeader, nil); err != nil {
+	if d.callerListener, err = listen(d.settings.CallerAddress, d.requests.handler(), maxHeader, nil, d.host.Leaving); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
 	d.tasks = []*task{
@@ -286,12 +286,16 @@
 }
 
 // listen starts to serve handler at an IP:port, over TLS unless tlsConfig is
-// nil. maxHeader is the maximum size of a request header in bytes.
-func listen(address string, handler http.Handler, maxHeader int, tlsConfig *tls.Config) (*httpListener, error) {
+// nil. maxHeader is the maximum size of a request header in bytes. Responses end their connections
+// while closing, unless it is nil, returns true.
+func listen(address string, handler http.Handler, maxHeader int, tlsConfig *tls.Config, closing func() bool) (*httpListener, error) {
 	conns, err := listener.Listen(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
+	if closing != nil {
+		handler = conns.CloseWhen(closing, handler)
+	}
 	l := &httpListener{
 		server: &http.Server{Handler: handler, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 		conns:  conns,
--- a/io/daemon/requests.go
+++ b/io/daemon/requests.go
@@ -60,18 +60,7 @@
 	instrument := caller.Instrument(
 		r.daemon.clock, kitprometheus.NewCounter(r.metrics.requests), kitprometheus.NewHistogram(r.metrics.latency),
 	)
-	return r.closeOnLeave(caller.NewHandler(backend, instrument))
-}
-
-// closeOnLeave sets the header Connection: close on responses while this host is
-// leaving, so that callers open their next connection to another host.
-func (r *requestHandler) closeOnLeave(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if r.host.Leaving() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, req)
-	})
+	return caller.NewHandler(backend, instrument)
 }
 
 // run reacts to state changes until ctx is done: it drops the queues of targets
--- a/io/listener/ahead.go
+++ b/io/listener/ahead.go
@@ -21,6 +21,9 @@
 	maxEarly = 8
 )
 
+// tlsHandshake is the first byte of a connection under TLS.
+const tlsHandshake = 0x16
+
 var headEnd = []byte("\r\n\r\n")
 
 // ahead splits what a caller sends into requests, and gives the server one request at a time. What
@@ -77,6 +80,10 @@
 // passHead adds up to limit buffered bytes to the current head and returns how many belong to it.
 func (a *ahead) passHead(limit int) int {
 	known := len(a.head)
+	if known == 0 && limit > 0 && a.buffered[0] == tlsHandshake {
+		a.plain = true
+		return limit
+	}
 	a.head = append(a.head, a.buffered[:limit]...)
 	end := bytes.Index(a.head[max(known-len(headEnd)+1, 0):], headEnd)
 	if end < 0 {
@@ -211,7 +218,7 @@
 // handler, if they are idempotent. The responses are still sent in their order, by the handler that
 // BeginEarly returns. It must be called before the server serves.
 func (l *Listener) BeginEarly(handler http.Handler, idempotent func(*http.Request) bool) http.Handler {
-	l.early, l.idempotent = handler, idempotent
+	l.early, l.idempotent, l.split = handler, idempotent, true
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e := takeEarly(r.Context())
 		if e == nil {
--- a/io/listener/last.go
+++ b/io/listener/last.go
@@ -17,8 +17,10 @@
 // end is decided when the head of a response is written. From then on nothing is read beyond the current
 // request, so that the caller can send it again elsewhere; the whole requests that were read until then
 // are answered first, and the last of them carries "Connection: close". Nor is anything read after a response
-// that next ends the connection with.
+// that next ends the connection with. It must be called before the server serves; a connection under TLS
+// ends with the response to the current request.
 func (l *Listener) CloseWhen(closing func() bool, next http.Handler) http.Handler {
+	l.split = true
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, _ := callerConn(r.Context())
 		last := &lastWriter{ResponseWriter: w, closing: closing, conn: conn}
--- a/io/listener/listener.go
+++ b/io/listener/listener.go
@@ -52,6 +52,8 @@
 	early        http.Handler
 	idempotent   func(*http.Request) bool
 	earlyStopped atomic.Bool
+	// split is set if what callers send is split into requests.
+	split bool
 
 	mu    sync.Mutex
 	conns map[*Conn]bool
@@ -139,7 +141,7 @@
 	now := time.Now()
 	c := &Conn{Conn: conn, listener: l, opened: now, idleSince: now, idleLimit: l.IdleTimeout(), deadlineSet: make(chan struct{})}
 	c.readEnded.L = &c.mu
-	if l.early != nil {
+	if l.split {
 		c.ahead = &ahead{begin: c.begin}
 	}
 	l.mu.Lock()
@@ -200,7 +202,7 @@
 	// on idle time that was in force since then.
 	idleSince time.Time
 	idleLimit time.Duration
-	// ahead splits what the caller sends into requests; nil if none is begun early. ctx is the
+	// ahead splits what the caller sends into requests; nil if nothing is split. ctx is the
 	// context of the connection.
 	ahead *ahead
 	ctx   context.Context
--- a/io/listener/split.go
+++ b/io/listener/split.go
@@ -18,7 +18,7 @@
 
 // begin begins a request early. The caller holds mu.
 func (c *Conn) begin(r *http.Request) *early {
-	if c.ctx == nil || c.listener.earlyStopped.Load() || !c.listener.idempotent(r) {
+	if c.ctx == nil || c.listener.early == nil || c.listener.earlyStopped.Load() || !c.listener.idempotent(r) {
 		return nil
 	}
 	r.RemoteAddr = c.RemoteAddr().String()
