--- a/io/soak/callers.go
+++ b/io/soak/callers.go
@@ -34,11 +34,14 @@
 	random   *rand.Rand
 	client   *http.Client
 	requests int
+	// pairs holds the open connections of pairs by number of the host.
+	pairs map[int]*pairConn
 }
 
 func newCaller(s *system, number int) *caller {
 	return &caller{
 		system: s, number: number, random: rand.New(rand.NewPCG(s.options.Seed, uint64(number))),
+		pairs:  make(map[int]*pairConn),
 		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
 	}
 }
@@ -50,15 +53,25 @@
 		running.Go(func() {
 			c := newCaller(s, i)
 			for ctx.Err() == nil {
-				c.send(c.random.IntN(len(s.hosts)))
+				c.sendTo(c.random.IntN(len(s.hosts)))
 				clock.Sleep(ctx, time.Duration(c.random.Int64N(int64(2*meanPause))))
 			}
 			c.client.CloseIdleConnections()
+			c.closePairs()
 		})
 	}
 	return &running
 }
 
+// sendTo sends one request, or two at once, to the host with the given number.
+func (c *caller) sendTo(number int) {
+	if c.random.Float64() < pairShare {
+		c.sendPair(number)
+		return
+	}
+	c.send(number)
+}
+
 // send sends one request to the host with the given number and reports the response
 // to the checker.
 func (c *caller) send(number int) Response {
--- a/io/soak/checker.go
+++ b/io/soak/checker.go
@@ -43,6 +43,8 @@
 	Incarnation int
 	Restarted   bool
 	Sent, Ended time.Time
+	// Behind is set for a request that was sent in one write with one before it, if that was answered.
+	Behind bool
 	// Status is 0 if there was no complete response.
 	Status    int
 	EchoedID  string
@@ -283,6 +285,7 @@
 	c.checkAttempts()
 	for id, response := range c.responses {
 		runs := c.runs[id]
+		c.checkBehind(response)
 		if response.Once && len(runs) > 1 {
 			c.addViolation("request %s must run at most once but ran %d times", id, len(runs))
 		}
--- a/io/soak/checker_test.go
+++ b/io/soak/checker_test.go
@@ -231,6 +231,14 @@
 			c.AddResponse(Response{ID: "r1", Host: 2, Sent: at(0), Ended: at(1), Status: http.StatusBadGateway})
 			addRun(c, "r1", "t1", -1, 0.1)
 		}, ""},
+		{"read behind another one and never answered, in a graceful stop", func(c *Checker) {
+			c.SetWindow(Window{Kind: HostStop, Host: 2, From: at(0.5), To: at(3)})
+			c.AddResponse(Response{ID: "r1", Host: 2, Behind: true, Sent: at(1), Ended: at(1.1)})
+		}, "never answered"},
+		{"read behind another one, killed", func(c *Checker) {
+			c.SetWindow(Window{Kind: HostKill, Host: 2, From: at(0.8), To: at(0.9)})
+			c.AddResponse(Response{ID: "r1", Host: 2, Behind: true, Sent: at(0), Ended: at(1)})
+		}, ""},
 		{"aborted by a kill", func(c *Checker) {
 			c.SetWindow(Window{Kind: HostStop, Host: 2, From: at(0.5), To: at(3)})
 			c.SetWindow(Window{Kind: HostKill, Host: 2, From: at(0.8), To: at(0.9)})
