--- a/io/listener/ahead.go
+++ b/io/listener/ahead.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
 )
 
 const (
@@ -20,6 +21,9 @@
 	maxEarly = 8
 )
 
+// tlsHandshake is the first byte of a connection under TLS.
+const tlsHandshake = 0x16
+
 var headEnd = []byte("\r\n\r\n")
 
 // ahead splits what a caller sends into requests, and gives the server one request at a time. What
@@ -36,10 +40,10 @@
 	buffered []byte
 	scanned  int
 	// head is what was passed on of the current request's head. whole is set once that is all of
-	// it, and bodyLeft is then the number of bytes of its body that were not passed on.
-	head     []byte
-	whole    bool
-	bodyLeft int64
+	// it, and body then knows how much of its body was not passed on.
+	head  []byte
+	whole bool
+	body  requestBody
 	// queue holds the requests that were begun early, in the order of the caller.
 	queue []*early
 	// current is the number of the current request on its connection, lastEarly that of the last
@@ -49,7 +53,7 @@
 
 // next prepares for the next request.
 func (a *ahead) next() {
-	a.head, a.whole, a.bodyLeft = a.head[:0], false, 0
+	a.head, a.whole, a.body = a.head[:0], false, requestBody{}
 	a.current++
 }
 
@@ -63,8 +67,7 @@
 	switch {
 	case a.plain:
 	case a.whole:
-		limit = int(min(int64(limit), a.bodyLeft))
-		a.bodyLeft -= int64(limit)
+		limit = a.passBody(limit)
 	default:
 		limit = a.passHead(limit)
 	}
@@ -77,6 +80,10 @@
 // passHead adds up to limit buffered bytes to the current head and returns how many belong to it.
 func (a *ahead) passHead(limit int) int {
 	known := len(a.head)
+	if known == 0 && limit > 0 && a.buffered[0] == tlsHandshake {
+		a.plain = true
+		return limit
+	}
 	a.head = append(a.head, a.buffered[:limit]...)
 	end := bytes.Index(a.head[max(known-len(headEnd)+1, 0):], headEnd)
 	if end < 0 {
@@ -85,14 +92,36 @@
 	}
 	a.head = a.head[:max(known-len(headEnd)+1, 0)+end+len(headEnd)]
 	r, ok := parseHead(a.head)
-	if !ok || r.ContentLength < 0 {
+	if ok {
+		a.body, ok = newRequestBody(r)
+	}
+	if !ok {
 		a.plain = true
 		return limit
 	}
-	a.whole, a.bodyLeft = true, r.ContentLength
+	a.whole = true
 	return len(a.head) - known
 }
 
+// passBody returns how many of up to limit buffered bytes belong to the current body.
+func (a *ahead) passBody(limit int) int {
+	n := a.body.pass(a.buffered[:limit])
+	a.plain = a.body.broken
+	if a.plain {
+		return limit
+	}
+	return n
+}
+
+// missing returns the number of bytes that may be read and surely belong to the current request, readSize
+// if that isn't known.
+func (a *ahead) missing() int {
+	if !a.whole || a.plain {
+		return readSize
+	}
+	return int(min(a.body.least(), readSize))
+}
+
 // parseHead parses the head of a request. It returns false for one of which the server may see
 // another end.
 func parseHead(head []byte) (*http.Request, bool) {
@@ -149,8 +178,34 @@
 	return e
 }
 
-// follow reports whether requests after the current one have been begun.
-func (a *ahead) follow() bool { return a.lastEarly > a.current }
+// follow reports whether a whole request after the current one has been read.
+func (a *ahead) follow() bool {
+	if a.plain {
+		return false
+	}
+	body := a.body
+	body.line = slices.Clone(body.line)
+	return a.lastEarly > a.current || startsWhole(a.buffered[body.pass(a.buffered):])
+}
+
+// startsWhole reports whether data starts with a whole request.
+func startsWhole(data []byte) bool {
+	end := bytes.Index(data, headEnd)
+	if end < 0 {
+		return false
+	}
+	end += len(headEnd)
+	r, ok := parseHead(data[:end])
+	if !ok {
+		return false
+	}
+	body, ok := newRequestBody(r)
+	if !ok {
+		return false
+	}
+	body.pass(data[end:])
+	return body.ended()
+}
 
 // cancel cancels the requests that were begun early.
 func (a *ahead) cancel() {
@@ -163,7 +218,7 @@
 // handler, if they are idempotent. The responses are still sent in their order, by the handler that
 // BeginEarly returns. It must be called before the server serves.
 func (l *Listener) BeginEarly(handler http.Handler, idempotent func(*http.Request) bool) http.Handler {
-	l.early, l.idempotent = handler, idempotent
+	l.early, l.idempotent, l.split = handler, idempotent, true
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e := takeEarly(r.Context())
 		if e == nil {
@@ -188,15 +243,3 @@
 	defer c.mu.Unlock()
 	return c.ahead.take()
 }
-
-// HasEarly reports whether requests that follow the one with this context on its connection have
-// been begun. The connection must not be closed before their responses.
-func HasEarly(ctx context.Context) bool {
-	c, ok := callerConn(ctx)
-	if !ok || c.ahead == nil {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ahead.follow()
-}
--- a/io/listener/listener.go
+++ b/io/listener/listener.go
@@ -52,6 +52,8 @@
 	early        http.Handler
 	idempotent   func(*http.Request) bool
 	earlyStopped atomic.Bool
+	// split is set if what callers send is split into requests.
+	split bool
 
 	mu    sync.Mutex
 	conns map[*Conn]bool
@@ -138,7 +140,8 @@
 func (l *Listener) track(conn net.Conn) *Conn {
 	now := time.Now()
 	c := &Conn{Conn: conn, listener: l, opened: now, idleSince: now, idleLimit: l.IdleTimeout(), deadlineSet: make(chan struct{})}
-	if l.early != nil {
+	c.readEnded.L = &c.mu
+	if l.split {
 		c.ahead = &ahead{begin: c.begin}
 	}
 	l.mu.Lock()
@@ -199,7 +202,7 @@
 	// on idle time that was in force since then.
 	idleSince time.Time
 	idleLimit time.Duration
-	// ahead splits what the caller sends into requests; nil if none is begun early. ctx is the
+	// ahead splits what the caller sends into requests; nil if nothing is split. ctx is the
 	// context of the connection.
 	ahead *ahead
 	ctx   context.Context
@@ -207,6 +210,13 @@
 	// when it is set.
 	deadline    time.Time
 	deadlineSet chan struct{}
+	// readingAhead is set during a read of data beyond the current request; readEnded is signalled
+	// at its end. frozen is set once nothing is read beyond the current request any more.
+	readingAhead bool
+	readEnded    sync.Cond
+	frozen       bool
+	// lingerEnd is how long the connection is kept after its last response, zero before that.
+	lingerEnd time.Time
 }
 
 // Read reads data from the caller. It returns net.ErrClosed once the connection
@@ -227,10 +237,20 @@
 	return n, err
 }
 
-// Close removes the connection from its listener and closes it.
+// Close closes the connection and removes it from its listener. After the last response of a connection it
+// does so only once the caller has closed it, or after lingerTime: data that is left unread, or arrives
+// later, would reset the connection, and responses that have not arrived would be lost.
 func (c *Conn) Close() error {
-	c.listener.untrack(c)
 	c.endEarly()
+	if c.beginLinger() {
+		c.linger()
+		return nil
+	}
+	return c.closeNow()
+}
+
+func (c *Conn) closeNow() error {
+	c.listener.untrack(c)
 	return c.Conn.Close()
 }
 
