Split the send beside a suspended one into its steps

No change of behaviour: one function sends and decides the race, one goes on after sends that reached no target. go test -race ./io/proxy passes.

--- a/io/proxy/pending.go
+++ b/io/proxy/pending.go
@@ -89,32 +89,15 @@
 // sendBeside sends a request beside its pending send, further times if a send does not reach a target that runs it.
 // It returns the first success, or else what there is to be told to the caller.
 func (p *Proxy) sendBeside(ctx context.Context, q *request) (sendResult, error) {
-	first := q.pending
 	for {
-		// decided is set by the first success.
-		var decided atomic.Bool
-		second, cancel := context.WithCancelCause(ctx)
-		ended := make(chan struct{})
-		go func() {
-			select {
-			case <-first.replied:
-				if first.complete && decided.CompareAndSwap(false, true) {
-					cancel(errSuperseded)
-				}
-			case <-ended:
-			}
-		}()
-		sent, err := p.sendOnce(second, q)
-		close(ended)
-		firstDecided := !decided.CompareAndSwap(false, true)
+		sent, firstWins, err := p.sendAgainst(ctx, q)
 		switch {
-		case firstDecided:
+		case firstWins:
 			return p.useFirst(q, sent, err), nil
-		case err == nil && sent.result == attempt.Complete && sent.final == nil && sent.response.status < http.StatusInternalServerError:
+		case err == nil && sent.succeeded():
 			p.supersedePending(q)
 			return sent, nil
-		}
-		if err != nil || !sent.result.NotRun() || sent.final != nil {
+		case err != nil || sent.final != nil || !sent.result.NotRun():
 			return p.awaitFirst(q, sent, err)
 		}
 		outcome := attempt.Outcome{Result: sent.result, TargetFull: sent.targetFull}
@@ -127,6 +110,33 @@
 	}
 }
 
+// sendAgainst sends a request beside its pending send once, until one of the two has succeeded. firstWins is set if
+// that is the pending one.
+func (p *Proxy) sendAgainst(ctx context.Context, q *request) (sent sendResult, firstWins bool, err error) {
+	first := q.pending
+	// decided is set by the first success, or once this send has ended.
+	var decided atomic.Bool
+	second, cancel := context.WithCancelCause(ctx)
+	ended := make(chan struct{})
+	go func() {
+		select {
+		case <-first.replied:
+			if first.complete && decided.CompareAndSwap(false, true) {
+				cancel(errSuperseded)
+			}
+		case <-ended:
+		}
+	}()
+	sent, err = p.sendOnce(second, q)
+	close(ended)
+	return sent, !decided.CompareAndSwap(false, true), err
+}
+
+// succeeded reports whether a target has responded without an error of its own.
+func (s *sendResult) succeeded() bool {
+	return s.result == attempt.Complete && s.final == nil && s.response.status < http.StatusInternalServerError
+}
+
 // supersedePending ends the pending send.
 func (p *Proxy) supersedePending(q *request) {
 	q.pending.supersede()
