Test of the page's metrics: observe the suspected sends too

The metric has labels, so it is there once it was observed, like the others in this test. Failed in the whole package before: named on the page, want it among the metrics too.

--- a/io/gateway/page_test.go
+++ b/io/gateway/page_test.go
@@ -19,6 +19,7 @@
 	h.gateway.metrics.requests.WithLabelValues("s", "200", "answered").Inc()
 	h.gateway.metrics.relays.WithLabelValues("out", "s", "answered").Inc()
 	h.gateway.metrics.lostRelays.WithLabelValues("s").Inc()
+	h.gateway.metrics.suspectedSends.WithLabelValues("s", "answered").Inc()
 	h.gateway.metrics.keptAttempts.WithLabelValues("s", "granted").Inc()
 	h.gateway.metrics.queueWaits.WithLabelValues("s").Observe(0)
 	h.gateway.metrics.observeRetry("s", true)
