Test that a pipeline longer than a stop is refused, not cut

Twelve requests of 1 s each behind one another, 0.5 s into a stop: those that fit are served, the others get 503.

--- a/io/gateway/pipelinestop_test.go
+++ b/io/gateway/pipelinestop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -13,9 +14,10 @@
 	"pineturn/io/standin/keyholder"
 )
 
-// pipeline sends two requests on a connection, a time after the start each, and returns the statuses of
+// pipeline sends requests on a connection, a time after the start each, and returns the statuses of
 // their responses, 0 for none.
-func pipeline(conn net.Conn, method string, start time.Time, at [2]time.Duration) (statuses [2]int) {
+func pipeline(conn net.Conn, method string, start time.Time, at ...time.Duration) []int {
+	statuses := make([]int, len(at))
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -42,10 +44,9 @@
 	return statuses
 }
 
-// TestPipelinedRequestUnansweredAtStop guards against requests that a stopping host has read while it
-// handled the one before them on their connection, and never answers.
-func TestPipelinedRequestUnansweredAtStop(t *testing.T) {
-	t.Parallel()
+// newSlowHost returns a host, one of two, whose targets take 1 s.
+func newSlowHost(t *testing.T) *host {
+	t.Helper()
 	c := newTestCluster(t)
 	c.slots, c.callerTimeout = 40, 10*time.Second
 	for _, x := range []*target{c.addTarget("p0", orderService), c.addTarget("p1", orderService), c.addTarget("c0", plainService)} {
@@ -56,7 +57,26 @@
 	for _, route := range []string{slowRoute, slowPayoutRoute} {
 		c.call(newClient(t), h, http.MethodPost, "/"+route+"/x", -1, "")
 	}
-	cases := [][2]time.Duration{
+	return h
+}
+
+// dialHost opens a connection to a host until the test ends.
+func dialHost(t *testing.T, h *host) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", h.front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// TestPipelinedRequestUnansweredAtStop guards against requests that a stopping host has read while it
+// handled the one before them on their connection, and never answers.
+func TestPipelinedRequestUnansweredAtStop(t *testing.T) {
+	t.Parallel()
+	h := newSlowHost(t)
+	cases := [][]time.Duration{
 		{-400 * time.Millisecond, -200 * time.Millisecond}, {-400 * time.Millisecond, 200 * time.Millisecond},
 		{200 * time.Millisecond, 500 * time.Millisecond}, {500 * time.Millisecond, 500 * time.Millisecond}, {1500 * time.Millisecond, 1800 * time.Millisecond},
 	}
@@ -64,13 +84,9 @@
 	var all sync.WaitGroup
 	for _, at := range cases {
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
-			conn, err := net.Dial("tcp", h.front)
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = conn.Close() })
+			conn := dialHost(t, h)
 			all.Go(func() {
-				if got, want := pipeline(conn, method, stopAt, at), [2]int{200, 200}; got != want {
+				if got, want := pipeline(conn, method, stopAt, at...), []int{200, 200}; !slices.Equal(got, want) {
 					t.Errorf("%s requests sent %v after the stop: got statuses %v, want %v", method, at, got, want)
 				}
 			})
@@ -80,3 +96,19 @@
 	h.stop()
 	all.Wait()
 }
+
+// TestPipelineLongerThanStop guards against requests that a stopping host has read behind others, and does
+// not answer as the time to serve them all is too short: those are refused.
+func TestPipelineLongerThanStop(t *testing.T) {
+	t.Parallel()
+	h := newSlowHost(t)
+	stopAt := time.Now().Add(time.Second)
+	conn := dialHost(t, h)
+	time.AfterFunc(time.Until(stopAt), h.stop)
+	at := slices.Repeat([]time.Duration{500 * time.Millisecond}, 12)
+	got := pipeline(conn, http.MethodPost, stopAt, at...)
+	served := slices.IndexFunc(got, func(status int) bool { return status != http.StatusOK })
+	if served < 1 || slices.ContainsFunc(got[served:], func(status int) bool { return status != http.StatusServiceUnavailable }) {
+		t.Errorf("statuses of requests that take longer than the stop: got %v, want 200 and then 503", got)
+	}
+}
