Begin no request behind a response that may be broken off

A request that came while the response before it was being written was begun at once, although it could not be answered before that was complete. If that response (256 KiB or more; shorter ones are read whole first) was broken off, the request had run, and its connection ended without an answer. It is begun now once the response is complete. Requests that were read before the head are begun as before: the length of the response isn't known then.

Evidence: TestBegunBehindResponse failed before ("begun while the response before it is written: got /2, want none").

--- a/io/listener/last.go
+++ b/io/listener/last.go
@@ -67,6 +67,9 @@
 		return
 	}
 	w.begun = true
+	if w.conn != nil {
+		w.conn.markResponding()
+	}
 	header := w.Header()
 	handlerCloses := header.Get("Connection") == "close"
 	if !handlerCloses && !w.closing() {
@@ -78,6 +81,14 @@
 	}
 }
 
+// markResponding records that a response is being written. No request behind it is begun early before it
+// is complete: it may be broken off, which ends the connection.
+func (c *Conn) markResponding() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responding = true
+}
+
 // freeze stops reading beyond the current request, for good, and reports whether a whole request after it
 // has been read.
 func (c *Conn) freeze() bool {
--- a/io/listener/last_test.go
+++ b/io/listener/last_test.go
@@ -239,3 +239,27 @@
 		})
 	}
 }
+
+// TestBegunBehindResponse guards against requests that are sent behind a response in progress, run, and are
+// lost as that response is broken off.
+func TestBegunBehindResponse(t *testing.T) {
+	s := newStoppingServer(t)
+	conn := dial(t, s.Listener)
+	r := bufio.NewReader(conn)
+	write(t, conn, get("/stream"))
+	<-s.begun
+	_, _ = r.Peek(1)
+	write(t, conn, get("/2"))
+	s.awaitRead(conn, int64(len(get("/stream")+get("/2"))))
+	time.Sleep(20 * time.Millisecond)
+	select {
+	case path := <-s.begun:
+		t.Errorf("begun while the response before it is written: got %s, want none", path)
+	default:
+	}
+	s.stopping.Store(true)
+	close(s.release)
+	if paths, err := readPaths(conn, r); strings.Join(paths, " ") != "/stream /2 close" {
+		t.Errorf("responses: got %q and error %v, want those to /stream and /2", paths, err)
+	}
+}
--- a/io/listener/listener.go
+++ b/io/listener/listener.go
@@ -194,6 +194,8 @@
 	served bool
 	// active is set while a request is being handled.
 	active bool
+	// responding is set while a response is being written.
+	responding bool
 	// dataRead is set when data has been read since the last response.
 	dataRead bool
 	// closed is set when the connection was closed as idle.
@@ -258,7 +260,7 @@
 func (c *Conn) markIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.served, c.active, c.dataRead = true, false, false
+	c.served, c.active, c.responding, c.dataRead = true, false, false, false
 	c.idleSince, c.idleLimit = time.Now(), c.listener.IdleTimeout()
 	if c.ahead != nil {
 		c.ahead.next()
--- a/io/listener/split.go
+++ b/io/listener/split.go
@@ -82,7 +82,9 @@
 	if !c.active || !a.whole || !a.body.ended() || a.plain {
 		return a.deliver(data), a.missing(), nil
 	}
-	a.beginEarly()
+	if !c.responding {
+		a.beginEarly()
+	}
 	if c.frozen {
 		return 0, 0, nil
 	}
