--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -118,11 +118,9 @@
 	watch := p.watchPeer(q, host, id, cancel)
 	req := p.relayRequest(sendCtx, q, host, held)
 	req.Header.Set(headerRelayID, string(id))
+	sent := &pendingSend{replied: make(chan struct{}), cancel: cancel, sentAt: p.clock.Now(), takeAttempt: func() bool { return p.takeBack(q, held) }}
 	reply := &relayReply{}
-	sent := &pendingSend{
-		replied: make(chan struct{}), cancel: cancel, sentAt: p.clock.Now(), discard: reply.close,
-		takeAttempt: func() bool { return p.takeBack(q, held) },
-	}
+	sent.discard = reply.close
 	sent.result = func() sendResult {
 		defer p.reserve.Take(held.token)
 		if reply.err != nil {
@@ -131,10 +129,8 @@
 		return p.relayResult(sendCtx, q, host, held, reply)
 	}
 	go func() {
-		reply.resp, reply.err = p.peerTransport.RoundTrip(req)
-		watch.stop()
-		reply.read(q)
-		sent.complete = reply.response != nil && reply.response.status < http.StatusInternalServerError
+		reply.receive(p.peerTransport, req, watch, q)
+		sent.complete = reply.succeeded()
 		close(sent.replied)
 	}()
 	select {
@@ -154,13 +150,20 @@
 	readErr  error
 }
 
-// read reads the response of a target.
-func (r *relayReply) read(q *request) {
+// receive sends a request, until the end of its watch, and reads the response of a target.
+func (r *relayReply) receive(transport http.RoundTripper, req *http.Request, watch *peerWatch, q *request) {
+	r.resp, r.err = transport.RoundTrip(req)
+	watch.stop()
 	if r.err == nil && r.outcome() == relayResponded {
 		r.response, r.readErr = readResponse(q, r.resp)
 	}
 }
 
+// succeeded reports whether a target has responded without an error.
+func (r *relayReply) succeeded() bool {
+	return r.response != nil && r.response.status < http.StatusInternalServerError
+}
+
 func (r *relayReply) outcome() relayOutcome {
 	return relayOutcome(r.resp.Header.Get(headerRelayOutcome))
 }
