Tell a request as not run only if neither of two sends may have run it

What callers saw: 503, not run, for a request that had run: of two sends of an idempotent request the second was refused or reached no target, the first was lost, and the result of the one that came first was told. Cause: preferred() kept the first of two results without a response, whatever it said. Change: a result after which a target may have run the request goes before one that says it has not. TestRequestThatRanToldAsNotRun failed before: status: got 503, want 502.

--- a/io/proxy/hedge.go
+++ b/io/proxy/hedge.go
@@ -49,15 +49,27 @@
 	return timer.C, func() { timer.Stop() }
 }
 
-// preferred returns the result to report when the first of two sends did not
-// complete: a complete response, else an error response, else the first one.
+// preferred returns the result to report of two sends: the one with more in it for the caller or, if neither
+// has brought a response, the one after which a target may have run the request.
 func preferred(a, b sendResult) sendResult {
-	if b.result == attempt.Complete || b.result == attempt.Failed && a.result != attempt.Failed {
+	if resultRank(b.result) > resultRank(a.result) {
 		return b
 	}
 	return a
 }
 
+func resultRank(r attempt.Result) int {
+	switch {
+	case r == attempt.Complete:
+		return 3
+	case r == attempt.Failed:
+		return 2
+	case r.NotRun():
+		return 0
+	}
+	return 1
+}
+
 var errSuperseded = errors.New("another target responded first")
 
 // chooseHedgeTarget reserves capacity at a second target for a request whose
