Return a retry that is not sent only once

Change: a returned retry is no longer the request's. TestRetryReturnedTwice failed before: retries left: got 2, want 1.

--- a/io/proxy/retry_test.go
+++ b/io/proxy/retry_test.go
@@ -9,8 +9,10 @@
 	"testing"
 	"time"
 
+	"pineturn/core/attempt"
 	"pineturn/core/budget"
 	"pineturn/core/placement"
+	"pineturn/core/routing"
 	"pineturn/io/socket/sockettest"
 )
 
@@ -112,3 +114,20 @@
 		t.Errorf("requests that another target has refused: got %d, want 1 at most", refused)
 	}
 }
+
+// TestRetryReturnedTwice guards against a retry budget from which more is sent than it has, as a retry that was not
+// sent is returned twice.
+func TestRetryReturnedTwice(t *testing.T) {
+	p := newTestProxy(7)
+	setBudget(p, 2)
+	q := &request{match: routing.Match{Service: routing.Service{Name: testService}, Route: &routing.Route{Idempotent: true, MaxAttempts: 2}}}
+	for range 2 {
+		if !p.mayRetry(t.Context(), q, attempt.Unknown) {
+			t.Fatal("retry: got none, want one of 2")
+		}
+	}
+	for range 2 {
+		p.returnRetry(q)
+	}
+	assertRetriesLeft(t, p, 1)
+}
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -130,9 +130,11 @@
 
 // returnRetry returns a retry that is not sent to the retry budget.
 func (p *Proxy) returnRetry(q *request) {
-	if !q.retryCounted.IsZero() {
-		p.budget.Return(q.match.Service.Name, q.retryCounted, p.clock.Now())
+	if q.retryCounted.IsZero() {
+		return
 	}
+	p.budget.Return(q.match.Service.Name, q.retryCounted, p.clock.Now())
+	q.retryCounted = time.Time{}
 }
 
 func (q *request) timeLeft(now time.Time) time.Duration { return q.deadline.Sub(now) }
