--- a/io/proxy/secondsend_test.go
+++ b/io/proxy/secondsend_test.go
@@ -230,13 +230,7 @@
 	p := newTestProxy(7)
 	newTestTarget(t, p, "t1", after(silenceWork, respond(http.StatusInternalServerError)))
 	allowTime(p, 2)
-	tick := time.NewTicker(10 * time.Millisecond)
-	t.Cleanup(tick.Stop)
-	go func() {
-		for range tick.C {
-			detach(p)
-		}
-	}()
+	keepDetached(t, p)
 	assertStatus(t, get(p.Handler(), "/read/1", patient), http.StatusInternalServerError)
 }
 
--- a/io/proxy/silence_test.go
+++ b/io/proxy/silence_test.go
@@ -125,6 +125,19 @@
 	}
 }
 
+// keepDetached makes a proxy lose the path to the targets of testService again and again, until the test ends.
+func keepDetached(t *testing.T, p *Proxy) {
+	t.Helper()
+	tick := time.NewTicker(10 * time.Millisecond)
+	go func() {
+		defer tick.Stop()
+		for t.Context().Err() == nil {
+			<-tick.C
+			detach(p)
+		}
+	}()
+}
+
 // TestRunningRequestGivenUpForLostPath guards against a request that is given up while its target works, because
 // new connections to the targets of its service are late.
 func TestRunningRequestGivenUpForLostPath(t *testing.T) {
@@ -135,13 +148,7 @@
 			p := newTestProxy(7)
 			newTestTarget(t, p, "t1", longWork(&begun, &cut))
 			allowTime(p, attempts)
-			tick := time.NewTicker(10 * time.Millisecond)
-			t.Cleanup(tick.Stop)
-			go func() {
-				for range tick.C {
-					detach(p)
-				}
-			}()
+			keepDetached(t, p)
 			assertStatus(t, get(p.Handler(), "/read/1", patient), http.StatusOK)
 			assertCount(t, "runs", &begun, 1)
 			assertCount(t, "runs that were cut", &cut, 0)
