--- a/review/rig2/callers.go
+++ b/review/rig2/callers.go
@@ -36,6 +36,7 @@
 	ended  time.Time
 	status int
 	signed bool
+	header http.Header
 	body   []byte
 	err    error
 }
@@ -57,6 +58,7 @@
 	}
 	r.GetBody = nil
 	r.Host = callerHost
+	r.Header.Set("X-Gate", c.host.name)
 	r.Header.Set("X-Request-Id", a.id)
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	if key >= 0 {
@@ -70,6 +72,7 @@
 	defer resp.Body.Close()
 	a.body, a.err = io.ReadAll(resp.Body)
 	if a.err == nil {
+		a.header = resp.Header
 		a.status, a.signed = resp.StatusCode, resp.Header.Get("X-Response-Signature") != ""
 	}
 	return a
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -66,6 +66,8 @@
 	}
 	cases := map[string]func(*play) (broken bool, err error){
 		"refusal-copies": playRefusalCopies,
+		"explore":        explore,
+		"late-bodies":    playLateBodies,
 	}
 	run := cases[os.Args[1]]
 	if run == nil {
@@ -203,6 +205,16 @@
 	<-h.done
 }
 
+// leads reports whether the host is the leader, by its log.
+func (h *host) leads() bool {
+	data, err := os.ReadFile(h.logs)
+	if err != nil {
+		return false
+	}
+	text := string(data)
+	return strings.LastIndex(text, "This host is the leader") > strings.LastIndex(text, "Another host is the leader")
+}
+
 // isReady asks a host as the load balancer does.
 func (h *host) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/rig2/target.go
+++ b/review/rig2/target.go
@@ -20,9 +20,17 @@
 	id     string
 	target string
 	at     time.Time
+	// brokenOff is when the caller has closed the connection while the target was at work; zero for never.
+	brokenOff time.Time
 }
 
-func (r run) String() string { return fmt.Sprintf("at %s at %s", r.target, r.at.Format(clockForm)) }
+func (r run) String() string {
+	text := fmt.Sprintf("at %s at %s", r.target, r.at.Format(clockForm))
+	if !r.brokenOff.IsZero() {
+		text += ", broken off at " + r.brokenOff.Format(clockForm)
+	}
+	return text
+}
 
 // clockForm is the form of times in the record.
 const clockForm = "15:04:05.000"
@@ -33,10 +41,18 @@
 	all []run
 }
 
-func (r *runs) add(id, target string) {
+func (r *runs) add(id, target string) (index int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, run{id: id, target: target, at: time.Now()})
+	return len(r.all) - 1
+}
+
+// breakOff records that the caller of a run has left while the target was at work.
+func (r *runs) breakOff(index int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.all = append(r.all, run{id, target, time.Now()})
+	r.all[index].brokenOff = time.Now()
 }
 
 // byID returns the runs of each request.
@@ -64,6 +80,9 @@
 	// refuses a request although it has room.
 	copies, sheds func() bool
 
+	// before returns headers for the answer to a request and, if it is refused, the status.
+	before func(*http.Request) (headers string, status int)
+
 	mu       sync.Mutex
 	sequence int
 	state    string
@@ -207,11 +226,18 @@
 // request runs a request, or refuses it.
 func (t *target) request(ctx context.Context, r *http.Request) string {
 	id := r.Header.Get("X-Request-Id")
+	headers := ""
 	refuse := func(status int) string {
 		t.mu.Lock()
 		t.refused++
 		t.mu.Unlock()
-		return reply(status, "X-Request-Id: "+id+"\r\nX-Not-Executed: 1\r\n", nil)
+		return reply(status, headers+"X-Request-Id: "+id+"\r\nX-Not-Executed: 1\r\n", nil)
+	}
+	if t.before != nil {
+		var status int
+		if headers, status = t.before(r); status != 0 {
+			return reply(status, headers+"X-Request-Id: "+id+"\r\n", nil)
+		}
 	}
 	if t.sheds != nil && t.sheds() || !t.acquire(ctx) {
 		return refuse(http.StatusServiceUnavailable)
@@ -223,13 +249,14 @@
 			return refuse(http.StatusMisdirectedRequest)
 		}
 	}
-	t.runs.add(id, t.id)
+	index := t.runs.add(id, t.id)
 	select {
 	case <-time.After(t.work()):
 	case <-ctx.Done():
+		t.runs.breakOff(index)
 		return ""
 	}
-	return reply(http.StatusOK, "X-Request-Id: "+id+"\r\nX-Response-Signature: s."+id+"\r\n", []byte("done "+id))
+	return reply(http.StatusOK, headers+"X-Request-Id: "+id+"\r\nX-Response-Signature: s."+id+"\r\n", []byte("done "+id))
 }
 
 // acquire waits for a slot. It returns false if the queue is full or the caller has gone.
