review: case 8, a caller that leaves behind 16 KB of pipelined requests is not noticed

Cause: with 16 KB buffered beyond the current request, the connection is not read, so its end is not seen. Adds the case.

--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -69,6 +69,10 @@
 		"explore":        explore,
 		"late-bodies":    playLateBodies,
 	}
+	cases["chaos"] = chaos
+	cases["pipelined-leave"] = playPipelinedLeave
+	cases["edge"] = edge
+	cases["gone"] = gone
 	run := cases[os.Args[1]]
 	if run == nil {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
--- a/review/rig2/target.go
+++ b/review/rig2/target.go
@@ -5,9 +5,11 @@
 import (
 	"bufio"
 	"context"
+	"crypto/sha1"
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -83,6 +85,13 @@
 	// before returns headers for the answer to a request and, if it is refused, the status.
 	before func(*http.Request) (headers string, status int)
 
+	// late decides whether an order gets no answer and is carried out late.
+	late     func() bool
+	fenceLog *fenceLog
+	dead     bool
+	echo     bool
+	lateKeys [1 << 16]bool
+
 	mu       sync.Mutex
 	sequence int
 	state    string
@@ -137,10 +146,21 @@
 		if err != nil {
 			return
 		}
+		t.mu.Lock()
+		t.conns[conn] = true
+		t.mu.Unlock()
 		go t.serve(conn)
 	}
 }
 
+func (t *target) closeConns() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		_ = c.Close()
+	}
+}
+
 // connection is a caller's connection with the target.
 type connection struct {
 	net.Conn
@@ -175,6 +195,11 @@
 		select {
 		case text = <-answer:
 			cancel()
+			if text == "" {
+				// No answer: the connection stays silent.
+				<-next
+				return
+			}
 			if _, err := io.WriteString(conn, text); err != nil || <-next != nil {
 				return
 			}
@@ -216,6 +241,12 @@
 		t.copied++
 		t.mu.Unlock()
 	}
+	if t.echo {
+		id := r.Header.Get("X-Request-Id")
+		t.runs.add(id, t.id)
+		time.Sleep(t.work())
+		return reply(200, "X-Request-Id: "+id+"\r\nX-Response-Signature: s\r\n", []byte(fmt.Sprintf("%s %s %x", r.Method, r.RequestURI, sha1.Sum(body))))
+	}
 	text := t.request(ctx, r)
 	if t.copies != nil && t.copies() {
 		c.owed = text
@@ -310,9 +341,27 @@
 	if err := json.Unmarshal(body, &o); err != nil || o.From < 0 || o.To > 65535 || o.From > o.To {
 		return reply(http.StatusBadRequest, "", nil)
 	}
+	now := time.Now()
+	isLate := t.late != nil && t.late()
+	if isLate {
+		go func() {
+			time.Sleep(2*time.Second + time.Duration(rand.Float64()*10*float64(time.Second)))
+			t.carryOut(path, o.From, o.To, o.Fence, o.HoldS, now, true)
+		}()
+		return ""
+	}
+	return t.carryOut(path, o.From, o.To, o.Fence, o.HoldS, now, false)
+}
+
+func (t *target) carryOut(path string, from, to int, fence int64, holdS float64, arrived time.Time, isLate bool) string {
+	o := struct {
+		From, To int
+		Fence    int64
+		HoldS    float64
+	}{from, to, fence, holdS}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now := arrived
 	if path == "/v1/release" {
 		for key := o.From; key <= o.To; key++ {
 			t.until[key] = time.Time{}
@@ -324,7 +373,11 @@
 			return reply(http.StatusConflict, "", nil)
 		}
 	}
+	if t.fenceLog != nil && now.Add(time.Duration(o.HoldS*float64(time.Second))).After(time.Now()) && !t.dead {
+		t.fenceLog.accept(t.play, t, o.From, o.To, o.Fence)
+	}
 	for key := o.From; key <= o.To; key++ {
+		t.lateKeys[key] = isLate
 		t.fences[key], t.until[key] = o.Fence, now.Add(time.Duration(o.HoldS*float64(time.Second)))
 	}
 	return reply(http.StatusOK, "", nil)
