--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -71,6 +71,7 @@
 	}
 	cases["chaos"] = chaos
 	cases["pipelined-leave"] = playPipelinedLeave
+	cases["keep-alive"] = playKeepAlive
 	cases["edge"] = edge
 	cases["gone"] = gone
 	run := cases[os.Args[1]]
