--- a/review/rig2/target.go
+++ b/review/rig2/target.go
@@ -5,11 +5,9 @@
 import (
 	"bufio"
 	"context"
-	"crypto/sha1"
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -82,27 +80,17 @@
 	// refuses a request although it has room.
 	copies, sheds func() bool
 
-	// before returns headers for the answer to a request and, if it is refused, the status.
-	before func(*http.Request) (headers string, status int)
-
-	// late decides whether an order gets no answer and is carried out late.
-	late     func() bool
-	fenceLog *fenceLog
-	dead     bool
-	echo     bool
-	lateKeys [1 << 16]bool
-
 	mu       sync.Mutex
 	sequence int
-	state    string
 	running  int
 	waiting  int
 	free     chan struct{}
 	fences   [1 << 16]int64
 	until    [1 << 16]time.Time
-	conns    map[net.Conn]bool
 	copied   int
 	refused  int
+	// busy is the number of requests that run for each key.
+	busy map[int]int
 }
 
 // heartbeat is the time between two entries of a target.
@@ -110,7 +98,7 @@
 
 // addTarget starts a target.
 func (p *play) addTarget(t *target, number int) error {
-	t.play, t.state, t.free, t.conns = p, "ready", make(chan struct{}), make(map[net.Conn]bool)
+	t.play, t.free, t.busy = p, make(chan struct{}), make(map[int]int)
 	l, err := net.Listen("tcp", fmt.Sprintf("%s%d:0", p.net, 101+number))
 	if err != nil {
 		return err
@@ -131,13 +119,10 @@
 func (t *target) register() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.state == "" {
-		return
-	}
 	t.sequence++
 	t.play.store.PutTarget(t.id, fmt.Appendf(nil,
-		`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"capacity":%d},"status":{"state":%q,"sequence":%d,"warmup_left_s":0.0}}`,
-		t.address, t.play.started.UnixMilli(), t.service, t.zone, t.slots, t.state, t.sequence))
+		`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"capacity":%d},"status":{"state":"ready","sequence":%d,"warmup_left_s":0.0}}`,
+		t.address, t.play.started.UnixMilli(), t.service, t.zone, t.slots, t.sequence))
 }
 
 func (t *target) accept() {
@@ -146,21 +131,10 @@
 		if err != nil {
 			return
 		}
-		t.mu.Lock()
-		t.conns[conn] = true
-		t.mu.Unlock()
 		go t.serve(conn)
 	}
 }
 
-func (t *target) closeConns() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for c := range t.conns {
-		_ = c.Close()
-	}
-}
-
 // connection is a caller's connection with the target.
 type connection struct {
 	net.Conn
@@ -195,11 +169,6 @@
 		select {
 		case text = <-answer:
 			cancel()
-			if text == "" {
-				// No answer: the connection stays silent.
-				<-next
-				return
-			}
 			if _, err := io.WriteString(conn, text); err != nil || <-next != nil {
 				return
 			}
@@ -241,12 +210,6 @@
 		t.copied++
 		t.mu.Unlock()
 	}
-	if t.echo {
-		id := r.Header.Get("X-Request-Id")
-		t.runs.add(id, t.id)
-		time.Sleep(t.work())
-		return reply(200, "X-Request-Id: "+id+"\r\nX-Response-Signature: s\r\n", []byte(fmt.Sprintf("%s %s %x", r.Method, r.RequestURI, sha1.Sum(body))))
-	}
 	text := t.request(ctx, r)
 	if t.copies != nil && t.copies() {
 		c.owed = text
@@ -257,18 +220,11 @@
 // request runs a request, or refuses it.
 func (t *target) request(ctx context.Context, r *http.Request) string {
 	id := r.Header.Get("X-Request-Id")
-	headers := ""
 	refuse := func(status int) string {
 		t.mu.Lock()
 		t.refused++
 		t.mu.Unlock()
-		return reply(status, headers+"X-Request-Id: "+id+"\r\nX-Not-Executed: 1\r\n", nil)
-	}
-	if t.before != nil {
-		var status int
-		if headers, status = t.before(r); status != 0 {
-			return reply(status, headers+"X-Request-Id: "+id+"\r\n", nil)
-		}
+		return reply(status, "X-Request-Id: "+id+"\r\nX-Not-Executed: 1\r\n", nil)
 	}
 	if t.sheds != nil && t.sheds() || !t.acquire(ctx) {
 		return refuse(http.StatusServiceUnavailable)
@@ -276,9 +232,10 @@
 	defer t.release()
 	if t.keyed {
 		key, err := strconv.Atoi(r.Header.Get("X-Shard-Key"))
-		if err != nil || !t.holds(key) {
+		if err != nil || !t.begin(key) {
 			return refuse(http.StatusMisdirectedRequest)
 		}
+		defer t.finish(key)
 	}
 	index := t.runs.add(id, t.id)
 	select {
@@ -287,7 +244,7 @@
 		t.runs.breakOff(index)
 		return ""
 	}
-	return reply(http.StatusOK, headers+"X-Request-Id: "+id+"\r\nX-Response-Signature: s."+id+"\r\n", []byte("done "+id))
+	return reply(http.StatusOK, "X-Request-Id: "+id+"\r\nX-Response-Signature: s."+id+"\r\n", []byte("done "+id))
 }
 
 // acquire waits for a slot. It returns false if the queue is full or the caller has gone.
@@ -325,10 +282,39 @@
 	t.free = make(chan struct{})
 }
 
-func (t *target) holds(key int) bool {
+// begin begins a request for a key, if the target holds it.
+func (t *target) begin(key int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !time.Now().Before(t.until[key]) {
+		return false
+	}
+	t.busy[key]++
+	return true
+}
+
+func (t *target) finish(key int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return time.Now().Before(t.until[key])
+	t.busy[key]--
+}
+
+// awaitIdle waits until no request runs for a range of keys.
+func (t *target) awaitIdle(from, to int) {
+	for t.play.ctx.Err() == nil {
+		t.mu.Lock()
+		running := 0
+		for key, n := range t.busy {
+			if key >= from && key <= to {
+				running += n
+			}
+		}
+		t.mu.Unlock()
+		if running == 0 {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
 }
 
 // order carries out a grant or a release.
@@ -341,43 +327,24 @@
 	if err := json.Unmarshal(body, &o); err != nil || o.From < 0 || o.To > 65535 || o.From > o.To {
 		return reply(http.StatusBadRequest, "", nil)
 	}
-	now := time.Now()
-	isLate := t.late != nil && t.late()
-	if isLate {
-		go func() {
-			time.Sleep(2*time.Second + time.Duration(rand.Float64()*10*float64(time.Second)))
-			t.carryOut(path, o.From, o.To, o.Fence, o.HoldS, now, true)
-		}()
-		return ""
-	}
-	return t.carryOut(path, o.From, o.To, o.Fence, o.HoldS, now, false)
-}
-
-func (t *target) carryOut(path string, from, to int, fence int64, holdS float64, arrived time.Time, isLate bool) string {
-	o := struct {
-		From, To int
-		Fence    int64
-		HoldS    float64
-	}{from, to, fence, holdS}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := arrived
 	if path == "/v1/release" {
+		t.mu.Lock()
 		for key := o.From; key <= o.To; key++ {
 			t.until[key] = time.Time{}
 		}
+		t.mu.Unlock()
+		t.awaitIdle(o.From, o.To)
 		return reply(http.StatusOK, "X-Handover: h\r\n", nil)
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
 	for key := o.From; key <= o.To; key++ {
 		if t.fences[key] > o.Fence {
 			return reply(http.StatusConflict, "", nil)
 		}
 	}
-	if t.fenceLog != nil && now.Add(time.Duration(o.HoldS*float64(time.Second))).After(time.Now()) && !t.dead {
-		t.fenceLog.accept(t.play, t, o.From, o.To, o.Fence)
-	}
 	for key := o.From; key <= o.To; key++ {
-		t.lateKeys[key] = isLate
 		t.fences[key], t.until[key] = o.Fence, now.Add(time.Duration(o.HoldS*float64(time.Second)))
 	}
 	return reply(http.StatusOK, "", nil)
