--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -69,6 +69,7 @@
 		"late-bodies":     playLateBodies,
 		"keep-alive":      playKeepAlive,
 		"pipelined-leave": playPipelinedLeave,
+		"broken-off":      playBrokenOff,
 	}
 	run := cases[os.Args[1]]
 	if run == nil {
--- a/review/rig2/target.go
+++ b/review/rig2/target.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -79,6 +80,10 @@
 	// answer once more when the next one is due on the connection. sheds decides whether it
 	// refuses a request although it has room.
 	copies, sheds func() bool
+	// body is that of its answers, nil for a short one. breaks decides whether the target, which is
+	// faulty then, breaks an answer off near its end.
+	body   []byte
+	breaks func() bool
 
 	mu       sync.Mutex
 	sequence int
@@ -169,7 +174,7 @@
 		select {
 		case text = <-answer:
 			cancel()
-			if _, err := io.WriteString(conn, text); err != nil || <-next != nil {
+			if _, err := io.WriteString(conn, text); err != nil || !complete(text) || <-next != nil {
 				return
 			}
 		case err := <-next:
@@ -180,13 +185,24 @@
 			}
 			text = <-answer
 			cancel()
-			if _, err := io.WriteString(conn, text); err != nil {
+			if _, err := io.WriteString(conn, text); err != nil || !complete(text) {
 				return
 			}
 		}
 	}
 }
 
+// complete reports whether an answer is as long as it says. The target closes the connection after one that
+// it breaks off.
+func complete(text string) bool {
+	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil
+}
+
 func reply(status int, header string, body []byte) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), header, len(body), body)
 }
@@ -244,7 +260,15 @@
 		t.runs.breakOff(index)
 		return ""
 	}
-	return reply(http.StatusOK, "X-Request-Id: "+id+"\r\nX-Response-Signature: s."+id+"\r\n", []byte("done "+id))
+	body := t.body
+	if body == nil {
+		body = []byte("done " + id)
+	}
+	text := reply(http.StatusOK, "X-Request-Id: "+id+"\r\nX-Response-Signature: s."+id+"\r\n", body)
+	if t.breaks != nil && t.breaks() {
+		return text[:len(text)-len(text)/20]
+	}
+	return text
 }
 
 // acquire waits for a slot. It returns false if the queue is full or the caller has gone.
