--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -89,6 +90,7 @@
 		return exitNotRun
 	}
 	defer p.end()
+	go p.endEarly()
 	broken, err := run(p)
 	switch {
 	case err != nil:
@@ -142,6 +144,20 @@
 	_ = os.RemoveAll(p.dir)
 }
 
+// endEarly ends the play when it is told to end, or takes too long.
+func (p *play) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case s := <-signals:
+		p.note("the play is ended by signal %v", s)
+	case <-time.After(playLimit + 5*time.Second):
+		p.note("the play takes too long")
+	}
+	p.end()
+	os.Exit(exitNotRun)
+}
+
 // freePort returns a port that is free at an address.
 func freePort(ip string) (int, error) {
 	l, err := net.Listen("tcp", ip+":0")
