--- a/review/rig2/brokenoff.go
+++ b/review/rig2/brokenoff.go
@@ -11,17 +11,21 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// Figures of the case. Of ten targets, six are faulty (garble: share 0.6) and break off 0.02 of their answers.
+// Figures of the case. Of ten targets of a service, five are faulty and break off 0.02 of their answers for 5 s
+// at a time (garble: share 0.5, x 0.02, for_s 5).
 const (
 	breakTargets  = 10
-	breakFaulty   = 6
+	breakFaulty   = 5
 	breakSlots    = 4
 	breakShare    = 0.02
 	breakCallers  = 16
 	breakTime     = 70 * time.Second
+	breakWindow   = 5 * time.Second
+	breakPause    = 3 * time.Second
 	breakDeadline = 5 * time.Second
 	exportBytes   = 320 << 10
 	breakWork     = 150 * time.Millisecond
@@ -72,6 +76,7 @@
 		{name: "export", service: "archive", kind: "safe", timeout: 4, maxAttempts: 2}, {name: "status", service: "desk", kind: "safe", timeout: 4, maxAttempts: 2},
 	}, []service{{name: "archive"}, {name: "desk"}})
 	ran := &runs{}
+	var breaking atomic.Bool
 	long := []byte(strings.Repeat("x", exportBytes))
 	for i := range 2 * breakTargets {
 		t := &target{
@@ -81,7 +86,7 @@
 		if i >= breakTargets {
 			t.service, t.body = "desk", nil
 		} else if p.trouble && i < breakFaulty {
-			t.breaks = func() bool { return rand.Float64() < breakShare }
+			t.breaks = func() bool { return breaking.Load() && rand.Float64() < breakShare }
 		}
 		if err := p.addTarget(t, i); err != nil {
 			return false, err
@@ -96,6 +101,14 @@
 	var exports []*export
 	var callers sync.WaitGroup
 	end := time.Now().Add(breakTime)
+	go func() {
+		for time.Now().Before(end) {
+			breaking.Store(true)
+			time.Sleep(breakWindow)
+			breaking.Store(false)
+			time.Sleep(breakPause)
+		}
+	}()
 	for range breakCallers {
 		callers.Go(func() {
 			var conn net.Conn
--- a/review/rig2/refusalcopies.go
+++ b/review/rig2/refusalcopies.go
@@ -13,16 +13,18 @@
 )
 
 // Figures of the case. copyShare is the share of their answers that faulty targets write once
-// more, at most 0.03 by the site file (garble, "extra late"); copying is the number of such
-// targets of targetCount, at most 0.6. One target at a time refuses a share of its requests
-// (srv_grey, "shed"), at most 0.45 for 6.5 s at 0.14 of the targets.
+// more, at most 0.03 for 5 s by the site file (garble, "extra late"); copying is the number of
+// such targets of targetCount, at most 0.6. One target at a time refuses a share of its requests
+// (srv_grey, "shed"), at most 0.45 for 6.5 s at 0.14 of the targets. Both come at the same time.
 const (
 	targetCount = 8
 	copying     = 4
 	copyShare   = 0.03
 	shedShare   = 0.45
+	copyTime    = 5 * time.Second
 	shedTime    = 6500 * time.Millisecond
-	shedPause   = 4 * time.Second
+	shedPause   = 3 * time.Second
+	windows     = 6
 	sendPause   = 2 * time.Millisecond
 	callerLimit = 2500 * time.Millisecond
 	meanWork    = 10 * time.Millisecond
@@ -37,6 +39,7 @@
 	ran := &runs{}
 	var shedding atomic.Int64
 	shedding.Store(-1)
+	var copies atomic.Bool
 	var targets []*target
 	for i := range targetCount {
 		t := &target{
@@ -45,7 +48,7 @@
 			sheds: func() bool { return shedding.Load() == int64(i) && rand.Float64() < shedShare },
 		}
 		if p.trouble && i < copying {
-			t.copies = func() bool { return rand.Float64() < copyShare }
+			t.copies = func() bool { return copies.Load() && rand.Float64() < copyShare }
 		}
 		if err := p.addTarget(t, i); err != nil {
 			return false, err
@@ -66,12 +69,15 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for i := range copying {
+		for i := range windows {
 			if p.trouble {
-				p.note("target %s refuses %v of its requests", targets[i].id, shedShare)
-				shedding.Store(int64(i))
+				p.note("target %s refuses %v of its requests, answers are written once more", targets[i%copying].id, shedShare)
+				shedding.Store(int64(i % copying))
+				copies.Store(true)
 			}
-			time.Sleep(shedTime)
+			time.Sleep(copyTime)
+			copies.Store(false)
+			time.Sleep(shedTime - copyTime)
 			shedding.Store(-1)
 			time.Sleep(shedPause)
 		}
