--- a/review/rig2/refusalcopies.go
+++ b/review/rig2/refusalcopies.go
@@ -35,7 +35,11 @@
 // target after the other refuses a part of its requests, and some targets write answers once
 // more, late, where the next answer on the connection is expected.
 func playRefusalCopies(p *play) (bool, error) {
-	p.configure([]route{{name: "pay", service: "ledger", kind: "unsafe", timeout: 2, maxAttempts: 2}}, []service{{name: "ledger", keyed: true}})
+	p.configure([]route{
+		{name: "pay", service: "ledger", kind: "unsafe", timeout: 2, maxAttempts: 2},
+		{name: "pay-again", service: "ledger", kind: "unsafe", timeout: 2, maxAttempts: 3},
+	}, []service{{name: "ledger", keyed: true}})
+	paths := []string{"/pay/x", "/pay-again/x"}
 	ran := &runs{}
 	var shedding atomic.Int64
 	shedding.Store(-1)
@@ -87,7 +91,7 @@
 	var sent sync.WaitGroup
 	for i, playing := 0, true; playing; i++ {
 		sent.Go(func() {
-			a := callers[i%len(callers)].send(p.ctx, http.MethodPost, "/pay/x", rand.IntN(keysInUse)*4096, callerLimit, []byte("payout"))
+			a := callers[i%len(callers)].send(p.ctx, http.MethodPost, paths[rand.IntN(len(paths))], rand.IntN(keysInUse)*4096, callerLimit, []byte("payout"))
 			mu.Lock()
 			defer mu.Unlock()
 			answers = append(answers, a)
