review: restarted hosts don't start for the first time

The settings of a host that case 7 starts again have bootstrap = false, as the platform writes them.

--- a/review/rig2/brokenoff.go
+++ b/review/rig2/brokenoff.go
@@ -92,7 +92,7 @@
 			return false, err
 		}
 	}
-	h, err := p.addHost("pos-a", true)
+	h, err := p.addHost("pos-a")
 	if err != nil {
 		return false, err
 	}
--- a/review/rig2/keepalive.go
+++ b/review/rig2/keepalive.go
@@ -91,7 +91,7 @@
 			return false, err
 		}
 	}
-	h, err := p.addHost("pos-a", true)
+	h, err := p.addHost("pos-a")
 	if err != nil {
 		return false, err
 	}
--- a/review/rig2/latebodies.go
+++ b/review/rig2/latebodies.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -141,7 +142,7 @@
 		}
 	}
 	for range hostsToStop {
-		if _, err := p.addHost("pos-a", true); err != nil {
+		if _, err := p.addHost("pos-a"); err != nil {
 			return false, err
 		}
 	}
@@ -197,7 +198,7 @@
 		p.note("SIGKILL to %s at the end of the grace", h.name)
 		h.kill()
 	}
-	if err := h.start(); err != nil {
+	if err := errors.Join(h.writeSettings(false), h.start()); err != nil {
 		p.note("%s does not start: %v", h.name, err)
 	}
 }
--- a/review/rig2/pipelinedleave.go
+++ b/review/rig2/pipelinedleave.go
@@ -88,7 +88,7 @@
 			return false, err
 		}
 	}
-	h, err := p.addHost("pos-a", true)
+	h, err := p.addHost("pos-a")
 	if err != nil {
 		return false, err
 	}
--- a/review/rig2/refusalcopies.go
+++ b/review/rig2/refusalcopies.go
@@ -61,7 +61,7 @@
 	}
 	var callers []*caller
 	for _, zone := range zones {
-		h, err := p.addHost(zone, true)
+		h, err := p.addHost(zone)
 		if err != nil {
 			return false, err
 		}
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -55,9 +55,11 @@
 	name, ip       string
 	front, ready   string
 	settings, logs string
-	cmd            *exec.Cmd
-	done           chan struct{}
-	log            *os.File
+	// text is the settings without the field bootstrap.
+	text string
+	cmd  *exec.Cmd
+	done chan struct{}
+	log  *os.File
 }
 
 func main() {
@@ -169,7 +171,7 @@
 }
 
 // addHost starts a host of a failure domain and waits until it is ready.
-func (p *play) addHost(zone string, bootstrap bool) (*host, error) {
+func (p *play) addHost(zone string) (*host, error) {
 	n := len(p.hosts)
 	h := &host{name: fmt.Sprintf("edge-%s-%d", zone, n+1), ip: fmt.Sprintf("%s%d", p.net, 11+n)}
 	var ports [3]int
@@ -182,8 +184,8 @@
 	}
 	h.front, h.ready = fmt.Sprintf("%s:%d", h.ip, ports[0]), fmt.Sprintf("%s:%d", h.ip, ports[1])
 	h.settings, h.logs = filepath.Join(p.dir, h.name+".toml"), filepath.Join(p.dir, h.name+".log")
-	text := fmt.Sprintf(settingsForm, h.name, h.ip, zone, ports[2], ports[2], bootstrap, h.front, h.ready, p.address)
-	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+	h.text = fmt.Sprintf(settingsForm, h.name, h.ip, zone, ports[2], ports[2], h.front, h.ready, p.address)
+	if err := h.writeSettings(true); err != nil {
 		return nil, err
 	}
 	if err := h.start(); err != nil {
@@ -194,6 +196,11 @@
 	return h, p.awaitReady(h)
 }
 
+// writeSettings writes the settings file. bootstrap is set for the first start of the whole system.
+func (h *host) writeSettings(bootstrap bool) error {
+	return os.WriteFile(h.settings, fmt.Appendf(nil, "bootstrap = %v\n%s", bootstrap, h.text), 0o600)
+}
+
 // start starts the process with the command of the deploy file.
 func (h *host) start() error {
 	log, err := os.OpenFile(h.logs, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -290,7 +297,6 @@
 region = "tt-north"
 internal_ports = [%d, %d]
 seeds = []
-bootstrap = %v
 in_tolerance = false
 discovery = "platform"
 entry = "vip"
