--- a/review/rig2/brokenoff.go
+++ b/review/rig2/brokenoff.go
@@ -145,6 +145,10 @@
 	closed, lost := 0, 0
 	for _, e := range exports {
 		if e.err == nil {
+			p.note("caller sent %v at %s, got %v by %s; runs:", e.ids, e.sent.Format(clockForm), e.statuses, e.ended.Format(clockForm))
+			for _, id := range e.ids {
+				p.note("  request %s: runs %v", id, byID[id])
+			}
 			continue
 		}
 		closed++
