Send a refused request again on a connection of its own

Cause: a request that the owner of its key has refused is sent to the same owner again, on the same kept connection. A faulty target writes its refusal once more there. The copy bears the id of the request that is waited for, so it counted as the answer to the second send, which the target was running. Copies were looked for only among refusals without an id.

Change: a request that must not run twice is sent to a target that has refused it on a connection that carries no other request, and so no copy.

--- a/io/proxy/pool.go
+++ b/io/proxy/pool.go
@@ -92,15 +92,11 @@
 	}))
 }
 
-// transportFor returns the transport for a request. One that must not run twice gets a connection that
-// has carried no other if the target has refused requests lately.
-func (p *Pool) transportFor(target string, idempotent bool, now time.Time) *http.Transport {
+// single returns the transport for a request to a target that needs a connection which carries no other.
+func (p *Pool) single(target string) *http.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.conns(target)
-	if idempotent || !c.refusedSince(now.Add(-copyTime)) {
-		return c.kept
-	}
 	if c.single == nil {
 		c.single = p.newTransport(target)
 		c.single.MaxIdleConnsPerHost = -1
@@ -108,6 +104,13 @@
 	return c.single
 }
 
+// refusedLately reports whether a target may still write a refusal without a request id once more.
+func (p *Pool) refusedLately(target string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns(target).refusedSince(now.Add(-copyTime))
+}
+
 // recordRefusal records a refusal without a request id, and closes the idle connections to the target.
 // It reports whether the target has refused others lately.
 func (p *Pool) recordRefusal(target string, now time.Time) bool {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -216,6 +216,9 @@
 	demandCounted bool
 	// excluded are the ids of targets that have already been tried.
 	excluded []string
+	// refusedBy are the ids of targets that have refused the request, which must not run twice: each may write its
+	// refusal once more. It is empty for idempotent requests.
+	refusedBy []string
 	// lastTarget is the target of the last send; expectedLatency is the estimated
 	// time to its response.
 	lastTarget      string
--- a/io/proxy/relay_test.go
+++ b/io/proxy/relay_test.go
@@ -35,6 +35,8 @@
 	changed    chan struct{}
 	// mu guards assignment and changed where they change during a test.
 	mu sync.Mutex
+	// changedAt is the time of the last change of owners.
+	changedAt time.Time
 	// configReads counts the calls of ReadConfig.
 	configReads atomic.Int64
 }
@@ -54,7 +56,7 @@
 	return c.changed
 }
 
-func (c *testCatalog) ChangedAt() time.Time { return time.Time{} }
+func (c *testCatalog) ChangedAt() time.Time { return c.changedAt }
 
 // newTestProxy returns a proxy with one route for idempotent requests, /read/, and one for
 // others, /write/, and without targets. It knows the given hosts.
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -50,8 +50,12 @@
 	}
 }
 
-// prepareRetry excludes the target of the last send from the next one, or waits for the key's grant to reach it.
+// prepareRetry excludes the target of the last send from the next one, or waits for the key's grant to reach it. It
+// records a refusal for the choice of the next connection.
 func (p *Proxy) prepareRetry(ctx context.Context, q *request, last sendResult) {
+	if last.result.NotRun() && last.target != "" && !q.match.Route.Idempotent {
+		q.refusedBy = append(q.refusedBy, last.target)
+	}
 	switch {
 	case !q.keyed() && last.target != "":
 		q.excluded = append(q.excluded, last.target)
@@ -225,8 +229,7 @@
 	sentAt := p.clock.Now()
 	send := p.reach.Sent(q.match.Service.Name, choice.ExpectedLatency, onLost, sentAt)
 	var use socket.Use
-	transport := p.pool.transportFor(choice.Entry.ID, q.match.Route.Idempotent, sentAt)
-	resp, err := transport.RoundTrip(p.targetRequest(use.Trace(ctx), q, choice))
+	resp, err := p.transport(q, choice.Entry.ID, sentAt).RoundTrip(p.targetRequest(use.Trace(ctx), q, choice))
 	p.reach.End(send, err == nil, p.clock.Now())
 	if err != nil {
 		s.err = errors.Wrapf(err, "send to target %s", choice.Entry.ID)
