Notice that a caller leaves without reading what it has sent

Cause: the end of a connection was noticed by reading alone, and nothing is read beyond 16 KiB behind the request in progress.

Change: where nothing may be read, the connection waits for the kernel's news of the other end (POLLRDHUP), which comes also before unread data. It wakes at each change of the socket, and by the deadline of reads as a read does. The check before a send asks the kernel the same.

TestCallerLeavesRequestsBehind failed in all 5 cases and TestCallerLeavesStoppingHost in both before; they pass with the race detector, with TestSlowCallerIsNotTakenForLeft.

--- a/io/listener/closed_linux.go
+++ b/io/listener/closed_linux.go
@@ -1,16 +1,49 @@
 package listener
 
 import (
+	"io"
 	"syscall"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
-// remoteClosed reports whether the caller has closed or reset the connection.
+// rawConn returns the socket of the connection. It returns false if it has none.
+func (c *Conn) rawConn() (syscall.RawConn, bool) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, false
+	}
+	raw, err := conn.SyscallConn()
+	return raw, err == nil
+}
+
+// remoteClosed reports whether the caller has closed or reset the connection, also if it has sent data that was not
+// read.
 func (c *Conn) remoteClosed() bool {
-	n, err, ok := c.peek()
-	return ok && (n == 0 && err == nil || errors.Is(err, unix.ECONNRESET))
+	raw, ok := c.rawConn()
+	if !ok {
+		return false
+	}
+	closed := false
+	err := raw.Control(func(fd uintptr) { closed = hungUp(int(fd)) })
+	return err == nil && closed
+}
+
+// awaitClosed waits until the other end of a connection has closed or reset it, and returns io.EOF. Its error is that
+// of a read if the deadline of reads passes, or the connection is closed, before. It reads no data.
+func awaitClosed(raw syscall.RawConn) error {
+	// The function is called at first, and after each change at the socket.
+	if err := raw.Read(func(fd uintptr) bool { return hungUp(int(fd)) }); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// hungUp reports whether the other end of a socket has closed or reset the connection.
+func hungUp(fd int) bool {
+	events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(events, 0)
+	return err == nil && n > 0 && events[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
 // hasUnread reports whether the caller has sent data that was not read.
@@ -21,16 +54,12 @@
 
 // peek looks for one byte at the socket and consumes no data. It returns false if it can't look.
 func (c *Conn) peek() (n int, err error, ok bool) {
-	raw, ok := c.Conn.(syscall.Conn)
+	raw, ok := c.rawConn()
 	if !ok {
 		return 0, nil, false
 	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return 0, nil, false
-	}
 	var recvErr error
-	err = control.Control(func(fd uintptr) {
+	err = raw.Control(func(fd uintptr) {
 		var data [1]byte
 		n, _, recvErr = unix.Recvfrom(int(fd), data[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
--- a/io/listener/split.go
+++ b/io/listener/split.go
@@ -34,6 +34,8 @@
 		c.ahead.cancel()
 		c.closed = true
 		c.signal()
+		// Wake a read, as the connection may be kept for a while.
+		_ = c.Conn.SetReadDeadline(expired)
 	}
 }
 
@@ -54,7 +56,7 @@
 			return n, err
 		}
 		if room == 0 {
-			if err := c.awaitDeadline(); err != nil {
+			if err := c.awaitEnd(); err != nil {
 				return 0, err
 			}
 			continue
@@ -103,19 +105,40 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// awaitEnd waits, without reading, until the caller has closed the connection or the deadline has passed, and returns
+// an error then. It returns nil if something else may have changed.
+func (c *Conn) awaitEnd() error {
+	raw, ok := c.rawConn()
+	if !ok {
+		return c.awaitDeadline()
+	}
+	err := awaitClosed(raw)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.deadlinePassed() {
+		// The wait was interrupted, as a read would have been.
+		return nil
+	}
+	return err
+}
+
 // awaitDeadline waits for a new deadline or the end of the connection, and returns an error if the
 // deadline has passed.
 func (c *Conn) awaitDeadline() error {
 	c.mu.Lock()
-	deadline, set := c.deadline, c.deadlineSet
+	set := c.deadlineSet
 	c.mu.Unlock()
-	if !deadline.IsZero() && !time.Now().Before(deadline) {
+	if c.deadlinePassed() {
 		return os.ErrDeadlineExceeded
 	}
 	<-set
 	return nil
 }
 
+func (c *Conn) deadlinePassed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.deadline.IsZero() && !time.Now().Before(c.deadline)
+}
+
 // keep buffers data that was read. It returns no error if freeze has interrupted the read.
 func (c *Conn) keep(data []byte, err error) error {
 	c.mu.Lock()
