Count a request's time from its arrival, and begin early what says keep-alive

A request behind another one was begun early only if it had no Connection header, though keep-alive is the default and asks for nothing. And the timeout and the deadline of a request that is not begun early counted from its turn on the connection, while the host had read it long before; a target was given more time than was left to the caller.

Change: keep-alive is no reason to wait; other words of the header are, as before. The listener remembers when each head was read, and the time of a request counts from then: its timeout, its deadline, what a target or another host is told, its latency. A request whose time has passed before it could be sent is refused with 503 at once, as no target has it.

--- a/io/listener/ahead.go
+++ b/io/listener/ahead.go
@@ -5,7 +5,10 @@
 	"bytes"
 	"context"
 	"net/http"
+	"net/textproto"
 	"slices"
+	"strings"
+	"time"
 )
 
 const (
@@ -31,19 +34,21 @@
 // (pipelining): those that may be are begun early, while the server handles the one before them.
 // It is guarded by the lock of its connection.
 type ahead struct {
-	// begin begins a request early.
-	begin func(*http.Request) *early
+	// begin begins a request early, whose head has arrived at a time.
+	begin func(r *http.Request, arrived time.Time) *early
 	// plain is set once the requests can't be told apart. All is passed on from then on.
 	plain bool
 	// buffered holds what was read and not passed on, scanned the number of its bytes that belong
-	// to requests that were begun early.
+	// to requests that were begun early. arrivals tells when they were read.
 	buffered []byte
 	scanned  int
+	arrivals arrivals
 	// head is what was passed on of the current request's head. whole is set once that is all of
-	// it, and body then knows how much of its body was not passed on.
-	head  []byte
-	whole bool
-	body  requestBody
+	// it, which was read at the time arrived, and body then knows how much of its body was not passed on.
+	head    []byte
+	whole   bool
+	arrived time.Time
+	body    requestBody
 	// queue holds the requests that were begun early, in the order of the caller.
 	queue []*early
 	// current is the number of the current request on its connection, lastEarly that of the last
@@ -53,10 +58,16 @@
 
 // next prepares for the next request.
 func (a *ahead) next() {
-	a.head, a.whole, a.body = a.head[:0], false, requestBody{}
+	a.head, a.whole, a.arrived, a.body = a.head[:0], false, time.Time{}, requestBody{}
 	a.current++
 }
 
+// add adds data that was read at a time.
+func (a *ahead) add(data []byte, at time.Time) {
+	a.buffered = append(a.buffered, data...)
+	a.arrivals.add(len(data), at)
+}
+
 // pending reports whether data is buffered, or requests have been begun early.
 func (a *ahead) pending() bool { return len(a.buffered) > 0 || len(a.queue) > 0 }
 
@@ -73,6 +84,7 @@
 	}
 	n := copy(data, a.buffered[:limit])
 	a.buffered = append(a.buffered[:0], a.buffered[n:]...)
+	a.arrivals.drop(n)
 	a.scanned = max(a.scanned-n, 0)
 	return n
 }
@@ -99,7 +111,7 @@
 		a.plain = true
 		return limit
 	}
-	a.whole = true
+	a.whole, a.arrived = true, a.arrivals.of(len(a.head)-known-1)
 	return len(a.head) - known
 }
 
@@ -145,7 +157,7 @@
 		if !ok || !repeatable(r) {
 			return
 		}
-		e := a.begin(r)
+		e := a.begin(r, a.arrivals.of(a.scanned+len(head)-1))
 		if e == nil {
 			return
 		}
@@ -162,7 +174,19 @@
 func repeatable(r *http.Request) bool {
 	safe := r.Method == http.MethodGet || r.Method == http.MethodHead
 	return safe && r.ProtoAtLeast(1, 1) && r.Host != "" && r.ContentLength == 0 && len(r.TransferEncoding) == 0 &&
-		r.Header.Get("Connection") == "" && r.Header.Get("Upgrade") == "" && r.Header.Get("Expect") == ""
+		keepsAlive(r.Header) && r.Header.Get("Upgrade") == "" && r.Header.Get("Expect") == ""
+}
+
+// keepsAlive reports whether a request asks for nothing of its connection but to be kept, which is the default.
+func keepsAlive(h http.Header) bool {
+	for _, value := range h["Connection"] {
+		for token := range strings.SplitSeq(value, ",") {
+			if token = textproto.TrimString(token); token != "" && !strings.EqualFold(token, "keep-alive") {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // take returns the current request as it was begun early, or nil.
--- a/io/listener/early_test.go
+++ b/io/listener/early_test.go
@@ -88,6 +88,11 @@
 
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
 
+// kept returns a request with a Connection header.
+func kept(path, connection string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h\r\nConnection: " + connection + "\r\n\r\n"
+}
+
 func post(path, body string) string {
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
 }
@@ -147,6 +152,8 @@
 		{"chunked, byte by byte", get("/slow/1") + "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden) + get("/3"), []string{"/slow/1", "/2", "/3"}, 1, 1},
 		{"bare line feeds", get("/slow/1") + "GET /2 HTTP/1.1\nHost: h\n\n", two, 1, 1 << 20},
 		{"bare line feeds before another request", get("/slow/1") + "GET /2 HTTP/1.1\r\nHost: h\n\n" + get("/3"), []string{"/slow/1", "/2", "/3"}, 1, 1 << 20},
+		{"kept alive", get("/slow/1") + kept("/2", "keep-alive") + kept("/3", "Keep-Alive , keep-alive"), []string{"/slow/1", "/2", "/3"}, 3, 1 << 20},
+		{"other words on the connection", get("/slow/1") + kept("/2", "keep-alive, X-Private"), two, 1, 1 << 20},
 		{"closes", get("/slow/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", two, 1, 1 << 20},
 		{"without a host", get("/slow/1") + "GET /2 HTTP/1.0\r\n\r\n", two, 1, 1 << 20},
 		{"folded and blank", get("/slow/1") + post("/2", "\r\n\r\n"+hidden), two, 1, 1 << 20},
@@ -215,7 +222,7 @@
 // same as the one before it, byte for byte.
 func TestFollowing(t *testing.T) {
 	head := []byte(get("/1"))
-	a := &ahead{begin: func(*http.Request) *early { return &early{} }, buffered: slices.Concat(head, head)}
+	a := &ahead{begin: func(*http.Request, time.Time) *early { return &early{} }, buffered: slices.Concat(head, head)}
 	c := &Conn{ahead: a, listener: New(nil)}
 	for i, wantEarly := range []bool{false, true} {
 		a.deliver(make([]byte, len(head)))
--- a/io/listener/split.go
+++ b/io/listener/split.go
@@ -16,13 +16,13 @@
 	c.ctx = ctx
 }
 
-// begin begins a request early. The caller holds mu.
-func (c *Conn) begin(r *http.Request) *early {
+// begin begins a request early, whose head has arrived at a time. The caller holds mu.
+func (c *Conn) begin(r *http.Request, arrived time.Time) *early {
 	if c.ctx == nil || c.listener.early == nil || c.listener.earlyStopped.Load() || !c.listener.idempotent(r) {
 		return nil
 	}
 	r.RemoteAddr = c.RemoteAddr().String()
-	return beginRequest(c.ctx, c.listener.early, r)
+	return beginRequest(context.WithValue(c.ctx, arrivalKey{}, arrived), c.listener.early, r)
 }
 
 // endEarly cancels the requests that were begun early and not answered, as the connection is
@@ -151,7 +151,7 @@
 	}
 	if len(data) > 0 {
 		c.recordData()
-		c.ahead.buffered = append(c.ahead.buffered, data...)
+		c.ahead.add(data, c.idleSince)
 		return nil
 	}
 	if interrupted {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -26,6 +26,7 @@
 	"pineturn/core/poison"
 	"pineturn/core/reach"
 	"pineturn/core/routing"
+	"pineturn/io/listener"
 	"pineturn/platform"
 )
 
@@ -142,7 +143,7 @@
 	Status int
 	// Reason is the reason of the outcome, as written to logs and metrics.
 	Reason string
-	// Latency is the time from the start of the request to its final response.
+	// Latency is the time from the arrival of the request to its final response.
 	Latency time.Duration
 	// Cause is the error that led to the outcome; nil for none.
 	Cause error
@@ -205,7 +206,9 @@
 	// configVersion is the version of the configuration that the request was
 	// routed by.
 	configVersion int64
-	started       time.Time
+	// arrived is when the request was read from its caller, started when it was its turn on the connection: a
+	// request that was sent ahead waits for that of the one before it.
+	arrived, started time.Time
 	// deadline is the latest time at which the caller gets a response.
 	deadline time.Time
 	progress attempt.Progress
@@ -292,6 +295,7 @@
 		RequestInfo: platform.DecodeRequestHeaders(r.Header), method: r.Method, host: r.Host, header: r.Header, started: p.clock.Now(),
 	}
 	var hasQuery bool
+	q.arrived = q.started.Add(-listener.Waited(r.Context()))
 	q.path, q.query, hasQuery = strings.Cut(r.RequestURI, "?")
 	q.emptyQuery = hasQuery && q.query == ""
 	q.fingerprint = sync.OnceValue(q.newFingerprint)
@@ -325,7 +329,7 @@
 }
 
 func (q *request) setDeadlines() {
-	q.deadline = q.started.Add(min(q.callerTimeout(), q.match.Route.Timeout))
+	q.deadline = q.arrived.Add(min(q.callerTimeout(), q.match.Route.Timeout))
 }
 
 func (p *Proxy) endpoint() endpoint.Endpoint {
@@ -381,7 +385,7 @@
 func (q *request) record(status int, reason string, cause error, now time.Time) RequestRecord {
 	r := RequestRecord{
 		ID: q.ID, ConfigVersion: q.configVersion, Keyed: q.keyed(), Key: q.Key, Via: q.via, Relayed: q.relayed, LostRelays: q.lostRelays, Suspected: q.suspected, Target: q.lastTarget, ExpectedLatency: q.expectedLatency, Estimate: q.estimate, Waited: q.waited, Sends: q.progress.Sends() - q.keptCount(),
-		Status: status, Reason: reason, Latency: now.Sub(q.started), Cause: cause, Service: q.match.Service.Name,
+		Status: status, Reason: reason, Latency: now.Sub(q.arrived), Cause: cause, Service: q.match.Service.Name,
 	}
 	if q.kept != nil {
 		r.KeptAttempt = q.kept.outcome
--- a/io/proxy/refusedcallers.go
+++ b/io/proxy/refusedcallers.go
@@ -20,12 +20,12 @@
 func (c *refusedCallers) arrive(q *request) (first time.Time, returned bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.refusals.Take(q.fingerprint(), q.started.Add(-q.elapsed))
+	return c.refusals.Take(q.fingerprint(), q.arrived.Add(-q.elapsed))
 }
 
 // recordRefusal records that a request was refused, and when its caller was told to return.
 func (c *refusedCallers) recordRefusal(q *request, retryAfter time.Duration, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.refusals.Record(q.fingerprint(), q.firstArrival, now.Add(retryAfter), q.started.Add(q.callerTimeout()), now)
+	c.refusals.Record(q.fingerprint(), q.firstArrival, now.Add(retryAfter), q.arrived.Add(q.callerTimeout()), now)
 }
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -200,7 +200,7 @@
 		header.Set(headerRelayUnbudgeted, "1")
 	}
 	header.Set(headerRelayVersion, strconv.FormatInt(version, 10))
-	header.Set(headerRelayElapsed, strconv.FormatInt(p.clock.Now().Sub(q.started).Milliseconds(), 10))
+	header.Set(headerRelayElapsed, strconv.FormatInt(p.clock.Now().Sub(q.arrived).Milliseconds(), 10))
 	header.Set(headerRelayService, q.match.Service.Name)
 	header.Set(headerRelaySends, strconv.Itoa(held.before+held.kept))
 	if held.kept > 0 {
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -23,6 +23,9 @@
 	if listener.CallerDisconnected(ctx) {
 		return nil, q.fail(http.StatusBadGateway, reasonCallerLeft, nil)
 	}
+	if q.timeLeft(p.clock.Now()) <= 0 {
+		return nil, q.refuse(reasonTimeout, 0)
+	}
 	for {
 		sent, err := p.sendNext(ctx, q)
 		if err != nil {
