Take the end of a connection for that of an answer only after the request

A target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; the caller got the part as a complete answer (MIXED), directly and over another host, also an empty part and one of 300 KiB. The same, less often, where the target closes with a part of the upload unread.

Cause: an answer without a length ends with its connection, and a socket reports a reset once. If a write of the upload meets it, the next read finds the end of the data without an error.

Change: connections of requests to targets, other hosts and the store remember what is being written. At the end of the data, while a request uses the connection, a read waits until the request is written and the kernel has had all of it acknowledged, and fails if a write has failed or the connection is closed. A target that ends its connection in order after it has read the upload has acknowledged all by then. Idle connections end at once, as before.

--- a/io/coordinator/sender.go
+++ b/io/coordinator/sender.go
@@ -54,7 +54,7 @@
 // that is dialed again may belong to another incarnation of the target.
 func newTransport(dial socket.DialFunc, conns int) *http.Transport {
 	return &http.Transport{
-		DialContext: socket.Markable(func(ctx context.Context, network, address string) (net.Conn, error) {
+		DialContext: socket.Tracked(func(ctx context.Context, network, address string) (net.Conn, error) {
 			if renewal, _ := ctx.Value(renewalKey{}).(bool); renewal {
 				return nil, &net.OpError{Op: "dial", Net: network, Err: errNoConnection}
 			}
--- a/io/proxy/pool.go
+++ b/io/proxy/pool.go
@@ -85,7 +85,7 @@
 }
 
 func (p *Pool) newTransport(target string) *http.Transport {
-	return newTransport(socket.Markable(func(ctx context.Context, network, address string) (net.Conn, error) {
+	return newTransport(socket.Tracked(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := p.Dial(ctx, network, address)
 		p.HandleDial(target, err)
 		return conn, err
--- a/io/proxy/refusal_test.go
+++ b/io/proxy/refusal_test.go
@@ -106,7 +106,7 @@
 	t.Helper()
 	server := httptest.NewServer(respond(http.StatusOK))
 	t.Cleanup(server.Close)
-	transport := &http.Transport{DialContext: socket.Markable((&net.Dialer{}).DialContext)}
+	transport := &http.Transport{DialContext: socket.Tracked((&net.Dialer{}).DialContext)}
 	t.Cleanup(transport.CloseIdleConnections)
 	for {
 		use := &socket.Use{}
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -101,7 +101,7 @@
 			return socket.SetUserTimeout(conn, peerUserTimeout)
 		},
 	}
-	t := newTransport(socket.DiscardOnClose(dialer.DialContext))
+	t := newTransport(socket.Tracked(socket.DiscardOnClose(dialer.DialContext)))
 	t.MaxIdleConnsPerHost, t.MaxIdleConns, t.IdleConnTimeout = maxIdlePeerConns, maxAllIdlePeerConns, idlePeerTimeout
 	return t
 }
