Refuse responses with invalid statuses, and with blanks in field names

Callers got bytes of a target in trouble as an answer (MIXED): a status of 600 or 999, 101, a line whose name has a blank passed on, and a body that is not the target's where the blank stands before the colon of Content-Length. With status 000, 020 or 099 their connection ended without an answer; with 101 and a protocol the request did not end in 25 s.

Cause: net/http accepts any status of three digits and blanks in names, and what it accepts counted as a response.

Change: package io/http1 wraps the transports to targets, other hosts and the store, and those of orders. A status outside 200 to 599, or a blank in a name of a head, an interim response or a trailer, is an error like other bytes that are no response, and ends the connection. Interim responses together stay within 64 KiB, as the transport held them before they were traced.

--- a/io/coordinator/sender.go
+++ b/io/coordinator/sender.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"pineturn/core/owner"
+	"pineturn/io/http1"
 	"pineturn/io/socket"
 	"pineturn/platform"
 )
@@ -35,14 +36,14 @@
 	// grants holds a transport for each target. Releases use a transport of their
 	// own, because a release may take releaseTimeout and must not delay grants. It opens a
 	// connection for each: answers bear no id, and a late copy of one is no answer to the next.
-	grants   map[owner.Incarnation]*http.Transport
-	releases *http.Transport
+	grants   map[owner.Incarnation]http1.Transport
+	releases http1.Transport
 }
 
 func newSender(dial socket.DialFunc) *sender {
 	releases := newTransport(dial, 0)
 	releases.MaxIdleConnsPerHost = -1
-	return &sender{dial: dial, grants: make(map[owner.Incarnation]*http.Transport), releases: releases}
+	return &sender{dial: dial, grants: make(map[owner.Incarnation]http1.Transport), releases: releases}
 }
 
 type renewalKey struct{}
@@ -52,8 +53,8 @@
 // newTransport returns a transport with at most conns connections to each target,
 // or any number if conns is 0. It opens no connection for renewals: an address
 // that is dialed again may belong to another incarnation of the target.
-func newTransport(dial socket.DialFunc, conns int) *http.Transport {
-	return &http.Transport{
+func newTransport(dial socket.DialFunc, conns int) http1.Transport {
+	return http1.Transport{Transport: &http.Transport{
 		DialContext: socket.Tracked(func(ctx context.Context, network, address string) (net.Conn, error) {
 			if renewal, _ := ctx.Value(renewalKey{}).(bool); renewal {
 				return nil, &net.OpError{Op: "dial", Net: network, Err: errNoConnection}
@@ -62,14 +63,14 @@
 		}),
 		MaxConnsPerHost: conns, IdleConnTimeout: idleTimeout, DisableCompression: true,
 		ReadBufferSize: bufferSize, WriteBufferSize: bufferSize, MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	}}
 }
 
-func (s *sender) grantTransport(target owner.Incarnation) *http.Transport {
+func (s *sender) grantTransport(target owner.Incarnation) http1.Transport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.grants[target]
-	if t == nil {
+	t, ok := s.grants[target]
+	if !ok {
 		t = newTransport(s.dial, 1)
 		s.grants[target] = t
 	}
--- a/io/proxy/pool.go
+++ b/io/proxy/pool.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"pineturn/io/http1"
 	"pineturn/io/socket"
 )
 
@@ -50,9 +51,9 @@
 
 // targetConns are the connections to a target.
 type targetConns struct {
-	// kept keeps connections for further requests. single opens one for each request; nil before
-	// the first.
-	kept, single *http.Transport
+	// kept keeps connections for further requests. single opens one for each request, and is not
+	// set before the first.
+	kept, single http1.Transport
 	// refusedAt is when a refusal without a request id has come last; zero for never.
 	refusedAt time.Time
 }
@@ -68,7 +69,7 @@
 
 // Get returns the transport for an incarnation of a target, by its id. It
 // creates the transport on first use.
-func (p *Pool) Get(target string) *http.Transport {
+func (p *Pool) Get(target string) http1.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.conns(target).kept
@@ -84,7 +85,7 @@
 	return c
 }
 
-func (p *Pool) newTransport(target string) *http.Transport {
+func (p *Pool) newTransport(target string) http1.Transport {
 	return newTransport(socket.Tracked(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := p.Dial(ctx, network, address)
 		p.HandleDial(target, err)
@@ -93,11 +94,11 @@
 }
 
 // single returns the transport for a request to a target that needs a connection which carries no other.
-func (p *Pool) single(target string) *http.Transport {
+func (p *Pool) single(target string) http1.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.conns(target)
-	if c.single == nil {
+	if c.single.Transport == nil {
 		c.single = p.newTransport(target)
 		c.single.MaxIdleConnsPerHost = -1
 	}
@@ -147,10 +148,10 @@
 	}
 }
 
-func newTransport(dial socket.DialFunc) *http.Transport {
-	return &http.Transport{
+func newTransport(dial socket.DialFunc) http1.Transport {
+	return http1.Transport{Transport: &http.Transport{
 		DialContext: dial, DisableCompression: true, IdleConnTimeout: idleTimeout,
 		MaxIdleConnsPerHost: maxIdleConns, ReadBufferSize: bufferSize, WriteBufferSize: bufferSize,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	}}
 }
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -26,6 +26,7 @@
 	"pineturn/core/poison"
 	"pineturn/core/reach"
 	"pineturn/core/routing"
+	"pineturn/io/http1"
 	"pineturn/io/listener"
 	"pineturn/platform"
 )
@@ -61,7 +62,7 @@
 	// which other host has one.
 	reach         *reach.Detector
 	peers         *peers.Table
-	peerTransport *http.Transport
+	peerTransport http1.Transport
 	peerProbes    singleflight.Group
 	probes        probeCounts
 	// reserve holds the attempts that are kept back of relayed requests.
--- a/io/proxy/refusal.go
+++ b/io/proxy/refusal.go
@@ -1,12 +1,12 @@
 package proxy
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"pineturn/io/http1"
 	"pineturn/io/socket"
 )
 
@@ -24,7 +24,7 @@
 var errRepeatedRefusal = errors.New("refusal without a request id may be a copy of an earlier one")
 
 // transport returns the transport for a send of a request to a target.
-func (p *Proxy) transport(q *request, target string, now time.Time) *http.Transport {
+func (p *Proxy) transport(q *request, target string, now time.Time) http1.Transport {
 	if !q.match.Route.Idempotent && (slices.Contains(q.refusedBy, target) || p.pool.refusedLately(target, now)) {
 		return p.pool.single(target)
 	}
--- a/io/proxy/relay.go
+++ b/io/proxy/relay.go
@@ -14,6 +14,7 @@
 
 	"pineturn/core/attempt"
 	"pineturn/core/peers"
+	"pineturn/io/http1"
 	"pineturn/io/socket"
 	"pineturn/platform"
 )
@@ -93,7 +94,7 @@
 )
 
 // newPeerTransport returns a transport for relayed requests.
-func newPeerTransport() *http.Transport {
+func newPeerTransport() http1.Transport {
 	dialer := &net.Dialer{
 		Timeout:         peerConnectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
--- a/io/proxy/severed_test.go
+++ b/io/proxy/severed_test.go
@@ -103,7 +103,7 @@
 			server := httptest.NewServer(mux)
 			t.Cleanup(server.Close)
 			ingress, direct := newDispatching(t, 7, respond(http.StatusOK), holderAt(server))
-			severed := newSeverance(ingress.peerTransport)
+			severed := newSeverance(ingress.peerTransport.Transport)
 			assertStatus(t, get(ingress.Handler(), x.path, nil), http.StatusOK)
 			<-running
 			if x.whileRunning {
