--- a/io/hostlink/hostlink.go
+++ b/io/hostlink/hostlink.go
@@ -53,6 +53,8 @@
 	maxFeedInterval = 600 * time.Millisecond
 	// bufferSize is the size of a connection's read and write buffers, in bytes.
 	bufferSize = 2 << 10
+	// maxHeaderBytes limits the size of the header by which another host accepts a link.
+	maxHeaderBytes = 16 << 10
 )
 
 // hello is the first message on a link. The host that accepted the link sends it.
--- a/io/hostlink/link.go
+++ b/io/hostlink/link.go
@@ -58,6 +58,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext: dialer.DialContext, DisableKeepAlives: true, ReadBufferSize: bufferSize, WriteBufferSize: bufferSize,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
