--- a/cmd/standin/keyholder.go
+++ b/cmd/standin/keyholder.go
@@ -30,6 +30,8 @@
 			f.duration("work", 20*time.Millisecond, "time for which a request runs"),
 			f.float("lost", 0, "fraction of responses dropped by closing their connection"),
 			f.float("extra", 0, "fraction of responses followed by an unsolicited response"),
+			f.float("refusal-ids", 0, "fraction of refusals that bear the id of their request"),
+			f.float("invalid", 0, "fraction of responses in place of which the target sends bytes that are none"),
 			f.float("copies", 0, "fraction of requests on a connection that has carried a refusal which get that refusal once more"),
 			f.string("limit", "3", "limit of requests a second that the target names from SIGUSR1 until SIGUSR2"),
 			f.string("rest", "2", "seconds of rest for which the target, which then refuses all requests, asks from one SIGIO until the next"),
@@ -60,6 +62,7 @@
 		ID: command.String("id"), Service: command.String("service"), Address: command.String("listen"),
 		Slots: command.Int("slots"), Queue: command.Int("queue"), ServiceTime: command.Duration("work"), Keyed: command.Bool("keyed"),
 		LostFraction: command.Float("lost"), ExtraFraction: command.Float("extra"), CopyFraction: command.Float("copies"),
+		RefusalIDFraction: command.Float("refusal-ids"), InvalidFraction: command.Float("invalid"),
 	}, audit)
 	go handleSignals(ctx, signals, target, command.String("limit"), command.String("rest"))
 	return await(ctx, server.NewWithContext(listener, target.Handler(), keyholder.ConnContext))
--- a/io/soak/pair.go
+++ b/io/soak/pair.go
@@ -77,6 +77,9 @@
 	if !response.Once && c.random.IntN(2) == 0 {
 		req.Method, req.Body, req.ContentLength = http.MethodGet, nil, 0
 	}
+	if c.requests%2 == 0 {
+		req.Header.Set("Connection", "keep-alive")
+	}
 	if err := req.Write(to); err != nil {
 		panic(err)
 	}
--- a/io/soak/system.go
+++ b/io/soak/system.go
@@ -38,6 +38,9 @@
 // copyRate is the fraction of requests that get an earlier refusal on their connection once more.
 const copyRate = "0.3"
 
+// refusalIDRate is the fraction of refusals that bear the id of their request.
+const refusalIDRate = "0.5"
+
 const (
 	// startTimeout is the maximum time for the start of a host.
 	startTimeout = 10 * time.Second
@@ -232,7 +235,7 @@
 func (s *system) startTarget(t *target) error {
 	t.startedMs = time.Now().UnixMilli()
 	incarnation := t.incarnationID()
-	args := []string{"keyholder", "--listen", t.address, "--id", t.id, "--service", t.service, "--limit", targetLimit, "--rest", fmt.Sprint(restTime.Seconds()), "--lost", responseFaultRate, "--extra", responseFaultRate, "--copies", copyRate}
+	args := []string{"keyholder", "--listen", t.address, "--id", t.id, "--service", t.service, "--limit", targetLimit, "--rest", fmt.Sprint(restTime.Seconds()), "--lost", responseFaultRate, "--extra", responseFaultRate, "--copies", copyRate, "--refusal-ids", refusalIDRate, "--invalid", responseFaultRate}
 	if t.service == keyedService {
 		args = append(args, "--keyed")
 	}
--- a/io/standin/keyholder/keyholder.go
+++ b/io/standin/keyholder/keyholder.go
@@ -38,6 +38,9 @@
 	// CopyFraction is the fraction of requests, of those on a connection that has carried a
 	// refusal, during which the target writes that refusal once more. It needs ConnContext.
 	CopyFraction float64
+	// RefusalIDFraction is the fraction of refusals that bear the id of their request. InvalidFraction is the
+	// fraction of responses in place of which the target sends bytes that are none.
+	RefusalIDFraction, InvalidFraction float64
 	// Born is the start time of the target in Unix milliseconds; 0 omits it
 	// from the entry.
 	Born int64
@@ -169,9 +172,14 @@
 	t.runningByKey[key]--
 }
 
-// respondNotRun refuses a request. Refusals bear no request id.
+// respondNotRun refuses a request.
 func (t *Target) respondNotRun(w http.ResponseWriter, r *http.Request, status int) {
-	markRefused(r.Context())
+	id := ""
+	if rand.Float64() < t.options.RefusalIDFraction {
+		id = r.Header.Get("X-Request-Id")
+		w.Header().Set("X-Request-Id", id)
+	}
+	recordRefusal(r.Context(), status, id)
 	w.Header().Set("X-Not-Executed", "1")
 	w.WriteHeader(status)
 }
@@ -214,8 +222,8 @@
 		return
 	}
 	defer t.endRun(r)
-	if wasRefused(r.Context()) && rand.Float64() < t.options.CopyFraction {
-		copyRefusal(w, t.options.ServiceTime)
+	if earlier := lastRefusal(r.Context()); earlier != "" && rand.Float64() < t.options.CopyFraction {
+		copyRefusal(w, earlier, t.options.ServiceTime)
 		return
 	}
 	t.running.Add(1)
@@ -285,6 +293,10 @@
 	if fault.Lose || rand.Float64() < t.options.LostFraction {
 		panic(http.ErrAbortHandler)
 	}
+	if rand.Float64() < t.options.InvalidFraction {
+		respondInvalid(w, id, body)
+		return
+	}
 	if fault.Extra || rand.Float64() < t.options.ExtraFraction {
 		respondTwice(w, id, body)
 		return
