Send late in a stop only what even an unusually long request would end

Cause: a stopping host refuses what would most likely be cut, by the mean and four deviations of a route's latencies. Where 3 in 100 requests take seven times as long as the others, some exceed that.

Change: from 3 s after the begin of a stop, a request is sent only if twice the longest of the last 500 to 1,000 latencies of its route fits into what is left as well. By then new connections have gone elsewhere, and a refusal lets the caller do so too; up to then requests are sent as before.

The tests of io/gateway and io/proxy pass. The factor 2 and the sample were chosen, not measured; the 3 s are the time after which the rule counts a request.

--- a/core/latency/latency_test.go
+++ b/core/latency/latency_test.go
@@ -57,3 +57,37 @@
 		assertEndsWithin(t, table, 0, work, true)
 	})
 }
+
+// TestSurelyEndsWithin guards against a stopping host that passes on, late in its stop, requests of which a few take much
+// longer than most, and cuts them at their targets.
+func TestSurelyEndsWithin(t *testing.T) {
+	const usual, long = 250 * time.Millisecond, 1750 * time.Millisecond
+	assertSure := func(t *testing.T, table *Table, left time.Duration, want bool) {
+		t.Helper()
+		if got := table.SurelyEndsWithin("route", usual, left); got != want {
+			t.Errorf("request ends within %v for sure: got %t, want %t", left, got, want)
+		}
+	}
+	observe := func(table *Table, n int, took time.Duration) {
+		for range n {
+			table.Observe("route", took)
+		}
+	}
+	t.Run("nothing known", func(t *testing.T) { assertSure(t, &Table{}, time.Hour, false) })
+	t.Run("one is long", func(t *testing.T) {
+		table := &Table{}
+		observe(table, 1, long)
+		observe(table, 2*longestSample-2, usual)
+		assertEndsWithin(t, table, usual, 2*time.Second, true)
+		assertSure(t, table, 2*time.Second, false)
+		assertSure(t, table, longestFactor*long, true)
+		observe(table, longestSample, usual)
+		assertSure(t, table, 2*time.Second, true)
+	})
+	t.Run("all are usual", func(t *testing.T) {
+		table := &Table{}
+		observe(table, longestSample, usual)
+		assertSure(t, table, 2*usual, true)
+		assertSure(t, table, 2*usual-time.Millisecond, false)
+	})
+}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -90,9 +90,9 @@
 	relays relays
 	// latencies holds the latencies of the requests that this host has sent or relayed, by route.
 	latencies latency.Table
-	// cancelAt is when this host, which stops, cancels its requests; nil before its stop.
-	cancelAt atomic.Pointer[time.Time]
-	done     chan struct{}
+	// stop is the stop of this host; nil before.
+	stop atomic.Pointer[hostStop]
+	done chan struct{}
 	// Regions holds the region of each failure domain.
 	Regions map[string]string
 	// HandleRecord is called for each request once its response has been written
--- a/io/proxy/stop_test.go
+++ b/io/proxy/stop_test.go
@@ -50,7 +50,7 @@
 }
 
 // postLate sends a request whose body ends after a time, and returns its response.
-func postLate(p *Proxy, after time.Duration, length int64, header http.Header) <-chan *httptest.ResponseRecorder {
+func postLate(p *Proxy, after time.Duration, header http.Header) <-chan *httptest.ResponseRecorder {
 	body, writer := io.Pipe()
 	go func() {
 		_, _ = writer.Write([]byte("a"))
@@ -59,7 +59,7 @@
 		_ = writer.Close()
 	}()
 	r := httptest.NewRequest(http.MethodPost, "/write/1", body)
-	r.Host, r.ContentLength = testHost, length
+	r.Host, r.ContentLength = testHost, 2
 	r.Header.Set("X-Request-Id", "r1")
 	r.Header.Set("X-Deadline-Ms", "900")
 	for name, values := range header {
@@ -88,7 +88,7 @@
 			newTestTarget(t, p, "t1", work(&begun, &ended))
 			learn(t, p, nil)
 			before := begun.Load()
-			responses := postLate(p, x.after, 2, nil)
+			responses := postLate(p, x.after, nil)
 			beginStop(t, p)
 			w := <-responses
 			assertStatus(t, w, x.want)
@@ -102,6 +102,37 @@
 	}
 }
 
+// TestRareLongWorkLateInStop guards against a host that passes on a request late in its stop, and cuts it at its target,
+// because it is one of the few that take much longer than most.
+func TestRareLongWorkLateInStop(t *testing.T) {
+	for _, x := range []struct {
+		name        string
+		longest     time.Duration
+		stoppingFor time.Duration
+		want        int
+	}{
+		{"late, some are long", 10 * stopWork, sureSendsAfter + time.Second, http.StatusServiceUnavailable},
+		{"late, none are long", stopWork, sureSendsAfter + time.Second, http.StatusOK},
+		{"early, some are long", 10 * stopWork, sureSendsAfter / 2, http.StatusOK},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			var begun, ended atomic.Int64
+			p := newTestProxy(7)
+			newTestTarget(t, p, "t1", work(&begun, &ended))
+			p.latencies.Observe("/write/", x.longest)
+			for range 100 {
+				p.latencies.Observe("/write/", stopWork)
+			}
+			now := p.clock.Now()
+			p.stop.Store(&hostStop{beganAt: now.Add(-x.stoppingFor), cancelAt: now.Add(stopDelay)})
+			assertStatus(t, <-postLate(p, 0, nil), x.want)
+			if got, want := begun.Load(), int64(map[int]int{http.StatusOK: 1}[x.want]); got != want {
+				t.Errorf("runs at the target: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
 // TestStopBesideQueue guards against a stopping host that passes on a request which has waited for capacity,
 // or for its turn in the queue of its owner, and cuts it at its target.
 func TestStopBesideQueue(t *testing.T) {
@@ -120,7 +151,7 @@
 			// The 4 slots of the target are too few for all until the end of the stop.
 			const requests = 40
 			for range requests {
-				all = append(all, postLate(p, 0, 2, header))
+				all = append(all, postLate(p, 0, header))
 			}
 			served := int64(0)
 			for _, responses := range all {
@@ -157,7 +188,7 @@
 		send(t.Context(), holder)
 	}
 	assertQueuedWithin(t, heldTime, holder, 4, 4)
-	responses := postLate(ingress, 0, 2, keyed(http.Header{"X-Deadline-Ms": {strconv.FormatInt(heldTime.Milliseconds(), 10)}}))
+	responses := postLate(ingress, 0, keyed(http.Header{"X-Deadline-Ms": {strconv.FormatInt(heldTime.Milliseconds(), 10)}}))
 	assertQueuedWithin(t, heldTime, holder, 5, 4)
 	holder.CancelAt(holder.clock.Now())
 	assertStatus(t, <-responses, http.StatusOK)
