Begin no request early behind one whose answer may be broken off

Cause: an answer over 256 KiB is passed on before it has come whole, and the requests behind it are begun before that is known.

None is begun early behind a request of such a route; they run after it.

What the wait costs callers behind long answers was not measured.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -268,7 +268,7 @@
 // newCallerListener returns the listener for callers.
 func (g *Gateway) newCallerListener(l net.Listener) *listener.Listener {
 	callers := listener.New(l)
-	callers.IdleTimeout = g.idleTimeout
+	callers.IdleTimeout, callers.MayBreakOff = g.idleTimeout, g.proxy.MayBreakOff
 	sockets := g.settings.Sockets
 	if sockets <= 0 {
 		sockets = socket.MaxOpen()
--- a/io/listener/ahead.go
+++ b/io/listener/ahead.go
@@ -36,6 +36,10 @@
 type ahead struct {
 	// begin begins a request early, whose head has arrived at a time.
 	begin func(r *http.Request, arrived time.Time) *early
+	// mayBreakOff reports whether the response to a request may be broken off, which ends the connection; nil for none.
+	mayBreakOff func(*http.Request) bool
+	// blocked is set while that is so for the last request that has begun: none is begun early behind it.
+	blocked bool
 	// plain is set once the requests can't be told apart. All is passed on from then on.
 	plain bool
 	// buffered holds what was read and not passed on, scanned the number of its bytes that belong
@@ -112,6 +116,9 @@
 		return limit
 	}
 	a.whole, a.arrived = true, a.arrivals.of(len(a.head)-known-1)
+	if a.lastEarly <= a.current {
+		a.blocked = a.breaksOff(r)
+	}
 	return len(a.head) - known
 }
 
@@ -147,7 +154,7 @@
 // beginEarly begins the buffered requests that follow the current one, up to the first that can't
 // be begun early.
 func (a *ahead) beginEarly() {
-	for !a.plain && len(a.queue) < maxEarly {
+	for !a.plain && !a.blocked && len(a.queue) < maxEarly {
 		end := bytes.Index(a.buffered[a.scanned:], headEnd)
 		if end < 0 {
 			return
@@ -163,11 +170,13 @@
 		}
 		a.lastEarly = max(a.lastEarly, a.current) + 1
 		e.head, e.number = bytes.Clone(head), a.lastEarly
-		a.queue = append(a.queue, e)
+		a.queue, a.blocked = append(a.queue, e), a.breaksOff(r)
 		a.scanned += len(head)
 	}
 }
 
+func (a *ahead) breaksOff(r *http.Request) bool { return a.mayBreakOff != nil && a.mayBreakOff(r) }
+
 // repeatable reports whether a request may be begun although its response may never be delivered,
 // as far as its head shows: it has no body, and its method is safe. The caller sends it again if the
 // connection ends.
--- a/io/listener/listener.go
+++ b/io/listener/listener.go
@@ -43,6 +43,9 @@
 	// number of open connections, 0 for no limit. They are set before the server serves.
 	IdleTimeout func() time.Duration
 	MaxConns    int
+	// MayBreakOff reports whether the response to a request may be broken off after its head; nil for none. No request
+	// is begun early behind such a one. It is set before the server serves.
+	MayBreakOff func(*http.Request) bool
 
 	counters  counters
 	drained   chan struct{}
@@ -142,7 +145,7 @@
 	c := &Conn{Conn: conn, listener: l, opened: now, idleSince: now, idleLimit: l.IdleTimeout(), deadlineSet: make(chan struct{})}
 	c.readEnded.L = &c.mu
 	if l.split {
-		c.ahead = &ahead{begin: c.begin}
+		c.ahead = &ahead{begin: c.begin, mayBreakOff: l.MayBreakOff}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/proxy/pipelinetimeout_test.go
+++ b/io/proxy/pipelinetimeout_test.go
@@ -23,6 +23,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+
+	l.MayBreakOff = p.MayBreakOff
 	server := &http.Server{Handler: l.BeginEarly(p.Handler(), p.Idempotent)}
 	l.Attach(server)
 	go func() { _ = server.Serve(l) }()
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -89,7 +89,8 @@
 	// relays holds the requests in progress that other hosts have relayed to this one.
 	relays relays
 	// latencies holds the latencies of the requests that this host has sent or relayed, by route.
-	latencies latency.Table
+	latencies   latency.Table
+	longAnswers longAnswers
 	// stop is the stop of this host; nil before.
 	stop atomic.Pointer[hostStop]
 	done chan struct{}
@@ -183,12 +184,7 @@
 
 // Idempotent reports whether a caller's request may run more than once.
 func (p *Proxy) Idempotent(r *http.Request) bool {
-	table := p.catalog.Table()
-	if table == nil {
-		return false
-	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route, ok := table.Route(r.Host, path)
+	route, ok := p.route(r)
 	return ok && route.Idempotent
 }
 
@@ -358,6 +354,8 @@
 	platform.CopyResponseHeaders(w.Header(), r.header)
 	if r.unread == nil {
 		setContentLength(w.Header(), r)
+	} else {
+		p.longAnswers.record(r.request.match.Route.Name, p.clock.Now())
 	}
 	r.request.body.prepare(w)
 	w.WriteHeader(r.status)
