--- a/review/rig3/backend.go
+++ b/review/rig3/backend.go
@@ -35,11 +35,13 @@
 // connection, and applies grants and releases as PROTOCOL.md says.
 type backend struct {
 	id, service, zone string
-	slots             int
-	work              time.Duration
-	keyed             bool
-	rec               *recorder
-	listener          net.Listener
+	// address is where hosts reach the backend.
+	address  string
+	slots    int
+	work     time.Duration
+	keyed    bool
+	rec      *recorder
+	listener net.Listener
 
 	mu      sync.Mutex
 	holds   []hold
@@ -68,7 +70,7 @@
 	}
 	b := &backend{
 		id: id, service: service, zone: zone, slots: 2, work: 50 * time.Millisecond, keyed: keyed, rec: rec,
-		listener: l, holds: make([]hold, keys), running: make(map[int]int),
+		listener: l, address: l.Addr().String(), holds: make([]hold, keys), running: make(map[int]int),
 	}
 	go b.accept()
 	return b, nil
@@ -90,7 +92,7 @@
 	defer b.mu.Unlock()
 	b.states++
 	return fmt.Appendf(nil, `{"address":%q,"info":{"service":%q,"version":"v1","zone":%q,"capacity":%d},"status":{"state":%q,"sequence":%d,"warmup_left_s":0}}`,
-		b.listener.Addr().String(), b.service, b.zone, b.slots, state, b.states)
+		b.address, b.service, b.zone, b.slots, state, b.states)
 }
 
 func (b *backend) serveConn(c *conn) {
--- a/review/rig3/grantcopy.go
+++ b/review/rig3/grantcopy.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -9,6 +10,8 @@
 const (
 	// lateBy is how long after its arrival an unanswered grant is carried out: 2 to 12 s by the pages.
 	lateBy = 2 * time.Second
+	// calmTime is the time before the disruption, in which the backend answers over 40 grants.
+	calmTime = 20 * time.Second
 	// maxOverlap is the time for which two backends may hold the same keys (OWNER).
 	maxOverlap = 500 * time.Millisecond
 )
@@ -29,7 +32,7 @@
 	if err := r.startHosts("pos-a", "pos-b", "chag-a"); err != nil {
 		return 0, err
 	}
-	time.Sleep(12 * time.Second)
+	time.Sleep(calmTime)
 	faulty := r.backends["i-1"]
 	if r.trouble {
 		armed, applied := faulty.copyNextGrantAnswer()
@@ -65,7 +68,9 @@
 		once.Do(func() {
 			taken = true
 			b.rec.line("backend %s: grant %d-%d fence %d gets no answer; the backend writes its answer to the grant before once more", b.id, o.From, o.To, o.Fence)
-			_, _ = c.Write(c.lastGrantAnswer)
+			if os.Getenv("TROUBLE") != "late" {
+				_, _ = c.Write(c.lastGrantAnswer)
+			}
 			close(armed)
 			time.AfterFunc(lateBy, func() {
 				if status := b.apply(o, arrived, "carried out late"); status != http.StatusOK {
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -16,6 +16,7 @@
 
 var scripts = map[string]func(r *rig) (int, error){
 	"grant-copy": grantCopy,
+	"fuzz":       fuzz,
 }
 
 func main() { os.Exit(run()) }
