--- a/review/rig3/backend.go
+++ b/review/rig3/backend.go
@@ -38,20 +38,25 @@
 	// address is where hosts reach the backend.
 	address  string
 	slots    int
-	work     time.Duration
 	keyed    bool
 	rec      *recorder
 	listener net.Listener
 
 	mu      sync.Mutex
+	born    time.Time
+	dead    bool
+	conns   map[*conn]bool
 	holds   []hold
 	running map[int]int
 	states  int
+	// taken holds the running requests, waiting is the number of those that wait for a slot.
+	taken   chan struct{}
+	waiting int
+	// granted holds the last grant of each range, by its first key.
+	granted map[int]order
 	// grantHook, if set, may take over a grant. It returns true if it has, and must then have
 	// written what the backend writes, if anything.
 	grantHook func(c *conn, o order, arrived time.Time) bool
-	// serve, if set, serves a request in place of the usual answer.
-	serve func(c *conn, r *http.Request) bool
 }
 
 // conn is a connection to a backend.
@@ -60,7 +65,6 @@
 	br *bufio.Reader
 	// lastGrantAnswer is the last answer to a grant on this connection.
 	lastGrantAnswer []byte
-	number          int
 }
 
 func newBackend(rec *recorder, id, service, zone string, keyed bool) (*backend, error) {
@@ -69,21 +73,58 @@
 		return nil, fmt.Errorf("listen for backend %s: %w", id, err)
 	}
 	b := &backend{
-		id: id, service: service, zone: zone, slots: 2, work: 50 * time.Millisecond, keyed: keyed, rec: rec,
-		listener: l, address: l.Addr().String(), holds: make([]hold, keys), running: make(map[int]int),
+		id: id, service: service, zone: zone, slots: 2, keyed: keyed, rec: rec,
+		taken: make(chan struct{}, 2), granted: make(map[int]order), born: time.Now(), conns: make(map[*conn]bool), listener: l, address: l.Addr().String(), holds: make([]hold, keys), running: make(map[int]int),
 	}
-	go b.accept()
+	go b.accept(l)
 	return b, nil
 }
 
-func (b *backend) accept() {
-	for n := 1; ; n++ {
-		c, err := b.listener.Accept()
+func (b *backend) accept(l net.Listener) {
+	for {
+		accepted, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go b.serveConn(&conn{Conn: c, br: bufio.NewReader(c), number: n})
+		c := &conn{Conn: accepted, br: bufio.NewReader(accepted)}
+		b.mu.Lock()
+		b.conns[c] = true
+		b.mu.Unlock()
+		go b.serveConn(c)
+	}
+}
+
+// crash ends the backend: its connections end, and it forgets all.
+func (b *backend) crash() {
+	_ = b.listener.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for c := range b.conns {
+		_ = c.Close()
+	}
+	b.dead, b.holds, b.states, b.running = true, make([]hold, keys), 0, make(map[int]int)
+	b.rec.released(b, 0, keys-1, time.Now())
+	b.rec.line("backend %s crashes", b.id)
+}
+
+// restart starts the backend again under its id and at its address. It knows nothing of before.
+func (b *backend) restart() error {
+	l, err := net.Listen("tcp", b.address)
+	if err != nil {
+		return fmt.Errorf("listen again for backend %s: %w", b.id, err)
 	}
+	b.mu.Lock()
+	b.listener, b.born, b.dead = l, time.Now(), false
+	b.mu.Unlock()
+	b.rec.line("backend %s starts again under its id", b.id)
+	go b.accept(l)
+	return nil
+}
+
+func (b *backend) isDead() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.dead
 }
 
 // entry returns the entry of the backend in the store.
@@ -91,12 +132,17 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.states++
-	return fmt.Appendf(nil, `{"address":%q,"info":{"service":%q,"version":"v1","zone":%q,"capacity":%d},"status":{"state":%q,"sequence":%d,"warmup_left_s":0}}`,
-		b.address, b.service, b.zone, b.slots, state, b.states)
+	return fmt.Appendf(nil, `{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"capacity":%d},"status":{"state":%q,"sequence":%d,"warmup_left_s":0}}`,
+		b.address, b.born.UnixMilli(), b.service, b.zone, b.slots, state, b.states)
 }
 
 func (b *backend) serveConn(c *conn) {
-	defer c.Close()
+	defer func() {
+		_ = c.Close()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.conns, c)
+	}()
 	for {
 		r, err := http.ReadRequest(c.br)
 		if err != nil {
@@ -122,9 +168,6 @@
 				b.serveRelease(c, o)
 			}
 		default:
-			if b.serve != nil && b.serve(c, r) {
-				continue
-			}
 			b.serveRequest(c, r)
 		}
 	}
@@ -171,6 +214,7 @@
 		b.holds[k] = hold{fence: o.Fence, until: until}
 	}
 	b.rec.line("backend %s: grant %d-%d fence %d hold_s %.1f, arrived %.3f: applied, held until %.3f (%s)", b.id, o.From, o.To, o.Fence, o.HoldS, b.rec.at(arrived), b.rec.at(until), how)
+	b.granted[o.From] = o
 	b.rec.held(b, o.From, o.To, now, until)
 	return http.StatusOK
 }
@@ -204,6 +248,26 @@
 	return false
 }
 
+// queueLength is the number of requests that wait for a slot before further ones are refused.
+const queueLength = 8
+
+// acquire waits for a slot, and returns false if too many wait.
+func (b *backend) acquire() bool {
+	b.mu.Lock()
+	if b.waiting == queueLength {
+		b.mu.Unlock()
+		return false
+	}
+	b.waiting++
+	b.mu.Unlock()
+	b.taken <- struct{}{}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting--
+	return true
+}
+
+// serveRequest runs a request for as long as its query says, once there is a slot.
 func (b *backend) serveRequest(c *conn, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	body, err := io.ReadAll(r.Body)
@@ -214,6 +278,15 @@
 	if err != nil {
 		key = -1
 	}
+	work, err := strconv.Atoi(r.URL.Query().Get("ms"))
+	if err != nil {
+		work = 50
+	}
+	if !b.acquire() {
+		c.answer(http.StatusServiceUnavailable, map[string]string{"X-Request-Id": id, "X-Not-Executed": "1"}, "")
+		return
+	}
+	defer func() { <-b.taken }()
 	if b.keyed {
 		b.mu.Lock()
 		if key < 0 || !time.Now().Before(b.holds[key].until) {
@@ -225,12 +298,12 @@
 		b.mu.Unlock()
 		defer func() {
 			b.mu.Lock()
+			defer b.mu.Unlock()
 			b.running[key]--
-			b.mu.Unlock()
 		}()
 	}
-	b.rec.run(b.id, id, r.Method, r.URL.RequestURI(), body)
-	time.Sleep(b.work)
-	c.answer(http.StatusOK, map[string]string{"X-Request-Id": id, "X-Response-Signature": "sig." + id, "X-Backend-Load": "0,0," + strconv.Itoa(b.slots)},
-		strings.Repeat(b.id+" ran "+id+"\n", 3))
+	b.rec.run(b.id, id, r.Method, r.URL.RequestURI(), key, body)
+	time.Sleep(time.Duration(work) * time.Millisecond)
+	load := fmt.Sprintf("%d,0,%d", len(b.taken), b.slots)
+	c.answer(http.StatusOK, map[string]string{"X-Request-Id": id, "X-Response-Signature": "sig." + id, "X-Backend-Load": load}, strings.Repeat(b.id+" ran "+id+"\n", 3))
 }
--- a/review/rig3/grantcopy.go
+++ b/review/rig3/grantcopy.go
@@ -12,20 +12,23 @@
 	lateBy = 2 * time.Second
 	// calmTime is the time before the disruption, in which the backend answers over 40 grants.
 	calmTime = 20 * time.Second
-	// maxOverlap is the time for which two backends may hold the same keys (OWNER).
-	maxOverlap = 500 * time.Millisecond
+	// statementTimeout is the timeout of landlord-statement, longWork within the longest that it works.
+	statementTimeout = 4 * time.Second
+	longWork         = 3 * time.Second
+	usualWork        = 100 * time.Millisecond
 )
 
 // grantCopy has a backend write the answer to a grant once more, late, where the answer to the next grant
-// is due, and carry that next grant out late without an answer. Then the backend is drained.
+// is due, and carry that next grant out late without an answer. Then the backend is drained, while requests
+// wait for its slots.
 func grantCopy(r *rig) (int, error) {
 	if err := r.configure(7, []route{
-		{Name: "r-records", Host: "site.example", PathPrefix: "/records/", Kind: "safe", TimeoutS: 2.5, TargetS: 1.2, Priority: 2, Service: "records", Attempts: 2},
+		{Name: "r-statement", Host: "site.example", PathPrefix: "/records/", Kind: "safe", TimeoutS: statementTimeout.Seconds(), TargetS: 2, Priority: 2, Service: "records", Attempts: 2},
 	}, []service{{Name: "records", HealthPath: "/health", MaxConnections: 110, Protocol: "h1", Sharding: true, WarmS: 5}}); err != nil {
 		return 0, err
 	}
 	for _, id := range []string{"i-1", "i-2", "i-3"} {
-		if _, err := r.add(id, "records", "pos-a", true); err != nil {
+		if err := r.add(id, "records", "pos-a", true); err != nil {
 			return 0, err
 		}
 	}
@@ -33,30 +36,51 @@
 		return 0, err
 	}
 	time.Sleep(calmTime)
+	clients := newClient(r, "/records/statement", 8*time.Second)
+	go clients.run(50*time.Millisecond, usualWork)
 	faulty := r.backends["i-1"]
-	if r.trouble {
-		armed, applied := faulty.copyNextGrantAnswer()
-		<-armed
-		time.Sleep(500 * time.Millisecond)
-		r.setState("i-1", "draining")
-		<-applied
-	} else {
-		r.setState("i-1", "draining")
-	}
+	unanswered := faulty.nextGrant(r.trouble)
+	o := <-unanswered
+	faulty.fill(r, clients, o)
+	time.Sleep(500 * time.Millisecond)
+	r.setState("i-1", "draining")
 	time.Sleep(6 * time.Second)
-	o := r.rec.longestOverlap()
-	if o.length <= maxOverlap {
-		r.rec.line("OWNER held: no keys were held by two backends for over %v (longest %v)", maxOverlap, o.length)
+	close(clients.stop)
+	time.Sleep(2 * time.Second)
+	one, other, found := r.rec.bothBegan()
+	if !found {
+		r.rec.line("OWNER held: no two backends began requests on keys that both held at the time")
 		return held, nil
 	}
-	r.rec.line("OWNER broken: backends %s and %s both held keys %d-%d for %v, from %.3f", o.one.backend, o.other.backend, o.first, o.last, o.length, max(r.rec.at(o.one.from), r.rec.at(o.other.from)))
+	r.rec.line("OWNER broken: backend %s began %s on key %d at %.3f and backend %s began %s on key %d at %.3f, on keys that both held all the while",
+		one.backend, one.id, one.key, r.rec.at(one.at), other.backend, other.id, other.key, r.rec.at(other.at))
 	return broken, nil
 }
 
-// copyNextGrantAnswer makes the backend answer the next renewal with a copy of the answer before, and carry
-// it out late. armed is closed once the copy was written, applied once the grant was carried out.
-func (b *backend) copyNextGrantAnswer() (armed, applied chan struct{}) {
-	armed, applied = make(chan struct{}), make(chan struct{})
+// fill has clients send two requests that take long, for keys of another range than that of an order, and then
+// some for keys of that range: these wait for a slot.
+func (b *backend) fill(r *rig, clients *client, o order) {
+	b.mu.Lock()
+	var elsewhere []int
+	for first := range b.granted {
+		if first != o.From {
+			elsewhere = append(elsewhere, first)
+		}
+	}
+	b.mu.Unlock()
+	for i := range b.slots {
+		go clients.send(r.hosts[0], elsewhere[0]+i, longWork)
+	}
+	time.Sleep(50 * time.Millisecond)
+	for i := range 3 {
+		go clients.send(r.hosts[0], o.From+i, usualWork)
+	}
+}
+
+// nextGrant returns a channel that gets the next renewal that arrives on a connection that has carried an answer to a
+// grant. In trouble the backend then writes that answer once more, and carries the renewal out late without an answer.
+func (b *backend) nextGrant(trouble bool) chan order {
+	arrivedAt := make(chan order, 1)
 	var once sync.Once
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -66,20 +90,22 @@
 			return false
 		}
 		once.Do(func() {
-			taken = true
+			arrivedAt <- o
+			taken = trouble
+			if !trouble {
+				return
+			}
 			b.rec.line("backend %s: grant %d-%d fence %d gets no answer; the backend writes its answer to the grant before once more", b.id, o.From, o.To, o.Fence)
 			if os.Getenv("TROUBLE") != "late" {
 				_, _ = c.Write(c.lastGrantAnswer)
 			}
-			close(armed)
 			time.AfterFunc(lateBy, func() {
 				if status := b.apply(o, arrived, "carried out late"); status != http.StatusOK {
 					b.rec.line("backend %s: late grant not carried out: %d", b.id, status)
 				}
-				close(applied)
 			})
 		})
 		return taken
 	}
-	return armed, applied
+	return arrivedAt
 }
--- a/review/rig3/record.go
+++ b/review/rig3/record.go
@@ -18,6 +18,7 @@
 // execution is a run of a request at a backend.
 type execution struct {
 	backend, id, method, uri string
+	key                      int
 	body                     []byte
 	at                       time.Time
 }
@@ -51,11 +52,11 @@
 	_, _ = fmt.Fprintf(r.out, "%8.3f  %s\n", r.at(time.Now()), fmt.Sprintf(form, args...))
 }
 
-func (r *recorder) run(backend, id, method, uri string, body []byte) {
-	r.line("backend %s runs %s %s %s", backend, id, method, uri)
+func (r *recorder) run(backend, id, method, uri string, key int, body []byte) {
+	r.line("backend %s begins to run %s: %s %s, key %d", backend, id, method, uri, key)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runs = append(r.runs, execution{backend: backend, id: id, method: method, uri: uri, body: body, at: time.Now()})
+	r.runs = append(r.runs, execution{backend: backend, id: id, method: method, uri: uri, key: key, body: body, at: time.Now()})
 }
 
 // held records that a backend holds keys from one time to another, unless it releases them.
@@ -120,6 +121,43 @@
 	return longest
 }
 
+// bothBegan returns two runs of requests that two backends began on keys that both held, in a time for
+// which both held them.
+func (r *recorder) bothBegan() (one, other execution, found bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, a := range r.spans {
+		for _, b := range r.spans[i+1:] {
+			if a.backend == b.backend || a.last < b.first || b.last < a.first {
+				continue
+			}
+			shared := span{first: max(a.first, b.first), last: min(a.last, b.last), from: a.from, to: a.to}
+			if b.from.After(shared.from) {
+				shared.from = b.from
+			}
+			if b.to.Before(shared.to) {
+				shared.to = b.to
+			}
+			one, began := r.begin(a.backend, shared)
+			other, otherBegan := r.begin(b.backend, shared)
+			if began && otherBegan {
+				return one, other, true
+			}
+		}
+	}
+	return execution{}, execution{}, false
+}
+
+// begin returns a run that a backend began within a span. The caller holds mu.
+func (r *recorder) begin(backend string, s span) (execution, bool) {
+	for _, x := range r.runs {
+		if x.backend == backend && x.key >= s.first && x.key <= s.last && x.at.After(s.from) && x.at.Before(s.to) {
+			return x, true
+		}
+	}
+	return execution{}, false
+}
+
 func (r *recorder) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
