review: a restarted backend's renewals are forgotten when it leaves

The entry of a backend's later lifetime proves its ranges free a fixed time after the last grant on a new connection. Renewals on the connection that this lifetime has accepted do not count, so keys are granted to others while it still holds them.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -15,8 +15,8 @@
 )
 
 var scripts = map[string]func(r *rig) (int, error){
-	"grant-copy": grantCopy,
-	"fuzz":       fuzz,
+	"grant-copy":    grantCopy,
+	"restart-drain": restartDrain,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -27,6 +27,7 @@
 	// trouble is false in a run without the disruption.
 	trouble  bool
 	store    *platformstore.Store
+	api      *storeAPI
 	storeAt  string
 	hostsNet string
 
@@ -39,12 +40,12 @@
 
 // host is a process of the system.
 type host struct {
-	name, zone, ip     string
-	front, ready       string
-	settings, log      string
-	process            *exec.Cmd
-	done               chan struct{}
-	bootstrap, stopped bool
+	name, zone, ip string
+	front, ready   string
+	settings, log  string
+	process        *exec.Cmd
+	done           chan struct{}
+	bootstrap      bool
 }
 
 func newRig(binary, record string) (*rig, error) {
@@ -61,7 +62,8 @@
 		backends: make(map[string]*backend), states: make(map[string]string),
 		hostsNet: fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250)),
 	}
-	r.storeAt, err = r.listen(r.store.Handler())
+	r.api = &storeAPI{log: r.store.Handler()}
+	r.storeAt, err = r.listen(r.api)
 	if err != nil {
 		return nil, err
 	}
@@ -83,16 +85,16 @@
 }
 
 // add starts a backend and registers it.
-func (r *rig) add(id, service, zone string, keyed bool) (*backend, error) {
+func (r *rig) add(id, service, zone string, keyed bool) error {
 	b, err := newBackend(r.rec, id, service, zone, keyed)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	r.mu.Lock()
 	r.backends[id] = b
 	r.mu.Unlock()
 	r.setState(id, "ready")
-	return b, nil
+	return nil
 }
 
 // setState writes the state of a backend to the store.
@@ -100,15 +102,38 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.states[id] = state
+	if r.api.isDown() {
+		return
+	}
 	r.store.PutTarget(id, r.backends[id].entry(state))
 	r.rec.line("backend %s says in the store that it is %s", id, state)
 }
 
+// leave has a backend begin to leave: it says so in the next entry that it writes.
+func (r *rig) leave(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.states[id] = "draining"
+	r.rec.line("backend %s is told to leave", id)
+}
+
+// setStoreDown takes the store away or brings it back. The entries stay.
+func (r *rig) setStoreDown(down bool) {
+	r.api.setDown(down)
+	r.rec.line("store is down: %t", down)
+}
+
 // heartbeats writes the entries of all backends again and again.
 func (r *rig) heartbeats() {
 	for range time.Tick(heartbeat) {
+		if r.api.isDown() {
+			continue
+		}
 		r.mu.Lock()
 		for id, b := range r.backends {
+			if b.isDead() {
+				continue
+			}
 			r.store.PutTarget(id, b.entry(r.states[id]))
 		}
 		r.mu.Unlock()
@@ -272,12 +297,6 @@
 	return nil
 }
 
-// signal sends a signal to the process of a host.
-func (r *rig) signal(h *host, s syscall.Signal) {
-	r.rec.line("host %s gets %s", h.name, s)
-	_ = h.process.Process.Signal(s)
-}
-
 func (h *host) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + h.ready + "/v1/ready")
