review: a stopping host cuts a request longer than any that it has seen

Late in a stop a host sends what twice its longest latency fits; one that has served few requests knows little of the tail. A request that may not be repeated is passed on, cut at its backend and answered 502, where a 503 would have been true.

--- a/review/rig3/grantcopy.go
+++ b/review/rig3/grantcopy.go
@@ -22,13 +22,13 @@
 // is due, and carry that next grant out late without an answer. Then the backend is drained, while requests
 // wait for its slots.
 func grantCopy(r *rig) (int, error) {
-	if err := r.configure(7, []route{
+	if err := r.configure([]route{
 		{Name: "r-statement", Host: "site.example", PathPrefix: "/records/", Kind: "safe", TimeoutS: statementTimeout.Seconds(), TargetS: 2, Priority: 2, Service: "records", Attempts: 2},
 	}, []service{{Name: "records", HealthPath: "/health", MaxConnections: 110, Protocol: "h1", Sharding: true, WarmS: 5}}); err != nil {
 		return 0, err
 	}
 	for _, id := range []string{"i-1", "i-2", "i-3"} {
-		if err := r.add(id, "records", "pos-a", true); err != nil {
+		if err := r.add(id, "records", true); err != nil {
 			return 0, err
 		}
 	}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -15,7 +15,9 @@
 )
 
 var scripts = map[string]func(r *rig) (int, error){
+	"first-answers": firstAnswers,
 	"grant-copy":    grantCopy,
+	"late-stop":     lateStop,
 	"restart-drain": restartDrain,
 }
 
--- a/review/rig3/restartdrain.go
+++ b/review/rig3/restartdrain.go
@@ -18,13 +18,13 @@
 // restartDrain has a backend crash and start again under its id just before the store goes down, and leave as
 // the store comes back: the first entry of its new lifetime says that it is draining.
 func restartDrain(r *rig) (int, error) {
-	if err := r.configure(7, []route{
+	if err := r.configure([]route{
 		{Name: "r-records", Host: "site.example", PathPrefix: "/records/", Kind: "safe", TimeoutS: 2.5, TargetS: 1.2, Priority: 2, Service: "records", Attempts: 2},
 	}, []service{{Name: "records", HealthPath: "/health", MaxConnections: 110, Protocol: "h1", Sharding: true, WarmS: 5}}); err != nil {
 		return 0, err
 	}
 	for i := range backends {
-		if err := r.add(fmt.Sprintf("i-%d", i+1), "records", "pos-a", true); err != nil {
+		if err := r.add(fmt.Sprintf("i-%d", i+1), "records", true); err != nil {
 			return 0, err
 		}
 	}
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -16,8 +16,13 @@
 	"pineturn/io/standin/platformstore"
 )
 
-// heartbeat is the time between two entries that a backend writes.
-const heartbeat = 870 * time.Millisecond
+const (
+	// heartbeat is the time between two entries that a backend writes.
+	heartbeat = 870 * time.Millisecond
+	// backendZone is the zone of all backends, firstVersion the version of the configuration.
+	backendZone  = "pos-a"
+	firstVersion = 7
+)
 
 // rig is a small deployment.
 type rig struct {
@@ -85,8 +90,8 @@
 }
 
 // add starts a backend and registers it.
-func (r *rig) add(id, service, zone string, keyed bool) error {
-	b, err := newBackend(r.rec, id, service, zone, keyed)
+func (r *rig) add(id, service string, keyed bool) error {
+	b, err := newBackend(r.rec, id, service, backendZone, keyed)
 	if err != nil {
 		return err
 	}
@@ -164,17 +169,17 @@
 	WarmS          float64 `json:"warm_s,omitempty"`
 }
 
-// configure writes a version of the configuration.
-func (r *rig) configure(version int, routes []route, services []service) error {
+// configure writes the configuration.
+func (r *rig) configure(routes []route, services []service) error {
 	data, err := json.Marshal(map[string]any{
-		"version": version, "routes": routes, "services": services,
+		"version": firstVersion, "routes": routes, "services": services,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15},
 	})
 	if err != nil {
 		return fmt.Errorf("encode configuration: %w", err)
 	}
 	r.store.Put("keyed.op", "config", data)
-	r.rec.line("operator writes version %d", version)
+	r.rec.line("operator writes version %d", firstVersion)
 	return nil
 }
 
@@ -297,6 +302,12 @@
 	return nil
 }
 
+// signal sends a signal to the process of a host.
+func (r *rig) signal(h *host, s syscall.Signal) {
+	r.rec.line("host %s gets %s", h.name, s)
+	_ = h.process.Process.Signal(s)
+}
+
 func (h *host) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + h.ready + "/v1/ready")
