review: requests behind a host's first long answers are lost

Whether a route's answers may be broken off is known only once a host has passed on a long one. Behind the first ones requests are begun early; if such an answer is broken off, what sound backends have answered behind it is dropped.

--- a/review/rig3/firstanswers.go
+++ b/review/rig3/firstanswers.go
@@ -19,8 +19,9 @@
 	// longAnswer is the length of an answer, in bytes, and brokenAt that of one that is broken off.
 	longAnswer = 320 << 10
 	brokenAt   = 300 << 10
-	// brokenShare is the share of the answers of faulty backends that is broken off, in windows with pauses.
-	brokenShare = 0.03
+	// brokenEvery is the number of answers of faulty backends of which one is broken off, in windows with pauses:
+	// a share of less than 0.03.
+	brokenEvery = 34
 	faultWindow = 5 * time.Second
 	faultPause  = 3 * time.Second
 	// faultyLong is the number of the backend from which on those with long answers are sound: 6 of 10 are faulty.
@@ -95,6 +96,8 @@
 	r               *rig
 	on              atomic.Bool
 	answers, broken atomic.Int64
+	// inWindows is the number of answers of faulty backends while the fault was on.
+	inWindows atomic.Int64
 }
 
 // windows switches the fault on and off.
@@ -114,7 +117,7 @@
 	time.Sleep(answerWork)
 	data := format(http.StatusOK, map[string]string{"X-Request-Id": id, "X-Response-Signature": "sig." + id}, strings.Repeat("0123456789abcde\n", longAnswer/16))
 	f.answers.Add(1)
-	if faulty && f.on.Load() && rand.Float64() < brokenShare {
+	if faulty && f.on.Load() && f.inWindows.Add(1)%brokenEvery == 0 {
 		f.broken.Add(1)
 		b.rec.line("backend %s breaks off its answer to %s", b.id, id)
 		_, _ = c.Write(data[:brokenAt])
