review: withdraw cases 13 and 14, build the rig by a tag only

Removes both with their scripts, and gives the rig the build tag review3. Case 12 has eight backends, as one of three is more than scale_in takes.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,4 +2,4 @@
 # Builds what the scripts of the third review start besides the programs of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review3/ ./review/rig3
+go build -tags review3 -o target/review3/ ./review/rig3
--- a/review/rig3/backend.go
+++ b/review/rig3/backend.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
@@ -57,8 +59,6 @@
 	// grantHook, if set, may take over a grant. It returns true if it has, and must then have
 	// written what the backend writes, if anything.
 	grantHook func(c *conn, o order, arrived time.Time) bool
-	// serve, if set, serves a request in place of the usual answer. It returns true if it has.
-	serve func(c *conn, r *http.Request) bool
 }
 
 // conn is a connection to a backend.
@@ -170,9 +170,6 @@
 				b.serveRelease(c, o)
 			}
 		default:
-			if b.serve != nil && b.serve(c, r) {
-				continue
-			}
 			b.serveRequest(c, r)
 		}
 	}
--- a/review/rig3/grantcopy.go
+++ b/review/rig3/grantcopy.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
@@ -27,10 +29,8 @@
 	}, []service{{Name: "records", HealthPath: "/health", MaxConnections: 110, Protocol: "h1", Sharding: true, WarmS: 5}}); err != nil {
 		return 0, err
 	}
-	for _, id := range []string{"i-1", "i-2", "i-3"} {
-		if err := r.add(id, "records", true); err != nil {
-			return 0, err
-		}
+	if err := r.addBackends("records"); err != nil {
+		return 0, err
 	}
 	if err := r.startHosts("pos-a", "pos-b", "chag-a"); err != nil {
 		return 0, err
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 // Command rig3 runs the scripts of the third review: hosts as processes, between stand-ins of
 // clients, backends and the platform's store on loopback addresses.
 package main
@@ -15,9 +17,7 @@
 )
 
 var scripts = map[string]func(r *rig) (int, error){
-	"first-answers": firstAnswers,
 	"grant-copy":    grantCopy,
-	"late-stop":     lateStop,
 	"restart-drain": restartDrain,
 }
 
--- a/review/rig3/record.go
+++ b/review/rig3/record.go
@@ -1,10 +1,11 @@
+//go:build review3
+
 package main
 
 import (
 	"bufio"
 	"fmt"
 	"os"
-	"slices"
 	"sync"
 	"time"
 )
@@ -159,13 +160,6 @@
 	return execution{}, false
 }
 
-// hasRun reports whether a backend has begun a request.
-func (r *recorder) hasRun(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.runs, func(x execution) bool { return x.id == id })
-}
-
 func (r *recorder) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/rig3/restartdrain.go
+++ b/review/rig3/restartdrain.go
@@ -1,7 +1,8 @@
+//go:build review3
+
 package main
 
 import (
-	"fmt"
 	"os"
 	"time"
 )
@@ -11,8 +12,6 @@
 	outage = 6900 * time.Millisecond
 	// maxOverlap is the time for which two backends may hold the same keys (OWNER).
 	maxOverlap = 500 * time.Millisecond
-	// backends is the number of backends, of which one crashes.
-	backends = 8
 )
 
 // restartDrain has a backend crash and start again under its id just before the store goes down, and leave as
@@ -23,10 +22,8 @@
 	}, []service{{Name: "records", HealthPath: "/health", MaxConnections: 110, Protocol: "h1", Sharding: true, WarmS: 5}}); err != nil {
 		return 0, err
 	}
-	for i := range backends {
-		if err := r.add(fmt.Sprintf("i-%d", i+1), "records", true); err != nil {
-			return 0, err
-		}
+	if err := r.addBackends("records"); err != nil {
+		return 0, err
 	}
 	if err := r.startHosts("pos-a", "pos-b", "chag-a"); err != nil {
 		return 0, err
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
@@ -22,6 +24,8 @@
 	// backendZone is the zone of all backends, firstVersion the version of the configuration.
 	backendZone  = "pos-a"
 	firstVersion = 7
+	// backends is the number of backends of a service. One of them is 0.125, which scale_in and srv_crash may take.
+	backends = 8
 )
 
 // rig is a small deployment.
@@ -89,6 +93,16 @@
 	return l.Addr().String(), nil
 }
 
+// addBackends starts all backends of a service with keys.
+func (r *rig) addBackends(service string) error {
+	for i := range backends {
+		if err := r.add(fmt.Sprintf("i-%d", i+1), service, true); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // add starts a backend and registers it.
 func (r *rig) add(id, service string, keyed bool) error {
 	b, err := newBackend(r.rec, id, service, backendZone, keyed)
@@ -302,12 +316,6 @@
 	return nil
 }
 
-// signal sends a signal to the process of a host.
-func (r *rig) signal(h *host, s syscall.Signal) {
-	r.rec.line("host %s gets %s", h.name, s)
-	_ = h.process.Process.Signal(s)
-}
-
 func (h *host) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + h.ready + "/v1/ready")
--- a/review/rig3/storeapi.go
+++ b/review/rig3/storeapi.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
