Count a renewal by the connection that it is sent on, not by the last grant's

Cause: renewals are sent only on an open connection, and Leader took that for the one on which the range's last grant had been accepted. All grants to a target share one connection. When it breaks, the next grant of any range opens a new one, which a target that has started again accepts, and renewals of the other ranges follow on it. Their lastSentOnNewConnection stayed at the old connection's time, so a restart proved their keys free at once while the new incarnation held them. The next era's probe (era.go) read the same time.

Hypotheses weighed: the transport could dial for a renewal (it can't, the dial function refuses); it may hand out any idle connection (shown by the new test of the sender).

Change: connections remember when they were opened (socket.TrackedBy), an order's outcome tells it (Outcome.ConnectedAt), and Leader keeps the latest time (connectedAt) in place of the time of the last grant that could dial.

Evidence: TestDroppedAfterRenewalOnNewConnection fails with the outcome's connection left out ("dropped before a grant on the new connection has expired: got [{records 4096 8191 {{} t01 0} ... restarted} ..."), and passes with it. TestConnectionOfRenewal shows the shared connection with real sockets. Costs: one reading of the clock for each connection to a target; 24 bytes each.

--- a/core/owner/dropped_test.go
+++ b/core/owner/dropped_test.go
@@ -84,6 +84,29 @@
 	}
 }
 
+// TestDroppedAfterRenewalOnNewConnection guards against two owners of a key: the connection to a target is opened
+// again for a grant of one range, and a renewal of another range is sent on it, which a later incarnation accepts.
+func TestDroppedAfterRenewalOnNewConnection(t *testing.T) {
+	l, view, loads := newCluster(t, 4)
+	reopened := testStart.Add(5 * time.Second)
+	renewed := reopened.Add(l.renewInterval())
+	for _, o := range l.Orders(view, true, renewed) {
+		l.HandleOutcome(o, Outcome{Done: true, ConnectedAt: reopened}, renewed)
+	}
+	restarted := view["t01"]
+	restarted.Born++
+	view["t01"] = restarted
+	l.Assign(testService, view, loads, renewed)
+	l.MarkPersisted(l.Record())
+	expired := reopened.Add(leaseExpiryBound)
+	if got := l.DropFormerOwners(view, expired.Add(-time.Millisecond)); len(got) > 0 {
+		t.Errorf("dropped before a grant on the new connection has expired: got %v, want none", got)
+	}
+	if got := l.DropFormerOwners(view, expired); len(got) == 0 || got[0].Reason != Restarted {
+		t.Errorf("dropped once a grant on the new connection has expired: got %v, want some, restarted", got)
+	}
+}
+
 // TestDroppedAfterEntryOfOtherService guards against two owners of a key because another writer's entry,
 // under the id of a live target, names another service and a later start.
 func TestDroppedAfterEntryOfOtherService(t *testing.T) {
--- a/core/owner/era.go
+++ b/core/owner/era.go
@@ -83,7 +83,7 @@
 	if r.probe != nil {
 		return r.probe
 	}
-	if !r.granted || !r.renewable || len(r.former) > 0 || r.ownerEnded || r.lastSentOnNewConnection.After(lastProof) {
+	if !r.granted || !r.renewable || len(r.former) > 0 || r.ownerEnded || r.connectedAt.After(lastProof) {
 		return nil
 	}
 	return &probe{state: r, until: lastProof.Add(MaxProofAgeForRenewal)}
--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -63,10 +63,10 @@
 	// the owner.
 	inherited bool
 	// lastSent is the latest time at which a grant may have reached the owner.
-	// lastSentOnNewConnection is the same for grants that may have opened a
-	// connection, which another incarnation of the owner may have accepted.
-	lastSent                time.Time
-	lastSentOnNewConnection time.Time
+	lastSent time.Time
+	// connectedAt is the latest time at which a connection was opened on which a grant may
+	// have reached the owner, or another incarnation of it that has accepted the connection.
+	connectedAt time.Time
 	// unaccounted is the end of the latest grant without an outcome that the owner may
 	// still apply; zero if there is none. The owner refuses it once it has accepted a
 	// later one, whose fencing token is higher.
@@ -272,8 +272,8 @@
 // that none of its incarnations holds the range.
 func (l *Leader) restartProvesFreeFrom(r *rangeState) time.Time {
 	var at time.Time
-	if !r.lastSentOnNewConnection.IsZero() {
-		at = r.lastSentOnNewConnection.Add(leaseExpiryBound)
+	if !r.connectedAt.IsZero() {
+		at = r.connectedAt.Add(leaseExpiryBound)
 	}
 	if r.inherited {
 		at = clock.Later(at, l.predecessorNewLeasesUntil.Add(leaseExpiryBound))
--- a/core/owner/orders.go
+++ b/core/owner/orders.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"pineturn/core/clock"
 )
 
 // Kind is the kind of an order.
@@ -31,8 +33,8 @@
 	// Handover is the data that the former owner returned when it released the
 	// keys. Only targets interpret it.
 	Handover string
-	// Renewal orders are sent only on a connection that is already open, so
-	// that no other incarnation of the target can receive them.
+	// Renewal orders are sent only on a connection that is already open. Another
+	// incarnation of the target can receive them only if it has accepted that connection.
 	Renewal bool
 	state   *rangeState
 	former  *formerOwner
@@ -51,12 +53,25 @@
 	// TargetEnded reports that another target has the address, so that the
 	// addressed one has ended.
 	TargetEnded bool
+	// ConnectedAt is when the connection was opened on which the order was sent. If it is
+	// zero, a renewal counts as sent on the connection of the grant before, any other grant
+	// on one that was just opened.
+	ConnectedAt time.Time
 	Handover    string
 }
 
 // Responded reports whether the target has responded to the order.
 func (o Outcome) Responded() bool { return o.Done || o.Fenced || o.Refused || o.TargetEnded }
 
+// connectedAt returns the latest time at which the connection of an order that ended at a time may have been
+// opened, or the zero time if it is the connection of the order before.
+func (o Outcome) connectedAt(order Order, end time.Time) time.Time {
+	if o.ConnectedAt.IsZero() && !order.Renewal {
+		return end
+	}
+	return o.ConnectedAt
+}
+
 // Orders returns the orders that are due for ranges that the record in the
 // store contains. The calling code may call Orders only within
 // MaxProofAgeForRenewal of the last proof of leadership. mayStartLeases reports whether that proof is
@@ -163,9 +178,7 @@
 	mayHaveArrived := !outcome.Unsent && !outcome.Refused && !outcome.Fenced
 	if mayHaveArrived {
 		r.lastSent = now
-	}
-	if mayHaveArrived && !o.Renewal {
-		r.lastSentOnNewConnection = now
+		r.connectedAt = clock.Later(r.connectedAt, outcome.connectedAt(o, now))
 	}
 	if !outcome.UnaccountedUntil(now).IsZero() {
 		r.unaccounted = now
--- a/core/owner/ranges.go
+++ b/core/owner/ranges.go
@@ -69,7 +69,7 @@
 	r.inherited = r.inherited || right.inherited
 	r.confirmed = r.confirmed && right.confirmed
 	r.lastSent = clock.Later(r.lastSent, right.lastSent)
-	r.lastSentOnNewConnection = clock.Later(r.lastSentOnNewConnection, right.lastSentOnNewConnection)
+	r.connectedAt = clock.Later(r.connectedAt, right.connectedAt)
 	r.lastGranted = clock.Earlier(r.lastGranted, right.lastGranted)
 	r.unaccounted = clock.Later(r.unaccounted, right.unaccounted)
 	r.acceptedAt = clock.Earlier(r.acceptedAt, right.acceptedAt)
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -237,7 +237,7 @@
 		Unrecorded:       func() ([]byte, bool) { return nil, false },
 		PredecessorEnded: func(context.Context, owner.LeaderProcess, int64) (ProcessEnd, bool) { return ProcessEnd{}, false },
 	}
-	c.sender = newSender(func(ctx context.Context, network, address string) (net.Conn, error) {
+	c.sender = newSender(clk, func(ctx context.Context, network, address string) (net.Conn, error) {
 		return c.Dial(ctx, network, address)
 	})
 	return c
--- a/io/coordinator/sender.go
+++ b/io/coordinator/sender.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"pineturn/core/clock"
 	"pineturn/core/owner"
 	"pineturn/io/http1"
 	"pineturn/io/socket"
@@ -31,6 +32,8 @@
 type sender struct {
 	// dial opens connections, but none for renewals.
 	dial socket.DialFunc
+	// clock tells when they were opened.
+	clock clock.Clock
 
 	mu sync.Mutex
 	// grants holds a transport for each target. Releases use a transport of their
@@ -40,10 +43,10 @@
 	releases http1.Transport
 }
 
-func newSender(dial socket.DialFunc) *sender {
-	releases := newTransport(dial, 0)
+func newSender(clk clock.Clock, dial socket.DialFunc) *sender {
+	releases := newTransport(clk, dial, 0)
 	releases.MaxIdleConnsPerHost = -1
-	return &sender{dial: dial, grants: make(map[owner.Incarnation]http1.Transport), releases: releases}
+	return &sender{dial: dial, clock: clk, grants: make(map[owner.Incarnation]http1.Transport), releases: releases}
 }
 
 type renewalKey struct{}
@@ -53,9 +56,9 @@
 // newTransport returns a transport with at most conns connections to each target,
 // or any number if conns is 0. It opens no connection for renewals: an address
 // that is dialed again may belong to another incarnation of the target.
-func newTransport(dial socket.DialFunc, conns int) http1.Transport {
+func newTransport(clk clock.Clock, dial socket.DialFunc, conns int) http1.Transport {
 	return http1.Transport{Transport: &http.Transport{
-		DialContext: socket.Tracked(func(ctx context.Context, network, address string) (net.Conn, error) {
+		DialContext: socket.TrackedBy(clk, func(ctx context.Context, network, address string) (net.Conn, error) {
 			if renewal, _ := ctx.Value(renewalKey{}).(bool); renewal {
 				return nil, &net.OpError{Op: "dial", Net: network, Err: errNoConnection}
 			}
@@ -71,7 +74,7 @@
 	defer s.mu.Unlock()
 	t, ok := s.grants[target]
 	if !ok {
-		t = newTransport(s.dial, 1)
+		t = newTransport(s.clock, s.dial, 1)
 		s.grants[target] = t
 	}
 	return t
@@ -111,20 +114,22 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithValue(ctx, renewalKey{}, order.Renewal), grantTimeout)
 	defer cancel()
-	err := s.sendGrant(ctx, address, order.Target, grant)
+	var use socket.Use
+	err := s.sendGrant(ctx, &use, address, order.Target, grant)
 	if !order.Renewal || err != nil {
 		logOrder(order, err)
 	}
-	return outcome(err, "")
+	result := outcome(err, "")
+	result.ConnectedAt = use.OpenedAt()
+	return result
 }
 
 var errRepeatedAnswer = errors.New("answer may be a copy of an earlier one")
 
-// sendGrant sends a grant on the connection for grants to a target. An answer that the grant was not
+// sendGrant sends a grant on the connection for grants to a target, and records its use. An answer that the grant was not
 // executed ends the connection, so that a late copy of it is not believed of the next grant; one that
 // was on its way on the same connection counts as unanswered.
-func (s *sender) sendGrant(ctx context.Context, address string, target owner.Incarnation, grant platform.Order) error {
-	var use socket.Use
+func (s *sender) sendGrant(ctx context.Context, use *socket.Use, address string, target owner.Incarnation, grant platform.Order) error {
 	transport := s.grantTransport(target)
 	err := platform.SendGrant(use.Trace(ctx), transport, address, target.Target, grant)
 	if !errors.IsAny(err, platform.ErrFenced, platform.ErrRefused, platform.ErrOtherTarget) {
--- a/io/coordinator/sender_test.go
+++ b/io/coordinator/sender_test.go
@@ -117,7 +117,7 @@
 				w.Header().Set("X-Instance-Id", id)
 				w.WriteHeader(http.StatusMisdirectedRequest)
 			})
-			s := newSender((&net.Dialer{}).DialContext)
+			s := newSender(clock.System{}, (&net.Dialer{}).DialContext)
 			t.Cleanup(s.close)
 			for _, kind := range []owner.Kind{owner.Grant, owner.Release} {
 				order := owner.Order{Kind: kind, Target: owner.Incarnation{Target: "t"}}
@@ -129,6 +129,39 @@
 	}
 }
 
+// TestConnectionOfRenewal guards against a renewal that counts as sent on the connection of the grant before, though
+// a grant of other keys has opened a new one, which another incarnation of the target may have accepted.
+func TestConnectionOfRenewal(t *testing.T) {
+	fake := clock.NewFake(time.Unix(1000, 0))
+	address := answering(t, func(http.ResponseWriter, *http.Request) {})
+	s := newSender(fake, (&net.Dialer{}).DialContext)
+	t.Cleanup(s.close)
+	send := func(order owner.Order) owner.Outcome {
+		order.Target = owner.Incarnation{Target: "t"}
+		outcome := s.send(t.Context(), address, order)
+		fake.Advance(time.Second)
+		return outcome
+	}
+	reopen := func() { s.grantTransport(owner.Incarnation{Target: "t"}).CloseIdleConnections() }
+	keys := owner.Order{First: 0, Last: 9}
+	renewal := owner.Order{First: 0, Last: 9, Renewal: true}
+	if got, want := send(keys).ConnectedAt, time.Unix(1000, 0); !got.Equal(want) {
+		t.Errorf("connection of the first grant: got one opened at %v, want at %v", got, want)
+	}
+	if got, want := send(renewal).ConnectedAt, time.Unix(1000, 0); !got.Equal(want) {
+		t.Errorf("connection of the renewal: got one opened at %v, want at %v", got, want)
+	}
+	reopen()
+	if got := send(renewal); !got.Unsent {
+		t.Errorf("renewal without an open connection: got %+v, want it not sent", got)
+	}
+	opened := fake.Now()
+	send(owner.Order{First: 10, Last: 19})
+	if got := send(renewal); !got.Done || !got.ConnectedAt.Equal(opened) {
+		t.Errorf("renewal after a grant of other keys: got %+v, want it done on the connection opened at %v", got, opened)
+	}
+}
+
 // TestLateCopyOfOrderAnswer guards against a late copy of the answer to an order that counts as the answer
 // to the next one: a release of keys at which the target is still at work, or a grant that it has taken.
 func TestLateCopyOfOrderAnswer(t *testing.T) {
@@ -150,7 +183,7 @@
 			})
 			// A connection that is used again gets the first answer once more.
 			l := copyingProxy(t, address)
-			s := newSender((&net.Dialer{}).DialContext)
+			s := newSender(clock.System{}, (&net.Dialer{}).DialContext)
 			t.Cleanup(s.close)
 			order := owner.Order{Kind: c.kind, Target: owner.Incarnation{Target: "t"}}
 			if got := s.send(t.Context(), l, order); !got.Responded() {
--- a/io/socket/tracked.go
+++ b/io/socket/tracked.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"pineturn/core/clock"
 )
 
 const (
@@ -29,6 +31,8 @@
 // sent has arrived, and errBrokenOff if it has not.
 type trackedConn struct {
 	net.Conn
+	// openedAt is when it was opened.
+	openedAt  time.Time
 	marked    atomic.Bool
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -48,13 +52,16 @@
 
 // Tracked returns a function that opens connections as dial does, for use with a Use. Their reads report the end
 // only if the other end has received all that was sent.
-func Tracked(dial DialFunc) DialFunc {
+func Tracked(dial DialFunc) DialFunc { return TrackedBy(clock.System{}, dial) }
+
+// TrackedBy is Tracked with a clock, by which Use.OpenedAt tells when a connection was opened.
+func TrackedBy(clk clock.Clock, dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn, closed: make(chan struct{})}, nil
+		return &trackedConn{Conn: conn, openedAt: clk.Now(), closed: make(chan struct{})}, nil
 	}
 }
 
--- a/io/socket/use.go
+++ b/io/socket/use.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptrace"
+	"time"
 )
 
 // Use tells which connection an HTTP request was sent on. Transports don't tell it otherwise, and may
@@ -40,5 +41,13 @@
 // Reused reports whether the connection has carried another request before.
 func (u *Use) Reused() bool { return u.reused }
 
+// OpenedAt returns when the connection was opened, or the zero time if the request has got none.
+func (u *Use) OpenedAt() time.Time {
+	if u.conn == nil {
+		return time.Time{}
+	}
+	return u.conn.openedAt
+}
+
 // Mark marks the connection, and reports whether it was marked before.
 func (u *Use) Mark() bool { return u.conn != nil && u.conn.marked.Swap(true) }
