--- a/core/owner/dropped_test.go
+++ b/core/owner/dropped_test.go
@@ -84,6 +84,53 @@
 	}
 }
 
+// setStaleness sets how long ago all targets are last known to have run.
+func setStaleness(view map[string]Target, staleness time.Duration) {
+	for id, target := range view {
+		target.Staleness = staleness
+		view[id] = target
+	}
+}
+
+// TestDroppedAfterRestartUnseen guards against two owners of a key: a later incarnation may have accepted the
+// connection on which the leader renews leases, as the owner is not known to have run since that was opened.
+func TestDroppedAfterRestartUnseen(t *testing.T) {
+	const renewed = 2 * time.Second
+	for _, c := range []struct {
+		name string
+		// staleness is that of the view at the renewal.
+		staleness time.Duration
+		want      time.Duration
+	}{
+		{name: "owner ran after the connection was opened", staleness: renewed - time.Millisecond, want: leaseExpiryBound},
+		{name: "owner ran when the connection was opened", staleness: renewed, want: leaseExpiryBound},
+		{name: "owner may have ended before", staleness: renewed + time.Millisecond, want: renewed + leaseExpiryBound},
+		{name: "owner is not known to have run", staleness: unknownStaleness, want: renewed + leaseExpiryBound},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, view, loads := newClusterWithoutGrants(4)
+			setStaleness(view, unknownStaleness)
+			completeOrders(t, l, view, testStart)
+			now := testStart.Add(renewed)
+			setStaleness(view, c.staleness)
+			completeOrders(t, l, view, now)
+			restarted := view["t01"]
+			restarted.Born++
+			restarted.Draining = true
+			view["t01"] = restarted
+			l.Assign(testService, view, loads, now)
+			l.MarkPersisted(l.Record())
+			free := testStart.Add(c.want)
+			if got := l.DropFormerOwners(view, free.Add(-time.Millisecond)); len(got) > 0 {
+				t.Errorf("dropped before %v: got %v, want none", c.want, got)
+			}
+			if got := l.DropFormerOwners(view, free); len(got) == 0 {
+				t.Errorf("dropped after %v: got none, want some", c.want)
+			}
+		})
+	}
+}
+
 // TestDroppedAfterRenewalOnNewConnection guards against two owners of a key: the connection to a target is opened
 // again for a grant of one range, and a renewal of another range is sent on it, which a later incarnation accepts.
 func TestDroppedAfterRenewalOnNewConnection(t *testing.T) {
--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -65,8 +65,9 @@
 	// lastSent is the latest time at which a grant may have reached the owner.
 	lastSent time.Time
 	// connectedAt is the latest time at which a connection was opened on which a grant may
-	// have reached the owner, or another incarnation of it that has accepted the connection.
-	connectedAt time.Time
+	// have reached the owner. ranAt is the latest time at which the owner is known to have
+	// run. A connection that was opened after that may be another incarnation's.
+	connectedAt, ranAt time.Time
 	// unaccounted is the end of the latest grant without an outcome that the owner may
 	// still apply; zero if there is none. The owner refuses it once it has accepted a
 	// later one, whose fencing token is higher.
@@ -109,6 +110,9 @@
 	Incarnation
 	Service string
 	Slots   int
+	// Staleness is how long ago the incarnation is last known to have run: a later one may
+	// run that the store does not show yet. Zero is now.
+	Staleness time.Duration
 	// Draining targets lose their keys.
 	Draining bool
 	// WarmingUp targets have started recently and are slow.
@@ -269,12 +273,17 @@
 }
 
 // restartProvesFreeFrom returns the time from which a restart of the owner proves
-// that none of its incarnations holds the range.
+// that none of its incarnations holds the range. Grants on a connection that the owner
+// itself has accepted ended with it. Those on a connection that a later incarnation may
+// have accepted start and renew leases of that one.
 func (l *Leader) restartProvesFreeFrom(r *rangeState) time.Time {
 	var at time.Time
 	if !r.connectedAt.IsZero() {
 		at = r.connectedAt.Add(leaseExpiryBound)
 	}
+	if r.connectedAt.After(r.ranAt) {
+		at = r.lastSent.Add(leaseExpiryBound)
+	}
 	if r.inherited {
 		at = clock.Later(at, l.predecessorNewLeasesUntil.Add(leaseExpiryBound))
 	}
--- a/core/owner/model_test.go
+++ b/core/owner/model_test.go
@@ -32,11 +32,13 @@
 )
 
 type modelTarget struct {
-	id            string
-	born          int64
-	clockFactor   float64
-	alive         bool
-	draining      bool
+	id          string
+	born        int64
+	clockFactor float64
+	alive       bool
+	draining    bool
+	// silentUntil is the time until which the target writes nothing to the store.
+	silentUntil   time.Time
 	fencingTokens [Keys / modelBlockKeys]int64
 	leasedUntil   [Keys / modelBlockKeys]time.Time
 }
@@ -54,6 +56,10 @@
 	// was killed.
 	stopped  bool
 	killedAt time.Time
+	// sight is what the leader knows of the targets, and connections are the connections on
+	// which it sends them grants. Leaders of one process share the connections.
+	sight       sight
+	connections connections
 	// inFlight holds the orders without an outcome.
 	inFlight []*orderInFlight
 }
@@ -67,6 +73,8 @@
 	arrived time.Time
 	// born is the incarnation that it reached.
 	born int64
+	// connectedAt is when the connection was opened on which it was sent, zero if on none.
+	connectedAt time.Time
 }
 
 type model struct {
@@ -85,32 +93,29 @@
 	history   []*Assignment
 	processes int
 	targets   map[string]*modelTarget
-	leaders   []*modelLeader
-	loads     *Loads
+	// entries holds what the targets have written to the store. While the store is away, it
+	// can't be read or written.
+	entries map[string]modelEntry
+	away    bool
+	leaders []*modelLeader
+	loads   *Loads
 }
 
 func newModel(fail func(format string, args ...any)) *model {
-	m := &model{fail: fail, now: time.Unix(1000, 0), targets: make(map[string]*modelTarget), record: &Assignment{}, era: modelFirstEra}
+	m := &model{fail: fail, now: time.Unix(1000, 0), targets: make(map[string]*modelTarget), entries: make(map[string]modelEntry), record: &Assignment{}, era: modelFirstEra}
 	m.stored = []*Assignment{m.record}
 	for i := range 4 {
 		id := fmt.Sprint("t", i)
 		m.targets[id] = &modelTarget{id: id, born: 1, clockFactor: 1 + 0.02*float64(i%2), alive: true}
 	}
 	m.loads = NewLoads(m.now)
+	m.writeEntries(0)
 	m.takeOver()
 	// With all four targets, ranges start at multiples of modelBlockKeys.
 	m.tick(m.newest())
 	return m
 }
 
-func (m *model) targetViews() map[string]Target {
-	views := make(map[string]Target)
-	for id, t := range m.targets {
-		views[id] = Target{Incarnation: Incarnation{Target: id, Born: t.born}, Service: modelService, Slots: 2, Draining: t.draining}
-	}
-	return views
-}
-
 // takeOver makes a new process the leader. The previous one may continue for a
 // while.
 func (m *model) takeOver() { m.takeOverFrom(m.record) }
@@ -123,7 +128,19 @@
 // lead makes a process the leader, on top of the record that it knows.
 func (m *model) lead(process string, known *Assignment) {
 	m.write(known.NextLeader(process, LeaderProcess{Incarnation: process}, m.era))
-	m.leaders = append(m.leaders, &modelLeader{Leader: NewLeader(m.record, MaxLeaseDuration, m.now), lastProof: m.now, era: m.era})
+	m.leaders = append(m.leaders, &modelLeader{
+		Leader: NewLeader(m.record, MaxLeaseDuration, m.now), lastProof: m.now, era: m.era, connections: m.connectionsOf(process),
+	})
+}
+
+// connectionsOf returns the connections of a process.
+func (m *model) connectionsOf(process string) connections {
+	for _, l := range m.leaders {
+		if l.record.LeaderIncarnation == process {
+			return l.connections
+		}
+	}
+	return make(connections)
 }
 
 // write stores a record.
@@ -218,9 +235,10 @@
 	if l.stopped {
 		return
 	}
-	targets := m.targetViews()
+	m.see(l)
+	targets := l.sight.targets(m.now)
 	l.DropFormerOwners(targets, m.now)
-	if m.writes(l) && !l.disconnected {
+	if m.writes(l) && !l.disconnected && !m.away {
 		l.lastProof = m.now
 		l.Assign(modelService, targets, m.loads, m.now)
 		l.DropFormerOwners(targets, m.now)
@@ -238,7 +256,7 @@
 	if l.stopped || m.now.Sub(l.lastProof) >= MaxProofAgeForRenewal {
 		return
 	}
-	for _, o := range l.Orders(m.targetViews(), m.now.Sub(l.lastProof) < MaxProofAgeForNewLease, m.now) {
+	for _, o := range l.Orders(l.sight.targets(m.now), m.now.Sub(l.lastProof) < MaxProofAgeForNewLease, m.now) {
 		l.inFlight = append(l.inFlight, &orderInFlight{order: o, sent: m.now, leader: l})
 	}
 }
@@ -265,10 +283,9 @@
 	t := m.targets[flight.order.Target.Target]
 	outcome := Outcome{}
 	switch {
-	case !t.alive:
+	case flight.order.Kind == Grant && !flight.connect(t, m.now):
 		outcome.Unsent = true
-	case flight.order.Renewal && t.born != flight.order.Target.Born:
-		// The connection closed when that incarnation ended.
+	case !t.alive:
 		outcome.Unsent = true
 	case flight.order.Kind == Grant && how == late:
 		flight.arrived, flight.born = m.now, t.born
@@ -303,6 +320,10 @@
 		return
 	}
 	l.inFlight = slices.Delete(l.inFlight, i, i+1)
+	outcome.ConnectedAt = flight.connectedAt
+	if !outcome.Responded() {
+		delete(l.connections, flight.order.Target)
+	}
 	if l.killedAt.IsZero() {
 		l.HandleOutcome(flight.order, outcome, at)
 	}
@@ -368,6 +389,7 @@
 // were sent.
 func (m *model) advance(d time.Duration) {
 	m.now = m.now.Add(d)
+	m.writeEntries(d)
 	for _, l := range m.leaders {
 		for _, flight := range slices.Clone(l.inFlight) {
 			if m.now.Sub(flight.sent) > modelOrderTimeout {
@@ -380,6 +402,7 @@
 // restart starts a new incarnation of a target, which holds no leases.
 func (m *model) restart(t *modelTarget) {
 	*t = modelTarget{id: t.id, born: t.born + 1, clockFactor: t.clockFactor, alive: true}
+	m.writeEntries(0)
 }
 
 func (m *model) step() {
--- a/core/owner/orders.go
+++ b/core/owner/orders.go
@@ -138,6 +138,9 @@
 
 func (l *Leader) grantOrder(service string, r *rangeState, targets map[string]Target, mayStartLeases bool, now time.Time) (Order, bool) {
 	t, known := targets[r.owner.Target]
+	if known && t.Incarnation == r.owner {
+		r.ranAt = clock.Later(r.ranAt, now.Add(-t.Staleness))
+	}
 	if r.inFlight || !r.persisted || !r.renewable && !mayStartLeases || !known || t.Draining && !r.renewable && !r.unconfirmed() || len(r.former) > 0 || t.Born != r.owner.Born {
 		return Order{}, false
 	}
--- a/core/owner/ranges.go
+++ b/core/owner/ranges.go
@@ -70,6 +70,7 @@
 	r.confirmed = r.confirmed && right.confirmed
 	r.lastSent = clock.Later(r.lastSent, right.lastSent)
 	r.connectedAt = clock.Later(r.connectedAt, right.connectedAt)
+	r.ranAt = clock.Earlier(r.ranAt, right.ranAt)
 	r.lastGranted = clock.Earlier(r.lastGranted, right.lastGranted)
 	r.unaccounted = clock.Later(r.unaccounted, right.unaccounted)
 	r.acceptedAt = clock.Earlier(r.acceptedAt, right.acceptedAt)
--- /dev/null
+++ b/core/owner/restart_test.go
@@ -0,0 +1,121 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// restartPlay is a model in which t0 starts again, beside leaders that may not learn of it for a while.
+type restartPlay struct {
+	*model
+	// unanswered is the number of rounds in which releases get no answer.
+	unanswered int
+}
+
+// newRestartPlay returns a play of which the leader has renewed its leases for a time.
+func newRestartPlay(t *testing.T, renewed time.Duration, unanswered int) *restartPlay {
+	t.Helper()
+	m := &restartPlay{unanswered: unanswered, model: newModel(func(format string, args ...any) {
+		t.Helper()
+		t.Fatalf(format, args...)
+	})}
+	m.play(renewed)
+	return m
+}
+
+// play lets all leaders run for a time. Grants are answered.
+func (m *restartPlay) play(d time.Duration) {
+	for end := m.now.Add(d); m.now.Before(end); m.advance(modelStep) {
+		for _, l := range m.leaders {
+			m.tick(l)
+			m.answerGrants(l)
+		}
+	}
+}
+
+// playDrained lets all leaders run until all leases have had the time to move.
+func (m *restartPlay) playDrained() {
+	m.targets["t0"].draining = true
+	m.writeEntries(0)
+	m.play(MaxProofAgeForRenewal + 3*leaseExpiryBound)
+}
+
+func (m *restartPlay) answerGrants(l *modelLeader) {
+	answers := false
+	for _, flight := range append([]*orderInFlight(nil), l.inFlight...) {
+		if flight.order.Kind == Release && m.unanswered > 0 {
+			answers = true
+			continue
+		}
+		m.deliver(flight, answered)
+	}
+	if answers {
+		m.unanswered--
+	}
+}
+
+// wantMoved checks that t0 holds nothing any more and all keys have an owner.
+func (m *restartPlay) wantMoved(t *testing.T) {
+	t.Helper()
+	m.wantLeased(t, true)
+	for block, until := range m.targets["t0"].leasedUntil {
+		if m.now.Before(until) {
+			t.Fatalf("owner of keys from %d at the end: got t0, which drains, want another", block*modelBlockKeys)
+		}
+	}
+}
+
+// restartSilently starts t0 again. It writes nothing to the store for a time.
+func (m *restartPlay) restartSilently(d time.Duration) {
+	t := m.targets["t0"]
+	*t = modelTarget{id: t.id, born: t.born + 1, clockFactor: t.clockFactor, alive: true, silentUntil: m.now.Add(d)}
+}
+
+// phases calls play with the times since the last renewal at which an event may happen, and with some numbers of
+// rounds in which releases get no answer.
+func phases(t *testing.T, play func(t *testing.T, renewed time.Duration, unanswered int)) {
+	const renewed = 40 * modelStep
+	for phase := range 10 {
+		for _, unanswered := range []int{0, 2, 40} {
+			t.Run(fmt.Sprintf("phase %d, %d rounds of releases unanswered", phase, unanswered), func(t *testing.T) {
+				play(t, renewed+time.Duration(phase)*modelStep, unanswered)
+			})
+		}
+	}
+}
+
+// TestRestartWithoutStore guards against two owners of a key: the leader renews leases of a target that has started
+// again while the store is away, on the connection that the new incarnation has accepted, and takes them for those
+// of the earlier one.
+func TestRestartWithoutStore(t *testing.T) {
+	for _, outage := range []time.Duration{2 * time.Second, 5 * time.Second, 7 * time.Second, 12 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			phases(t, func(t *testing.T, renewed time.Duration, unanswered int) {
+				m := newRestartPlay(t, renewed, unanswered)
+				m.away = true
+				m.restart(m.targets["t0"])
+				m.play(outage)
+				m.away = false
+				m.playDrained()
+				m.wantMoved(t)
+			})
+		})
+	}
+}
+
+// TestRestartBeforeEntry is TestRestartWithoutStore for a target that is cut off from the store, of which the earlier
+// entry stays until it lapses.
+func TestRestartBeforeEntry(t *testing.T) {
+	for _, silent := range []time.Duration{modelStep, modelEntryLifetime - modelStep, 2 * modelEntryLifetime} {
+		t.Run(silent.String(), func(t *testing.T) {
+			phases(t, func(t *testing.T, renewed time.Duration, unanswered int) {
+				m := newRestartPlay(t, renewed, unanswered)
+				m.restartSilently(silent)
+				m.play(silent)
+				m.playDrained()
+				m.wantMoved(t)
+			})
+		})
+	}
+}
--- a/io/coordinator/coordinator.go
+++ b/io/coordinator/coordinator.go
@@ -85,6 +85,9 @@
 	// be read.
 	UnreadableOwners() (offset int64, unreadable bool)
 	RecentlyRemoved() []placement.Entry
+	// TargetsRanAt returns a time at which each target whose entry this host has read was running,
+	// or since when it has; zero if there is no proof.
+	TargetsRanAt() time.Time
 	// Position holds for the present era: next is negative until the topic of assignments
 	// has been read in it.
 	Position() (next int64, provenAt time.Time)
--- a/io/coordinator/coordinator_test.go
+++ b/io/coordinator/coordinator_test.go
@@ -62,6 +62,8 @@
 type fakeCatalog struct {
 	assignment  *owner.Assignment
 	relayActive bool
+	// targetsRanAt is the time at which the targets are known to have run.
+	targetsRanAt time.Time
 	// unreadableAt is the offset of the newest record of owners if that can't be read, else 0.
 	unreadableAt int64
 	// readsAtOnce counts the calls of ReadAtOnce.
@@ -73,6 +75,7 @@
 func (c *fakeCatalog) Assignment() *owner.Assignment      { return c.assignment }
 func (c *fakeCatalog) UnreadableOwners() (int64, bool)    { return c.unreadableAt, c.unreadableAt > 0 }
 func (c *fakeCatalog) RecentlyRemoved() []placement.Entry { return nil }
+func (c *fakeCatalog) TargetsRanAt() time.Time            { return c.targetsRanAt }
 func (c *fakeCatalog) Position() (int64, time.Time)       { return 1, time.Now() }
 func (c *fakeCatalog) RelayActive() bool                  { return c.relayActive }
 func (c *fakeCatalog) ReadAtOnce()                        { c.readsAtOnce.Add(1) }
--- a/io/coordinator/lead.go
+++ b/io/coordinator/lead.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -175,11 +176,12 @@
 	targets := make(map[string]owner.Target)
 	c.entries = make(map[string]placement.Entry)
 	for _, removed := range c.catalog.RecentlyRemoved() {
-		targets[removed.ID] = ownerTarget(removed, true)
+		targets[removed.ID] = ownerTarget(removed, true, unknownStaleness)
 		c.entries[removed.ID] = removed
 	}
+	staleness := c.staleness()
 	for _, e := range c.targets.Entries("") {
-		target := ownerTarget(e, e.Draining || c.targets.DrainsDomain(e.Domain))
+		target := ownerTarget(e, e.Draining || c.targets.DrainsDomain(e.Domain), staleness)
 		now := c.clock.Now()
 		target.WarmingUp, target.Limit = c.targets.WarmingUp(e.ID, now), c.targets.Limit(e.ID, now)
 		targets[e.ID] = target
@@ -188,11 +190,23 @@
 	return targets
 }
 
+// unknownStaleness is the staleness of a target that is not known to have run at any time.
+const unknownStaleness = time.Duration(math.MaxInt64)
+
+// staleness returns how long ago the targets are last known to have run.
+func (c *Coordinator) staleness() time.Duration {
+	ranAt := c.catalog.TargetsRanAt()
+	if ranAt.IsZero() {
+		return unknownStaleness
+	}
+	return c.clock.Now().Sub(ranAt)
+}
+
 // ownerTarget converts an entry. A target that was removed, or whose failure domain is drained,
 // counts as draining.
-func ownerTarget(e placement.Entry, draining bool) owner.Target {
+func ownerTarget(e placement.Entry, draining bool, staleness time.Duration) owner.Target {
 	return owner.Target{
-		Incarnation: owner.Incarnation{Target: e.ID, Born: e.Born}, Service: e.Service, Slots: e.Slots, Draining: draining,
+		Incarnation: owner.Incarnation{Target: e.ID, Born: e.Born}, Service: e.Service, Slots: e.Slots, Draining: draining, Staleness: staleness,
 	}
 }
 
--- a/io/gateway/create.go
+++ b/io/gateway/create.go
@@ -60,6 +60,7 @@
 	g.catalog.SetDefers(func() bool { return !g.coordinator.Leading() })
 	g.catalog.SetRelayAge(relayAge(g.settings.UpdateBound))
 	g.catalog.SetDomainDrainBound(g.settings.DomainDrainBound)
+	g.catalog.SetEntryLifetime(g.settings.EntryLifetime)
 }
 
 // connectLinks creates the server of links from other hosts, whose leader this host may be.
--- a/io/metastore/catalog.go
+++ b/io/metastore/catalog.go
@@ -54,6 +54,9 @@
 	// unconfirmed holds, by id, the targets whose entry may have lapsed because the
 	// store was unreachable, or was overwritten by one that names no target.
 	unconfirmed map[string]deferral
+	// entryLifetime is the time without a write of its target after which the store removes an
+	// entry, 0 if that is not known.
+	entryLifetime time.Duration
 	// services holds the services that a configuration has named, unnamed, by id, the entries of
 	// others.
 	services map[string]bool
@@ -140,6 +143,10 @@
 	}
 }
 
+// SetEntryLifetime sets the time without a write of its target after which the store removes an entry.
+// It must be called before Run.
+func (c *Catalog) SetEntryLifetime(d time.Duration) { c.entryLifetime = d }
+
 // ReadAtOnce makes this host read all topics now, also if another host relays them. The leader
 // does so when it takes over: its watermarks are only as new as its last reads, and those of
 // the leader before it have kept it from reading.
--- a/io/metastore/reachability.go
+++ b/io/metastore/reachability.go
@@ -41,6 +41,8 @@
 	// was unreachable once.
 	readableSince time.Time
 	recoveredAt   time.Time
+	// calmSince is the time from which no call has failed, or zero before the first success.
+	calmSince time.Time
 	// uninterrupted reports that the leader could read the store while this host could
 	// not, so that no grace period applies to the end of this host's outage.
 	uninterrupted bool
@@ -100,6 +102,13 @@
 	return !r.unreachable && !r.readableSince.IsZero() && r.clock.Now().Sub(r.readableSince) >= d
 }
 
+// calmAt reports whether no call has failed since a time.
+func (r *reachability) calmAt(at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failingSince.IsZero() && !r.calmSince.IsZero() && !at.Before(r.calmSince)
+}
+
 // recordFailure records a failed call of a consumer.
 func (r *reachability) recordFailure(c *Consumer, err error) {
 	r.mu.Lock()
@@ -119,9 +128,12 @@
 func (r *reachability) recordSuccess() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.clock.Now()
+	if r.calmSince.IsZero() || !r.failingSince.IsZero() {
+		r.calmSince = now
+	}
 	r.failingSince = time.Time{}
 	r.endWaits()
-	now := r.clock.Now()
 	if r.readableSince.IsZero() {
 		r.readableSince = now
 	}
@@ -155,7 +167,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	r.uninterrupted, r.readableSince, r.recoveredAt = false, now, now
+	r.uninterrupted, r.readableSince, r.recoveredAt, r.calmSince = false, now, now, now
 }
 
 // recordUninterrupted records that the leader has read the store without an outage
--- a/io/metastore/targets.go
+++ b/io/metastore/targets.go
@@ -189,6 +189,25 @@
 	}
 }
 
+// entryMargin is the time, in addition to the lifetime of an entry, after which a target that has started again
+// under its id shows in the store: for its first write, and for outages of the store that reads do not show.
+const entryMargin = 2500 * time.Millisecond
+
+// TargetsRanAt returns a time at which each target whose entry this host has read was running, or since when
+// it has. It returns the zero time if there is no proof: the store removes the entry of a target that has ended, or
+// has one of its next incarnation, only while it is up.
+func (c *Catalog) TargetsRanAt() time.Time {
+	c.mu.Lock()
+	lapsed := len(c.unconfirmed)
+	c.mu.Unlock()
+	_, provenAt := c.targetConsumer.Position()
+	at := provenAt.Add(-c.entryLifetime - entryMargin)
+	if lapsed > 0 || c.entryLifetime <= 0 || provenAt.IsZero() || !c.store.calmAt(at) {
+		return time.Time{}
+	}
+	return at
+}
+
 // RecentlyRemoved returns the targets that were removed within
 // removedRetention.
 func (c *Catalog) RecentlyRemoved() []placement.Entry {
--- a/io/standin/platformstore/config.go
+++ b/io/standin/platformstore/config.go
@@ -130,7 +130,7 @@
 
 // Encode returns the settings file in TOML.
 func (h HostSettings) Encode() []byte {
-	return fmt.Appendf(nil, "node = %q\nzone = %q\nip = %q\ninternal_ports = [%d, %d]\n"+
+	return fmt.Appendf(nil, "node = %q\nzone = %q\nip = %q\ninternal_ports = [%d, %d]\nheartbeat_s = 0.87\n"+
 		"[listen]\nfront = %q\nready = %q\n[platform]\naddress = %q\n[bounds]\nretry_budget_ratio = 0.2\nretry_budget_extra = %d\n"+
 		"warmup_overage = %v\nwarmup_slack = %v\n",
 		h.Name, cmp.Or(h.Domain, "a"), h.IP, h.Port, h.Port, h.CallerAddress, h.ReadyAddress, h.StoreAddress, h.RetryBudgetExtra,
