Count renewals of an earlier leader towards a lease of a restarted target

Cause: a leader that is cut off may grant a lease to a later incarnation of a target that it can't see, while it may still start leases, and renews it on that connection for up to 12 s. Its successor reads the later incarnation's entry and takes the keys for free once a lease that was started last has expired (predecessorNewLeasesUntil and 4.48 s), not one that was renewed last.

Hypotheses weighed: the target refuses the earlier leader's renewals (it does only if it has accepted a grant of the later one; a draining target that has started again gets none); the earlier leader stops in time (it may renew for 12 s).

Change: a restart proves an inherited range free only once no earlier leader's renewal can be in force (predecessorLeasesUntil), unless the target has accepted a grant of this leader after earlier ones could open no connections: that incarnation refuses them, and they can't reach a later one (refusesPredecessors). The wait is over as soon as the earlier leaders are known to have stopped, as before; it is up to 17.5 s in place of 7 s where one can't be asked, its target starts again and drains, and nobody has fenced it.

Evidence: TestRestartBesideEarlierLeader fails in 63 of 90 plays with the rule as before and passes. TestOneOwner and the other tests of core/owner pass.

--- a/core/owner/accounted.go
+++ b/core/owner/accounted.go
@@ -78,8 +78,13 @@
 	if !r.inherited || l.predecessorsAccounted || l.accountedFor(r) || !now.Before(l.predecessorLeasesUntil) {
 		return true
 	}
-	fenced := !r.acceptedAt.Before(l.predecessorNewLeasesUntil)
-	return r.granted && (fenced || !now.Before(l.predecessorNewLeasesUntil.Add(leaseExpiryBound)))
+	return l.refusesPredecessors(r) || r.granted && !now.Before(l.predecessorNewLeasesUntil.Add(leaseExpiryBound))
+}
+
+// refusesPredecessors reports whether an incarnation of the owner has accepted a grant of this leader when earlier
+// leaders could not open connections to it any more. It refuses their grants, and they reach no later one.
+func (l *Leader) refusesPredecessors(r *rangeState) bool {
+	return r.granted && !r.acceptedAt.Before(l.predecessorNewLeasesUntil)
 }
 
 // accountedFor reports whether all earlier leaders have stopped and have named the grants that targets
--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -284,8 +284,8 @@
 	if r.connectedAt.After(r.ranAt) {
 		at = r.lastSent.Add(leaseExpiryBound)
 	}
-	if r.inherited {
-		at = clock.Later(at, l.predecessorNewLeasesUntil.Add(leaseExpiryBound))
+	if r.inherited && !l.refusesPredecessors(r) {
+		at = clock.Later(at, l.predecessorLeasesUntil)
 	}
 	return at
 }
--- a/core/owner/restart_test.go
+++ b/core/owner/restart_test.go
@@ -119,3 +119,21 @@
 		})
 	}
 }
+
+// TestRestartBesideEarlierLeader guards against two owners of a key: a leader that is cut off renews leases of a target
+// that has started again, and the next leader takes them for those of the earlier incarnation.
+func TestRestartBesideEarlierLeader(t *testing.T) {
+	for _, later := range []time.Duration{modelStep, time.Second, 3 * time.Second} {
+		t.Run("taken over after "+later.String(), func(t *testing.T) {
+			phases(t, func(t *testing.T, renewed time.Duration, unanswered int) {
+				m := newRestartPlay(t, renewed, unanswered)
+				m.newest().disconnected = true
+				m.restart(m.targets["t0"])
+				m.play(later)
+				m.takeOver()
+				m.playDrained()
+				m.wantMoved(t)
+			})
+		})
+	}
+}
