Wait for an earlier leader whose grants reach a target that starts again

Cause: a target that has accepted a grant of the present leader refuses those of earlier ones. If it starts again while an earlier leader that is cut off may still open connections, that one can grant the keys to the later incarnation, which has forgotten the token, and renew them for 12 s. The lease counted as expired, and a release as a proof, 4.48 s after the last time at which such a lease could start; its renewals did not count.

Change: both rules ask refusesPredecessors, like the rule for restarts before. Else they wait for the last renewal of earlier leaders (predecessorLeasesUntil).

Keys wait longer only if their owner ends between its first grant of a new leader and its first renewal that is sent 2.5 s after the change, and the earlier leader is not known to have stopped.

--- a/core/owner/accounted.go
+++ b/core/owner/accounted.go
@@ -71,18 +71,17 @@
 }
 
 // predecessorsRefused reports whether the owner of a range refuses all grants of earlier
-// leaders, or none can be applied any more. A grant that the owner accepted before
-// predecessorNewLeasesUntil is no proof: another incarnation may have started since, and
-// a grant of an earlier leader may have reached that.
+// leaders, or none can be applied any more.
 func (l *Leader) predecessorsRefused(r *rangeState, now time.Time) bool {
 	if !r.inherited || l.predecessorsAccounted || l.accountedFor(r) || !now.Before(l.predecessorLeasesUntil) {
 		return true
 	}
-	return l.refusesPredecessors(r) || r.granted && !now.Before(l.predecessorNewLeasesUntil.Add(leaseExpiryBound))
+	return l.refusesPredecessors(r)
 }
 
 // refusesPredecessors reports whether an incarnation of the owner has accepted a grant of this leader when earlier
-// leaders could not open connections to it any more. It refuses their grants, and they reach no later one.
+// leaders could open no connections to targets any more. It refuses their grants, and they reach no later one. A grant
+// that was accepted before is no proof: another incarnation may have started since, and accepted their connection.
 func (l *Leader) refusesPredecessors(r *rangeState) bool {
 	return r.granted && !r.acceptedAt.Before(l.predecessorNewLeasesUntil)
 }
--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -297,15 +297,10 @@
 	if !r.lastSent.IsZero() {
 		expiry = r.lastSent.Add(leaseExpiryBound)
 	}
-	switch {
-	case r.inherited && !r.granted:
-		// An earlier leader may still renew the lease.
+	if r.inherited && !l.refusesPredecessors(r) {
+		// An earlier leader may still renew the lease, or has started one at a later
+		// incarnation of the owner that has not accepted a grant of this leader.
 		expiry = clock.Later(expiry, l.predecessorLeasesUntil)
-	case r.inherited:
-		// The owner refuses renewals of earlier leaders, but if it has
-		// restarted since, the new incarnation may have accepted a lease from
-		// one.
-		expiry = clock.Later(expiry, l.predecessorNewLeasesUntil.Add(leaseExpiryBound))
 	}
 	return expiry
 }
--- a/core/owner/restart_test.go
+++ b/core/owner/restart_test.go
@@ -137,3 +137,21 @@
 		})
 	}
 }
+
+// TestRestartAfterLaterLeader is TestRestartBesideEarlierLeader for a target that has accepted a grant of the later
+// leader before it starts again.
+func TestRestartAfterLaterLeader(t *testing.T) {
+	for _, later := range []time.Duration{modelStep, time.Second, 2 * time.Second} {
+		t.Run("restarted after "+later.String(), func(t *testing.T) {
+			phases(t, func(t *testing.T, renewed time.Duration, unanswered int) {
+				m := newRestartPlay(t, renewed, unanswered)
+				m.newest().disconnected = true
+				m.takeOver()
+				m.play(later)
+				m.restart(m.targets["t0"])
+				m.playDrained()
+				m.wantMoved(t)
+			})
+		})
+	}
+}
