Confirm an owner of an earlier era only on the connection of its lease

Cause: after the store has lost records, a leader confirms an owner by a renewal under the old token on a connection that was opened before its last proof: an incarnation that has been there since then refuses it if a lost leader has moved the keys. All grants to a target share one connection, so that renewal could go out on one that a grant of other keys had opened later, to an incarnation which had forgotten the lost leader's token.

Hypotheses weighed: nextProbe's own comparison is too weak (no: a connection that was opened before the last proof and still answers belongs to an incarnation that has run since then, whichever the record names).

Change: an answer on a later connection than that of the lease confirms nothing; the range then waits for the leases of unknown leaders, as without an answer.

Evidence: TestProbeOnLaterConnection, case "later connection", fails before ("ranges are granted after the renewals: got true, want false") and passes.

--- a/core/owner/era.go
+++ b/core/owner/era.go
@@ -117,14 +117,16 @@
 
 // handleEarlierGrant applies the outcome of a grant under a token of an earlier epoch of
 // this process. A refusal shows that a later leader of the earlier era has granted the
-// range, not that there is a later one than this.
+// range, not that there is a later one than this. On a connection that was opened since,
+// the grant may have reached an incarnation that such a leader had granted nothing.
 func (l *Leader) handleEarlierGrant(o Order, outcome Outcome, now time.Time) {
 	r := o.state
 	r.inFlight = false
 	if at := outcome.UnaccountedUntil(now); !at.IsZero() {
 		l.unaccounted = clock.Later(l.unaccounted, now)
 	}
-	if outcome.Done && o.FencingToken == r.fencingToken {
+	sameConnection := !outcome.connectedAt(o, now).After(r.connectedAt)
+	if outcome.Done && sameConnection && o.FencingToken == r.fencingToken {
 		r.lastGranted, r.acceptedAt = now, r.lastAttempt
 		return
 	}
--- a/core/owner/restart_test.go
+++ b/core/owner/restart_test.go
@@ -155,3 +155,35 @@
 		})
 	}
 }
+
+// TestProbeOnLaterConnection guards against two owners of a key after the store has lost records: the renewal that is
+// to show that no lost leader has moved the keys is accepted by an incarnation that no such leader can have reached.
+func TestProbeOnLaterConnection(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		later time.Duration
+		want  bool
+	}{
+		{name: "connection of the lease", want: true},
+		{name: "later connection", later: time.Millisecond, want: false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, view, _ := newCluster(t, 4)
+			record := l.Record().NextLeader("a", LeaderProcess{Incarnation: "1"}, 2)
+			now := testStart.Add(time.Second)
+			l = l.Succeed(record, testStart, now)
+			now = now.Add(MaxProofAgeForNewLease + orderTimeout)
+			probes := l.Orders(view, true, now)
+			if len(probes) == 0 {
+				t.Fatal("renewals under the token of the earlier era: got none, want some")
+			}
+			for _, o := range probes {
+				l.HandleOutcome(o, Outcome{Done: true, ConnectedAt: testStart.Add(c.later)}, now)
+			}
+			grants := l.Orders(view, true, now)
+			if got := len(grants) > 0; got != c.want {
+				t.Errorf("ranges are granted after the renewals: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
