Leave the keys of a target that has started again with it, without a wait

Cause: the proof that nobody holds the keys any more was asked for also where the next owner is a later incarnation of the same target. The earlier one has ended; whatever leader has granted the keys to the later one in its name, nobody but that one can hold them.

Hypotheses weighed: to leave the range with its record (no: the record must name the incarnation, and the token must rise).

Change: a range whose owner succeeds its former owner under the same id is granted as soon as the record is written, without a release. What may have been granted to the later incarnation in the earlier one's name counts as granted to it from then on (carryGrants): for its next restart, its drain, and its expiry.

--- a/core/owner/dropped_test.go
+++ b/core/owner/dropped_test.go
@@ -142,6 +142,7 @@
 	}
 	restarted := view["t01"]
 	restarted.Born++
+	restarted.Draining = true
 	view["t01"] = restarted
 	l.Assign(testService, view, loads, renewed)
 	l.MarkPersisted(l.Record())
--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -320,7 +320,7 @@
 				continue
 			}
 			r.former = slices.DeleteFunc(r.former, func(f *formerOwner) bool {
-				reason, free := l.proofOfFree(service, f, targets, now)
+				reason, free := l.proofOfFree(r, f, targets, now)
 				if free {
 					dropped = append(dropped, Dropped{
 						Service: service, First: r.first, Last: r.last, Owner: f.state.owner, FencingToken: f.state.fencingToken, Reason: reason,
@@ -334,24 +334,41 @@
 	return dropped
 }
 
-// proofOfFree reports whether a former owner no longer holds its range, and why.
-func (l *Leader) proofOfFree(service string, f *formerOwner, targets map[string]Target, now time.Time) (Reason, bool) {
+// proofOfFree reports whether a former owner of a range no longer holds it, and why.
+func (l *Leader) proofOfFree(r *rangeState, f *formerOwner, targets map[string]Target, now time.Time) (Reason, bool) {
 	if f.state.inFlight {
 		return 0, false
 	}
 	switch {
 	case f.ended:
 		return Ended, true
+	case r.succeeds(f.state):
+		l.carryGrants(r, f.state)
+		return Restarted, true
 	case f.released && l.releaseProvesFree(f.state, now):
 		return Released, true
 	case !now.Before(l.expiresAt(f.state)):
 		return Expired, true
-	case !now.Before(l.restartProvesFreeFrom(f.state)) && hasRestarted(f.state.owner, service, targets):
+	case !now.Before(l.restartProvesFreeFrom(f.state)) && hasRestarted(f.state.owner, r.service, targets):
 		return Restarted, true
 	}
 	return 0, false
 }
 
+// succeeds reports whether the owner of a range is a later incarnation of a former owner: nobody but itself can hold
+// what was granted to that one.
+func (r *rangeState) succeeds(former *rangeState) bool {
+	return r.owner.Target == former.owner.Target && r.owner.Born > former.owner.Born
+}
+
+// carryGrants counts the grants to an earlier incarnation of the owner as grants to the owner, which may have got them.
+func (l *Leader) carryGrants(r, former *rangeState) {
+	r.inherited = r.inherited || former.inherited && !l.refusesPredecessors(former)
+	r.lastSent = clock.Later(r.lastSent, former.lastSent)
+	r.connectedAt = clock.Later(r.connectedAt, former.connectedAt)
+	r.unaccounted = clock.Later(r.unaccounted, former.unaccounted)
+}
+
 // hasRestarted reports whether a later incarnation of a service's target has started. An entry of
 // another service under its id is not the target's own.
 func hasRestarted(target Incarnation, service string, targets map[string]Target) bool {
--- a/core/owner/orders.go
+++ b/core/owner/orders.go
@@ -118,7 +118,7 @@
 	var orders []Order
 	for _, f := range r.former {
 		_, known := targets[f.state.owner.Target]
-		if f.releaseInFlight || f.released || f.ended || f.state.inFlight || !r.persisted || !known || now.Sub(f.lastAttempt) < orderRetryInterval || !l.mayRelease(r, now) {
+		if f.releaseInFlight || f.released || f.ended || f.state.inFlight || !r.persisted || r.succeeds(f.state) || !known || now.Sub(f.lastAttempt) < orderRetryInterval || !l.mayRelease(r, now) {
 			continue
 		}
 		f.releaseInFlight, f.lastAttempt = true, now
