--- a/core/owner/model_test.go
+++ b/core/owner/model_test.go
@@ -422,7 +422,7 @@
 		m.deliverAll(l, how)
 	case 9:
 		switch l := rapid.SampledFrom(m.leaders).Draw(m.t, "leader again"); {
-		case len(m.leaders) >= maxModelLeaders:
+		case m.away || len(m.leaders) >= maxModelLeaders:
 		case rapid.Bool().Draw(m.t, "new process"):
 			m.takeOver()
 		default:
