--- a/core/owner/orders.go
+++ b/core/owner/orders.go
@@ -117,8 +117,7 @@
 func (l *Leader) releaseOrders(service string, r *rangeState, targets map[string]Target, now time.Time) []Order {
 	var orders []Order
 	for _, f := range r.former {
-		_, known := targets[f.state.owner.Target]
-		if f.releaseInFlight || f.released || f.ended || f.state.inFlight || !r.persisted || r.succeeds(f.state) || !known || now.Sub(f.lastAttempt) < orderRetryInterval || !l.mayRelease(r, now) {
+		if _, known := targets[f.state.owner.Target]; !known || !f.mayBeReleased(r, now) || !l.mayRelease(r, now) {
 			continue
 		}
 		f.releaseInFlight, f.lastAttempt = true, now
@@ -129,6 +128,15 @@
 	return orders
 }
 
+// mayBeReleased reports whether a release of a range may be sent to a former owner now: none is under way, it is not known
+// to hold nothing, and the range does not go to its own next incarnation.
+func (f *formerOwner) mayBeReleased(r *rangeState, now time.Time) bool {
+	if f.releaseInFlight || f.released || f.ended || f.state.inFlight {
+		return false
+	}
+	return r.persisted && !r.succeeds(f.state) && now.Sub(f.lastAttempt) >= orderRetryInterval
+}
+
 // mayRelease reports whether the response to a release can prove that a range is
 // free (releaseProvesFree). It does not while an earlier leader can start or renew a
 // lease on the range.
