io/proxy: the target of TestSoundEarlyAnswers keeps its connection, or says that it ends it

No fault of the product: the test asked for what no proxy can promise.

Cause: the target of "with a length, early" ended its connection after the answer without a word. The proxy rightly kept it, and the next upload of the play, a request that may run once, was sent on it as the end came. Nothing tells then whether it has run, so it can't be sent again.

Change: the target reads the next request on its connection, which the test did not play before, or says Connection: close. TestConnectionEndedAfterEarlyAnswer is new: the target ends the connection without a word, and the next upload comes when the proxy has closed its side; it must get its answer on another.

--- a/io/proxy/brokenanswer_test.go
+++ b/io/proxy/brokenanswer_test.go
@@ -101,20 +101,64 @@
 	_ = conn.Close()
 }
 
-// TestSoundEarlyAnswers guards against sound answers that count as broken off.
+// soundAnswer is how a target answers uploads.
+type soundAnswer struct {
+	name, head string
+	// early is set if the answer comes before the upload has been read, unread if it is not read on.
+	early, unread bool
+	// kept is set if the target reads the next request on the same connection. One that ends a connection without a
+	// word may meet a request there that can't be sent again.
+	kept bool
+}
+
+// serve answers the requests on a connection.
+func (a soundAnswer) serve(conn net.Conn, body string) {
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if a.early {
+			_, _ = io.CopyN(io.Discard, r.Body, answeredAfter)
+			_, _ = io.WriteString(conn, a.head+body)
+		}
+		if a.unread {
+			time.Sleep(300 * time.Millisecond)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if !a.early {
+			_, _ = io.WriteString(conn, a.head+body)
+		}
+		if !a.kept {
+			return
+		}
+	}
+}
+
+// wantSoundUpload sends an upload and checks that its caller gets a whole answer.
+func wantSoundUpload(t *testing.T, server *httptest.Server, body io.Reader, size int) {
+	t.Helper()
+	status, got, err := upload(t, server, body)
+	if err != nil || status != http.StatusOK || got != size {
+		t.Errorf("response: got status %d, %d bytes, error %v, want 200, %d bytes", status, got, err, size)
+	}
+}
+
+// TestSoundEarlyAnswers guards against sound answers that count as broken off, and against an upload that is sent on a
+// connection on which the one before it has not ended.
 func TestSoundEarlyAnswers(t *testing.T) {
 	const plays, size = 4, 100 << 10
 	answer := strings.Repeat("a", size)
-	for _, c := range []struct {
-		name, head string
-		// early is set if the answer comes before the upload has been read, unread if it is not read on.
-		early, unread bool
-	}{
-		{"with a length, early", signedHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", size), true, false},
-		{"with a length, upload not read", signedHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", size), true, true},
-		{"without a length, early", signedHead + "\r\n", true, false},
-		{"without a length", signedHead + "\r\n", false, false},
-		{"version 1.0", strings.Replace(signedHead, "1.1", "1.0", 1) + "\r\n", false, false},
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", size)
+	for _, c := range []soundAnswer{
+		{name: "with a length, early", head: signedHead + length, early: true, kept: true},
+		{name: "with a length, early, closed", head: signedHead + "Connection: close\r\n" + length, early: true},
+		{name: "with a length, upload not read", head: signedHead + length, early: true, unread: true},
+		{name: "without a length, early", head: signedHead + "\r\n", early: true},
+		{name: "without a length", head: signedHead + "\r\n"},
+		{name: "version 1.0", head: strings.Replace(signedHead, "1.1", "1.0", 1) + "\r\n"},
 	} {
 		for name, body := range uploads {
 			if c.unread && name != "megabytes" {
@@ -123,29 +167,9 @@
 			for _, relayed := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, %s upload, relayed %t", c.name, name, relayed), func(t *testing.T) {
 					t.Parallel()
-					server := serveForm(t, relayed, func(conn net.Conn) {
-						r, err := http.ReadRequest(bufio.NewReader(conn))
-						if err != nil {
-							return
-						}
-						if c.early {
-							_, _ = io.CopyN(io.Discard, r.Body, answeredAfter)
-							_, _ = io.WriteString(conn, c.head+answer)
-						}
-						if c.unread {
-							time.Sleep(300 * time.Millisecond)
-							return
-						}
-						_, _ = io.Copy(io.Discard, r.Body)
-						if !c.early {
-							_, _ = io.WriteString(conn, c.head+answer)
-						}
-					})
+					server := serveForm(t, relayed, func(conn net.Conn) { c.serve(conn, answer) })
 					for range plays {
-						status, got, err := upload(t, server, body())
-						if err != nil || status != http.StatusOK || got != size {
-							t.Errorf("response: got status %d, %d bytes, error %v, want 200, %d bytes", status, got, err, size)
-						}
+						wantSoundUpload(t, server, body(), size)
 					}
 				})
 			}
@@ -153,6 +177,35 @@
 	}
 }
 
+// TestConnectionEndedAfterEarlyAnswer guards against an upload that is sent on a connection which its target has ended
+// without a word after an early answer, as soon as that end can be known.
+func TestConnectionEndedAfterEarlyAnswer(t *testing.T) {
+	const plays, size, most = 4, 100 << 10, 10 * time.Second
+	answer := soundAnswer{head: signedHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", size), early: true}
+	for name, body := range uploads {
+		for _, relayed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s upload, relayed %t", name, relayed), func(t *testing.T) {
+				t.Parallel()
+				ended := make(chan struct{}, plays)
+				server := serveForm(t, relayed, func(conn net.Conn) {
+					answer.serve(conn, strings.Repeat("a", size))
+					_ = conn.(*net.TCPConn).CloseWrite()
+					_, _ = io.Copy(io.Discard, conn)
+					ended <- struct{}{}
+				})
+				for range plays {
+					wantSoundUpload(t, server, body(), size)
+					select {
+					case <-ended:
+					case <-time.After(most):
+						t.Fatalf("connection that the target has ended: got still open after %v, want closed", most)
+					}
+				}
+			})
+		}
+	}
+}
+
 // serveOverHostAt serves a proxy that relays all requests to what is at an address.
 func serveOverHostAt(t *testing.T, address string) *httptest.Server {
 	t.Helper()
