--- a/io/soak/attempts.go
+++ b/io/soak/attempts.go
@@ -37,7 +37,7 @@
 // targetDisturbed reports whether the target of a run ended or was paused within quietPeriod of it.
 func (c *Checker) targetDisturbed(run keyholder.Run) bool {
 	return slices.ContainsFunc(c.windows, func(w Window) bool {
-		kind := w.Kind == TargetKill || w.Kind == TargetPause || w.Kind == TargetDrain || w.Kind == TargetLeave
+		kind := w.Kind == TargetKill || w.Kind == RestartUnseen || w.Kind == TargetPause || w.Kind == TargetDrain || w.Kind == TargetLeave
 		return kind && w.Target == run.Target && w.From.Before(run.At.Add(quietPeriod)) && w.To.After(run.At.Add(-quietPeriod))
 	})
 }
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pineturn/core/clock"
+	"pineturn/core/owner"
 	"pineturn/io/standin/link"
 	"pineturn/io/standin/platformstore"
 )
@@ -69,6 +70,8 @@
 	case EntryOfOther:
 		s.putEntriesOfOther(ctx, step)
 		return nil
+	case RestartUnseen:
+		return s.restartUnseen(ctx, step)
 	case DomainDrain:
 		return s.withWindow(systemWindow, maxDuration, func() error { return s.drainDomain(ctx, step) })
 	case ServiceLose:
@@ -276,19 +279,72 @@
 // drainTarget starts a replacement for a target, drains the target, and kills it
 // after the drain period. The caller holds the lock of the target.
 func (s *system) drainTarget(ctx context.Context, t *target) error {
-	const drainPeriod = drainBound + time.Second
 	t.draining = true
 	if err := s.addTarget(t.service); err != nil {
 		return err
 	}
+	s.leave(ctx, t)
+	return nil
+}
+
+// leave has a target drain, and kills it after the drain period. The caller holds the lock of the target.
+func (s *system) leave(ctx context.Context, t *target) {
+	const drainPeriod = drainBound + time.Second
 	s.store.PutTarget(t.id, t.entry(true))
 	s.checker.DrainStarted(t.incarnationID(), time.Now())
 	clock.Sleep(ctx, drainPeriod)
 	s.store.PutTarget(t.id, nil)
 	s.terminateTarget(t)
+}
+
+// restartUnseen starts a target with keys again under its id as the store goes away, for longer than a lease without
+// renewals lasts. The target, for which a replacement has started before, drains when the store is back.
+func (s *system) restartUnseen(ctx context.Context, step Step) error {
+	const pause = 100 * time.Millisecond
+	t := s.keyedTarget(step.Index)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.draining {
+		return nil
+	}
+	t.draining = true
+	if err := s.addTarget(t.service); err != nil {
+		return err
+	}
+	outage := step.Length + owner.MaxLeaseDuration
+	target := Window{Kind: step.Kind, Host: -1, Target: t.incarnationID()}
+	restart := func() error {
+		s.terminateTarget(t)
+		clock.Sleep(ctx, pause)
+		return s.startIncarnation(t)
+	}
+	err := s.withWindow(Window{Kind: StoreBusy, Host: -1}, outage+startTimeout, func() error {
+		s.store.SetFault(storeFaults[StoreBusy])
+		defer s.store.SetFault(platformstore.Fault{})
+		if err := s.withWindow(target, startTimeout, restart); err != nil {
+			return err
+		}
+		clock.Sleep(ctx, outage)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	s.leave(ctx, t)
 	return nil
 }
 
+// keyedTarget returns a target with keys by its index among them.
+func (s *system) keyedTarget(index int) *target {
+	var keyed []*target
+	for _, t := range s.allTargets() {
+		if t.service == keyedService {
+			keyed = append(keyed, t)
+		}
+	}
+	return keyed[index%len(keyed)]
+}
+
 func (s *system) terminateTarget(t *target) {
 	t.process.kill()
 	s.checker.TargetEnded(t.incarnationID(), time.Now())
--- a/io/soak/steps.go
+++ b/io/soak/steps.go
@@ -37,6 +37,8 @@
 	// EntryOfOther puts an entry of another writer beside those of the targets: one with the address of
 	// a live target, and one that can't be read.
 	EntryOfOther Kind = "entry-of-other"
+	// RestartUnseen starts a target with keys again while the store is away. Its first entry says that it drains.
+	RestartUnseen Kind = "restart-unseen"
 	// DomainDrain drains a failure domain on the operator's request, and takes it back.
 	DomainDrain Kind = "domain-drain"
 	// ServiceLose makes all targets of a service lose all responses.
@@ -74,6 +76,9 @@
 // so that the steps of a seed stay as they were.
 var requested = []Kind{TargetLeave, TargetRest, DomainDrain}
 
+// unseen are faults of which the store shows nothing for a while, drawn apart as well.
+var unseen = []Kind{RestartUnseen}
+
 // written is what another writer puts into the store, drawn apart as well.
 var written = []Kind{EntryOfOther}
 
@@ -125,6 +130,7 @@
 	}
 	steps = append(steps, drawnApart(seed, 1, requested, duration)...)
 	steps = append(steps, drawnApart(seed, 2, written, duration)...)
+	steps = append(steps, drawnApart(seed, 3, unseen, duration)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.Start - b.Start) })
 	return steps
 }
--- a/io/soak/steps_test.go
+++ b/io/soak/steps_test.go
@@ -20,7 +20,7 @@
 				counts[step.Kind]++
 			}
 		}
-		for _, kind := range slices.Concat(planned, faults, requested, written) {
+		for _, kind := range slices.Concat(planned, faults, requested, written, unseen) {
 			if counts[kind] == 0 {
 				t.Errorf("steps of kind %s: got none, want some", kind)
 			}
--- a/io/soak/system.go
+++ b/io/soak/system.go
@@ -230,9 +230,19 @@
 // caller holds the lock of the target.
 func (t *target) incarnationID() string { return fmt.Sprintf("%s@%d", t.id, t.startedMs) }
 
-// startTarget starts an incarnation of a target and waits until it listens. The
-// caller holds the lock of the target.
+// startTarget starts an incarnation of a target, which writes its entry once it
+// listens. The caller holds the lock of the target.
 func (s *system) startTarget(t *target) error {
+	if err := s.startIncarnation(t); err != nil {
+		return err
+	}
+	s.store.PutTarget(t.id, t.entry(false))
+	return nil
+}
+
+// startIncarnation starts an incarnation of a target and waits until it listens. The
+// caller holds the lock of the target.
+func (s *system) startIncarnation(t *target) error {
 	t.startedMs = time.Now().UnixMilli()
 	incarnation := t.incarnationID()
 	args := []string{"keyholder", "--listen", t.address, "--id", t.id, "--service", t.service, "--limit", targetLimit, "--rest", fmt.Sprint(restTime.Seconds()), "--lost", responseFaultRate, "--extra", responseFaultRate, "--copies", copyRate, "--refusal-ids", refusalIDRate, "--invalid", responseFaultRate}
@@ -254,7 +264,6 @@
 	case <-p.done:
 		return errors.Newf("target %s exited before it listened", t.id)
 	}
-	s.store.PutTarget(t.id, t.entry(false))
 	return nil
 }
 
