Take a refused release for the answer of another target

Cause: releases to the ended targets were answered, by the targets of another service that had their addresses: 487 refusals (400) in 10 s of the log. They counted for nothing.

Change: by the protocol a release is never refused, and the platform gives an address to another target only after the one before has ended. So a refusal ends the former owner, as a target's answer that names itself does. Each release has a connection of its own, so the answer is no copy.

--- a/core/owner/dropped.go
+++ b/core/owner/dropped.go
@@ -13,7 +13,7 @@
 
 // Reasons, in the order in which they are tried.
 const (
-	// Ended: another target has answered an order at the address.
+	// Ended: another target has answered an order at the address, or refused a release.
 	Ended Reason = iota + 1
 	// Released: the former owner has answered a release.
 	Released
--- a/core/owner/dropped_test.go
+++ b/core/owner/dropped_test.go
@@ -45,6 +45,9 @@
 		{name: "another target answers", do: func(l *Leader, view map[string]Target) {
 			answerReleases(l, view, Outcome{TargetEnded: true}, testStart)
 		}, want: Ended},
+		{name: "another target refuses the release", do: func(l *Leader, view map[string]Target) {
+			answerReleases(l, view, Outcome{Refused: true}, testStart)
+		}, want: Ended},
 		{name: "expired", do: func(*Leader, map[string]Target) {}, after: end, want: Expired},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/core/owner/leader.go
+++ b/core/owner/leader.go
@@ -100,7 +100,7 @@
 	lastAttempt     time.Time
 	releaseInFlight bool
 	// released reports that the owner answered a release, ended that another target
-	// has its address.
+	// has its address: it has named itself or refused the release.
 	released bool
 	ended    bool
 }
--- a/core/owner/orders.go
+++ b/core/owner/orders.go
@@ -217,10 +217,12 @@
 	}
 }
 
+// handleRelease applies the outcome of a release. A target with keys never refuses one, so a refusal
+// comes from another target, which has the address of one that has ended.
 func (l *Leader) handleRelease(o Order, outcome Outcome) {
 	o.former.releaseInFlight = false
 	o.former.released = o.former.released || outcome.Done
-	o.former.ended = o.former.ended || outcome.TargetEnded
+	o.former.ended = o.former.ended || outcome.TargetEnded || outcome.Refused
 	if !outcome.Done {
 		return
 	}
