--- a/core/owner/restart_test.go
+++ b/core/owner/restart_test.go
@@ -254,3 +254,26 @@
 		})
 	}
 }
+
+// TestNoProbeOnConnectionAfterProof guards against two owners of a key after the store has lost records: the owner's
+// connection was opened after the last proof, so that its incarnation may not have seen the tokens of a lost leader.
+func TestNoProbeOnConnectionAfterProof(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		proof time.Time
+		want  bool
+	}{
+		{name: "opened at the proof", proof: testStart, want: true},
+		{name: "opened after the proof", proof: testStart.Add(-time.Millisecond), want: false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, view, _ := newCluster(t, 4)
+			record := l.Record().NextLeader("a", LeaderProcess{Incarnation: "1"}, 2)
+			now := testStart.Add(time.Second)
+			next := l.Succeed(record, c.proof, now)
+			if got := len(next.Orders(view, true, now.Add(MaxProofAgeForNewLease+orderTimeout))) > 0; got != c.want {
+				t.Errorf("renewals under the token of the earlier era: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
