owner: one play for all restarts of a target in the tests

Change: the five tests of restarts shared their shape; wantOneOwnerAndMove has it, restartAndDrain what two tests of dropped owners repeated.

--- a/core/owner/dropped_test.go
+++ b/core/owner/dropped_test.go
@@ -95,6 +95,16 @@
 	}
 }
 
+// restartAndDrain shows a leader that t01 has started again and drains, and has it move the target's ranges.
+func restartAndDrain(l *Leader, view map[string]Target, loads *Loads, now time.Time) {
+	restarted := view["t01"]
+	restarted.Born++
+	restarted.Draining = true
+	view["t01"] = restarted
+	l.Assign(testService, view, loads, now)
+	l.MarkPersisted(l.Record())
+}
+
 // TestDroppedAfterRestartUnseen guards against two owners of a key: a later incarnation may have accepted the
 // connection on which the leader renews leases, as the owner is not known to have run since that was opened.
 func TestDroppedAfterRestartUnseen(t *testing.T) {
@@ -117,12 +127,7 @@
 			now := testStart.Add(renewed)
 			setStaleness(view, c.staleness)
 			completeOrders(t, l, view, now)
-			restarted := view["t01"]
-			restarted.Born++
-			restarted.Draining = true
-			view["t01"] = restarted
-			l.Assign(testService, view, loads, now)
-			l.MarkPersisted(l.Record())
+			restartAndDrain(l, view, loads, now)
 			free := testStart.Add(c.want)
 			if got := l.DropFormerOwners(view, free.Add(-time.Millisecond)); len(got) > 0 {
 				t.Errorf("dropped before %v: got %v, want none", c.want, got)
@@ -143,12 +148,7 @@
 	for _, o := range l.Orders(view, true, renewed) {
 		l.HandleOutcome(o, Outcome{Done: true, ConnectedAt: reopened}, renewed)
 	}
-	restarted := view["t01"]
-	restarted.Born++
-	restarted.Draining = true
-	view["t01"] = restarted
-	l.Assign(testService, view, loads, renewed)
-	l.MarkPersisted(l.Record())
+	restartAndDrain(l, view, loads, renewed)
 	expired := reopened.Add(leaseExpiryBound)
 	if got := l.DropFormerOwners(view, expired.Add(-time.Millisecond)); len(got) > 0 {
 		t.Errorf("dropped before a grant on the new connection has expired: got %v, want none", got)
--- a/core/owner/restart_test.go
+++ b/core/owner/restart_test.go
@@ -75,15 +75,21 @@
 	*t = modelTarget{id: t.id, born: t.born + 1, clockFactor: t.clockFactor, alive: true, silentUntil: m.now.Add(d)}
 }
 
-// phases calls play with the times since the last renewal at which an event may happen, and with some numbers of
-// rounds in which releases get no answer.
-func phases(t *testing.T, play func(t *testing.T, renewed time.Duration, unanswered int)) {
+// wantOneOwnerAndMove plays a restart of t0 with each of some durations, at all phases of a renewal, and with some numbers
+// of rounds in which releases get no answer. Then t0 drains. No two targets may have held a key, and all must have moved.
+func wantOneOwnerAndMove(t *testing.T, durations []time.Duration, play func(m *restartPlay, d time.Duration)) {
+	t.Helper()
 	const renewed = 40 * modelStep
-	for phase := range 10 {
-		for _, unanswered := range []int{0, 2, 40} {
-			t.Run(fmt.Sprintf("phase %d, %d rounds of releases unanswered", phase, unanswered), func(t *testing.T) {
-				play(t, renewed+time.Duration(phase)*modelStep, unanswered)
-			})
+	for _, d := range durations {
+		for phase := range 10 {
+			for _, unanswered := range []int{0, 2, 40} {
+				t.Run(fmt.Sprintf("%v, phase %d, %d rounds of releases unanswered", d, phase, unanswered), func(t *testing.T) {
+					m := newRestartPlay(t, renewed+time.Duration(phase)*modelStep, unanswered)
+					play(m, d)
+					m.playDrained()
+					m.wantMoved(t)
+				})
+			}
 		}
 	}
 }
@@ -92,91 +98,64 @@
 // again while the store is away, on the connection that the new incarnation has accepted, and takes them for those
 // of the earlier one.
 func TestRestartWithoutStore(t *testing.T) {
-	for _, outage := range []time.Duration{2 * time.Second, 5 * time.Second, 7 * time.Second, 12 * time.Second} {
-		t.Run(outage.String(), func(t *testing.T) {
-			phases(t, func(t *testing.T, renewed time.Duration, unanswered int) {
-				m := newRestartPlay(t, renewed, unanswered)
-				m.away = true
-				m.restart(m.targets["t0"])
-				m.play(outage)
-				m.away = false
-				m.playDrained()
-				m.wantMoved(t)
-			})
-		})
-	}
+	outages := []time.Duration{2 * time.Second, 5 * time.Second, 7 * time.Second, 12 * time.Second}
+	wantOneOwnerAndMove(t, outages, func(m *restartPlay, outage time.Duration) {
+		m.away = true
+		m.restart(m.targets["t0"])
+		m.play(outage)
+		m.away = false
+	})
 }
 
 // TestRestartBeforeEntry is TestRestartWithoutStore for a target that is cut off from the store, of which the earlier
 // entry stays until it lapses.
 func TestRestartBeforeEntry(t *testing.T) {
-	for _, silent := range []time.Duration{modelStep, modelEntryLifetime - modelStep, 2 * modelEntryLifetime} {
-		t.Run(silent.String(), func(t *testing.T) {
-			phases(t, func(t *testing.T, renewed time.Duration, unanswered int) {
-				m := newRestartPlay(t, renewed, unanswered)
-				m.restartSilently(silent)
-				m.play(silent)
-				m.playDrained()
-				m.wantMoved(t)
-			})
-		})
-	}
+	silences := []time.Duration{modelStep, modelEntryLifetime - modelStep, 2 * modelEntryLifetime}
+	wantOneOwnerAndMove(t, silences, func(m *restartPlay, silent time.Duration) {
+		m.restartSilently(silent)
+		m.play(silent)
+	})
 }
 
 // TestRestartBesideEarlierLeader guards against two owners of a key: a leader that is cut off renews leases of a target
 // that has started again, and the next leader takes them for those of the earlier incarnation.
 func TestRestartBesideEarlierLeader(t *testing.T) {
-	for _, later := range []time.Duration{modelStep, time.Second, 3 * time.Second} {
-		t.Run("taken over after "+later.String(), func(t *testing.T) {
-			phases(t, func(t *testing.T, renewed time.Duration, unanswered int) {
-				m := newRestartPlay(t, renewed, unanswered)
-				m.newest().disconnected = true
-				m.restart(m.targets["t0"])
-				m.play(later)
-				m.takeOver()
-				m.playDrained()
-				m.wantMoved(t)
-			})
-		})
-	}
+	takenOver := []time.Duration{modelStep, time.Second, 3 * time.Second}
+	wantOneOwnerAndMove(t, takenOver, func(m *restartPlay, later time.Duration) {
+		m.newest().disconnected = true
+		m.restart(m.targets["t0"])
+		m.play(later)
+		m.takeOver()
+	})
 }
 
 // TestRestartAfterLaterLeader is TestRestartBesideEarlierLeader for a target that has accepted a grant of the later
 // leader before it starts again.
 func TestRestartAfterLaterLeader(t *testing.T) {
-	for _, later := range []time.Duration{modelStep, time.Second, 2 * time.Second} {
-		t.Run("restarted after "+later.String(), func(t *testing.T) {
-			phases(t, func(t *testing.T, renewed time.Duration, unanswered int) {
-				m := newRestartPlay(t, renewed, unanswered)
-				m.newest().disconnected = true
-				m.takeOver()
-				m.play(later)
-				m.restart(m.targets["t0"])
-				m.playDrained()
-				m.wantMoved(t)
-			})
-		})
-	}
+	restarted := []time.Duration{modelStep, time.Second, 2 * time.Second}
+	wantOneOwnerAndMove(t, restarted, func(m *restartPlay, later time.Duration) {
+		m.newest().disconnected = true
+		m.takeOver()
+		m.play(later)
+		m.restart(m.targets["t0"])
+	})
 }
 
 // TestRestartedTwice is TestRestartAfterLaterLeader for a target that starts again twice. The keys stay with it the
 // first time.
 func TestRestartedTwice(t *testing.T) {
+	var between []time.Duration
 	for steps := range 6 {
-		t.Run(fmt.Sprintf("after %d steps", steps), func(t *testing.T) {
-			phases(t, func(t *testing.T, renewed time.Duration, unanswered int) {
-				m := newRestartPlay(t, renewed, unanswered)
-				m.newest().disconnected = true
-				m.takeOver()
-				m.play(modelStep)
-				m.restart(m.targets["t0"])
-				m.play(time.Duration(steps) * modelStep)
-				m.restart(m.targets["t0"])
-				m.playDrained()
-				m.wantMoved(t)
-			})
-		})
+		between = append(between, time.Duration(steps)*modelStep)
 	}
+	wantOneOwnerAndMove(t, between, func(m *restartPlay, d time.Duration) {
+		m.newest().disconnected = true
+		m.takeOver()
+		m.play(modelStep)
+		m.restart(m.targets["t0"])
+		m.play(d)
+		m.restart(m.targets["t0"])
+	})
 }
 
 // TestProbeOnLaterConnection guards against two owners of a key after the store has lost records: the renewal that is
