--- a/core/owner/model_test.go
+++ b/core/owner/model_test.go
@@ -39,9 +39,9 @@
 	// was killed.
 	stopped  bool
 	killedAt time.Time
-	// sight is what the leader knows of the targets, and connections are the connections on
+	// view is what the leader knows of the targets, and connections are the connections on
 	// which it sends them grants. Leaders of one process share the connections.
-	sight       sight
+	view        storeView
 	connections connections
 	// inFlight holds the orders without an outcome.
 	inFlight []*orderInFlight
@@ -218,8 +218,8 @@
 	if l.stopped {
 		return
 	}
-	m.see(l)
-	targets := l.sight.targets(m.now)
+	m.readStore(l)
+	targets := l.view.targets(m.now)
 	l.DropFormerOwners(targets, m.now)
 	if m.writes(l) && !l.disconnected && !m.away {
 		l.lastProof = m.now
@@ -239,7 +239,7 @@
 	if l.stopped || m.now.Sub(l.lastProof) >= MaxProofAgeForRenewal {
 		return
 	}
-	for _, o := range l.Orders(l.sight.targets(m.now), m.now.Sub(l.lastProof) < MaxProofAgeForNewLease, m.now) {
+	for _, o := range l.Orders(l.view.targets(m.now), m.now.Sub(l.lastProof) < MaxProofAgeForNewLease, m.now) {
 		l.inFlight = append(l.inFlight, &orderInFlight{order: o, sent: m.now, leader: l})
 	}
 }
--- a/core/owner/modelstore_test.go
+++ b/core/owner/modelstore_test.go
@@ -38,38 +38,38 @@
 	}
 }
 
-// sight is what a leader has read last.
-type sight struct {
+// storeView is what a leader has read last.
+type storeView struct {
 	entries map[string]modelEntry
 	// readAt is the time of the last read, calmSince that since which all have succeeded.
 	readAt, calmSince time.Time
 	failed            bool
 }
 
-// see lets a leader read the entries of the targets, if it can.
-func (m *model) see(l *modelLeader) {
+// readStore lets a leader read the entries of the targets, if it can.
+func (m *model) readStore(l *modelLeader) {
 	if l.disconnected || m.away {
-		l.sight.failed = true
+		l.view.failed = true
 		return
 	}
-	if l.sight.failed || l.sight.readAt.IsZero() {
-		l.sight.failed, l.sight.calmSince = false, m.now
+	if l.view.failed || l.view.readAt.IsZero() {
+		l.view.failed, l.view.calmSince = false, m.now
 	}
-	l.sight.readAt = m.now
-	l.sight.entries = make(map[string]modelEntry)
+	l.view.readAt = m.now
+	l.view.entries = make(map[string]modelEntry)
 	for id, e := range m.entries {
 		e.target.Draining = e.target.Draining || m.now.Sub(e.writtenAt) >= modelEntryLifetime
-		l.sight.entries[id] = e
+		l.view.entries[id] = e
 	}
 }
 
 // targets returns the targets as the leader sees them at a time. A removed one counts as draining.
-func (s *sight) targets(now time.Time) map[string]Target {
-	ranAt := s.readAt.Add(-modelEntryBound)
+func (v *storeView) targets(now time.Time) map[string]Target {
+	ranAt := v.readAt.Add(-modelEntryBound)
 	targets := make(map[string]Target)
-	for id, e := range s.entries {
+	for id, e := range v.entries {
 		e.target.Staleness = now.Sub(ranAt)
-		if ranAt.Before(s.calmSince) || s.readAt.Sub(e.writtenAt) >= modelEntryLifetime {
+		if ranAt.Before(v.calmSince) || v.readAt.Sub(e.writtenAt) >= modelEntryLifetime {
 			e.target.Staleness = unknownStaleness
 		}
 		targets[id] = e.target
@@ -80,8 +80,8 @@
 // targetViews returns the targets as a leader sees them that has just read the store for the first time.
 func (m *model) targetViews() map[string]Target {
 	l := &modelLeader{}
-	m.see(l)
-	return l.sight.targets(m.now)
+	m.readStore(l)
+	return l.view.targets(m.now)
 }
 
 // connections holds the open connection to each target, as its leader takes it for.
